--- /dev/null
+++ b/crates/chervilfall_node/src/control.rs
@@ -0,0 +1,364 @@
+//! The control thread: feeds the planner while this node holds the group, and carries out what it
+//! wants done.
+
+use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
+use std::sync::Arc;
+
+use chervilfall_kernel::ControlLoop;
+use chervilfall_planner::{
+    Action, AdviceAnswer, AdviceOrder, Answer, Batch, EndpointEntry, Event, Limits, NodeId, Planner,
+    ReplyTo, Request, StepDownReason, Stored, Takeover,
+};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::{now_ms, unix_ms};
+use crate::front::Front;
+use crate::leadership::{Ask, Leadership, LeadershipState};
+use crate::link::{FollowerLink, ToFollower};
+use crate::ports::{Advisor, Endpoints, Platform, Store};
+use crate::routes::RouteTable;
+
+/// Number of this node among those that can call for advice.
+const SELF: NodeId = 0;
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub(crate) enum ControlEvent {
+    /// A request of this node's callers.
+    Ask(Ask),
+    /// A follower has linked.
+    LinkUp {
+        id: NodeId,
+        node: String,
+        link: FollowerLink,
+    },
+    /// A follower's link has ended.
+    LinkDown { id: NodeId },
+    /// A request that a follower passes on.
+    LinkRequest {
+        id: NodeId,
+        number: u64,
+        request: Request,
+    },
+    /// A call for advice was answered.
+    Advised { number: u64, answer: AdviceAnswer },
+    /// What the planner of a term wanted done was answered.
+    Done { term: u64, event: Event },
+    /// This node has claimed the group.
+    Claimed {
+        takeover: Takeover,
+        stored: Stored,
+        claimed_ms: u64,
+    },
+    /// The list of endpoints was read.
+    Endpoints(Vec<EndpointEntry>),
+    /// A configuration is in force.
+    Routes(Arc<RouteTable>),
+    /// A planned stop has begun.
+    Release,
+}
+
+/// The loop of the control thread.
+pub(crate) struct Control<P> {
+    pub(crate) platform: P,
+    pub(crate) group: String,
+    pub(crate) limits: Limits,
+    pub(crate) heartbeat_ms: u64,
+    pub(crate) front: Arc<Front>,
+    pub(crate) leadership: Arc<LeadershipState>,
+    pub(crate) sender: mpsc::Sender<ControlEvent>,
+    pub(crate) traffic: Handle,
+    planner: Option<Planner>,
+    routes: Option<Arc<RouteTable>>,
+    links: BTreeMap<NodeId, FollowerLink>,
+    waiting: HashMap<u64, oneshot::Sender<Answer>>,
+    next_ask: u64,
+    heartbeat_due_ms: u64,
+}
+
+impl<P: Platform> Control<P> {
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn new(
+        platform: P,
+        group: String,
+        limits: Limits,
+        heartbeat_ms: u64,
+        front: Arc<Front>,
+        leadership: Arc<LeadershipState>,
+        sender: mpsc::Sender<ControlEvent>,
+        traffic: Handle,
+    ) -> Self {
+        Self {
+            platform,
+            group,
+            limits,
+            heartbeat_ms,
+            front,
+            leadership,
+            sender,
+            traffic,
+            planner: None,
+            routes: None,
+            links: BTreeMap::new(),
+            waiting: HashMap::new(),
+            next_ask: 0,
+            heartbeat_due_ms: 0,
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let Some(planner) = &mut self.planner else {
+            return;
+        };
+        let term = planner.term();
+        let actions = planner.handle(now_ms(), event);
+        for action in actions {
+            self.carry_out(term, action);
+        }
+    }
+
+    fn carry_out(&mut self, term: u64, action: Action) {
+        match action {
+            Action::Reply { to, answer } => self.reply(to, answer),
+            Action::Commit(batch) => self.commit(term, batch),
+            Action::Start(order) => {
+                let (endpoints, key, task, run) =
+                    (self.platform.endpoints().clone(), order.endpoint, order.task, order.run);
+                self.run(term, async move {
+                    let answer = endpoints.start(order).await;
+                    Event::Started {
+                        endpoint: key,
+                        task,
+                        run,
+                        answer,
+                    }
+                });
+            }
+            Action::Stop(order) => {
+                let (endpoints, key, task, run) =
+                    (self.platform.endpoints().clone(), order.endpoint, order.task, order.run);
+                self.run(term, async move {
+                    let answer = endpoints.stop(order).await;
+                    Event::Stopped {
+                        endpoint: key,
+                        task,
+                        run,
+                        answer,
+                    }
+                });
+            }
+            Action::Hold(order) => {
+                let (endpoints, key) = (self.platform.endpoints().clone(), order.endpoint);
+                let sent_ms = now_ms();
+                self.run(term, async move {
+                    let answer = endpoints.hold(order).await;
+                    Event::Held {
+                        endpoint: key,
+                        sent_ms,
+                        answer,
+                    }
+                });
+            }
+            Action::Advise { node, order } => self.advise(node, order),
+            Action::StepDown(reason) => self.step_down(reason),
+        }
+    }
+
+    /// Runs an order on the traffic thread and feeds what came of it to the planner of the term.
+    fn run<F>(&self, term: u64, order: F)
+    where
+        F: Future<Output = Event> + Send + 'static,
+    {
+        let sender = self.sender.clone();
+        self.traffic.spawn(async move {
+            let event = order.await;
+            // The control thread ends with the process only.
+            drop(sender.send(ControlEvent::Done { term, event }).await);
+        });
+    }
+
+    fn commit(&self, term: u64, batch: Batch) {
+        let (store, group, number) = (self.platform.store().clone(), self.group.clone(), batch.number);
+        self.run(term, async move {
+            let outcome = store.commit(&group, batch).await;
+            Event::Committed { number, outcome }
+        });
+    }
+
+    fn advise(&mut self, node: NodeId, order: AdviceOrder) {
+        if node == SELF {
+            let (advisor, sender) = (self.platform.advisor().clone(), self.sender.clone());
+            self.traffic.spawn(async move {
+                let number = order.number;
+                let answer = advisor.advise(order).await;
+                // The control thread ends with the process only.
+                drop(sender.send(ControlEvent::Advised { number, answer }).await);
+            });
+            return;
+        }
+        let number = order.number;
+        let link = self.links.get(&node);
+        let sent = link.is_some_and(|link| link.queue.try_send(ToFollower::Advise(order)).is_ok());
+        if !sent {
+            let answer = AdviceAnswer::Failed;
+            // A full queue only delays the retry until the call's deadline.
+            drop(self.sender.try_send(ControlEvent::Advised { number, answer }));
+        }
+    }
+
+    fn reply(&mut self, to: ReplyTo, answer: Answer) {
+        if to.node == SELF {
+            if let Some(waiter) = self.waiting.remove(&to.number) {
+                // A caller that is gone needs no answer.
+                let _ = waiter.send(answer);
+            }
+            return;
+        }
+        let reply = ToFollower::Reply {
+            number: to.number,
+            answer,
+        };
+        let link = self.links.get(&to.node);
+        if link.is_some_and(|link| link.queue.try_send(reply).is_err()) {
+            log::warn!(node = to.node, number = to.number; "reply lost, the follower does not read");
+        }
+    }
+
+    fn step_down(&mut self, reason: StepDownReason) {
+        log::info!(reason:? = reason; "following again");
+        self.planner = None;
+        self.waiting.clear();
+        for link in self.links.values() {
+            // A follower that misses this sees the link end.
+            drop(link.queue.try_send(ToFollower::NotHolder));
+        }
+        self.links.clear();
+        if matches!(self.leadership.current(), Leadership::Local) {
+            self.leadership.set(Leadership::Nobody);
+            self.front.set_claim_age(u64::MAX);
+        }
+    }
+
+    fn claimed(&mut self, takeover: Takeover, stored: Stored, claimed_ms: u64) {
+        let planner = Planner::new(self.limits.clone(), takeover, stored, claimed_ms);
+        self.planner = Some(planner);
+        self.leadership.set(Leadership::Local);
+        if let Some(routes) = &self.routes {
+            let config = Arc::new(routes.configuration());
+            self.feed(Event::Configured(config));
+        }
+        self.feed_nodes();
+    }
+
+    fn feed_nodes(&mut self) {
+        let nodes = std::iter::once(SELF).chain(self.links.keys().copied());
+        self.feed(Event::Nodes(nodes.collect()));
+    }
+
+    fn link_up(&mut self, id: NodeId, node: &str, link: FollowerLink) {
+        let Some(planner) = &self.planner else {
+            // The link ends when its queue is dropped.
+            drop(link.queue.try_send(ToFollower::NotHolder));
+            return;
+        };
+        log::info!(link = id, node = node; "follower linked");
+        let heartbeat = heartbeat(planner);
+        // The queue is new and empty.
+        drop(link.queue.try_send(heartbeat));
+        self.links.insert(id, link);
+        self.feed_nodes();
+    }
+
+    fn link_down(&mut self, id: NodeId) {
+        if self.links.remove(&id).is_some() {
+            self.feed_nodes();
+        }
+    }
+
+    fn ask(&mut self, ask: Ask) {
+        if self.planner.is_none() {
+            // Dropping the sender tells the front to look for the holder again.
+            return;
+        }
+        self.next_ask += 1;
+        let number = self.next_ask;
+        self.waiting.insert(number, ask.answer);
+        self.feed(Event::Request {
+            to: ReplyTo { node: SELF, number },
+            request: ask.request,
+        });
+    }
+
+    fn beat(&mut self) {
+        let now = now_ms();
+        let Some(planner) = &self.planner else {
+            return;
+        };
+        self.front.set_claim_age(planner.claim_age_ms(now));
+        if now < self.heartbeat_due_ms {
+            return;
+        }
+        self.heartbeat_due_ms = now + self.heartbeat_ms;
+        self.waiting.retain(|_, waiter| !waiter.is_closed());
+        for link in self.links.values() {
+            // A follower that misses heartbeats gives the link up.
+            drop(link.queue.try_send(heartbeat(planner)));
+        }
+    }
+}
+
+fn heartbeat(planner: &Planner) -> ToFollower {
+    ToFollower::Heartbeat {
+        term: planner.term(),
+        claim_age_ms: planner.claim_age_ms(now_ms()),
+    }
+}
+
+impl<P: Platform> ControlLoop for Control<P> {
+    type Event = ControlEvent;
+
+    fn handle(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Ask(ask) => self.ask(ask),
+            ControlEvent::LinkUp { id, node, link } => self.link_up(id, &node, link),
+            ControlEvent::LinkDown { id } => self.link_down(id),
+            ControlEvent::LinkRequest {
+                id,
+                number,
+                request,
+            } => self.feed(Event::Request {
+                to: ReplyTo { node: id, number },
+                request,
+            }),
+            ControlEvent::Advised { number, answer } => self.feed(Event::Advised { number, answer }),
+            ControlEvent::Done { term, event } => {
+                if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
+                    self.feed(event);
+                }
+            }
+            ControlEvent::Claimed {
+                takeover,
+                stored,
+                claimed_ms,
+            } => self.claimed(takeover, stored, claimed_ms),
+            ControlEvent::Endpoints(entries) => self.feed(Event::Endpoints(entries)),
+            ControlEvent::Routes(routes) => {
+                let config = Arc::new(routes.configuration());
+                self.routes = Some(routes);
+                self.feed(Event::Configured(config));
+            }
+            ControlEvent::Release => {
+                if let Some(planner) = &mut self.planner {
+                    planner.release();
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.feed(Event::Tick { unix_ms: unix_ms() });
+        self.beat();
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/front.rs
@@ -0,0 +1,183 @@
+//! Callers' requests: finds the queue, asks the holder, waits for it a little if there is none.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use chervilfall_planner::{Answer, Request};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{timeout, Instant};
+
+use crate::control::ControlEvent;
+use crate::leadership::{Ask, Leadership, LeadershipState};
+use crate::routes::{Route, RouteTable};
+use crate::settings::Timings;
+
+/// When a caller that found no holder should come back.
+const RETRY_MS: u64 = 1_000;
+
+/// Answer to a caller's request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FrontAnswer {
+    /// The holder's answer.
+    Answer(Answer),
+    /// There is no such queue.
+    NoQueue,
+    /// This node has no configuration yet.
+    NoConfiguration,
+}
+
+/// Takes callers' requests.
+#[derive(Debug)]
+pub struct Front {
+    routes: RwLock<Option<Arc<RouteTable>>>,
+    leadership: Arc<LeadershipState>,
+    control: mpsc::Sender<ControlEvent>,
+    timings: Timings,
+    stopping: AtomicBool,
+    /// How old the holder's claim is, in milliseconds; `u64::MAX` while unknown.
+    claim_age_ms: AtomicU64,
+}
+
+impl Front {
+    pub(crate) fn new(
+        leadership: Arc<LeadershipState>,
+        control: mpsc::Sender<ControlEvent>,
+        timings: Timings,
+    ) -> Self {
+        Self {
+            routes: RwLock::new(None),
+            leadership,
+            control,
+            timings,
+            stopping: AtomicBool::new(false),
+            claim_age_ms: AtomicU64::new(u64::MAX),
+        }
+    }
+
+    pub(crate) fn set_routes(&self, routes: Arc<RouteTable>) {
+        match self.routes.write() {
+            Ok(mut current) => *current = Some(routes),
+            Err(poisoned) => *poisoned.into_inner() = Some(routes),
+        }
+    }
+
+    /// Returns the configuration in force, if one is known.
+    #[must_use]
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        match self.routes.read() {
+            Ok(current) => current.clone(),
+            Err(poisoned) => poisoned.into_inner().clone(),
+        }
+    }
+
+    pub(crate) fn set_claim_age(&self, age_ms: u64) {
+        self.claim_age_ms.store(age_ms, Ordering::Relaxed);
+    }
+
+    pub(crate) fn claim_age_ms(&self) -> u64 {
+        self.claim_age_ms.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a planned stop has begun.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether callers should be sent here: the configuration is known and a holder whose
+    /// claim is fresh can be reached.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        if self.stopping() || self.routes().is_none() {
+            return false;
+        }
+        let linked = !matches!(self.leadership.current(), Leadership::Nobody);
+        linked && self.claim_age_ms() < 2 * self.timings.stale_ms
+    }
+
+    /// Finds the route of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if there is none.
+    pub fn route(&self, host: &str, path: &str) -> Result<Route, FrontAnswer> {
+        let routes = self.routes().ok_or(FrontAnswer::NoConfiguration)?;
+        routes.find(host, path).cloned().ok_or(FrontAnswer::NoQueue)
+    }
+
+    /// Asks the holder and waits for its answer, at most `patience` if that is given.
+    pub async fn ask(&self, request: Request, patience: Option<Duration>) -> Answer {
+        let wait = Duration::from_millis(self.timings.answer_wait_ms);
+        let wait = patience.map_or(wait, |patience| patience.mul_f64(0.8).min(wait));
+        let deadline = Instant::now() + wait;
+        let holder_wait = Duration::from_millis(self.timings.holder_wait_ms).min(wait);
+        let holder_deadline = Instant::now() + holder_wait;
+        let mut sent = false;
+        loop {
+            let Some(leadership) = self.holder_until(holder_deadline.min(deadline)).await else {
+                return not_answered(sent, &request);
+            };
+            let (answer, receiver) = oneshot::channel();
+            let ask = Ask {
+                request: request.clone(),
+                answer,
+            };
+            let passed_on = self.pass_on(&leadership, ask);
+            // A link that is given up must not be kept alive by those that wait for its answers.
+            drop(leadership);
+            if passed_on {
+                sent = true;
+                let left = deadline.saturating_duration_since(Instant::now());
+                match timeout(left, receiver).await {
+                    Ok(Ok(answer)) => return answer,
+                    // The holder went away; a new one answers for what the old one stored.
+                    Ok(Err(_)) => {}
+                    Err(_) => return not_answered(sent, &request),
+                }
+            }
+            if Instant::now() >= holder_deadline.min(deadline) {
+                return not_answered(sent, &request);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn holder_until(&self, deadline: Instant) -> Option<Leadership> {
+        let current = self.leadership.current();
+        if is_somebody(&current) {
+            return Some(current);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        let found = timeout(left, self.leadership.wait_until(is_somebody)).await;
+        found.ok().flatten()
+    }
+
+    fn pass_on(&self, leadership: &Leadership, ask: Ask) -> bool {
+        match leadership {
+            Leadership::Nobody => false,
+            Leadership::Local => self.control.try_send(ControlEvent::Ask(ask)).is_ok(),
+            Leadership::Remote(link) => link.ask(ask),
+        }
+    }
+}
+
+const fn is_somebody(leadership: &Leadership) -> bool {
+    !matches!(leadership, Leadership::Nobody)
+}
+
+/// Answers a request that the holder has not answered: refused only if it was sent to nobody.
+fn not_answered(sent: bool, request: &Request) -> Answer {
+    let refused = !sent && matches!(request, Request::Submit { .. });
+    if refused {
+        return Answer::Refused { retry_ms: RETRY_MS };
+    }
+    if !sent {
+        return Answer::NotCancelled { retry_ms: RETRY_MS };
+    }
+    Answer::Undecided
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/lib.rs
@@ -0,0 +1,21 @@
+//! A node of a fleet without machines of its own for control.
+//!
+//! Every node takes callers' requests. One of them holds the group: it runs the planner, and the
+//! others pass requests to it over links. What lasts lies in the store; a node keeps nothing.
+//! The platform's side is reached through the traits of [`ports`].
+
+mod clock;
+mod control;
+mod front;
+mod leadership;
+mod link;
+mod node;
+pub mod ports;
+mod routes;
+mod settings;
+mod watch;
+
+pub use front::{Front, FrontAnswer};
+pub use node::{Node, NodeError};
+pub use routes::{Route, RouteTable};
+pub use settings::{Settings, SettingsError, Timings};
--- /dev/null
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -0,0 +1,98 @@
+//! The holder's side of links.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use chervilfall_planner::NodeId;
+use futures_util::StreamExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::control::ControlEvent;
+use crate::link::frames::{read, write, LinkEnd, QUEUE};
+use crate::link::message::{ToFollower, ToHolder};
+use crate::settings::Timings;
+
+/// A link to a follower, as the control thread uses it.
+#[derive(Debug)]
+pub(crate) struct FollowerLink {
+    pub(crate) queue: mpsc::Sender<ToFollower>,
+}
+
+/// Numbers of links; 0 is the node itself.
+static NEXT_LINK: AtomicU32 = AtomicU32::new(1);
+
+/// Takes links for as long as the process lives.
+pub(crate) async fn accept_links(
+    listener: TcpListener,
+    timings: Timings,
+    control: mpsc::Sender<ControlEvent>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (timings, control) = (timings.clone(), control.clone());
+                tokio::spawn(async move {
+                    if let Err(end) = serve(stream, &timings, &control).await {
+                        log::info!(end:% = end; "link from a follower ended");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "can't take a link");
+                tokio::time::sleep(Duration::from_millis(timings.heartbeat_ms)).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    timings: &Timings,
+    control: &mpsc::Sender<ControlEvent>,
+) -> Result<(), LinkEnd> {
+    let silence = Duration::from_millis(timings.silence_ms);
+    let broken = |error: String| LinkEnd::Broken(error);
+    stream.set_nodelay(true).map_err(|error| broken(error.to_string()))?;
+    let accepted = timeout(silence, tokio_tungstenite::accept_async(stream)).await;
+    let socket = accepted
+        .map_err(|_| LinkEnd::Silent)?
+        .map_err(|error| broken(error.to_string()))?;
+    let (sink, mut stream) = socket.split();
+    let ToHolder::Hello { node } = read(&mut stream, silence).await? else {
+        return Err(LinkEnd::Malformed("the first message names no node".to_owned()));
+    };
+    let id: NodeId = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
+    let (queue, receiver) = mpsc::channel(QUEUE);
+    let link = FollowerLink { queue };
+    let up = ControlEvent::LinkUp { id, node, link };
+    control.send(up).await.map_err(|_| LinkEnd::Closed)?;
+    let reader = async {
+        loop {
+            let message = match read::<ToHolder>(&mut stream, silence).await {
+                Ok(message) => message,
+                Err(end) => return end,
+            };
+            let event = match message {
+                ToHolder::Heartbeat | ToHolder::Hello { .. } => continue,
+                ToHolder::Request { number, request } => ControlEvent::LinkRequest {
+                    id,
+                    number,
+                    request: *request,
+                },
+                ToHolder::Advised { number, answer } => ControlEvent::Advised { number, answer },
+            };
+            if control.send(event).await.is_err() {
+                return LinkEnd::Closed;
+            }
+        }
+    };
+    let end = tokio::select! {
+        end = write(sink, receiver, silence) => end,
+        end = reader => end,
+    };
+    // The control thread ends with the process only.
+    drop(control.send(ControlEvent::LinkDown { id }).await);
+    Err(end)
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/link/message.rs
@@ -0,0 +1,53 @@
+//! Messages between nodes.
+
+use chervilfall_planner::{AdviceAnswer, AdviceOrder, Answer, Millis, Request};
+use serde::{Deserialize, Serialize};
+
+/// From a follower to the holder.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum ToHolder {
+    /// Says who speaks; the first message.
+    Hello {
+        /// Name of the node.
+        node: String,
+    },
+    /// A caller's request.
+    Request {
+        /// Number that the answer repeats.
+        number: u64,
+        /// The request.
+        request: Box<Request>,
+    },
+    /// Answer of the advice service.
+    Advised {
+        /// Number of the order.
+        number: u64,
+        /// The answer.
+        answer: AdviceAnswer,
+    },
+    /// The link is alive.
+    Heartbeat,
+}
+
+/// From the holder to a follower.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum ToFollower {
+    /// The link is alive, and how the holder stands.
+    Heartbeat {
+        /// Term of its claim.
+        term: u64,
+        /// How long ago the claim was confirmed.
+        claim_age_ms: Millis,
+    },
+    /// Answer to a request.
+    Reply {
+        /// Number of the request.
+        number: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Asks to call the advice service.
+    Advise(AdviceOrder),
+    /// The sender does not hold the group.
+    NotHolder,
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/link/mod.rs
@@ -0,0 +1,10 @@
+//! Links from followers to the holder: one WebSocket each, CBOR in its messages.
+
+mod follower;
+mod frames;
+mod holder;
+mod message;
+
+pub(crate) use follower::{dial, DialError, HolderLink};
+pub(crate) use holder::{accept_links, FollowerLink};
+pub(crate) use message::ToFollower;
--- /dev/null
+++ b/crates/chervilfall_node/src/ports.rs
@@ -0,0 +1,100 @@
+//! What a node needs of the platform that it runs on.
+
+use std::future::Future;
+
+use chervilfall_planner::{
+    AdviceAnswer, AdviceOrder, Batch, CommitOutcome, EndpointEntry, HoldAnswer, HoldOrder, RowVersion,
+    StartAnswer, StartOrder, StopAnswer, StopOrder,
+};
+
+use crate::routes::RouteTable;
+
+/// A row of the node's own tables.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Version.
+    pub version: RowVersion,
+}
+
+/// The store, the list of endpoints and the configuration cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// The store refused the call.
+    #[error("store refused with status {0}")]
+    Refused(u16),
+    /// No answer came in time, or the connection broke.
+    #[error("store did not answer: {0}")]
+    Unanswered(String),
+    /// The answer makes no sense.
+    #[error("store's answer cannot be read: {0}")]
+    Malformed(String),
+}
+
+/// The platform's store.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Writes a batch in a group's part, if the claim row has the version expected.
+    fn commit(&self, group: &str, batch: Batch) -> impl Future<Output = CommitOutcome> + Send;
+
+    /// Reads all rows of a table in a group's part.
+    fn read_table(
+        &self,
+        group: &str,
+        table: &str,
+    ) -> impl Future<Output = Result<Vec<Row>, StoreError>> + Send;
+
+    /// Reads one row.
+    fn read_row(
+        &self,
+        group: &str,
+        table: &str,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<Row>, StoreError>> + Send;
+
+    /// Reads the list of endpoints.
+    fn read_endpoints(&self) -> impl Future<Output = Result<Vec<EndpointEntry>, StoreError>> + Send;
+
+    /// Reads the configuration in force if it is newer than `known`.
+    fn read_configuration(
+        &self,
+        known: Option<RowVersion>,
+    ) -> impl Future<Output = Result<Option<(RowVersion, RouteTable)>, StoreError>> + Send;
+}
+
+/// Orders to endpoints.
+pub trait Endpoints: Clone + Send + Sync + 'static {
+    /// Starts a run.
+    fn start(&self, order: StartOrder) -> impl Future<Output = StartAnswer> + Send;
+
+    /// Stops a run.
+    fn stop(&self, order: StopOrder) -> impl Future<Output = StopAnswer> + Send;
+
+    /// Extends leases and reads lists.
+    fn hold(&self, order: HoldOrder) -> impl Future<Output = HoldAnswer> + Send;
+}
+
+/// The advice service.
+pub trait Advisor: Clone + Send + Sync + 'static {
+    /// Asks which endpoints may run a step.
+    fn advise(&self, order: AdviceOrder) -> impl Future<Output = AdviceAnswer> + Send;
+}
+
+/// Everything that a node needs of its platform.
+pub trait Platform: Clone + Send + Sync + 'static {
+    /// Its store.
+    type Store: Store;
+    /// Its endpoints.
+    type Endpoints: Endpoints;
+    /// Its advice service.
+    type Advisor: Advisor;
+
+    /// Returns the store.
+    fn store(&self) -> &Self::Store;
+    /// Returns the endpoints.
+    fn endpoints(&self) -> &Self::Endpoints;
+    /// Returns the advice service.
+    fn advisor(&self) -> &Self::Advisor;
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/routes.rs
@@ -0,0 +1,52 @@
+//! Which queue a request is for.
+
+use chervilfall_planner::{Configuration, Queue, Service};
+
+/// A queue and the requests that are for it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Host that callers name, in lower case and without a port.
+    pub host: String,
+    /// Prefix of the path.
+    pub path_prefix: String,
+    /// The queue.
+    pub queue: Queue,
+}
+
+/// The configuration in force, as a node needs it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RouteTable {
+    /// Version that the operator gave it.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All services.
+    pub services: Vec<Service>,
+    /// Most bytes of a request's body.
+    pub max_body_bytes: u64,
+}
+
+impl RouteTable {
+    /// Returns the route of a request: the longest prefix of its path on its host.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        self.routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(name))
+            .filter(|route| path.starts_with(&route.path_prefix))
+            .max_by_key(|route| route.path_prefix.len())
+    }
+
+    /// Returns what a planner needs of it.
+    #[must_use]
+    pub fn configuration(&self) -> Configuration {
+        let queues = self.routes.iter().map(|route| route.queue.clone());
+        let services = self.services.iter().cloned();
+        Configuration {
+            version: self.version,
+            queues: queues.map(|queue| (queue.name.clone(), queue)).collect(),
+            services: services.map(|service| (service.name.clone(), service)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/settings.rs
@@ -0,0 +1,159 @@
+//! Settings of a node, as YAML says them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+
+/// Why settings are refused.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("can't read settings {path}: {cause}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system says.
+        cause: std::io::Error,
+    },
+    /// A field is wrong.
+    #[error("settings {path}: field {field}: {cause}")]
+    Field {
+        /// The file.
+        path: String,
+        /// The field.
+        field: String,
+        /// What is wrong with it.
+        cause: String,
+    },
+}
+
+/// Timings and bounds of a node, with the origin of each default.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timings {
+    /// Time between messages that show a link to be alive.
+    pub heartbeat_ms: u64,
+    /// Silence after which a link counts as broken: three heartbeats and a pause of the process.
+    pub silence_ms: u64,
+    /// Time to connect to the holder.
+    pub connect_ms: u64,
+    /// Claim that was not confirmed for this long makes followers look at the claim row.
+    pub stale_ms: u64,
+    /// The claim row must stand still this long before it is claimed: three renewals.
+    pub stall_ms: u64,
+    /// The same, when the holder's machine refuses connections: its process is gone.
+    pub refused_stall_ms: u64,
+    /// Time between readings of the claim row while no holder works.
+    pub claim_poll_ms: u64,
+    /// Time between readings of the configuration; a third of the time that it has to be in force.
+    pub config_poll_ms: u64,
+    /// Time between readings of the list of endpoints by the holder.
+    pub endpoints_poll_ms: u64,
+    /// How long a request waits for a holder before it is refused.
+    pub holder_wait_ms: u64,
+    /// How long a request waits for the holder's answer.
+    pub answer_wait_ms: u64,
+    /// Time between ticks of the planner.
+    pub tick_ms: u64,
+    /// After a planned stop began: how long the node goes on to serve while callers are sent to
+    /// other nodes.
+    pub linger_ms: u64,
+    /// Bound of a planned stop.
+    pub stop_ms: u64,
+}
+
+impl Default for Timings {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 250,
+            silence_ms: 1_000,
+            connect_ms: 400,
+            stale_ms: 1_300,
+            stall_ms: 1_500,
+            refused_stall_ms: 500,
+            claim_poll_ms: 200,
+            config_poll_ms: 600,
+            endpoints_poll_ms: 500,
+            holder_wait_ms: 1_200,
+            answer_wait_ms: 2_000,
+            tick_ms: 10,
+            linger_ms: 2_500,
+            stop_ms: 4_500,
+        }
+    }
+}
+
+/// Settings of a node.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the node.
+    pub node: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address that takes callers' requests.
+    pub listen: SocketAddr,
+    /// Address that tells whether the node is ready.
+    pub ready_listen: SocketAddr,
+    /// Address that takes links of other nodes.
+    pub link_listen: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Address of the advice service.
+    #[serde(default)]
+    pub advice: Option<SocketAddr>,
+    /// Longest lease that endpoints grant.
+    pub lease_max_ms: u64,
+    /// How long a finished job can be asked for, in seconds.
+    pub status_s: u64,
+    /// Most bytes of a row.
+    pub row_bytes: usize,
+    /// Timings.
+    #[serde(default)]
+    pub timings: Timings,
+}
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file and the field.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+            path: shown.clone(),
+            cause,
+        })?;
+        Self::parse(&shown, &text)
+    }
+
+    /// Reads settings from a text; `name` stands in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the field.
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
+        let field = |field: String, cause: String| SettingsError::Field {
+            path: name.to_owned(),
+            field,
+            cause,
+        };
+        let source = serde_norway::Deserializer::from_str(text);
+        let settings: Self = serde_path_to_error::deserialize(source)
+            .map_err(|error| field(error.path().to_string(), error.inner().to_string()))?;
+        if settings.node.is_empty() {
+            return Err(field("node".to_owned(), "must not be empty".to_owned()));
+        }
+        let timings = &settings.timings;
+        if timings.silence_ms <= 2 * timings.heartbeat_ms {
+            let cause = format!("must exceed twice heartbeat_ms, which is {}", timings.heartbeat_ms);
+            return Err(field("timings.silence_ms".to_owned(), cause));
+        }
+        if timings.tick_ms == 0 {
+            return Err(field("timings.tick_ms".to_owned(), "must be at least 1".to_owned()));
+        }
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -0,0 +1,233 @@
+//! Finds the holder, links to it, and claims the group when nobody holds it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilfall_planner::{
+    Candidate, CandidateMove, CommitOutcome, HolderRow, JobId, JobRow, ProgressRow, RosterEntry,
+    RowVersion, Stored,
+};
+use rand::Rng;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::clock::now_ms;
+use crate::control::ControlEvent;
+use crate::front::Front;
+use crate::leadership::{Leadership, LeadershipState};
+use crate::link::{dial, DialError};
+use crate::ports::{Platform, Row, Store, StoreError};
+use crate::settings::Settings;
+use crate::watch::Dependency;
+
+/// How long a refused connection counts as a sign that the holder's process is gone.
+const REFUSED_MS: u64 = 1_000;
+/// Attempts to read the group's rows after a claim.
+const LOAD_TRIES: u32 = 8;
+/// Pause between these, with the time for the store to come back.
+const LOAD_PAUSE_MS: u64 = 100;
+
+struct Dialing {
+    row: HolderRow,
+    task: JoinHandle<DialError>,
+}
+
+/// Watches the claim row.
+pub(crate) struct ClaimWatch<P> {
+    pub(crate) platform: P,
+    pub(crate) group: String,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) incarnation: u64,
+    pub(crate) front: Arc<Front>,
+    pub(crate) leadership: Arc<LeadershipState>,
+    pub(crate) control: mpsc::Sender<ControlEvent>,
+}
+
+impl<P: Platform> ClaimWatch<P> {
+    /// Runs until a planned stop begins, and goes on to follow the next holder then.
+    pub(crate) async fn run(self) {
+        let mut candidate = Candidate::new(
+            self.settings.node.clone(),
+            self.incarnation,
+            self.settings.link_listen.to_string(),
+        );
+        let mut dependency = Dependency::new("claim row");
+        let mut dialing: Option<Dialing> = None;
+        let mut refused_ms: Option<u64> = None;
+        loop {
+            let poll = Duration::from_millis(self.settings.timings.claim_poll_ms);
+            if self.holder_works() {
+                candidate.reset();
+                self.wait_for_trouble(poll).await;
+                continue;
+            }
+            if self.end_of_dialing(&mut dialing).await == Some(DialError::Refused) {
+                refused_ms = Some(now_ms());
+            }
+            let read = self.read_claim().await;
+            dependency.note(&read);
+            if let Ok((version, row)) = read {
+                let refused = refused_ms.is_some_and(|at| now_ms().saturating_sub(at) < REFUSED_MS);
+                self.consider(&mut candidate, &mut dialing, version, row, refused).await;
+            }
+            let jitter = rand::rng().random_range(0..=poll.as_millis() / 2);
+            let jitter = u64::try_from(jitter).unwrap_or(0);
+            self.wait_for_trouble(poll / 2 + Duration::from_millis(jitter)).await;
+        }
+    }
+
+    fn holder_works(&self) -> bool {
+        match self.leadership.current() {
+            Leadership::Nobody => false,
+            Leadership::Local => true,
+            Leadership::Remote(_) => self.front.claim_age_ms() < self.settings.timings.stale_ms,
+        }
+    }
+
+    /// Waits, but not if the holder is lost meanwhile.
+    async fn wait_for_trouble(&self, pause: Duration) {
+        let mut changes = self.leadership.subscribe();
+        if matches!(*changes.borrow_and_update(), Leadership::Nobody) {
+            tokio::time::sleep(pause).await;
+            return;
+        }
+        // Either way the loop looks again.
+        drop(tokio::time::timeout(pause, changes.changed()).await);
+    }
+
+    async fn end_of_dialing(&self, dialing: &mut Option<Dialing>) -> Option<DialError> {
+        if !dialing.as_ref().is_some_and(|dialing| dialing.task.is_finished()) {
+            return None;
+        }
+        let ended = dialing.take()?;
+        let error = ended.task.await.ok()?;
+        log::info!(holder = ended.row.node.as_str(), term = ended.row.term, error:% = error; "no link to the holder");
+        Some(error)
+    }
+
+    async fn read_claim(&self) -> Result<(RowVersion, Option<HolderRow>), StoreError> {
+        let row = self.platform.store().read_row(&self.group, "claims", "holder").await?;
+        let Some(row) = row else {
+            return Ok((0, None));
+        };
+        let holder = HolderRow::decode(&row.value).map_err(|error| StoreError::Malformed(error.to_string()))?;
+        Ok((row.version, Some(holder)))
+    }
+
+    async fn consider(
+        &self,
+        candidate: &mut Candidate,
+        dialing: &mut Option<Dialing>,
+        version: RowVersion,
+        row: Option<HolderRow>,
+        refused: bool,
+    ) {
+        let timings = &self.settings.timings;
+        let stall_ms = if refused { timings.refused_stall_ms } else { timings.stall_ms };
+        match candidate.observe(now_ms(), version, row, stall_ms) {
+            CandidateMove::Follow(holder) => self.follow(dialing, holder),
+            CandidateMove::Claim(batch, row) => {
+                if self.front.stopping() {
+                    return;
+                }
+                let claimed_ms = now_ms();
+                let outcome = self.platform.store().commit(&self.group, batch).await;
+                if let CommitOutcome::Stored(version) = outcome {
+                    self.abandon(dialing);
+                    let takeover = candidate.won(row, version);
+                    log::info!(term = takeover.row.term, fence = version; "group claimed");
+                    self.load(takeover, claimed_ms).await;
+                } else {
+                    log::info!(outcome:? = outcome; "claim not won");
+                }
+            }
+        }
+    }
+
+    fn follow(&self, dialing: &mut Option<Dialing>, holder: HolderRow) {
+        let same = dialing.as_ref().is_some_and(|dialing| {
+            dialing.row.incarnation == holder.incarnation && dialing.row.term == holder.term
+        });
+        if same {
+            return;
+        }
+        self.abandon(dialing);
+        let Ok(address) = holder.address.parse::<SocketAddr>() else {
+            log::warn!(holder = holder.node.as_str(), address = holder.address.as_str(); "holder's address cannot be read");
+            return;
+        };
+        let (settings, front) = (Arc::clone(&self.settings), Arc::clone(&self.front));
+        let (leadership, advisor) = (Arc::clone(&self.leadership), self.platform.advisor().clone());
+        let task = tokio::spawn(async move {
+            dial(address, &settings, &front, &leadership, &advisor).await
+        });
+        *dialing = Some(Dialing { row: holder, task });
+    }
+
+    fn abandon(&self, dialing: &mut Option<Dialing>) {
+        if let Some(old) = dialing.take() {
+            old.task.abort();
+            if matches!(self.leadership.current(), Leadership::Remote(_)) {
+                self.leadership.set(Leadership::Nobody);
+            }
+        }
+    }
+
+    /// Reads the rows of the group that was claimed.
+    async fn load(&self, takeover: chervilfall_planner::Takeover, claimed_ms: u64) {
+        for _ in 0..LOAD_TRIES {
+            match self.read_group().await {
+                Ok(stored) => {
+                    let event = ControlEvent::Claimed {
+                        takeover,
+                        stored,
+                        claimed_ms,
+                    };
+                    // The control thread ends with the process only.
+                    drop(self.control.send(event).await);
+                    // The control thread says when it has taken over; until then nothing is claimed.
+                    let held = self.leadership.wait_until(|leadership| matches!(leadership, Leadership::Local));
+                    drop(tokio::time::timeout(Duration::from_secs(1), held).await);
+                    return;
+                }
+                Err(error) => log::warn!(error:% = error; "can't read the group's rows"),
+            }
+            tokio::time::sleep(Duration::from_millis(LOAD_PAUSE_MS)).await;
+        }
+    }
+
+    async fn read_group(&self) -> Result<Stored, StoreError> {
+        let store = self.platform.store();
+        let jobs = store.read_table(&self.group, "jobs").await?;
+        let progress = store.read_table(&self.group, "progress").await?;
+        let roster = store.read_row(&self.group, "claims", "roster").await?;
+        Ok(Stored {
+            jobs: decode_rows(jobs, JobRow::decode)?,
+            progress: decode_rows(progress, ProgressRow::decode)?,
+            roster: match roster {
+                Some(row) => RosterEntry::decode_all(&row.value)
+                    .map_err(|error| StoreError::Malformed(format!("row roster: {error}")))?,
+                None => Vec::new(),
+            },
+        })
+    }
+}
+
+/// Decodes rows named by job; a row that cannot be read stops the takeover, because to take it for
+/// absent would forget an accepted job.
+fn decode_rows<T, E: std::fmt::Display>(
+    rows: Vec<Row>,
+    decode: impl Fn(&[u8]) -> Result<T, E>,
+) -> Result<Vec<(JobId, T)>, StoreError> {
+    let decoded = rows.into_iter().map(|row| {
+        let malformed = |error: String| StoreError::Malformed(format!("row {}: {error}", row.key));
+        let id: JobId = row
+            .key
+            .parse()
+            .map_err(|error: chervilfall_planner::InvalidJobId| malformed(error.to_string()))?;
+        let value = decode(&row.value).map_err(|error| malformed(error.to_string()))?;
+        Ok((id, value))
+    });
+    decoded.collect()
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/commit.rs
@@ -0,0 +1,46 @@
+//! Group commits: what changed since the last one, under the condition that the claim still holds.
+
+use crate::ids::RowVersion;
+
+/// Names a row: table and key; the group's part is added where the row is written.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RowKey {
+    /// Table.
+    pub table: &'static str,
+    /// Key in the table.
+    pub key: String,
+}
+
+/// A change of one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RowChange {
+    /// Writes the row.
+    Put(RowKey, Vec<u8>),
+    /// Drops the row.
+    Remove(RowKey),
+}
+
+/// Rows that change together. The claim row moves with every batch, so that a batch which is
+/// carried out late, or sent twice, finds its condition broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// Number of the batch; it also stands in the claim row.
+    pub number: u64,
+    /// Version that the claim row must have.
+    pub expected: RowVersion,
+    /// The rows, the claim row among them.
+    pub changes: Vec<RowChange>,
+}
+
+/// What came of a batch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CommitOutcome {
+    /// It is stored; the claim row has this version.
+    Stored(RowVersion),
+    /// The claim row has another version; holds the row, if there is one.
+    Conflict(Option<(RowVersion, Vec<u8>)>),
+    /// It was surely not carried out.
+    NotDone,
+    /// It may have been carried out, or may be later.
+    Unknown,
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/config.rs
@@ -0,0 +1,61 @@
+//! The configuration in force, as far as a planner needs it.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Name of a queue.
+pub type QueueName = String;
+
+/// Name of a service, a pool of endpoints.
+pub type ServiceName = String;
+
+/// How long it takes to ask which endpoints may run a step.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct AdviceTerms {
+    /// Time for a call.
+    pub decide_ms: f64,
+    /// Additional time for each endpoint that a call names.
+    pub each_ms: f64,
+    /// How long a ticket is valid.
+    pub valid_ms: u64,
+}
+
+/// A queue.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Queue {
+    /// Its name.
+    pub name: QueueName,
+    /// Pool of endpoints that runs its tasks.
+    pub service: ServiceName,
+    /// Rank; 0 comes first.
+    pub priority: u32,
+    /// Failed runs after which a task has failed.
+    pub attempts: u32,
+    /// Factor on the longest chain of work in a job's objective.
+    pub stretch: f64,
+    /// Constant part of a job's objective.
+    pub target_latency_ms: u64,
+    /// Set if a start needs a ticket of the advice service.
+    pub advice: Option<AdviceTerms>,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// Endpoints refuse what exceeds their capacity.
+    pub enforces_capacity: bool,
+}
+
+/// One version of the configuration.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Configuration {
+    /// Grows with each change.
+    pub version: u64,
+    /// Queues by name.
+    pub queues: BTreeMap<QueueName, Queue>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, Service>,
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/election.rs
@@ -0,0 +1,156 @@
+//! Who holds a group: read from the claim row, which moves with every commit of the holder.
+
+use serde::{Deserialize, Serialize};
+
+use crate::commit::{Batch, RowChange, RowKey};
+use crate::ids::{Fence, Millis, RowVersion};
+use crate::record::{decode, encode, RecordError, CLAIMS, HOLDER};
+
+/// The claim row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderRow {
+    /// Grows with every claim.
+    pub term: u64,
+    /// Holder.
+    pub node: String,
+    /// Random number of the holder's process, which tells it from an earlier one of that name.
+    pub incarnation: u64,
+    /// Where its links are taken.
+    pub address: String,
+    /// Number of the last commit.
+    pub number: u64,
+    /// The holder has handed the group back.
+    pub released: bool,
+}
+
+impl HolderRow {
+    /// Returns the value of the row.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// Reads the value of the row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a claim.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        decode(bytes)
+    }
+}
+
+/// A claim that was won.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Takeover {
+    /// The new claim row.
+    pub row: HolderRow,
+    /// Its version: the fencing token, and the condition of the next commit.
+    pub version: Fence,
+    /// When the predecessor's last commit was first seen here; no lease of its reaches further
+    /// than the claim's cover from there. None if there was no predecessor.
+    pub predecessor_seen_ms: Option<Millis>,
+}
+
+/// What a candidate should do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CandidateMove {
+    /// Follow this holder.
+    Follow(HolderRow),
+    /// Write this batch to claim the group.
+    Claim(Batch, HolderRow),
+}
+
+#[derive(Debug, Clone)]
+struct Seen {
+    version: RowVersion,
+    first_ms: Millis,
+    row: Option<HolderRow>,
+}
+
+/// Watches the claim row on behalf of a node that has no working planner.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    node: String,
+    incarnation: u64,
+    address: String,
+    seen: Option<Seen>,
+}
+
+impl Candidate {
+    /// Returns a candidate that has read nothing yet.
+    #[must_use]
+    pub const fn new(node: String, incarnation: u64, address: String) -> Self {
+        Self {
+            node,
+            incarnation,
+            address,
+            seen: None,
+        }
+    }
+
+    /// Forgets what was read: the holder works, so that an old reading tells nothing.
+    pub fn reset(&mut self) {
+        self.seen = None;
+    }
+
+    /// Takes a reading of the claim row; `stall_ms` is how long the row must stand still before
+    /// it is claimed.
+    pub fn observe(
+        &mut self,
+        now: Millis,
+        version: RowVersion,
+        row: Option<HolderRow>,
+        stall_ms: Millis,
+    ) -> CandidateMove {
+        let known = self.seen.as_ref().filter(|seen| seen.version == version);
+        let first_ms = known.map_or(now, |seen| seen.first_ms);
+        self.seen = Some(Seen {
+            version,
+            first_ms,
+            row: row.clone(),
+        });
+        match row {
+            None => self.claim(0, version),
+            Some(holder) => {
+                let free = holder.released || holder.node == self.node;
+                if free || now.saturating_sub(first_ms) >= stall_ms {
+                    return self.claim(holder.term, version);
+                }
+                CandidateMove::Follow(holder)
+            }
+        }
+    }
+
+    fn claim(&self, term: u64, version: RowVersion) -> CandidateMove {
+        let row = HolderRow {
+            term: term + 1,
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            address: self.address.clone(),
+            number: 0,
+            released: false,
+        };
+        let key = RowKey {
+            table: CLAIMS,
+            key: HOLDER.to_owned(),
+        };
+        let batch = Batch {
+            number: 0,
+            expected: version,
+            changes: vec![RowChange::Put(key, row.encode())],
+        };
+        CandidateMove::Claim(batch, row)
+    }
+
+    /// Returns the claim that was won with a batch of [`Candidate::observe`].
+    #[must_use]
+    pub fn won(&self, row: HolderRow, version: Fence) -> Takeover {
+        let predecessor = self.seen.as_ref().filter(|seen| seen.row.is_some());
+        Takeover {
+            row,
+            version,
+            predecessor_seen_ms: predecessor.map(|seen| seen.first_ms),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -0,0 +1,255 @@
+//! What is known of an endpoint.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use slotmap::new_key_type;
+
+use crate::config::ServiceName;
+use crate::ids::{EndpointId, Millis, Run, TaskKey};
+use crate::job::Step;
+use crate::limits::Limits;
+
+new_key_type! {
+    /// Key of an endpoint's incarnation in the planner's arena.
+    pub struct EndpointKey;
+}
+
+/// An endpoint as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointEntry {
+    /// Incarnation.
+    pub id: EndpointId,
+    /// Address that takes orders.
+    pub address: String,
+    /// Pool.
+    pub service: ServiceName,
+    /// Failure domain.
+    pub domain: String,
+    /// It is leaving and takes no new work.
+    pub draining: bool,
+    /// Processor, in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory, in megabytes.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub gpus: u32,
+    /// Rack that it stands in.
+    pub rack: Option<String>,
+    /// Labels, the rack among them.
+    pub labels: BTreeSet<String>,
+}
+
+/// Room of an endpoint, or what a task takes of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Room {
+    pub(crate) cpu_milli: u32,
+    pub(crate) memory_mb: u32,
+    pub(crate) gpus: u32,
+}
+
+impl Room {
+    pub(crate) fn of_entry(entry: &EndpointEntry) -> Self {
+        Self {
+            cpu_milli: entry.cpu_milli,
+            memory_mb: entry.memory_mb,
+            gpus: entry.gpus,
+        }
+    }
+
+    pub(crate) fn of_step(step: &Step) -> Self {
+        Self {
+            cpu_milli: if step.fills { 0 } else { step.cpu_milli },
+            memory_mb: step.memory_mb,
+            gpus: step.gpus,
+        }
+    }
+
+    pub(crate) const fn holds(self, need: Self) -> bool {
+        self.cpu_milli >= need.cpu_milli
+            && self.memory_mb >= need.memory_mb
+            && self.gpus >= need.gpus
+    }
+
+    pub(crate) const fn add(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli + other.cpu_milli,
+            memory_mb: self.memory_mb + other.memory_mb,
+            gpus: self.gpus + other.gpus,
+        }
+    }
+
+    pub(crate) const fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+
+    /// Returns how many of `need` fit.
+    pub(crate) fn fits(self, need: Self) -> u32 {
+        let parts = [
+            (self.cpu_milli, need.cpu_milli),
+            (self.memory_mb, need.memory_mb),
+            (self.gpus, need.gpus),
+        ];
+        let counts = parts.into_iter().filter(|(_, need)| *need > 0);
+        counts.map(|(have, need)| have / need).min().unwrap_or(u32::MAX)
+    }
+}
+
+/// How far a run on an endpoint has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// The start was sent and not answered yet.
+    Starting,
+    /// The endpoint has it.
+    Running,
+    /// A stop is due or on its way.
+    Stopping {
+        /// When the last stop was sent.
+        sent_ms: Option<Millis>,
+        /// When the endpoint took a stop; a list asked for later is the truth.
+        taken_ms: Option<Millis>,
+    },
+}
+
+/// A run that may be on an endpoint; its room is taken until its end is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Placed {
+    pub(crate) run: Run,
+    pub(crate) phase: RunPhase,
+    pub(crate) room: Room,
+    /// When the start was answered; lists asked for later must show it.
+    pub(crate) confirmed_ms: Option<Millis>,
+}
+
+/// A reading of an endpoint's clock.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    theirs_ms: Millis,
+    received_ms: Millis,
+}
+
+/// One incarnation of an endpoint.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) entry: EndpointEntry,
+    /// The platform lists it now.
+    pub(crate) listed: bool,
+    /// It stands in the stored roster, so that a successor knows that it may hold leases.
+    pub(crate) rostered: bool,
+    /// It has answered a hold of this planner, so that older holders are shut out there.
+    pub(crate) contacted: bool,
+    /// All its leases have lapsed since it was last heard, or its incarnation is over.
+    pub(crate) over: bool,
+    pub(crate) placed: BTreeMap<TaskKey, Placed>,
+    pub(crate) used: Room,
+    /// Highest end that was taken in.
+    pub(crate) taken_in: u64,
+    /// Highest end that is stored.
+    pub(crate) acknowledged: u64,
+    pub(crate) heard_ms: Option<Millis>,
+    pub(crate) hold_sent_ms: Option<Millis>,
+    pub(crate) next_hold_ms: Millis,
+    pub(crate) paused_until_ms: Millis,
+    /// Ends that failed since the last that was done, a sign of an endpoint at fault.
+    pub(crate) failures_in_row: u32,
+    reading: Option<Reading>,
+    /// Latest lease that may have been granted, on the endpoint's clock.
+    granted_ms: Millis,
+}
+
+impl Endpoint {
+    pub(crate) fn new(entry: EndpointEntry, listed: bool) -> Self {
+        Self {
+            entry,
+            listed,
+            rostered: false,
+            contacted: false,
+            over: false,
+            placed: BTreeMap::new(),
+            used: Room::default(),
+            taken_in: 0,
+            acknowledged: 0,
+            heard_ms: None,
+            hold_sent_ms: None,
+            next_hold_ms: 0,
+            paused_until_ms: 0,
+            failures_in_row: 0,
+            reading: None,
+            granted_ms: 0,
+        }
+    }
+
+    /// Takes a reading of its clock.
+    pub(crate) fn read_clock(&mut self, now: Millis, theirs_ms: Millis) {
+        let newer = self.reading.is_none_or(|reading| theirs_ms >= reading.theirs_ms);
+        if newer {
+            self.reading = Some(Reading {
+                theirs_ms,
+                received_ms: now,
+            });
+        }
+    }
+
+    /// Returns the lease to ask for: `lease_ms` from now, but no further than `bound_ms` on our
+    /// clock. None while its clock is unknown or the bound has passed.
+    pub(crate) fn lease(&mut self, now: Millis, lease_ms: Millis, bound_ms: Millis) -> Option<Millis> {
+        let reading = self.reading?;
+        let left_ms = bound_ms.checked_sub(now)?.min(lease_ms);
+        let until_ms = reading.theirs_ms + now.saturating_sub(reading.received_ms) + left_ms;
+        self.granted_ms = self.granted_ms.max(until_ms);
+        Some(until_ms)
+    }
+
+    /// Notes what an earlier holder may have granted.
+    pub(crate) fn assume_granted(&mut self, limits: &Limits) {
+        if let Some(reading) = self.reading {
+            let granted_ms = reading.theirs_ms + limits.lease_ms + limits.clock_slack_ms;
+            self.granted_ms = self.granted_ms.max(granted_ms);
+        }
+    }
+
+    /// Returns whether every lease that it was granted has surely lapsed.
+    pub(crate) fn surely_lapsed(&self, now: Millis, limits: &Limits) -> bool {
+        let Some(reading) = self.reading else {
+            return false;
+        };
+        let passed_ms = now.saturating_sub(reading.received_ms);
+        let slow_ms = passed_ms * limits.drift_permille / 1_000 + 1;
+        reading.theirs_ms + passed_ms - slow_ms.min(passed_ms) > self.granted_ms + limits.clock_slack_ms / 3
+    }
+
+    pub(crate) fn silent_for(&self, now: Millis) -> Millis {
+        self.heard_ms.map_or(Millis::MAX, |heard| now.saturating_sub(heard))
+    }
+
+    /// Returns whether it can be given new work.
+    pub(crate) fn takes_work(&self, now: Millis, limits: &Limits) -> bool {
+        self.listed
+            && self.rostered
+            && self.contacted
+            && !self.over
+            && !self.entry.draining
+            && now >= self.paused_until_ms
+            && self.silent_for(now) < limits.silent_ms
+    }
+
+    pub(crate) fn free(&self) -> Room {
+        Room::of_entry(&self.entry).minus(self.used)
+    }
+
+    pub(crate) fn place(&mut self, task: TaskKey, placed: Placed) {
+        self.used = self.used.add(placed.room);
+        if let Some(old) = self.placed.insert(task, placed) {
+            self.used = self.used.minus(old.room);
+        }
+    }
+
+    pub(crate) fn release(&mut self, task: TaskKey) -> Option<Placed> {
+        let placed = self.placed.remove(&task)?;
+        self.used = self.used.minus(placed.room);
+        Some(placed)
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/job.rs
@@ -0,0 +1,76 @@
+//! What callers ask for.
+
+use serde::{Deserialize, Serialize};
+
+/// A step: tasks of the same kind.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u32,
+    /// Processor share of a task, in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory of a task, in megabytes.
+    pub memory_mb: u32,
+    /// Accelerators of a task.
+    pub gpus: u32,
+    /// The caller's rough guess of a task's duration.
+    pub estimate_ms: u64,
+    /// Earlier steps that must have completed.
+    pub after: Vec<u16>,
+    /// The tasks save checkpoints.
+    pub checkpointing: bool,
+    /// The tasks work only while all of them run.
+    pub gang: bool,
+    /// The tasks are slow when they are on several racks.
+    pub same_rack: bool,
+    /// Label that an endpoint must have.
+    pub required_label: Option<String>,
+    /// Rack that holds the data.
+    pub affinity: Option<String>,
+    /// Most tasks of the step on one endpoint; 0 sets no limit.
+    pub max_per_endpoint: u32,
+    /// Several runs of a task may overlap.
+    pub allow_duplicates: bool,
+    /// The tasks run until the job is cancelled.
+    pub long_running: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: String,
+    /// Bound of the response times' tail, of a task that serves users; 0 for none.
+    pub target_ms: u64,
+    /// The tasks use what others leave over and reserve no processor share.
+    pub fills: bool,
+    /// Most tasks that may be away at the same time through the scheduler's own actions.
+    pub max_unavailable: u32,
+}
+
+/// A job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Opaque text that each start carries.
+    pub spec: String,
+    /// Steps in their order.
+    pub steps: Vec<Step>,
+    /// Occurrences of a repeated job; 0 for a job that runs once at once.
+    pub repeat_count: u32,
+    /// When the first occurrence is due, in milliseconds since 1970.
+    pub first_due_unix_ms: u64,
+    /// Time between occurrences.
+    pub interval_ms: u64,
+}
+
+impl JobSpec {
+    /// Returns how often the steps run.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.repeat_count.max(1)
+    }
+
+    /// Returns when an occurrence is due, in milliseconds since 1970; 0 means at once.
+    #[must_use]
+    pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        if self.repeat_count == 0 {
+            return 0;
+        }
+        self.first_due_unix_ms + u64::from(occurrence) * self.interval_ms
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -0,0 +1,37 @@
+//! Pure decision core of one group of endpoints.
+//!
+//! One planner at a time holds a group. It accepts jobs, places their tasks on endpoints and keeps
+//! what must last in rows of the platform's store. It does no I/O: each event and the time go in,
+//! actions come out, so that tests drive it in virtual time.
+
+mod action;
+mod advice;
+mod commit;
+mod config;
+mod election;
+mod endpoint;
+mod event;
+mod ids;
+mod job;
+mod limits;
+mod planner;
+mod policy;
+mod record;
+mod tasks;
+
+pub use action::{
+    Action, AdviceOrder, Answer, HoldOrder, JobState, ReplyTo, StartOrder, StepDownReason, StopOrder,
+};
+pub use commit::{Batch, CommitOutcome, RowChange, RowKey};
+pub use config::{AdviceTerms, Configuration, Queue, QueueName, Service, ServiceName};
+pub use election::{Candidate, CandidateMove, HolderRow, Takeover};
+pub use endpoint::{EndpointEntry, EndpointKey};
+pub use event::{
+    AdviceAnswer, EndedRun, Event, HoldAnswer, HoldReport, How, NodeId, Refusal, Request, RunningRun,
+    StartAnswer, StopAnswer, Ticket,
+};
+pub use ids::{EndpointId, Fence, InvalidJobId, JobId, Millis, RowVersion, Run, TaskKey};
+pub use job::{JobSpec, Step};
+pub use limits::Limits;
+pub use planner::{Planner, Stored};
+pub use record::{JobRow, ProgressRow, RecordError, RosterEntry};
--- /dev/null
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -0,0 +1,79 @@
+//! Timings and limits of a planner, with the origin of each default.
+
+use crate::ids::Millis;
+
+/// Timings and limits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Lease that a hold grants an endpoint's tasks. Three holds can fail before it lapses.
+    pub lease_ms: Millis,
+    /// Longest lease that endpoints grant.
+    pub lease_max_ms: Millis,
+    /// Leases reach no further than this after the last commit. It has to outlast outages of the
+    /// store; a successor waits as long for endpoints that it cannot reach.
+    pub claim_cover_ms: Millis,
+    /// Drift of an endpoint's clock against this one, in thousandths.
+    pub drift_permille: u64,
+    /// Uncertainty of readings of other clocks.
+    pub clock_slack_ms: Millis,
+    /// Shortest time between the starts of two commits; trades latency for calls.
+    pub commit_gap_ms: Millis,
+    /// A commit renews the claim at least this often.
+    pub renew_ms: Millis,
+    /// A commit is repeated after this.
+    pub commit_retry_ms: Millis,
+    /// Most rows of a commit; the store takes 100 entries.
+    pub commit_rows: usize,
+    /// Most bytes of values in a commit; the store takes a megabyte with encoding.
+    pub commit_bytes: usize,
+    /// Longest that a submission waits for its commit to begin before it is refused.
+    pub accept_wait_ms: Millis,
+    /// How long a hold may wait for an end.
+    pub hold_wait_ms: Millis,
+    /// Pause before a hold that follows an unanswered one.
+    pub hold_retry_ms: Millis,
+    /// An endpoint that has not answered for this long gets no starts.
+    pub silent_ms: Millis,
+    /// A stop is repeated after this.
+    pub stop_retry_ms: Millis,
+    /// Pause of starts on an endpoint that refused or left one unanswered.
+    pub start_pause_ms: Millis,
+    /// Time left on a ticket for a start to reach the endpoint.
+    pub ticket_margin_ms: Millis,
+    /// Most endpoints in a call for advice.
+    pub advice_endpoints: usize,
+    /// Time added to the stated time of a call for advice before it counts as lost.
+    pub advice_slack_ms: Millis,
+    /// How long a finished job can be asked for.
+    pub status_ms: Millis,
+    /// Most bytes of a row.
+    pub row_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            lease_ms: 3_500,
+            lease_max_ms: 6_000,
+            claim_cover_ms: 9_000,
+            drift_permille: 20,
+            clock_slack_ms: 300,
+            commit_gap_ms: 20,
+            renew_ms: 400,
+            commit_retry_ms: 50,
+            commit_rows: 95,
+            commit_bytes: 600_000,
+            accept_wait_ms: 1_200,
+            hold_wait_ms: 1_000,
+            hold_retry_ms: 250,
+            silent_ms: 1_700,
+            stop_retry_ms: 300,
+            start_pause_ms: 700,
+            ticket_margin_ms: 150,
+            advice_endpoints: 100,
+            advice_slack_ms: 600,
+            status_ms: 150_000,
+            row_bytes: 65_536,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -0,0 +1,164 @@
+//! Calls for advice, spread over the nodes.
+//!
+//! The service takes one call at a time of each calling node, so a slow call holds up all that wait
+//! behind it. Each node has one call on its way; slow calls may use only some of the nodes.
+
+use crate::action::{Action, AdviceOrder};
+use crate::advice::Permission;
+use crate::config::AdviceTerms;
+use crate::endpoint::{EndpointKey, Room};
+use crate::event::{AdviceAnswer, NodeId};
+use crate::ids::{EndpointId, Millis};
+use crate::planner::Planner;
+use crate::tasks::StepKey;
+
+/// Calls whose fixed part takes at least this long count as slow.
+const SLOW_DECIDE_MS: f64 = 200.0;
+/// Part of the nodes that slow calls may use, as a fraction.
+const SLOW_NODES: (usize, usize) = (1, 2);
+
+/// A call on its way.
+#[derive(Debug)]
+pub(crate) struct AdviceCall {
+    node: NodeId,
+    step: StepKey,
+    endpoints: Vec<EndpointId>,
+    valid_ms: Millis,
+    sent_ms: Millis,
+    deadline_ms: Millis,
+    slow: bool,
+}
+
+impl Planner {
+    pub(super) fn set_nodes(&mut self, nodes: Vec<NodeId>) {
+        self.nodes = nodes;
+        let lost: Vec<u64> = self
+            .advice_calls
+            .iter()
+            .filter(|(_, call)| !self.nodes.contains(&call.node))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in lost {
+            self.advised(number, AdviceAnswer::Failed);
+        }
+    }
+
+    /// Returns a node that can make a call now.
+    fn idle_node(&self, slow: bool) -> Option<NodeId> {
+        let calls = self.advice_calls.values();
+        if slow {
+            let running = calls.clone().filter(|call| call.slow).count();
+            let most = (self.nodes.len() * SLOW_NODES.0 / SLOW_NODES.1).max(1);
+            if running >= most {
+                return None;
+            }
+        }
+        let busy: Vec<NodeId> = calls.map(|call| call.node).collect();
+        // The planner's own node comes last, it has enough to do.
+        let idle = self.nodes.iter().filter(|node| !busy.contains(node));
+        idle.copied().max_by_key(|node| *node != 0)
+    }
+
+    /// Asks about endpoints for a step, if a node is free and no call for the step is on its way.
+    pub(super) fn ask(&mut self, step: StepKey, terms: AdviceTerms, keys: &[EndpointKey]) -> bool {
+        let slow = terms.decide_ms >= SLOW_DECIDE_MS;
+        let Some(node) = self.idle_node(slow) else {
+            return false;
+        };
+        let Some(progress) = self.jobs.get_mut(&step.job).and_then(|job| job.step_progress_mut(step)) else {
+            return false;
+        };
+        if progress.advice.asking.is_some() || keys.is_empty() {
+            return false;
+        }
+        self.next_advice += 1;
+        let number = self.next_advice;
+        progress.advice.asking = Some(number);
+        let keys = keys.iter().take(self.limits.advice_endpoints);
+        let endpoints: Vec<EndpointId> = keys
+            .filter_map(|key| self.endpoints.get(*key))
+            .map(|endpoint| endpoint.entry.id.clone())
+            .collect();
+        let work_ms = terms.decide_ms + terms.each_ms * endpoints.len() as f64;
+        // A stated time is a small positive number of milliseconds.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let timeout_ms = work_ms as Millis + self.limits.advice_slack_ms;
+        self.advice_calls.insert(
+            number,
+            AdviceCall {
+                node,
+                step,
+                endpoints: endpoints.clone(),
+                valid_ms: terms.valid_ms,
+                sent_ms: self.now,
+                deadline_ms: self.now + timeout_ms + self.limits.advice_slack_ms,
+                slow,
+            },
+        );
+        let order = AdviceOrder {
+            number,
+            step: step.to_string(),
+            endpoints,
+            timeout_ms,
+        };
+        self.actions.push(Action::Advise { node, order });
+        true
+    }
+
+    pub(super) fn check_advice(&mut self) {
+        let late = self.advice_calls.iter().filter(|(_, call)| self.now >= call.deadline_ms);
+        let late: Vec<u64> = late.map(|(number, _)| *number).collect();
+        for number in late {
+            self.advised(number, AdviceAnswer::Failed);
+        }
+    }
+
+    pub(super) fn advised(&mut self, number: u64, answer: AdviceAnswer) {
+        let Some(call) = self.advice_calls.remove(&number) else {
+            return;
+        };
+        let took_ms = self.now.saturating_sub(call.sent_ms);
+        let progress = self.jobs.get_mut(&call.step.job).and_then(|job| job.step_progress_mut(call.step));
+        let Some(progress) = progress else {
+            return;
+        };
+        progress.advice.asking = None;
+        let AdviceAnswer::Granted(granted) = answer else {
+            log::info!(step:% = call.step, node = call.node, took_ms = took_ms; "advice failed");
+            return;
+        };
+        log::info!(
+            step:% = call.step, node = call.node, took_ms = took_ms,
+            asked = call.endpoints.len(), granted = granted.len();
+            "advice received"
+        );
+        // A ticket counts from some moment after the call was sent; the latest safe reading is that
+        // moment's earliest: when the service can have begun to answer, shortly before now.
+        let valid_until_ms = self.now + call.valid_ms - self.limits.ticket_margin_ms.min(call.valid_ms);
+        for id in &call.endpoints {
+            if let Some(key) = self.endpoint_keys.get(id) {
+                progress.advice.learn(*key, Permission::Denied);
+            }
+        }
+        for (id, ticket) in granted {
+            if let Some(key) = self.endpoint_keys.get(&id) {
+                progress.advice.learn(*key, Permission::Granted(ticket, valid_until_ms));
+            }
+        }
+        self.schedule();
+    }
+
+    /// Returns the endpoints of a service by free processor, those with most first.
+    pub(super) fn by_room(&self, service: &str, need: Room) -> Vec<EndpointKey> {
+        let mut found: Vec<(u32, EndpointKey)> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.entry.service == service)
+            .filter(|(_, endpoint)| endpoint.takes_work(self.now, &self.limits))
+            .filter(|(_, endpoint)| Room::of_entry(&endpoint.entry).holds(need))
+            .map(|(key, endpoint)| (endpoint.free().cpu_milli, key))
+            .collect();
+        found.sort_by(|left, right| right.cmp(left));
+        found.into_iter().map(|(_, key)| key).collect()
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -0,0 +1,56 @@
+//! After a takeover: inherited tasks wait until no run of an earlier holder can be overlooked.
+
+use std::collections::BTreeSet;
+
+use crate::election::Takeover;
+use crate::endpoint::EndpointKey;
+use crate::ids::Millis;
+use crate::limits::Limits;
+use crate::planner::Planner;
+
+/// Endpoints that may run what an earlier holder started.
+#[derive(Debug)]
+pub(crate) struct Barrier {
+    lapse_ms: Millis,
+    /// Endpoints that have not shown their lists yet.
+    missing: BTreeSet<EndpointKey>,
+}
+
+impl Barrier {
+    /// Returns the barrier of a claim. The predecessor counts its leases from the sending of its
+    /// last commit, which was before that commit was seen here; an endpoint's clock may be slow.
+    pub(crate) fn after(takeover: &Takeover, limits: &Limits) -> Option<Self> {
+        let seen_ms = takeover.predecessor_seen_ms?;
+        let slow_ms = limits.claim_cover_ms * limits.drift_permille / 1_000;
+        Some(Self {
+            lapse_ms: seen_ms + limits.claim_cover_ms + slow_ms + limits.clock_slack_ms,
+            missing: BTreeSet::new(),
+        })
+    }
+
+    pub(crate) fn add(&mut self, endpoint: EndpointKey) {
+        self.missing.insert(endpoint);
+    }
+}
+
+impl Planner {
+    /// Notes that an endpoint has shown what runs on it, or that its incarnation is over.
+    pub(super) fn pass_barrier(&mut self, endpoint: EndpointKey) {
+        if let Some(barrier) = &mut self.barrier {
+            barrier.missing.remove(&endpoint);
+        }
+    }
+
+    pub(super) fn check_barrier(&mut self) {
+        let Some(barrier) = &self.barrier else {
+            return;
+        };
+        let lapsed = self.now >= barrier.lapse_ms;
+        if !barrier.missing.is_empty() && !lapsed {
+            return;
+        }
+        let missing = barrier.missing.len();
+        self.barrier = None;
+        log::info!(lapsed = lapsed, missing = missing; "inherited tasks may start");
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -0,0 +1,305 @@
+//! Group commits.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::action::{Action, Answer, JobState, StepDownReason};
+use crate::commit::{Batch, CommitOutcome, RowChange, RowKey};
+use crate::election::HolderRow;
+use crate::endpoint::EndpointKey;
+use crate::ids::{EndpointId, JobId, Millis, RowVersion};
+use crate::planner::Planner;
+use crate::record::{encode, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
+
+/// What the store does not have yet.
+#[derive(Debug, Default)]
+pub(crate) struct Unsaved {
+    pub(crate) new_jobs: VecDeque<JobId>,
+    pub(crate) progress: BTreeSet<JobId>,
+    pub(crate) acknowledgements: BTreeMap<EndpointKey, u64>,
+    removed: Vec<JobId>,
+    pub(crate) roster: bool,
+}
+
+impl Unsaved {
+    pub(crate) fn remove(&mut self, id: JobId) {
+        self.progress.remove(&id);
+        self.removed.push(id);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.new_jobs.is_empty()
+            && self.progress.is_empty()
+            && self.acknowledgements.is_empty()
+            && self.removed.is_empty()
+            && !self.roster
+    }
+}
+
+/// A batch on its way, and what follows when it is stored.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    batch: Batch,
+    pub(crate) first_sent_ms: Millis,
+    /// Set while an answer is awaited.
+    awaited: bool,
+    retry_at_ms: Millis,
+    new_jobs: BTreeSet<JobId>,
+    progress: Vec<(JobId, Option<JobState>, bool)>,
+    acknowledgements: BTreeMap<EndpointKey, u64>,
+    roster: Option<BTreeSet<EndpointId>>,
+    releases: bool,
+}
+
+impl Flight {
+    pub(crate) fn holds_new(&self, id: JobId) -> bool {
+        self.new_jobs.contains(&id)
+    }
+}
+
+impl Planner {
+    pub(super) fn commit_if_due(&mut self) {
+        if let Some(flight) = &mut self.flight {
+            if !flight.awaited && self.now >= flight.retry_at_ms {
+                flight.awaited = true;
+                self.actions.push(Action::Commit(flight.batch.clone()));
+            }
+            return;
+        }
+        let since_ms = self.now.saturating_sub(self.last_batch_ms);
+        let wanted = !self.unsaved.is_empty() || self.releasing;
+        let due = wanted && since_ms >= self.limits.commit_gap_ms;
+        if due || since_ms >= self.limits.renew_ms {
+            self.send_batch();
+        }
+    }
+
+    fn send_batch(&mut self) {
+        self.holder.number += 1;
+        let mut builder = Builder::new(self.limits.commit_rows, self.limits.commit_bytes);
+        self.add_new_jobs(&mut builder);
+        self.add_progress(&mut builder);
+        self.add_roster(&mut builder);
+        self.add_removed(&mut builder);
+        let complete = self.unsaved.new_jobs.is_empty() && self.unsaved.progress.is_empty();
+        let acknowledgements = if complete {
+            std::mem::take(&mut self.unsaved.acknowledgements)
+        } else {
+            BTreeMap::new()
+        };
+        let releases = self.releasing && complete;
+        let row = HolderRow {
+            released: releases,
+            ..self.holder.clone()
+        };
+        builder.put(CLAIMS, HOLDER.to_owned(), row.encode());
+        let batch = Batch {
+            number: self.holder.number,
+            expected: self.version,
+            changes: builder.changes,
+        };
+        self.last_batch_ms = self.now;
+        self.actions.push(Action::Commit(batch.clone()));
+        self.flight = Some(Flight {
+            batch,
+            first_sent_ms: self.now,
+            awaited: true,
+            retry_at_ms: self.now,
+            new_jobs: builder.new_jobs,
+            progress: builder.progress,
+            acknowledgements,
+            roster: builder.roster,
+            releases,
+        });
+    }
+
+    fn add_new_jobs(&mut self, builder: &mut Builder) {
+        while builder.has_room() {
+            let Some(id) = self.unsaved.new_jobs.pop_front() else {
+                return;
+            };
+            if let Some(job) = self.jobs.get(&id) {
+                builder.put(JOBS, id.to_string(), encode(&job.row()));
+                builder.new_jobs.insert(id);
+            }
+        }
+    }
+
+    fn add_progress(&mut self, builder: &mut Builder) {
+        while builder.has_room() {
+            let Some(id) = self.unsaved.progress.pop_first() else {
+                return;
+            };
+            if let Some(job) = self.jobs.get(&id) {
+                builder.put(PROGRESS, id.to_string(), encode(&job.progress()));
+                builder.progress.push((id, job.outcome, job.cancelled));
+            }
+        }
+    }
+
+    fn add_roster(&mut self, builder: &mut Builder) {
+        if !std::mem::take(&mut self.unsaved.roster) {
+            return;
+        }
+        let entries: Vec<RosterEntry> = self
+            .endpoints
+            .values()
+            .map(|endpoint| RosterEntry {
+                id: endpoint.entry.id.clone(),
+                address: endpoint.entry.address.clone(),
+            })
+            .collect();
+        builder.put(CLAIMS, ROSTER.to_owned(), encode(&entries));
+        builder.roster = Some(entries.into_iter().map(|entry| entry.id).collect());
+    }
+
+    fn add_removed(&mut self, builder: &mut Builder) {
+        while builder.has_room() {
+            let Some(id) = self.unsaved.removed.pop() else {
+                return;
+            };
+            builder.remove(JOBS, id);
+            builder.remove(PROGRESS, id);
+        }
+    }
+
+    pub(super) fn committed(&mut self, number: u64, outcome: CommitOutcome) {
+        let Some(flight) = &mut self.flight else {
+            return;
+        };
+        if flight.batch.number != number {
+            return;
+        }
+        flight.awaited = false;
+        match outcome {
+            CommitOutcome::Stored(version) => self.stored(version),
+            CommitOutcome::Conflict(found) => self.conflict(found),
+            CommitOutcome::NotDone | CommitOutcome::Unknown => {
+                // The same batch again: whichever copy comes first, the other finds the claim moved.
+                flight.retry_at_ms = self.now + self.limits.commit_retry_ms;
+                log::debug!(number = number, outcome:? = outcome; "commit not answered with success");
+            }
+        }
+    }
+
+    fn conflict(&mut self, found: Option<(RowVersion, Vec<u8>)>) {
+        let row = found.and_then(|(version, bytes)| {
+            let row = HolderRow::decode(&bytes);
+            row.map(|row| (version, row)).ok()
+        });
+        match row {
+            Some((version, row)) if self.is_own(&row) => self.stored(version),
+            _ => self.step_down(StepDownReason::ClaimLost),
+        }
+    }
+
+    /// Returns whether the row was written by the batch on its way: an earlier copy was carried out.
+    fn is_own(&self, row: &HolderRow) -> bool {
+        let number = self.flight.as_ref().map(|flight| flight.batch.number);
+        row.incarnation == self.holder.incarnation
+            && row.term == self.holder.term
+            && Some(row.number) == number
+    }
+
+    fn stored(&mut self, version: RowVersion) {
+        let Some(flight) = self.flight.take() else {
+            return;
+        };
+        let took_ms = self.now.saturating_sub(flight.first_sent_ms);
+        if took_ms > self.limits.renew_ms {
+            log::warn!(number = flight.batch.number, took_ms = took_ms; "commit was slow");
+        }
+        self.version = version;
+        self.covered_from_ms = flight.first_sent_ms;
+        for id in flight.new_jobs {
+            self.job_stored(id);
+        }
+        for (id, outcome, cancelled) in flight.progress {
+            self.progress_stored(id, outcome, cancelled);
+        }
+        for (key, number) in flight.acknowledgements {
+            if let Some(endpoint) = self.endpoints.get_mut(key) {
+                endpoint.acknowledged = endpoint.acknowledged.max(number);
+                endpoint.next_hold_ms = self.now;
+            }
+        }
+        if let Some(ids) = flight.roster {
+            for endpoint in self.endpoints.values_mut() {
+                endpoint.rostered = ids.contains(&endpoint.entry.id);
+            }
+        }
+        if flight.releases {
+            self.step_down(StepDownReason::Released);
+            return;
+        }
+        self.schedule();
+        self.send_holds();
+    }
+
+    fn job_stored(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.stored = true;
+        let submitters = std::mem::take(&mut job.submitters);
+        log::info!(
+            job:% = id, queue = job.queue.name.as_str(), steps = job.spec.steps.len(),
+            waited_ms = self.now.saturating_sub(job.accepted_ms);
+            "accepted"
+        );
+        for to in submitters {
+            self.reply(to, Answer::Accepted);
+        }
+        self.activate(id);
+    }
+
+    fn progress_stored(&mut self, id: JobId, outcome: Option<JobState>, cancelled: bool) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.shown = outcome;
+        if !cancelled {
+            return;
+        }
+        job.cancel_stored = true;
+        for to in std::mem::take(&mut job.cancellers) {
+            self.reply(to, Answer::Cancelled);
+        }
+    }
+}
+
+/// Collects the changes of a batch within the store's limits.
+struct Builder {
+    rows: usize,
+    bytes: usize,
+    changes: Vec<RowChange>,
+    new_jobs: BTreeSet<JobId>,
+    progress: Vec<(JobId, Option<JobState>, bool)>,
+    roster: Option<BTreeSet<EndpointId>>,
+}
+
+impl Builder {
+    const fn new(rows: usize, bytes: usize) -> Self {
+        Self {
+            rows,
+            bytes,
+            changes: Vec::new(),
+            new_jobs: BTreeSet::new(),
+            progress: Vec::new(),
+            roster: None,
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.changes.len() + 1 < self.rows && self.bytes > 0
+    }
+
+    fn put(&mut self, table: &'static str, key: String, value: Vec<u8>) {
+        self.bytes = self.bytes.saturating_sub(value.len());
+        self.changes.push(RowChange::Put(RowKey { table, key }, value));
+    }
+
+    fn remove(&mut self, table: &'static str, id: JobId) {
+        let key = id.to_string();
+        self.changes.push(RowChange::Remove(RowKey { table, key }));
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -0,0 +1,355 @@
+//! Endpoints: the list, holds, lapsed leases.
+
+use std::collections::BTreeSet;
+
+use crate::action::{Action, HoldOrder, StepDownReason};
+use crate::endpoint::{Endpoint, EndpointEntry, EndpointKey, Placed, Room, RunPhase};
+use crate::event::{HoldAnswer, HoldReport, RunningRun};
+use crate::ids::{EndpointId, Millis, Run, TaskKey};
+use crate::planner::Planner;
+use crate::record::RosterEntry;
+use crate::tasks::TaskState;
+
+/// Wait of a hold while the end of a stop is awaited, which an absent run never announces.
+const SETTLE_WAIT_MS: Millis = 150;
+/// Silence after which the lease of an endpoint is looked at.
+const LAPSE_CHECK_MS: Millis = 1_500;
+
+impl Planner {
+    /// Adds an endpoint that an earlier holder may have given work.
+    pub(super) fn add_rostered(&mut self, entry: RosterEntry) {
+        let entry = EndpointEntry {
+            id: entry.id,
+            address: entry.address,
+            service: String::new(),
+            domain: String::new(),
+            draining: false,
+            cpu_milli: 0,
+            memory_mb: 0,
+            gpus: 0,
+            rack: None,
+            labels: BTreeSet::new(),
+        };
+        let key = self.add_endpoint(entry, false);
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.rostered = true;
+        }
+        if let Some(barrier) = &mut self.barrier {
+            barrier.add(key);
+        }
+    }
+
+    fn add_endpoint(&mut self, entry: EndpointEntry, listed: bool) -> EndpointKey {
+        let id = entry.id.clone();
+        let key = self.endpoints.insert(Endpoint::new(entry, listed));
+        self.endpoint_keys.insert(id, key);
+        key
+    }
+
+    pub(super) fn list_endpoints(&mut self, entries: Vec<EndpointEntry>) {
+        let mut listed: BTreeSet<EndpointId> = BTreeSet::new();
+        for entry in entries {
+            listed.insert(entry.id.clone());
+            self.update_endpoint(entry);
+        }
+        for endpoint in self.endpoints.values_mut() {
+            let now_listed = listed.contains(&endpoint.entry.id);
+            if endpoint.listed && !now_listed {
+                log::info!(endpoint:% = endpoint.entry.id, tasks = endpoint.placed.len(); "endpoint left the list");
+            }
+            endpoint.listed = now_listed;
+        }
+        self.drop_endpoints();
+    }
+
+    fn update_endpoint(&mut self, entry: EndpointEntry) {
+        let Some(key) = self.endpoint_keys.get(&entry.id).copied() else {
+            log::info!(endpoint:% = entry.id, address = entry.address.as_str(), domain = entry.domain.as_str(); "endpoint joined");
+            self.add_endpoint(entry, true);
+            self.unsaved.roster = true;
+            return;
+        };
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if entry.draining && !endpoint.entry.draining {
+            log::info!(endpoint:% = entry.id, tasks = endpoint.placed.len(); "endpoint is draining");
+        }
+        endpoint.entry = entry;
+    }
+
+    /// Drops endpoints that are gone and can run nothing any more.
+    fn drop_endpoints(&mut self) {
+        let gone = self.endpoints.iter().filter(|(_, endpoint)| {
+            !endpoint.listed && endpoint.over && endpoint.placed.is_empty() && endpoint.hold_sent_ms.is_none()
+        });
+        let gone: Vec<EndpointKey> = gone.map(|(key, _)| key).collect();
+        for key in gone {
+            if let Some(endpoint) = self.endpoints.remove(key) {
+                log::info!(endpoint:% = endpoint.entry.id; "endpoint dropped");
+                self.endpoint_keys.remove(&endpoint.entry.id);
+                self.unsaved.roster = true;
+            }
+        }
+    }
+
+    /// Bound on our clock that no lease may exceed.
+    pub(super) const fn cover_until_ms(&self) -> Millis {
+        self.covered_from_ms + self.limits.claim_cover_ms
+    }
+
+    pub(super) fn send_holds(&mut self) {
+        let now = self.now;
+        let bound_ms = self.cover_until_ms();
+        let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
+        for (key, endpoint) in &mut self.endpoints {
+            if endpoint.hold_sent_ms.is_some() || now < endpoint.next_hold_ms {
+                continue;
+            }
+            let until_ms = endpoint.lease(now, lease_ms, bound_ms);
+            let settling = endpoint
+                .placed
+                .values()
+                .any(|placed| matches!(placed.phase, RunPhase::Stopping { .. }));
+            let wait_ms = if !endpoint.contacted || endpoint.taken_in > endpoint.acknowledged {
+                0
+            } else if settling {
+                SETTLE_WAIT_MS
+            } else {
+                self.limits.hold_wait_ms
+            };
+            endpoint.hold_sent_ms = Some(now);
+            self.actions.push(Action::Hold(HoldOrder {
+                endpoint: key,
+                id: endpoint.entry.id.clone(),
+                address: endpoint.entry.address.clone(),
+                until_ms,
+                fence: self.fence,
+                acknowledged: endpoint.acknowledged,
+                wait_ms,
+            }));
+        }
+    }
+
+    pub(super) fn held(&mut self, key: EndpointKey, sent_ms: Millis, answer: HoldAnswer) {
+        let retry_ms = self.limits.hold_retry_ms;
+        let now = self.now;
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.hold_sent_ms = None;
+        match answer {
+            HoldAnswer::Report(report) => self.take_report(key, sent_ms, report),
+            HoldAnswer::Fenced => self.step_down(StepDownReason::Fenced),
+            HoldAnswer::OtherIncarnation => self.incarnation_over(key),
+            HoldAnswer::Refused | HoldAnswer::Unanswered => endpoint.next_hold_ms = now + retry_ms,
+        }
+    }
+
+    fn take_report(&mut self, key: EndpointKey, sent_ms: Millis, report: HoldReport) {
+        let now = self.now;
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if endpoint.silent_for(now) > self.limits.silent_ms && endpoint.contacted {
+            log::info!(endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now); "endpoint answers again");
+        }
+        endpoint.read_clock(now, report.clock_ms);
+        endpoint.heard_ms = Some(now);
+        endpoint.over = false;
+        let first = !endpoint.contacted;
+        if first {
+            endpoint.assume_granted(&self.limits);
+            endpoint.contacted = true;
+        }
+        let known = endpoint.taken_in;
+        for end in report.ended.iter().filter(|end| end.number > known) {
+            self.take_end(key, end);
+        }
+        let newest = report.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if newest > endpoint.taken_in {
+            endpoint.taken_in = newest;
+            self.unsaved.acknowledgements.insert(key, newest);
+        }
+        let pending = endpoint.taken_in > endpoint.acknowledged;
+        // The next hold follows the commit that stores the ends, or renews the lease meanwhile.
+        endpoint.next_hold_ms = if pending { now + self.limits.hold_retry_ms } else { now };
+        for running in &report.running {
+            self.take_running(key, running);
+        }
+        self.settle_absent(key, sent_ms, &report);
+        self.pass_barrier(key);
+    }
+
+    /// Takes in a run that an endpoint lists as at work.
+    fn take_running(&mut self, key: EndpointKey, running: &RunningRun) {
+        let task = running.task;
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if let Some(placed) = endpoint.placed.get_mut(&task) {
+            if placed.run == running.run {
+                if placed.phase == RunPhase::Starting {
+                    placed.phase = RunPhase::Running;
+                    placed.confirmed_ms = Some(self.now);
+                }
+                self.keep_checkpoint(task, &running.checkpoint);
+                return;
+            }
+            // The lists order runs of a task on one endpoint; an older one is on its way out.
+            return;
+        }
+        self.adopt(key, running);
+    }
+
+    /// Takes over a run that an earlier holder started, or stops it if it is not wanted.
+    fn adopt(&mut self, key: EndpointKey, running: &RunningRun) {
+        let task = running.task;
+        let job = self.jobs.get(&task.job);
+        let state = job.and_then(|job| job.task(task)).map(|task| task.state);
+        let wanted = job.is_some_and(|job| job.outcome.is_none()) && state == Some(TaskState::Waiting);
+        let step = job.and_then(|job| job.spec.steps.get(task.step as usize));
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let room = step.map_or_else(|| Room::of_entry(&endpoint.entry), Room::of_step);
+        endpoint.place(
+            task,
+            Placed {
+                run: running.run,
+                phase: RunPhase::Running,
+                room,
+                confirmed_ms: Some(self.now),
+            },
+        );
+        let id = endpoint.entry.id.clone();
+        log::info!(task:% = task, run = running.run, endpoint:% = id, wanted = wanted; "found a run at work");
+        if wanted {
+            self.set_placed(task, key, running.run);
+            self.keep_checkpoint(task, &running.checkpoint);
+        } else {
+            self.begin_stop(key, task, running.run);
+        }
+    }
+
+    fn set_placed(&mut self, task: TaskKey, endpoint: EndpointKey, run: Run) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.started = true;
+        let key = task.step_key();
+        let Some(progress) = job.step_progress_mut(key) else {
+            return;
+        };
+        progress.placed += 1;
+        let full = progress.waiting() == 0;
+        if let Some(entry) = progress.tasks.get_mut(task.index as usize) {
+            entry.state = TaskState::Placed(endpoint, run);
+            entry.last_run = entry.last_run.max(run);
+        }
+        if full {
+            self.close_step(key);
+        }
+    }
+
+    pub(super) fn keep_checkpoint(&mut self, task: TaskKey, checkpoint: &str) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let job = self.jobs.get_mut(&task.job);
+        let progress = job.and_then(|job| job.step_progress_mut(task.step_key()));
+        let entry = progress.and_then(|progress| progress.tasks.get_mut(task.index as usize));
+        if let Some(entry) = entry {
+            if entry.checkpoint != checkpoint {
+                checkpoint.clone_into(&mut entry.checkpoint);
+            }
+        }
+    }
+
+    /// Settles runs that a list lacks although it was asked for after the run was known there.
+    fn settle_absent(&mut self, key: EndpointKey, sent_ms: Millis, report: &HoldReport) {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return;
+        };
+        let listed: BTreeSet<(TaskKey, Run)> =
+            report.running.iter().map(|running| (running.task, running.run)).collect();
+        let absent = endpoint.placed.iter().filter(|(task, placed)| {
+            let since_ms = match placed.phase {
+                RunPhase::Starting => None,
+                RunPhase::Running => placed.confirmed_ms,
+                RunPhase::Stopping { taken_ms, .. } => taken_ms,
+            };
+            since_ms.is_some_and(|since_ms| since_ms < sent_ms)
+                && !listed.contains(&(**task, placed.run))
+        });
+        let absent: Vec<(TaskKey, Run)> = absent.map(|(task, placed)| (*task, placed.run)).collect();
+        for (task, run) in absent {
+            log::info!(task:% = task, run = run, endpoint:% = self.endpoints[key].entry.id; "run is not there");
+            self.free(key, task);
+            self.requeue(task, key, run);
+        }
+    }
+
+    /// Frees what was on endpoints whose leases have surely lapsed.
+    pub(super) fn check_leases(&mut self) {
+        let lapsed = self.endpoints.iter().filter(|(_, endpoint)| {
+            !endpoint.over
+                && endpoint.contacted
+                && endpoint.silent_for(self.now) > LAPSE_CHECK_MS
+                && endpoint.surely_lapsed(self.now, &self.limits)
+        });
+        let lapsed: Vec<EndpointKey> = lapsed.map(|(key, _)| key).collect();
+        for key in lapsed {
+            let endpoint = &self.endpoints[key];
+            log::warn!(
+                endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(self.now),
+                tasks = endpoint.placed.len();
+                "leases lapsed, endpoint is silent"
+            );
+            self.clear_endpoint(key);
+        }
+        // An endpoint that has never answered runs nothing of ours.
+        for endpoint in self.endpoints.values_mut() {
+            if !endpoint.contacted && !endpoint.listed && self.barrier.is_none() {
+                endpoint.over = true;
+            }
+        }
+    }
+
+    pub(super) fn incarnation_over(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.next_hold_ms = self.now + self.limits.hold_retry_ms;
+        if !endpoint.over {
+            log::warn!(endpoint:% = endpoint.entry.id, tasks = endpoint.placed.len(); "another incarnation is at the address");
+        }
+        endpoint.contacted = true;
+        self.clear_endpoint(key);
+        self.pass_barrier(key);
+    }
+
+    fn clear_endpoint(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.over = true;
+        let placed: Vec<(TaskKey, Run)> =
+            endpoint.placed.iter().map(|(task, placed)| (*task, placed.run)).collect();
+        for (task, run) in placed {
+            self.free(key, task);
+            self.requeue(task, key, run);
+        }
+    }
+
+    /// Takes a run off an endpoint's books.
+    pub(super) fn free(&mut self, key: EndpointKey, task: TaskKey) {
+        self.stopping.remove(&(key, task));
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.release(task);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -0,0 +1,197 @@
+//! Ends of runs.
+
+use crate::action::JobState;
+use crate::endpoint::EndpointKey;
+use crate::event::{EndedRun, How};
+use crate::ids::{JobId, Run, TaskKey};
+use crate::planner::Planner;
+use crate::tasks::{StepKey, StepProgress, TaskState};
+
+impl Planner {
+    /// Takes in an end that an endpoint lists for the first time.
+    pub(super) fn take_end(&mut self, key: EndpointKey, end: &EndedRun) {
+        let task = end.task;
+        self.count_failure(key, end);
+        let there = self.endpoints[key].placed.get(&task);
+        if there.is_some_and(|placed| placed.run == end.run) {
+            self.free(key, task);
+        }
+        let known = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        log::info!(
+            task:% = task, run = end.run, endpoint:% = self.endpoints[key].entry.id, how:? = end.how,
+            known = known.is_some();
+            "run ended"
+        );
+        if known.is_none() {
+            return;
+        }
+        self.keep_checkpoint(task, &end.checkpoint);
+        match end.how {
+            How::Done => self.complete(task),
+            How::Failed => self.note_failure(task, end.run),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+        self.requeue(task, key, end.run);
+    }
+
+    fn count_failure(&mut self, key: EndpointKey, end: &EndedRun) {
+        let endpoint = &mut self.endpoints[key];
+        match end.how {
+            How::Done => endpoint.failures_in_row = 0,
+            How::Failed => endpoint.failures_in_row += 1,
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+    }
+
+    /// Gives a task whose run is gone back to the queue, if that run was its last.
+    pub(super) fn requeue(&mut self, task: TaskKey, endpoint: EndpointKey, run: Run) {
+        let key = task.step_key();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let over = job.outcome.is_some();
+        let gang = job.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
+        let Some(progress) = job.step_progress_mut(key) else {
+            return;
+        };
+        let Some(entry) = progress.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        if entry.state != TaskState::Placed(endpoint, run) {
+            return;
+        }
+        entry.state = TaskState::Waiting;
+        progress.placed -= 1;
+        if over {
+            return;
+        }
+        if gang && progress.placed > 0 {
+            self.abort_gang(key);
+            return;
+        }
+        progress.aborting = false;
+        self.open_step(key);
+    }
+
+    /// Withdraws what is left of a gang's run, so that it can start anew as a whole.
+    pub(super) fn abort_gang(&mut self, key: StepKey) {
+        let Some(progress) = self.jobs.get_mut(&key.job).and_then(|job| job.step_progress_mut(key)) else {
+            return;
+        };
+        if progress.aborting {
+            return;
+        }
+        progress.aborting = true;
+        let members = placed_members(progress, key);
+        log::info!(step:% = key, members = members.len(); "gang broken, members are stopped");
+        for (endpoint, task, run) in members {
+            self.begin_stop(endpoint, task, run);
+        }
+    }
+
+    /// Marks a task as done; one member of a gang stands for all.
+    fn complete(&mut self, task: TaskKey) {
+        let key = task.step_key();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(task.step as usize) else {
+            return;
+        };
+        if step.long_running {
+            return;
+        }
+        let gang = step.gang;
+        let Some(progress) = job.step_progress_mut(key) else {
+            return;
+        };
+        let before = progress.done;
+        let mut superseded = Vec::new();
+        for (index, entry) in (0_u32..).zip(&mut progress.tasks) {
+            if (index != task.index && !gang) || entry.state == TaskState::Done {
+                continue;
+            }
+            if let TaskState::Placed(endpoint, run) = entry.state {
+                progress.placed -= 1;
+                superseded.push((endpoint, key.task(index), run));
+            }
+            entry.state = TaskState::Done;
+            progress.done += 1;
+        }
+        if progress.done == before {
+            return;
+        }
+        let step_complete = progress.complete();
+        let nothing_waits = progress.waiting() == 0;
+        self.unsaved.progress.insert(task.job);
+        if !gang {
+            // A run elsewhere, started after this one was taken for lost, has nothing left to do.
+            for (endpoint, task, run) in superseded {
+                self.begin_stop(endpoint, task, run);
+            }
+        }
+        if nothing_waits {
+            self.close_step(key);
+        }
+        if step_complete {
+            self.step_completed(key);
+        }
+    }
+
+    fn step_completed(&mut self, key: StepKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let steps = job.occurrences.get(&key.occurrence);
+        let all = steps.is_some_and(|steps| steps.iter().all(StepProgress::complete));
+        if !all {
+            self.open_occurrence(key.job, key.occurrence);
+            return;
+        }
+        job.complete_occurrences += 1;
+        if job.complete_occurrences >= job.spec.occurrences() {
+            self.finish(key.job, JobState::Completed);
+        }
+    }
+
+    /// Counts a failed run once, however often it is listed.
+    fn note_failure(&mut self, task: TaskKey, run: Run) {
+        let key = task.step_key();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let attempts = job.queue.attempts.max(1) as usize;
+        let Some(step) = job.spec.steps.get(task.step as usize) else {
+            return;
+        };
+        let (gang, lasts) = (step.gang, step.long_running);
+        let index = if gang { 0 } else { task.index };
+        let progress = job.step_progress_mut(key);
+        let entry = progress.and_then(|progress| progress.tasks.get_mut(index as usize));
+        let Some(entry) = entry else {
+            return;
+        };
+        if lasts || entry.state == TaskState::Done || entry.failed.contains(&run) {
+            return;
+        }
+        entry.failed.push(run);
+        let exhausted = entry.failed.len() >= attempts;
+        self.unsaved.progress.insert(task.job);
+        if exhausted {
+            self.fail(task.job, task);
+        }
+    }
+
+    fn fail(&mut self, id: JobId, task: TaskKey) {
+        log::warn!(job:% = id, task:% = task; "attempts used up");
+        self.finish(id, JobState::Failed);
+    }
+}
+
+fn placed_members(progress: &StepProgress, key: StepKey) -> Vec<(EndpointKey, TaskKey, Run)> {
+    let members = (0_u32..).zip(&progress.tasks).filter_map(|(index, task)| match task.state {
+        TaskState::Placed(endpoint, run) => Some((endpoint, key.task(index), run)),
+        TaskState::Waiting | TaskState::Done => None,
+    });
+    members.collect()
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -0,0 +1,353 @@
+//! The planner: takes events, returns actions.
+
+mod advise;
+mod barrier;
+mod commits;
+mod ends;
+mod endpoints;
+mod orders;
+mod requests;
+mod schedule;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+
+use crate::action::{Action, Answer, StepDownReason};
+use crate::config::Configuration;
+use crate::election::{HolderRow, Takeover};
+use crate::endpoint::{Endpoint, EndpointKey};
+use crate::event::{Event, NodeId};
+use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, TaskKey};
+use crate::limits::Limits;
+use crate::policy::order::{rank, Rank};
+use crate::record::{JobRow, ProgressRow, RosterEntry};
+use crate::tasks::{Job, StepKey};
+use advise::AdviceCall;
+use barrier::Barrier;
+use commits::{Flight, Unsaved};
+
+/// What the rows of a group say.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Stored {
+    /// Accepted jobs.
+    pub jobs: Vec<(JobId, JobRow)>,
+    /// What became of them.
+    pub progress: Vec<(JobId, ProgressRow)>,
+    /// Endpoints that may hold leases.
+    pub roster: Vec<RosterEntry>,
+}
+
+/// The planner of one group.
+#[derive(Debug)]
+pub struct Planner {
+    limits: Limits,
+    holder: HolderRow,
+    /// Version of the claim row, the condition of the next commit.
+    version: RowVersion,
+    fence: Fence,
+    now: Millis,
+    unix_ms: u64,
+    config: Arc<Configuration>,
+    jobs: BTreeMap<JobId, Job>,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    endpoint_keys: BTreeMap<EndpointId, EndpointKey>,
+    /// Steps whose turn has come and that have tasks without a place, best rank first.
+    open: BTreeSet<(Rank, StepKey)>,
+    /// Occurrences that are not due yet, by due time.
+    due: BTreeSet<(u64, JobId, u32)>,
+    stopping: BTreeSet<(EndpointKey, TaskKey)>,
+    unsaved: Unsaved,
+    flight: Option<Flight>,
+    /// When the last stored commit was first sent, which is what leases and successors count from.
+    covered_from_ms: Millis,
+    last_batch_ms: Millis,
+    barrier: Option<Barrier>,
+    nodes: Vec<NodeId>,
+    advice_calls: BTreeMap<u64, AdviceCall>,
+    next_advice: u64,
+    finished: VecDeque<(Millis, JobId)>,
+    releasing: bool,
+    stepped_down: bool,
+    actions: Vec<Action>,
+}
+
+impl Planner {
+    /// Returns the planner of a group that was claimed at `now`, with what the rows say.
+    #[must_use]
+    pub fn new(limits: Limits, takeover: Takeover, stored: Stored, now: Millis) -> Self {
+        let barrier = Barrier::after(&takeover, &limits);
+        let mut planner = Self {
+            limits,
+            fence: takeover.version,
+            version: takeover.version,
+            holder: takeover.row,
+            now,
+            unix_ms: 0,
+            config: Arc::new(Configuration::default()),
+            jobs: BTreeMap::new(),
+            endpoints: SlotMap::with_key(),
+            endpoint_keys: BTreeMap::new(),
+            open: BTreeSet::new(),
+            due: BTreeSet::new(),
+            stopping: BTreeSet::new(),
+            unsaved: Unsaved::default(),
+            flight: None,
+            covered_from_ms: now,
+            last_batch_ms: now,
+            barrier,
+            nodes: Vec::new(),
+            advice_calls: BTreeMap::new(),
+            next_advice: 0,
+            finished: VecDeque::new(),
+            releasing: false,
+            stepped_down: false,
+            actions: Vec::new(),
+        };
+        planner.restore(stored);
+        planner
+    }
+
+    fn restore(&mut self, stored: Stored) {
+        let jobs = stored.jobs.len();
+        for (id, row) in stored.jobs {
+            let mut job = Job::new(id, row, self.now);
+            job.stored = true;
+            job.inherited = true;
+            self.jobs.insert(id, job);
+        }
+        for (id, row) in stored.progress {
+            match self.jobs.get_mut(&id) {
+                Some(job) => job.restore(&row),
+                None => log::warn!(job:% = id; "progress row without a job, ignored"),
+            }
+        }
+        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in ids {
+            self.activate(id);
+        }
+        let entries = stored.roster.len();
+        for entry in stored.roster {
+            self.add_rostered(entry);
+        }
+        log::info!(
+            term = self.holder.term, fence = self.fence, jobs = jobs, endpoints = entries,
+            barrier = self.barrier.is_some();
+            "group taken over"
+        );
+    }
+
+    /// Takes an event that happened at `now` and returns what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        self.now = self.now.max(now);
+        if self.stepped_down {
+            return Vec::new();
+        }
+        self.dispatch(event);
+        std::mem::take(&mut self.actions)
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        match event {
+            Event::Request { to, request } => self.request(to, request),
+            Event::Nodes(nodes) => self.set_nodes(nodes),
+            Event::Configured(config) => self.configure(config),
+            Event::Endpoints(entries) => self.list_endpoints(entries),
+            Event::Committed { number, outcome } => self.committed(number, outcome),
+            Event::Started {
+                endpoint,
+                task,
+                run,
+                answer,
+            } => self.started(endpoint, task, run, &answer),
+            Event::Stopped {
+                endpoint,
+                task,
+                run,
+                answer,
+            } => self.stopped(endpoint, task, run, &answer),
+            Event::Held {
+                endpoint,
+                sent_ms,
+                answer,
+            } => self.held(endpoint, sent_ms, answer),
+            Event::Advised { number, answer } => self.advised(number, answer),
+            Event::Tick { unix_ms } => self.tick(unix_ms),
+        }
+    }
+
+    fn tick(&mut self, unix_ms: u64) {
+        self.unix_ms = unix_ms;
+        self.check_barrier();
+        self.check_leases();
+        self.open_due();
+        self.drop_finished();
+        self.refuse_overdue();
+        self.check_advice();
+        self.schedule();
+        self.send_stops();
+        self.send_holds();
+        self.commit_if_due();
+    }
+
+    /// Begins to hand the group back; [`Action::StepDown`] follows once that is stored.
+    pub fn release(&mut self) {
+        self.releasing = true;
+    }
+
+    /// Returns how long ago the claim was last confirmed.
+    #[must_use]
+    pub const fn claim_age_ms(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.covered_from_ms)
+    }
+
+    /// Returns the claim's term.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        self.holder.term
+    }
+
+    fn configure(&mut self, config: Arc<Configuration>) {
+        if config.version < self.config.version {
+            return;
+        }
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = config.queues.get(&job.queue.name) {
+                if job.queue.priority == queue.priority {
+                    job.queue.clone_from(queue);
+                }
+            }
+        }
+        self.config = config;
+    }
+
+    fn step_down(&mut self, reason: StepDownReason) {
+        if self.stepped_down {
+            return;
+        }
+        self.stepped_down = true;
+        log::warn!(
+            reason:? = reason, term = self.holder.term, fence = self.fence,
+            claim_age_ms = self.claim_age_ms(self.now);
+            "group given up"
+        );
+        self.answer_on_step_down();
+        self.actions.push(Action::StepDown(reason));
+    }
+
+    /// Tells waiting callers what is known: a job that was in no batch never runs.
+    fn answer_on_step_down(&mut self) {
+        let sent = self.flight.as_ref();
+        for job in self.jobs.values() {
+            let in_flight = sent.is_some_and(|flight| flight.holds_new(job.id));
+            let answer = if in_flight || job.stored {
+                Answer::Undecided
+            } else {
+                Answer::Refused { retry_ms: requests::RETRY_MS }
+            };
+            for to in &job.submitters {
+                self.actions.push(Action::Reply { to: *to, answer });
+            }
+            for to in &job.cancellers {
+                let answer = Answer::Undecided;
+                self.actions.push(Action::Reply { to: *to, answer });
+            }
+        }
+    }
+
+    /// Puts a job's steps whose turn has come in the queue.
+    fn activate(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.outcome.is_some() {
+            self.finished.push_back((self.now, id));
+            return;
+        }
+        if job.spec.repeat_count == 0 {
+            self.open_occurrence(id, 0);
+            return;
+        }
+        let due = (job.spec.due_unix_ms(0), id, 0);
+        self.due.insert(due);
+    }
+
+    fn open_due(&mut self) {
+        while let Some((due_unix_ms, id, occurrence)) = self.due.first().copied() {
+            if due_unix_ms > self.unix_ms {
+                return;
+            }
+            self.due.pop_first();
+            self.open_occurrence(id, occurrence);
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let next = occurrence + 1;
+            if next < job.spec.occurrences() {
+                self.due.insert((job.spec.due_unix_ms(next), id, next));
+            }
+        }
+    }
+
+    fn open_occurrence(&mut self, id: JobId, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.occurrence(occurrence);
+        let steps = job.spec.steps.len();
+        for step in 0..steps {
+            let Ok(step) = u16::try_from(step) else {
+                return;
+            };
+            self.open_step(StepKey {
+                job: id,
+                occurrence,
+                step,
+            });
+        }
+    }
+
+    /// Queues a step if its turn has come and tasks of it wait.
+    fn open_step(&mut self, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let Some(progress) = job.step_progress(key) else {
+            return;
+        };
+        if job.outcome.is_some() || !job.stored || progress.waiting() == 0 {
+            return;
+        }
+        let after = job.spec.steps.get(key.step as usize).map(|step| &step.after);
+        let ready = after.is_some_and(|after| {
+            after.iter().all(|earlier| {
+                let earlier = StepKey {
+                    step: *earlier,
+                    ..key
+                };
+                job.step_progress(earlier).is_some_and(|step| step.complete())
+            })
+        });
+        if ready {
+            self.open.insert((rank(job), key));
+        }
+    }
+
+    fn close_step(&mut self, key: StepKey) {
+        if let Some(job) = self.jobs.get(&key.job) {
+            self.open.remove(&(rank(job), key));
+        }
+    }
+
+    fn drop_finished(&mut self) {
+        while let Some((at_ms, id)) = self.finished.front().copied() {
+            if self.now.saturating_sub(at_ms) < self.limits.status_ms {
+                return;
+            }
+            self.finished.pop_front();
+            self.jobs.remove(&id);
+            self.unsaved.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -0,0 +1,196 @@
+//! Starts and stops, and what their answers mean.
+
+use crate::action::{Action, StartOrder, StepDownReason, StopOrder};
+use crate::endpoint::{EndpointKey, Placed, Room, RunPhase};
+use crate::event::{Refusal, StartAnswer, StopAnswer, Ticket};
+use crate::ids::{Run, TaskKey};
+use crate::planner::Planner;
+use crate::tasks::{TaskState, RUNS_PER_TERM};
+
+impl Planner {
+    /// Returns the number of the next start of a task: higher than any of this holder and of
+    /// earlier ones, whose terms are lower.
+    pub(super) fn next_run(&self, last_run: Run) -> Run {
+        let first = (self.holder.term - 1) * RUNS_PER_TERM + 1;
+        first.max(last_run + 1)
+    }
+
+    /// Orders a start. Returns false if no lease can be granted.
+    pub(super) fn start(&mut self, key: EndpointKey, task: TaskKey, run: Run, ticket: Option<Ticket>) -> bool {
+        let bound_ms = self.cover_until_ms();
+        let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
+        let (now, fence) = (self.now, self.fence);
+        let (Some(job), Some(endpoint)) = (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key)) else {
+            return false;
+        };
+        let Some(step) = job.spec.steps.get(task.step as usize) else {
+            return false;
+        };
+        let room = Room::of_step(step);
+        let Some(until_ms) = endpoint.lease(now, lease_ms, bound_ms) else {
+            return false;
+        };
+        let text = job.text.clone();
+        let Some(progress) = job.step_progress_mut(task.step_key()) else {
+            return false;
+        };
+        let Some(entry) = progress.tasks.get_mut(task.index as usize) else {
+            return false;
+        };
+        entry.state = TaskState::Placed(key, run);
+        entry.last_run = run;
+        progress.placed += 1;
+        let checkpoint = entry.checkpoint.clone();
+        job.started = true;
+        endpoint.place(
+            task,
+            Placed {
+                run,
+                phase: RunPhase::Starting,
+                room,
+                confirmed_ms: None,
+            },
+        );
+        log::info!(
+            task:% = task, run = run, endpoint:% = endpoint.entry.id, until_ms = until_ms, fence = fence,
+            free_cpu_milli = endpoint.free().cpu_milli, resumed = !checkpoint.is_empty();
+            "start ordered"
+        );
+        self.actions.push(Action::Start(StartOrder {
+            endpoint: key,
+            id: endpoint.entry.id.clone(),
+            address: endpoint.entry.address.clone(),
+            task,
+            run,
+            spec: text,
+            until_ms,
+            fence,
+            checkpoint,
+            ticket,
+        }));
+        true
+    }
+
+    pub(super) fn started(&mut self, key: EndpointKey, task: TaskKey, run: Run, answer: &StartAnswer) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let Some(placed) = endpoint.placed.get_mut(&task).filter(|placed| placed.run == run) else {
+            return;
+        };
+        match answer {
+            StartAnswer::Accepted => {
+                if placed.phase == RunPhase::Starting {
+                    placed.phase = RunPhase::Running;
+                    placed.confirmed_ms = Some(self.now);
+                }
+            }
+            StartAnswer::Refused(refusal) => self.start_refused(key, task, run, *refusal),
+            StartAnswer::OtherIncarnation => self.incarnation_over(key),
+            StartAnswer::Unanswered => {
+                if placed.phase == RunPhase::Starting {
+                    endpoint.paused_until_ms = self.now + self.limits.start_pause_ms;
+                    log::info!(task:% = task, run = run, endpoint:% = endpoint.entry.id; "start not answered, run is withdrawn");
+                    self.begin_stop(key, task, run);
+                    self.abort_if_gang(task);
+                }
+            }
+        }
+    }
+
+    fn start_refused(&mut self, key: EndpointKey, task: TaskKey, run: Run, refusal: Refusal) {
+        log::info!(task:% = task, run = run, endpoint:% = self.endpoints[key].entry.id, refusal:? = refusal; "start refused");
+        if refusal == Refusal::Fence {
+            self.step_down(StepDownReason::Fenced);
+            return;
+        }
+        self.free(key, task);
+        let pause_ms = self.limits.start_pause_ms;
+        match refusal {
+            Refusal::Ticket => {
+                let job = self.jobs.get_mut(&task.job);
+                if let Some(progress) = job.and_then(|job| job.step_progress_mut(task.step_key())) {
+                    progress.advice.spoil(key);
+                }
+            }
+            Refusal::Old => {}
+            _ => self.endpoints[key].paused_until_ms = self.now + pause_ms,
+        }
+        self.requeue(task, key, run);
+    }
+
+    fn abort_if_gang(&mut self, task: TaskKey) {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.spec.steps.get(task.step as usize));
+        if step.is_some_and(|step| step.gang) {
+            self.abort_gang(task.step_key());
+        }
+    }
+
+    /// Marks a run to be stopped; its room stays taken until its end is known.
+    pub(super) fn begin_stop(&mut self, key: EndpointKey, task: TaskKey, run: Run) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let Some(placed) = endpoint.placed.get_mut(&task).filter(|placed| placed.run == run) else {
+            return;
+        };
+        if matches!(placed.phase, RunPhase::Stopping { .. }) {
+            return;
+        }
+        placed.phase = RunPhase::Stopping {
+            sent_ms: None,
+            taken_ms: None,
+        };
+        self.stopping.insert((key, task));
+    }
+
+    pub(super) fn send_stops(&mut self) {
+        let retry_ms = self.limits.stop_retry_ms;
+        for (key, task) in &self.stopping {
+            let Some(endpoint) = self.endpoints.get_mut(*key) else {
+                continue;
+            };
+            let Some(placed) = endpoint.placed.get_mut(task) else {
+                continue;
+            };
+            let RunPhase::Stopping { sent_ms, taken_ms } = &mut placed.phase else {
+                continue;
+            };
+            let waiting = sent_ms.is_some_and(|sent| self.now.saturating_sub(sent) < retry_ms);
+            if taken_ms.is_some() || waiting {
+                continue;
+            }
+            *sent_ms = Some(self.now);
+            self.actions.push(Action::Stop(StopOrder {
+                endpoint: *key,
+                id: endpoint.entry.id.clone(),
+                address: endpoint.entry.address.clone(),
+                task: *task,
+                run: placed.run,
+                fence: self.fence,
+            }));
+        }
+    }
+
+    pub(super) fn stopped(&mut self, key: EndpointKey, task: TaskKey, run: Run, answer: &StopAnswer) {
+        let now = self.now;
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let Some(placed) = endpoint.placed.get_mut(&task).filter(|placed| placed.run == run) else {
+            return;
+        };
+        match answer {
+            StopAnswer::Accepted => {
+                if let RunPhase::Stopping { taken_ms, .. } = &mut placed.phase {
+                    *taken_ms = Some(now);
+                }
+            }
+            StopAnswer::Fenced => self.step_down(StepDownReason::Fenced),
+            StopAnswer::OtherIncarnation => self.incarnation_over(key),
+            // Sent again by `send_stops`.
+            StopAnswer::Refused | StopAnswer::Unanswered => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -0,0 +1,169 @@
+//! Callers' requests.
+
+use crate::action::{Action, Answer, JobState, ReplyTo};
+use crate::config::Queue;
+use crate::event::Request;
+use crate::ids::{JobId, Millis};
+use crate::job::JobSpec;
+use crate::planner::Planner;
+use crate::record::{encode, JobRow};
+use crate::tasks::{Job, TaskState};
+
+/// When a refused caller should come back: about the time that a takeover or a short outage takes.
+pub(super) const RETRY_MS: Millis = 1_000;
+/// A commit that is not answered for this long shows that the store is away, and submissions are
+/// refused at once.
+const STORE_AWAY_MS: Millis = 900;
+
+impl Planner {
+    pub(super) fn request(&mut self, to: ReplyTo, request: Request) {
+        match request {
+            Request::Submit { queue, id, spec } => self.submit(to, queue, id, spec),
+            Request::State { id } => self.state(to, id),
+            Request::Cancel { id } => self.cancel(to, id),
+            Request::Waiting { queue } => self.count_waiting(to, &queue),
+        }
+    }
+
+    pub(super) fn reply(&mut self, to: ReplyTo, answer: Answer) {
+        self.actions.push(Action::Reply { to, answer });
+    }
+
+    fn submit(&mut self, to: ReplyTo, queue: Queue, id: JobId, spec: JobSpec) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            if job.stored {
+                self.reply(to, Answer::Accepted);
+            } else {
+                job.submitters.push(to);
+            }
+            return;
+        }
+        if self.store_away() || self.releasing {
+            log::info!(job:% = id, queue = queue.name.as_str(), claim_age_ms = self.claim_age_ms(self.now); "refused, the store does not answer");
+            self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
+            return;
+        }
+        let row = JobRow {
+            queue: self.config.queues.get(&queue.name).cloned().unwrap_or(queue),
+            spec,
+            accepted_unix_ms: self.unix_ms,
+        };
+        let bytes = encode(&row).len();
+        if bytes > self.limits.row_bytes {
+            log::info!(job:% = id, bytes = bytes; "refused, too large for a row");
+            self.reply(to, Answer::TooLarge);
+            return;
+        }
+        let mut job = Job::new(id, row, self.now);
+        job.submitters.push(to);
+        self.jobs.insert(id, job);
+        self.unsaved.new_jobs.push_back(id);
+    }
+
+    fn store_away(&self) -> bool {
+        let flight = self.flight.as_ref();
+        flight.is_some_and(|flight| self.now.saturating_sub(flight.first_sent_ms) > STORE_AWAY_MS)
+    }
+
+    /// Refuses submissions whose commit did not begin in time; they are in no batch.
+    pub(super) fn refuse_overdue(&mut self) {
+        let bound_ms = self.now.saturating_sub(self.limits.accept_wait_ms);
+        while let Some(id) = self.unsaved.new_jobs.front().copied() {
+            let overdue = self.jobs.get(&id).is_none_or(|job| job.accepted_ms < bound_ms);
+            if !overdue {
+                return;
+            }
+            self.unsaved.new_jobs.pop_front();
+            let Some(job) = self.jobs.remove(&id) else {
+                continue;
+            };
+            self.unsaved.progress.remove(&id);
+            log::info!(job:% = id, waited_ms = self.now - job.accepted_ms; "refused, the store does not answer");
+            for to in job.submitters {
+                self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
+            }
+            for to in job.cancellers {
+                self.reply(to, Answer::Unknown);
+            }
+        }
+    }
+
+    fn state(&mut self, to: ReplyTo, id: JobId) {
+        let answer = match self.jobs.get(&id) {
+            Some(job) if job.stored => Answer::State(job.state()),
+            // It may be stored already; the caller can ask again.
+            Some(_) => Answer::Undecided,
+            None => Answer::Unknown,
+        };
+        self.reply(to, answer);
+    }
+
+    fn cancel(&mut self, to: ReplyTo, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.reply(to, Answer::Unknown);
+            return;
+        };
+        if job.cancel_stored || job.shown.is_some() {
+            self.reply(to, Answer::Cancelled);
+            return;
+        }
+        job.cancellers.push(to);
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        self.unsaved.progress.insert(id);
+        log::info!(job:% = id; "cancel requested");
+        self.finish(id, JobState::Cancelled);
+    }
+
+    /// Ends a job: nothing of it starts any more, and what runs is stopped.
+    pub(super) fn finish(&mut self, id: JobId, outcome: JobState) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.outcome.is_some() {
+            return;
+        }
+        job.outcome = Some(outcome);
+        job.finished_ms = Some(self.now);
+        let age_ms = self.now.saturating_sub(job.accepted_ms);
+        log::info!(job:% = id, queue = job.queue.name.as_str(), outcome:? = outcome, age_ms = age_ms; "job finished");
+        self.unsaved.progress.insert(id);
+        self.finished.push_back((self.now, id));
+        let rank = crate::policy::order::rank(&self.jobs[&id]);
+        let keys: Vec<_> = self.open.iter().filter(|(_, key)| key.job == id).map(|(_, key)| *key).collect();
+        for key in keys {
+            self.open.remove(&(rank, key));
+        }
+        self.stop_all(id);
+    }
+
+    fn stop_all(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let mut placed = Vec::new();
+        for (occurrence, steps) in &job.occurrences {
+            for (step, progress) in (0_u16..).zip(steps) {
+                for (index, task) in (0_u32..).zip(&progress.tasks) {
+                    if let TaskState::Placed(endpoint, run) = task.state {
+                        let key = crate::ids::TaskKey { job: id, occurrence: *occurrence, step, index };
+                        placed.push((endpoint, key, run));
+                    }
+                }
+            }
+        }
+        for (endpoint, task, run) in placed {
+            self.begin_stop(endpoint, task, run);
+        }
+    }
+
+    fn count_waiting(&mut self, to: ReplyTo, queue: &str) {
+        let waiting = self.jobs.values().filter(|job| {
+            job.stored && job.outcome.is_none() && !job.started && job.queue.name == queue
+        });
+        let answer = Answer::Waiting(waiting.count() as u64);
+        self.reply(to, answer);
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -0,0 +1,4 @@
+//! Rules that decide, one a file.
+
+pub(crate) mod order;
+pub(crate) mod placement;
--- /dev/null
+++ b/crates/chervilfall_planner/src/record.rs
@@ -0,0 +1,129 @@
+//! Values of the rows that a planner keeps, as CBOR.
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::action::JobState;
+use crate::config::Queue;
+use crate::ids::{EndpointId, Run};
+use crate::job::JobSpec;
+
+/// Table of accepted jobs, by name.
+pub const JOBS: &str = "jobs";
+/// Table of what became of them, by name.
+pub const PROGRESS: &str = "progress";
+/// Table of the claim and the roster.
+pub const CLAIMS: &str = "claims";
+/// Key of the claim row.
+pub const HOLDER: &str = "holder";
+/// Key of the row that lists endpoints which may hold leases.
+pub const ROSTER: &str = "roster";
+
+/// A row that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("row is not what this version writes: {0}")]
+pub struct RecordError(String);
+
+/// An accepted job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRow {
+    /// Queue as it was when the job was accepted; it outlives the queue's removal.
+    pub queue: Queue,
+    /// The job.
+    pub spec: JobSpec,
+    /// Time of day of acceptance, in milliseconds since 1970.
+    pub accepted_unix_ms: u64,
+}
+
+/// Progress of a step.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepRow {
+    /// Occurrence.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u16,
+    /// Indices of tasks that are done, as ranges `(first, count)`.
+    pub done: Vec<(u32, u32)>,
+    /// Failed runs by task; of a gang they stand under index 0.
+    pub failed: Vec<(u32, Vec<Run>)>,
+}
+
+/// What became of a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgressRow {
+    /// The caller has cancelled it.
+    pub cancelled: bool,
+    /// Set once nothing more can come.
+    pub outcome: Option<JobState>,
+    /// A task has started.
+    pub started: bool,
+    /// Steps that something is known of.
+    pub steps: Vec<StepRow>,
+}
+
+/// An endpoint that may hold a lease of this group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// Incarnation.
+    pub id: EndpointId,
+    /// Address.
+    pub address: String,
+}
+
+/// Encodes a value.
+pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(256);
+    // A Vec takes any number of bytes and the types above have no form that CBOR lacks.
+    ciborium::into_writer(value, &mut bytes).expect("plain records have a CBOR form");
+    bytes
+}
+
+/// Decodes a value.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, RecordError> {
+    ciborium::from_reader(bytes).map_err(|error| RecordError(error.to_string()))
+}
+
+/// Packs ascending indices into ranges.
+pub(crate) fn ranges(indices: impl Iterator<Item = u32>) -> Vec<(u32, u32)> {
+    let mut ranges: Vec<(u32, u32)> = Vec::new();
+    for index in indices {
+        match ranges.last_mut() {
+            Some((first, count)) if *first + *count == index => *count += 1,
+            _ => ranges.push((index, 1)),
+        }
+    }
+    ranges
+}
+
+impl JobRow {
+    /// Reads the value of a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not an accepted job.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        decode(bytes)
+    }
+}
+
+impl ProgressRow {
+    /// Reads the value of a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a job's progress.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        decode(bytes)
+    }
+}
+
+impl RosterEntry {
+    /// Reads the value of the row that holds the roster.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a roster.
+    pub fn decode_all(bytes: &[u8]) -> Result<Vec<Self>, RecordError> {
+        decode(bytes)
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -0,0 +1,277 @@
+//! Jobs at work: tasks, steps, occurrences.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::action::{JobState, ReplyTo};
+use crate::advice::Advice;
+use crate::config::Queue;
+use crate::endpoint::EndpointKey;
+use crate::ids::{JobId, Millis, Run, TaskKey};
+use crate::job::{JobSpec, Step};
+use crate::record::{ranges, JobRow, ProgressRow, StepRow};
+
+/// Runs that a holder can start of one task before the next holder's numbers begin.
+pub(crate) const RUNS_PER_TERM: u64 = 10_000;
+
+/// Where a task is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// It waits for a place.
+    Waiting,
+    /// A run of it may be at work.
+    Placed(EndpointKey, Run),
+    /// It is done.
+    Done,
+}
+
+/// A task.
+#[derive(Debug, Clone)]
+pub(crate) struct Task {
+    pub(crate) state: TaskState,
+    pub(crate) last_run: Run,
+    pub(crate) checkpoint: String,
+    pub(crate) failed: Vec<Run>,
+}
+
+/// Progress of a step in one occurrence.
+#[derive(Debug)]
+pub(crate) struct StepProgress {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: u32,
+    pub(crate) placed: u32,
+    pub(crate) advice: Advice,
+    /// The members of the gang's run are being withdrawn.
+    pub(crate) aborting: bool,
+}
+
+impl StepProgress {
+    fn new(step: &Step) -> Self {
+        let task = Task {
+            state: TaskState::Waiting,
+            last_run: 0,
+            checkpoint: String::new(),
+            failed: Vec::new(),
+        };
+        Self {
+            tasks: vec![task; step.count as usize],
+            done: 0,
+            placed: 0,
+            advice: Advice::default(),
+            aborting: false,
+        }
+    }
+
+    pub(crate) fn complete(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    pub(crate) fn waiting(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX) - self.done - self.placed
+    }
+}
+
+/// A job.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) id: JobId,
+    pub(crate) queue: Queue,
+    pub(crate) spec: JobSpec,
+    pub(crate) text: Arc<str>,
+    pub(crate) accepted_ms: Millis,
+    pub(crate) accepted_unix_ms: u64,
+    /// The job's row is stored.
+    pub(crate) stored: bool,
+    /// It was read from rows: an earlier holder may have started tasks of it.
+    pub(crate) inherited: bool,
+    pub(crate) cancelled: bool,
+    pub(crate) started: bool,
+    pub(crate) outcome: Option<JobState>,
+    /// Outcome that is stored and may be shown.
+    pub(crate) shown: Option<JobState>,
+    pub(crate) cancel_stored: bool,
+    pub(crate) finished_ms: Option<Millis>,
+    pub(crate) occurrences: BTreeMap<u32, Vec<StepProgress>>,
+    pub(crate) complete_occurrences: u32,
+    /// Callers to be told once the job is stored.
+    pub(crate) submitters: Vec<ReplyTo>,
+    /// Callers to be told once the cancel is stored.
+    pub(crate) cancellers: Vec<ReplyTo>,
+}
+
+impl Job {
+    pub(crate) fn new(id: JobId, row: JobRow, now: Millis) -> Self {
+        let text = Arc::from(row.spec.spec.as_str());
+        Self {
+            id,
+            queue: row.queue,
+            spec: row.spec,
+            text,
+            accepted_ms: now,
+            accepted_unix_ms: row.accepted_unix_ms,
+            stored: false,
+            inherited: false,
+            cancelled: false,
+            started: false,
+            outcome: None,
+            shown: None,
+            cancel_stored: false,
+            finished_ms: None,
+            occurrences: BTreeMap::new(),
+            complete_occurrences: 0,
+            submitters: Vec::new(),
+            cancellers: Vec::new(),
+        }
+    }
+
+    /// Returns the row that holds the job.
+    pub(crate) fn row(&self) -> JobRow {
+        JobRow {
+            queue: self.queue.clone(),
+            spec: self.spec.clone(),
+            accepted_unix_ms: self.accepted_unix_ms,
+        }
+    }
+
+    /// Returns the steps of an occurrence, which exist from now on.
+    pub(crate) fn occurrence(&mut self, occurrence: u32) -> &mut Vec<StepProgress> {
+        let steps = &self.spec.steps;
+        self.occurrences
+            .entry(occurrence)
+            .or_insert_with(|| steps.iter().map(StepProgress::new).collect())
+    }
+
+    pub(crate) fn step_progress(&self, key: StepKey) -> Option<&StepProgress> {
+        self.occurrences.get(&key.occurrence)?.get(key.step as usize)
+    }
+
+    pub(crate) fn step_progress_mut(&mut self, key: StepKey) -> Option<&mut StepProgress> {
+        self.occurrences
+            .get_mut(&key.occurrence)?
+            .get_mut(key.step as usize)
+    }
+
+    pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.step_progress(key.step_key())?.tasks.get(key.index as usize)
+    }
+
+    /// Returns the state that callers may see: what the store holds.
+    pub(crate) fn state(&self) -> JobState {
+        if let Some(shown) = self.shown {
+            return shown;
+        }
+        if self.cancel_stored {
+            return JobState::Cancelled;
+        }
+        if self.started {
+            JobState::Running
+        } else {
+            JobState::Pending
+        }
+    }
+
+    /// Returns the row that holds its progress.
+    pub(crate) fn progress(&self) -> ProgressRow {
+        let steps = self.occurrences.iter().flat_map(|(occurrence, steps)| {
+            steps
+                .iter()
+                .enumerate()
+                .filter_map(|(position, step)| step_row(*occurrence, position, step))
+        });
+        ProgressRow {
+            cancelled: self.cancelled,
+            outcome: self.outcome,
+            started: self.started,
+            steps: steps.collect(),
+        }
+    }
+
+    /// Takes in a stored progress row.
+    pub(crate) fn restore(&mut self, row: &ProgressRow) {
+        self.cancelled = row.cancelled;
+        self.cancel_stored = row.cancelled;
+        self.outcome = row.outcome;
+        self.shown = row.outcome;
+        self.started = row.started;
+        for step in &row.steps {
+            self.restore_step(step);
+        }
+        let complete = self
+            .occurrences
+            .values()
+            .filter(|steps| steps.iter().all(StepProgress::complete));
+        self.complete_occurrences = u32::try_from(complete.count()).unwrap_or(u32::MAX);
+    }
+
+    fn restore_step(&mut self, row: &StepRow) {
+        let Some(progress) = self.occurrence(row.occurrence).get_mut(row.step as usize) else {
+            return;
+        };
+        for (first, count) in &row.done {
+            for index in *first..first.saturating_add(*count) {
+                let Some(task) = progress.tasks.get_mut(index as usize) else {
+                    break;
+                };
+                task.state = TaskState::Done;
+                progress.done += 1;
+            }
+        }
+        for (index, runs) in &row.failed {
+            if let Some(task) = progress.tasks.get_mut(*index as usize) {
+                task.failed.clone_from(runs);
+            }
+        }
+    }
+}
+
+fn step_row(occurrence: u32, position: usize, step: &StepProgress) -> Option<StepRow> {
+    let indexed = || step.tasks.iter().zip(0_u32..);
+    let done = indexed()
+        .filter(|(task, _)| task.state == TaskState::Done)
+        .map(|(_, index)| index);
+    let failed = indexed()
+        .filter(|(task, _)| !task.failed.is_empty())
+        .map(|(task, index)| (index, task.failed.clone()));
+    let row = StepRow {
+        occurrence,
+        step: u16::try_from(position).ok()?,
+        done: ranges(done),
+        failed: failed.collect(),
+    };
+    (!row.done.is_empty() || !row.failed.is_empty()).then_some(row)
+}
+
+/// Names a step in one occurrence of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct StepKey {
+    pub(crate) job: JobId,
+    pub(crate) occurrence: u32,
+    pub(crate) step: u16,
+}
+
+impl StepKey {
+    pub(crate) const fn task(self, index: u32) -> TaskKey {
+        TaskKey {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+}
+
+impl std::fmt::Display for StepKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+impl TaskKey {
+    pub(crate) const fn step_key(self) -> StepKey {
+        StepKey {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_telemetry/src/lines.rs
@@ -0,0 +1,151 @@
+//! Structured log lines on standard output: bounded, and never waited for.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use log::kv::{Error as KvError, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use log4rs::append::Append;
+use log4rs::config::{Appender, Logger, Root};
+use log4rs::Config;
+use serde::Serialize;
+
+use crate::logs::QUIET;
+
+/// Lines that may wait for the writer; at 300 bytes each they take 1.2 MB.
+const QUEUE_LINES: usize = 4_096;
+/// Lines of routine are left out while fewer places than this are free, so that lines about the
+/// outcome of a request find one.
+const RESERVED_LINES: usize = 2_048;
+/// Pause of the writer between its writes, so that lines are written in groups.
+const WRITE_PAUSE_MS: u64 = 25;
+/// Name of the one appender.
+const APPENDER: &str = "lines";
+
+/// Opens the log of this process: JSON lines on standard output, written by a thread of their own.
+///
+/// # Errors
+///
+/// Returns an error if the thread can't be started or the log was opened before.
+pub fn open_lines(node: &str, level: LevelFilter) -> anyhow::Result<()> {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    let lines = Lines {
+        node: node.to_owned(),
+        sender,
+        waiting: Arc::new(AtomicU64::new(0)),
+        left_out: Arc::new(AtomicU64::new(0)),
+    };
+    let (waiting, left_out) = (Arc::clone(&lines.waiting), Arc::clone(&lines.left_out));
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&receiver, &waiting, &left_out))?;
+    let appender = Appender::builder().build(APPENDER, Box::new(lines));
+    let mut config = Config::builder().appender(appender);
+    for name in QUIET {
+        config = config.logger(Logger::builder().build(name, LevelFilter::Warn));
+    }
+    let root = Root::builder().appender(APPENDER).build(level);
+    log4rs::init_config(config.build(root)?)?;
+    Ok(())
+}
+
+/// Puts lines into the writer's queue and leaves out what finds no place.
+#[derive(Debug)]
+struct Lines {
+    node: String,
+    sender: SyncSender<Vec<u8>>,
+    waiting: Arc<AtomicU64>,
+    left_out: Arc<AtomicU64>,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    unix_ms: u64,
+    node: &'a str,
+    level: &'a str,
+    part: &'a str,
+    event: String,
+    #[serde(flatten)]
+    fields: Fields,
+}
+
+#[derive(Default, Serialize)]
+#[serde(transparent)]
+struct Fields(BTreeMap<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), KvError> {
+        let json = if let Some(number) = value.to_u64() {
+            number.into()
+        } else if let Some(number) = value.to_f64() {
+            number.into()
+        } else if let Some(flag) = value.to_bool() {
+            flag.into()
+        } else {
+            value.to_string().into()
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+impl Append for Lines {
+    fn append(&self, record: &Record) -> anyhow::Result<()> {
+        let routine = record.level() > LevelFilter::Info;
+        let waiting = self.waiting.load(Ordering::Relaxed);
+        if routine && waiting > (QUEUE_LINES - RESERVED_LINES) as u64 {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut fields = Fields::default();
+        record.key_values().visit(&mut fields)?;
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let line = Line {
+            unix_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            node: &self.node,
+            level: record.level().as_str(),
+            part: record.target(),
+            event: record.args().to_string(),
+            fields,
+        };
+        let mut bytes = serde_json::to_vec(&line)?;
+        bytes.push(b'\n');
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        if self.sender.try_send(bytes).is_err() {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(receiver: &Receiver<Vec<u8>>, waiting: &AtomicU64, left_out: &AtomicU64) {
+    while let Ok(first) = receiver.recv() {
+        let mut bytes = first;
+        let mut lines = 1;
+        for line in receiver.try_iter() {
+            bytes.extend_from_slice(&line);
+            lines += 1;
+        }
+        waiting.fetch_sub(lines, Ordering::Relaxed);
+        let missing = left_out.swap(0, Ordering::Relaxed);
+        if missing > 0 {
+            bytes.extend_from_slice(
+                format!("{{\"level\":\"WARN\",\"event\":\"log lines left out\",\"lines\":{missing}}}\n")
+                    .as_bytes(),
+            );
+        }
+        let mut output = std::io::stdout().lock();
+        // There is no other place to report that standard output is gone.
+        drop(output.write_all(&bytes).and_then(|()| output.flush()));
+        drop(output);
+        thread::sleep(Duration::from_millis(WRITE_PAUSE_MS));
+    }
+}
--- a/crates/chervilfall_telemetry/src/logs.rs
+++ b/crates/chervilfall_telemetry/src/logs.rs
@@ -18,7 +18,7 @@
 /// Name of the one appender.
 const APPENDER: &str = "lines";
 /// Libraries whose usual course of things is of no interest.
-const QUIET: [&str; 4] = ["rocket", "hyper", "_", "tungstenite"];
+pub(crate) const QUIET: [&str; 4] = ["rocket", "hyper", "_", "tungstenite"];
 
 /// Opens the log of this process.
 ///
