Grant silent endpoints nothing more, so that their leases lapse

Ruled out: the barrier after a takeover (it ended 17 s before the rule broke).

Change: an endpoint that has been silent for longer than a hold takes is asked for its lists without a lease. A fleet's list no longer waits for a hold on its way before it drops an endpoint.

Test: planner.rs, three ways to fall silent; red before, green after. The tests' world (store, endpoints, oracle in virtual time) comes with it.

--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -32,7 +32,8 @@
     pub hold_wait_ms: Millis,
     /// Pause before a hold that follows an unanswered one.
     pub hold_retry_ms: Millis,
-    /// An endpoint that has not answered for this long gets no starts.
+    /// An endpoint that has not answered for this long gets no starts and no longer leases: it has
+    /// left a hold unanswered.
     pub silent_ms: Millis,
     /// A stop is repeated after this.
     pub stop_retry_ms: Millis,
@@ -66,7 +67,7 @@
             accept_wait_ms: 1_200,
             hold_wait_ms: 1_000,
             hold_retry_ms: 250,
-            silent_ms: 1_700,
+            silent_ms: 1_400,
             stop_retry_ms: 300,
             start_pause_ms: 700,
             ticket_margin_ms: 150,
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -81,7 +81,7 @@
     /// Drops endpoints that are gone and can run nothing any more.
     fn drop_endpoints(&mut self) {
         let gone = self.endpoints.iter().filter(|(_, endpoint)| {
-            !endpoint.listed && endpoint.over && endpoint.placed.is_empty() && endpoint.hold_sent_ms.is_none()
+            !endpoint.listed && endpoint.over && endpoint.placed.is_empty()
         });
         let gone: Vec<EndpointKey> = gone.map(|(key, _)| key).collect();
         for key in gone {
@@ -106,7 +106,9 @@
             if endpoint.hold_sent_ms.is_some() || now < endpoint.next_hold_ms {
                 continue;
             }
-            let until_ms = endpoint.lease(now, lease_ms, bound_ms);
+            // An endpoint that does not answer is granted nothing more, so that its leases lapse.
+            let silent = endpoint.silent_for(now) > self.limits.silent_ms;
+            let until_ms = if silent { None } else { endpoint.lease(now, lease_ms, bound_ms) };
             let settling = endpoint
                 .placed
                 .values()
--- /dev/null
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -0,0 +1,175 @@
+//! The planner in virtual time, one fault at a time.
+
+mod world;
+
+use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request, Step};
+use world::{step, World};
+
+fn job(steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        spec: "text".to_owned(),
+        steps,
+        ..JobSpec::default()
+    }
+}
+
+fn state(world: &mut World, id: u64) -> Answer {
+    world.ask(Request::State { id: JobId(id) })
+}
+
+fn completed(world: &mut World, id: u64, bound_ms: u64) {
+    let end = world.now + bound_ms;
+    while world.now < end {
+        if state(world, id) == Answer::State(JobState::Completed) {
+            assert_eq!(world.violations, Vec::<String>::new());
+            return;
+        }
+        world.run(50);
+    }
+    panic!("job {id} is {:?} after {bound_ms} ms; {:?}", state(world, id), world.violations);
+}
+
+fn ready_world(seed: u64) -> World {
+    let mut world = World::new(3, 4, seed);
+    world.run(1_500);
+    world
+}
+
+#[test]
+fn jobs_of_all_shapes_complete() {
+    struct Case {
+        name: &'static str,
+        spec: JobSpec,
+        within_ms: u64,
+    }
+    let gang = Step {
+        gang: true,
+        ..step(8, 500)
+    };
+    let after = Step {
+        after: vec![0],
+        ..step(3, 300)
+    };
+    let apart = Step {
+        max_per_endpoint: 1,
+        ..step(4, 300)
+    };
+    let cases = [
+        Case {
+            name: "one task",
+            spec: job(vec![step(1, 300)]),
+            within_ms: 1_500,
+        },
+        Case {
+            name: "more tasks than fit at once",
+            spec: job(vec![step(40, 300)]),
+            within_ms: 4_000,
+        },
+        Case {
+            name: "a gang",
+            spec: job(vec![gang]),
+            within_ms: 2_000,
+        },
+        Case {
+            name: "steps in order",
+            spec: job(vec![step(2, 300), after]),
+            within_ms: 2_500,
+        },
+        Case {
+            name: "one task on each endpoint",
+            spec: job(vec![apart]),
+            within_ms: 1_500,
+        },
+    ];
+    for (number, case) in (1_u64..).zip(cases) {
+        let mut world = ready_world(7);
+        assert_eq!(world.submit(number, case.spec), Answer::Accepted, "{}", case.name);
+        completed(&mut world, number, case.within_ms);
+    }
+}
+
+#[test]
+fn a_task_whose_endpoint_falls_silent_runs_elsewhere_once_its_lease_has_lapsed() {
+    struct Case {
+        name: &'static str,
+        dead: bool,
+        unlisted: bool,
+    }
+    let cases = [
+        Case {
+            name: "crashed",
+            dead: true,
+            unlisted: false,
+        },
+        Case {
+            name: "crashed and taken off the list",
+            dead: true,
+            unlisted: true,
+        },
+        Case {
+            name: "cut off and at work",
+            dead: false,
+            unlisted: false,
+        },
+    ];
+    for case in cases {
+        let mut world = ready_world(3);
+        assert_eq!(world.submit(1, job(vec![step(1, 3_000)])), Answer::Accepted);
+        world.run(400);
+        let now = world.now;
+        let endpoint = world.endpoints.values_mut().find(|endpoint| !endpoint.running.is_empty());
+        let endpoint = endpoint.expect("the task has started");
+        endpoint.dead = case.dead;
+        endpoint.listed = !case.unlisted;
+        endpoint.cut_until_ms = now + 60_000;
+        let id = endpoint.id.clone();
+        world.run_until(6_500, |world| {
+            let others = world.endpoints.values().filter(|endpoint| endpoint.id != id);
+            others.map(|endpoint| endpoint.starts.len()).sum::<usize>() == 1
+        });
+        completed(&mut world, 1, 5_000);
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_successor_takes_runs_as_it_finds_them() {
+    let mut world = ready_world(5);
+    assert_eq!(world.submit(1, job(vec![step(6, 2_500)])), Answer::Accepted);
+    world.run(300);
+    let holder = world.holder().expect("a holder");
+    world.kill(holder);
+    completed(&mut world, 1, 8_000);
+    let starts: usize = world.endpoints.values().map(|endpoint| endpoint.starts.len()).sum();
+    assert!(starts <= 7, "{starts} starts of 6 tasks, of which one in fifty fails");
+}
+
+#[test]
+fn a_cancelled_job_stops_and_stays_cancelled() {
+    let mut world = ready_world(5);
+    assert_eq!(world.submit(1, job(vec![step(4, 20_000)])), Answer::Accepted);
+    world.run(300);
+    assert_eq!(world.ask(Request::Cancel { id: JobId(1) }), Answer::Cancelled);
+    world.run(600);
+    assert!(world.endpoints.values().all(|endpoint| endpoint.running.is_empty()));
+    let holder = world.holder().expect("a holder");
+    world.kill(holder);
+    world.run(3_000);
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Cancelled));
+    assert_eq!(world.ask(Request::Cancel { id: JobId(2) }), Answer::Unknown);
+}
+
+#[test]
+fn a_store_that_is_away_refuses_new_jobs_and_keeps_old_ones_running() {
+    let mut world = ready_world(9);
+    assert_eq!(world.submit(1, job(vec![step(4, 6_000)])), Answer::Accepted);
+    world.run(300);
+    world.store.down_until_ms = world.now + 5_000;
+    world.run(1_500);
+    let answer = world.submit(2, job(vec![step(1, 100)]));
+    assert!(matches!(answer, Answer::Refused { retry_ms } if retry_ms > 0), "{answer:?}");
+    completed(&mut world, 1, 9_000);
+    assert_eq!(state(&mut world, 2), Answer::Unknown);
+    let starts: usize = world.endpoints.values().map(|endpoint| endpoint.starts.len()).sum();
+    assert!(starts <= 5, "{starts} starts of 4 tasks, of which one in fifty fails");
+}
--- /dev/null
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -0,0 +1,269 @@
+//! An endpoint that starts whatever it is told to, and an oracle for what it is told.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chervilfall_planner::{
+    EndedRun, EndpointEntry, EndpointId, EndpointKey, HoldAnswer, HoldOrder, HoldReport, How, JobSpec,
+    Refusal, Run, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskKey,
+};
+
+use super::random::Random;
+
+/// Milliseconds that a stop takes.
+const STOP_MS: u64 = 200;
+
+/// A run at work.
+pub struct FakeRun {
+    pub run: Run,
+    pub cpu_milli: u32,
+    pub ends_ms: u64,
+    pub fails: bool,
+    pub stops_ms: Option<u64>,
+}
+
+/// A hold that waits for an end.
+pub struct WaitingHold {
+    pub node: usize,
+    pub endpoint: EndpointKey,
+    pub sent_ms: u64,
+    answer_by_ms: u64,
+}
+
+/// A hold's answer.
+pub struct AnsweredHold {
+    pub node: usize,
+    pub endpoint: EndpointKey,
+    pub sent_ms: u64,
+    pub answer: HoldAnswer,
+}
+
+/// An endpoint.
+pub struct FakeEndpoint {
+    pub id: EndpointId,
+    pub cpu_milli: u32,
+    pub listed: bool,
+    pub draining: bool,
+    pub dead: bool,
+    pub cut_until_ms: u64,
+    pub fails_all: bool,
+    pub running: BTreeMap<TaskKey, FakeRun>,
+    pub starts: Vec<(u64, TaskKey, Run)>,
+    /// Done ends whose lease held until they were acknowledged.
+    pub noted: BTreeSet<TaskKey>,
+    ended: Vec<EndedRun>,
+    next_end: u64,
+    fence: u64,
+    until_ms: u64,
+    barred: BTreeMap<TaskKey, Run>,
+    holds: Vec<WaitingHold>,
+    clock_offset_ms: u64,
+}
+
+impl FakeEndpoint {
+    pub fn new(number: usize, cpu_milli: u32) -> Self {
+        Self {
+            id: EndpointId(format!("endpoint-{number}")),
+            cpu_milli,
+            listed: true,
+            draining: false,
+            dead: false,
+            cut_until_ms: 0,
+            fails_all: false,
+            running: BTreeMap::new(),
+            starts: Vec::new(),
+            noted: BTreeSet::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            fence: 0,
+            until_ms: 0,
+            barred: BTreeMap::new(),
+            holds: Vec::new(),
+            clock_offset_ms: number as u64 * 100_000,
+        }
+    }
+
+    pub fn entry(&self) -> EndpointEntry {
+        EndpointEntry {
+            id: self.id.clone(),
+            address: "127.0.0.1:2".to_owned(),
+            service: "pool".to_owned(),
+            domain: "domain-a".to_owned(),
+            draining: self.draining,
+            cpu_milli: self.cpu_milli,
+            memory_mb: 16_000,
+            gpus: 0,
+            rack: None,
+            labels: BTreeSet::new(),
+        }
+    }
+
+    /// Its clock is two percent slow.
+    fn clock(&self, now: u64) -> u64 {
+        now - now / 50 + self.clock_offset_ms
+    }
+
+    fn end(&mut self, task: TaskKey, run: Run, how: How) {
+        self.ended.push(EndedRun {
+            number: self.next_end,
+            task,
+            run,
+            how,
+            checkpoint: String::new(),
+        });
+        self.next_end += 1;
+    }
+
+    pub fn pass(&mut self, now: u64, violations: &mut Vec<String>) {
+        if self.dead {
+            self.running.clear();
+            return;
+        }
+        let lapsed = self.clock(now) >= self.until_ms;
+        let due: Vec<(TaskKey, How)> = self
+            .running
+            .iter()
+            .filter_map(|(task, run)| {
+                let how = if lapsed {
+                    How::Lapsed
+                } else if run.stops_ms.is_some_and(|at| now >= at) {
+                    How::Stopped
+                } else if now >= run.ends_ms && (run.fails || self.fails_all) {
+                    How::Failed
+                } else if now >= run.ends_ms {
+                    How::Done
+                } else {
+                    return None;
+                };
+                Some((*task, how))
+            })
+            .collect();
+        for (task, how) in due {
+            let run = self.running.remove(&task).expect("listed").run;
+            let barred = self.barred.entry(task).or_insert(0);
+            *barred = (*barred).max(run);
+            self.end(task, run, how);
+        }
+        let used: u32 = self.running.values().map(|run| run.cpu_milli).sum();
+        if used > self.cpu_milli {
+            violations.push(format!("{} carries {used} of {} at {now}", self.id, self.cpu_milli));
+        }
+    }
+
+    pub fn start(
+        &mut self,
+        now: u64,
+        order: &StartOrder,
+        spec: Option<&JobSpec>,
+        random: &mut Random,
+    ) -> StartAnswer {
+        if order.fence < self.fence {
+            return StartAnswer::Refused(Refusal::Fence);
+        }
+        self.fence = order.fence;
+        if self.running.get(&order.task).is_some_and(|run| run.run == order.run) {
+            return StartAnswer::Accepted;
+        }
+        let barred = self.barred.get(&order.task).is_some_and(|run| *run >= order.run);
+        if barred {
+            self.until_ms = self.until_ms.max(order.until_ms);
+            return StartAnswer::Refused(Refusal::Old);
+        }
+        if self.clock(now) >= order.until_ms {
+            return StartAnswer::Refused(Refusal::Late);
+        }
+        self.until_ms = self.until_ms.max(order.until_ms);
+        let step = spec.and_then(|spec| spec.steps.get(order.task.step as usize));
+        let work_ms = step.map_or(1_000, |step| step.estimate_ms);
+        self.starts.push((now, order.task, order.run));
+        self.running.insert(
+            order.task,
+            FakeRun {
+                run: order.run,
+                cpu_milli: step.map_or(0, |step| step.cpu_milli),
+                ends_ms: now + work_ms,
+                fails: random.percent(2),
+                stops_ms: None,
+            },
+        );
+        StartAnswer::Accepted
+    }
+
+    pub fn stop(&mut self, now: u64, order: &StopOrder) -> StopAnswer {
+        if order.fence < self.fence {
+            return StopAnswer::Fenced;
+        }
+        self.fence = order.fence;
+        let barred = self.barred.entry(order.task).or_insert(0);
+        *barred = (*barred).max(order.run);
+        if let Some(run) = self.running.get_mut(&order.task).filter(|run| run.run == order.run) {
+            run.stops_ms.get_or_insert(now + STOP_MS);
+        }
+        StopAnswer::Accepted
+    }
+
+    pub fn hold(&mut self, now: u64, order: &HoldOrder, node: usize, sent_ms: u64) {
+        let endpoint = order.endpoint;
+        if order.fence < self.fence {
+            self.holds.push(WaitingHold {
+                node,
+                endpoint,
+                sent_ms,
+                answer_by_ms: 0,
+            });
+            return;
+        }
+        self.fence = order.fence;
+        if let Some(until_ms) = order.until_ms {
+            if self.clock(now) < until_ms {
+                self.until_ms = self.until_ms.max(until_ms);
+            }
+        }
+        let noted = self.ended.iter().filter(|end| end.number <= order.acknowledged && end.how == How::Done);
+        self.noted.extend(noted.map(|end| end.task));
+        self.ended.retain(|end| end.number > order.acknowledged);
+        self.holds.push(WaitingHold {
+            node,
+            endpoint,
+            sent_ms,
+            answer_by_ms: now + order.wait_ms.max(1),
+        });
+    }
+
+    pub fn ready_holds(&mut self, now: u64) -> Vec<AnsweredHold> {
+        if self.dead {
+            self.holds.clear();
+            return Vec::new();
+        }
+        let any_end = !self.ended.is_empty();
+        let (ready, waiting): (Vec<_>, Vec<_>) =
+            self.holds.drain(..).partition(|hold| any_end || now >= hold.answer_by_ms);
+        self.holds = waiting;
+        let cut = self.cut_until_ms > now;
+        let report = HoldReport {
+            clock_ms: self.clock(now),
+            running: self
+                .running
+                .iter()
+                .map(|(task, run)| RunningRun {
+                    task: *task,
+                    run: run.run,
+                    checkpoint: String::new(),
+                })
+                .collect(),
+            ended: self.ended.clone(),
+        };
+        let answers = ready.into_iter().map(|hold| AnsweredHold {
+            node: hold.node,
+            endpoint: hold.endpoint,
+            sent_ms: hold.sent_ms,
+            answer: if cut {
+                HoldAnswer::Unanswered
+            } else if hold.answer_by_ms == 0 {
+                HoldAnswer::Fenced
+            } else {
+                HoldAnswer::Report(report.clone())
+            },
+        });
+        answers.collect()
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -0,0 +1,47 @@
+//! A store with one group's tables.
+
+use std::collections::BTreeMap;
+
+use chervilfall_planner::{Batch, CommitOutcome, RowChange};
+
+/// The store.
+#[derive(Default)]
+pub struct FakeStore {
+    version: u64,
+    rows: BTreeMap<(String, String), (u64, Vec<u8>)>,
+    pub down_until_ms: u64,
+    /// Part of the transactions, in percent, that are not answered and carried out late.
+    pub lost_percent: u64,
+}
+
+impl FakeStore {
+    pub fn commit(&mut self, batch: &Batch) -> CommitOutcome {
+        let claim = self.rows.get(&("claims".to_owned(), "holder".to_owned()));
+        if claim.map_or(0, |(version, _)| *version) != batch.expected {
+            return CommitOutcome::Conflict(claim.cloned());
+        }
+        self.version += 1;
+        for change in &batch.changes {
+            match change {
+                RowChange::Put(key, value) => {
+                    let key = (key.table.to_owned(), key.key.clone());
+                    self.rows.insert(key, (self.version, value.clone()));
+                }
+                RowChange::Remove(key) => {
+                    self.rows.remove(&(key.table.to_owned(), key.key.clone()));
+                }
+            }
+        }
+        CommitOutcome::Stored(self.version)
+    }
+
+    pub fn row(&self, table: &str, key: &str) -> (u64, Option<Vec<u8>>) {
+        let row = self.rows.get(&(table.to_owned(), key.to_owned()));
+        row.map_or((0, None), |(version, value)| (*version, Some(value.clone())))
+    }
+
+    pub fn table(&self, table: &str) -> Vec<(String, Vec<u8>)> {
+        let rows = self.rows.iter().filter(|((name, _), _)| name == table);
+        rows.map(|((_, key), (_, value))| (key.clone(), value.clone())).collect()
+    }
+}
