Let a lapse count only once a later commit shows that no successor extends leases

Ruled out: the successor's barrier, which held.

Change: tasks of a silent endpoint are freed once a commit that was sent after the lapse is stored; the barrier after a takeover likewise. A process that finds its own machine's earlier process as holder counts leases from its start, not from the claim's cover.

Test: a_holder_that_is_cut_off_restarts_nothing_that_a_successor_keeps_alive, red before, green after.

--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -51,6 +51,8 @@
             self.settings.node.clone(),
             self.incarnation,
             self.settings.link_listen.to_string(),
+            // Steady time counts from the start of the process.
+            0,
         );
         let mut dependency = Dependency::new("claim row");
         let mut dialing: Option<Dialing> = None;
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -50,6 +50,9 @@
     /// When the predecessor's last commit was first seen here; no lease of its reaches further
     /// than the claim's cover from there. None if there was no predecessor.
     pub predecessor_seen_ms: Option<Millis>,
+    /// Set if the predecessor was an earlier process on this very machine: it has granted nothing
+    /// since this process began.
+    pub predecessor_gone_ms: Option<Millis>,
 }
 
 /// What a candidate should do.
@@ -74,17 +77,19 @@
     node: String,
     incarnation: u64,
     address: String,
+    started_ms: Millis,
     seen: Option<Seen>,
 }
 
 impl Candidate {
-    /// Returns a candidate that has read nothing yet.
+    /// Returns a candidate that has read nothing yet, of a process that began at `started_ms`.
     #[must_use]
-    pub const fn new(node: String, incarnation: u64, address: String) -> Self {
+    pub const fn new(node: String, incarnation: u64, address: String, started_ms: Millis) -> Self {
         Self {
             node,
             incarnation,
             address,
+            started_ms,
             seen: None,
         }
     }
@@ -113,7 +118,7 @@
         match row {
             None => self.claim(0, version),
             Some(holder) => {
-                let free = holder.released || holder.node == self.node;
+                let free = holder.released || self.is_own(&holder);
                 if free || now.saturating_sub(first_ms) >= stall_ms {
                     return self.claim(holder.term, version);
                 }
@@ -122,6 +127,11 @@
         }
     }
 
+    /// Returns whether the holder is this process, or an earlier one on this machine.
+    fn is_own(&self, holder: &HolderRow) -> bool {
+        holder.node == self.node && holder.address == self.address
+    }
+
     fn claim(&self, term: u64, version: RowVersion) -> CandidateMove {
         let row = HolderRow {
             term: term + 1,
@@ -151,6 +161,10 @@
             row,
             version,
             predecessor_seen_ms: predecessor.map(|seen| seen.first_ms),
+            predecessor_gone_ms: predecessor
+                .and_then(|seen| seen.row.as_ref())
+                .filter(|holder| self.is_own(holder) && holder.incarnation != self.incarnation)
+                .map(|_| self.started_ms),
         }
     }
 }
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -143,6 +143,8 @@
     pub(crate) contacted: bool,
     /// All its leases have lapsed since it was last heard, or its incarnation is over.
     pub(crate) over: bool,
+    /// When its leases were first found lapsed while it was silent.
+    pub(crate) lapsed_ms: Option<Millis>,
     pub(crate) placed: BTreeMap<TaskKey, Placed>,
     pub(crate) used: Room,
     /// Highest end that was taken in.
@@ -168,6 +170,7 @@
             rostered: false,
             contacted: false,
             over: false,
+            lapsed_ms: None,
             placed: BTreeMap::new(),
             used: Room::default(),
             taken_in: 0,
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -21,9 +21,14 @@
     /// last commit, which was before that commit was seen here; an endpoint's clock may be slow.
     pub(crate) fn after(takeover: &Takeover, limits: &Limits) -> Option<Self> {
         let seen_ms = takeover.predecessor_seen_ms?;
-        let slow_ms = limits.claim_cover_ms * limits.drift_permille / 1_000;
+        let lapse = |from_ms: Millis, lease_ms: Millis| {
+            let slow_ms = lease_ms * limits.drift_permille / 1_000;
+            from_ms + lease_ms + slow_ms + limits.clock_slack_ms
+        };
+        let covered = lapse(seen_ms, limits.claim_cover_ms);
+        let gone = takeover.predecessor_gone_ms.map(|gone_ms| lapse(gone_ms, limits.lease_ms));
         Some(Self {
-            lapse_ms: seen_ms + limits.claim_cover_ms + slow_ms + limits.clock_slack_ms,
+            lapse_ms: gone.map_or(covered, |gone| gone.min(covered)),
             missing: BTreeSet::new(),
         })
     }
@@ -45,7 +50,8 @@
         let Some(barrier) = &self.barrier else {
             return;
         };
-        let lapsed = self.now >= barrier.lapse_ms;
+        // The lapse counts once a later commit shows that no successor extends leases meanwhile.
+        let lapsed = self.covered_from_ms >= barrier.lapse_ms;
         if !barrier.missing.is_empty() && !lapsed {
             return;
         }
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -159,6 +159,7 @@
         endpoint.read_clock(now, report.clock_ms);
         endpoint.heard_ms = Some(now);
         endpoint.over = false;
+        endpoint.lapsed_ms = None;
         let first = !endpoint.contacted;
         if first {
             endpoint.assume_granted(&self.limits);
@@ -296,18 +297,26 @@
     }
 
     /// Frees what was on endpoints whose leases have surely lapsed.
+    ///
+    /// A successor may have extended leases that this holder sees lapse. So a lapse counts only once
+    /// a commit that was sent after it is stored, which shows that there was no successor by then.
     pub(super) fn check_leases(&mut self) {
-        let lapsed = self.endpoints.iter().filter(|(_, endpoint)| {
-            !endpoint.over
-                && endpoint.contacted
-                && endpoint.silent_for(self.now) > LAPSE_CHECK_MS
-                && endpoint.surely_lapsed(self.now, &self.limits)
-        });
-        let lapsed: Vec<EndpointKey> = lapsed.map(|(key, _)| key).collect();
+        let (now, covered_from_ms) = (self.now, self.covered_from_ms);
+        let mut lapsed = Vec::new();
+        for (key, endpoint) in &mut self.endpoints {
+            let silent = endpoint.contacted && endpoint.silent_for(now) > LAPSE_CHECK_MS;
+            if endpoint.over || !silent || !endpoint.surely_lapsed(now, &self.limits) {
+                continue;
+            }
+            let lapsed_ms = *endpoint.lapsed_ms.get_or_insert(now);
+            if covered_from_ms >= lapsed_ms {
+                lapsed.push(key);
+            }
+        }
         for key in lapsed {
             let endpoint = &self.endpoints[key];
             log::warn!(
-                endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(self.now),
+                endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
                 tasks = endpoint.placed.len();
                 "leases lapsed, endpoint is silent"
             );
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -173,3 +173,25 @@
     let starts: usize = world.endpoints.values().map(|endpoint| endpoint.starts.len()).sum();
     assert!(starts <= 5, "{starts} starts of 4 tasks, of which one in fifty fails");
 }
+
+#[test]
+fn a_holder_that_is_cut_off_restarts_nothing_that_a_successor_keeps_alive() {
+    let mut world = World::new(3, 6, 11);
+    for endpoint in world.endpoints.values_mut().take(3) {
+        endpoint.domain = 1;
+    }
+    world.run(1_500);
+    let holder = world.holder().expect("a holder");
+    world.nodes[holder].domain = 1;
+    // The first job fills what comes first, and leaves it free for restarts when it ends.
+    assert_eq!(world.submit(2, job(vec![step(12, 800)])), Answer::Accepted);
+    assert_eq!(world.submit(1, job(vec![step(8, 12_000)])), Answer::Accepted);
+    world.run(1_500);
+    let there = world.endpoints.values().filter(|endpoint| endpoint.domain == 0);
+    assert_eq!(there.map(|endpoint| endpoint.running.len()).sum::<usize>(), 8);
+    world.split_until_ms = world.now + 9_000;
+    world.run(9_000);
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_ne!(world.holder(), Some(holder));
+    completed(&mut world, 1, 25_000);
+}
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -32,6 +32,7 @@
 /// A hold's answer.
 pub struct AnsweredHold {
     pub node: usize,
+    pub id: EndpointId,
     pub endpoint: EndpointKey,
     pub sent_ms: u64,
     pub answer: HoldAnswer,
@@ -45,6 +46,8 @@
     pub draining: bool,
     pub dead: bool,
     pub cut_until_ms: u64,
+    /// Failure domain.
+    pub domain: usize,
     pub fails_all: bool,
     pub running: BTreeMap<TaskKey, FakeRun>,
     pub starts: Vec<(u64, TaskKey, Run)>,
@@ -68,6 +71,7 @@
             draining: false,
             dead: false,
             cut_until_ms: 0,
+            domain: 0,
             fails_all: false,
             running: BTreeMap::new(),
             starts: Vec::new(),
@@ -254,6 +258,7 @@
         };
         let answers = ready.into_iter().map(|hold| AnsweredHold {
             node: hold.node,
+            id: self.id.clone(),
             endpoint: hold.endpoint,
             sent_ms: hold.sent_ms,
             answer: if cut {
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -12,7 +12,7 @@
 
 use chervilfall_planner::{
     Action, AdviceAnswer, AdviceTerms, Answer, Candidate, CandidateMove, CommitOutcome, Configuration,
-    EndpointId, EndpointKey, Event, HolderRow, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
+    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
     Queue, ReplyTo, Request, RosterEntry, StartAnswer, Step, StopAnswer, Stored, TaskKey,
 };
 
@@ -43,6 +43,8 @@
     pub frozen_until_ms: u64,
     pub cut_until_ms: u64,
     pub store_cut_until_ms: u64,
+    /// Failure domain; the store stands in domain 0.
+    pub domain: usize,
     pub replies: BTreeMap<u64, Answer>,
     pub keys: BTreeMap<EndpointKey, EndpointId>,
 }
@@ -61,6 +63,8 @@
     pub random: Random,
     /// Part of the orders, in percent, that get no answer and are carried out late.
     pub late_percent: u64,
+    /// Failure domains are cut off from each other until then.
+    pub split_until_ms: u64,
     /// Tasks that are done, by noted ends.
     pub violations: Vec<String>,
     pub jobs: BTreeMap<JobId, JobSpec>,
@@ -103,10 +107,11 @@
         };
         let nodes = (0..nodes).map(|number| FakeNode {
             planner: None,
-            candidate: Candidate::new(format!("node-{number}"), number as u64 + 1, "127.0.0.1:1".to_owned()),
+            candidate: Candidate::new(format!("node-{number}"), number as u64 + 1, format!("127.0.0.1:{number}"), 0),
             frozen_until_ms: 0,
             cut_until_ms: 0,
             store_cut_until_ms: 0,
+            domain: 0,
             replies: BTreeMap::new(),
             keys: BTreeMap::new(),
         });
@@ -126,6 +131,7 @@
             sequence: 0,
             random: Random::new(seed),
             late_percent: 0,
+            split_until_ms: 0,
             violations: Vec::new(),
             jobs: BTreeMap::new(),
             accepted: BTreeSet::new(),
@@ -227,7 +233,8 @@
     }
 
     fn store_reachable(&self, node: usize) -> bool {
-        self.store.down_until_ms <= self.now && self.nodes[node].store_cut_until_ms <= self.now
+        let split = self.split_until_ms > self.now && self.nodes[node].domain != 0;
+        self.store.down_until_ms <= self.now && self.nodes[node].store_cut_until_ms <= self.now && !split
     }
 
     fn watch_claim(&mut self, node: usize) {
@@ -320,7 +327,8 @@
     fn send_order(&mut self, node: usize, term: u64, action: Action) {
         let id = order_target(&action).clone();
         let cut = self.nodes[node].cut_until_ms > self.now
-            || self.endpoints.get(&id).is_none_or(|endpoint| endpoint.cut_until_ms > self.now);
+            || self.endpoints.get(&id).is_none_or(|endpoint| endpoint.cut_until_ms > self.now)
+            || self.split(node, &id);
         let unanswered = unanswered(&action, self.now);
         let mut wait_ms = TIMEOUT_MS;
         if let Action::Hold(order) = &action {
@@ -341,6 +349,11 @@
         self.after(HOP_MS, Later::Arrive(node, Box::new(action), sent_ms));
     }
 
+    fn split(&self, node: usize, id: &EndpointId) -> bool {
+        let domain = self.endpoints.get(id).map_or(0, |endpoint| endpoint.domain);
+        self.split_until_ms > self.now && self.nodes[node].domain != domain
+    }
+
     fn arrive(&mut self, node: usize, action: Action, sent_ms: u64) {
         let now = self.now;
         let id = order_target(&action).clone();
@@ -392,13 +405,15 @@
             if hold.node == usize::MAX {
                 continue;
             }
+            let lost = self.split(hold.node, &hold.id);
             let term = self.nodes[hold.node].planner.as_ref().map_or(0, Planner::term);
             let event = Event::Held {
                 endpoint: hold.endpoint,
                 sent_ms: hold.sent_ms,
-                answer: hold.answer,
+                answer: if lost { HoldAnswer::Unanswered } else { hold.answer },
             };
-            self.after(HOP_MS, Later::Tell(hold.node, term, Box::new(event)));
+            let delay_ms = if lost { TIMEOUT_MS } else { HOP_MS };
+            self.after(delay_ms, Later::Tell(hold.node, term, Box::new(event)));
         }
     }
 
@@ -471,7 +486,8 @@
         let incarnation = 1_000 + self.sequence;
         let state = &mut self.nodes[node];
         state.planner = None;
-        state.candidate = Candidate::new(format!("node-{node}"), incarnation, "127.0.0.1:1".to_owned());
+        let address = format!("127.0.0.1:{node}");
+        state.candidate = Candidate::new(format!("node-{node}"), incarnation, address, self.now);
     }
 }
 
@@ -501,7 +517,7 @@
         Action::Hold(order) => Event::Held {
             endpoint: order.endpoint,
             sent_ms,
-            answer: chervilfall_planner::HoldAnswer::Unanswered,
+            answer: HoldAnswer::Unanswered,
         },
         other => panic!("no order to an endpoint: {other:?}"),
     }
