--- /dev/null
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -0,0 +1,131 @@
+//! Random histories with overlapping faults; an oracle looks at every endpoint.
+
+mod world;
+
+use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request, Step};
+use world::{step, World};
+
+/// Histories of a run in CI; more by `CHERVILFALL_HISTORIES`.
+const HISTORIES: u64 = 150;
+/// Rounds of jobs and faults in a history.
+const ROUNDS: u64 = 40;
+/// Time for all jobs to end after the last fault: the longest lapse and some runs.
+const SETTLE_MS: u64 = 60_000;
+
+fn random_job(world: &mut World) -> JobSpec {
+    let shape = world.random.below(4);
+    let count = 1 + u32::try_from(world.random.below(6)).expect("small");
+    let work_ms = 200 + world.random.below(4_000);
+    let first = Step {
+        gang: shape == 1,
+        max_per_endpoint: u32::from(shape == 2) * 2,
+        ..step(count, work_ms)
+    };
+    let mut steps = vec![first];
+    if shape == 3 {
+        steps.push(Step {
+            after: vec![0],
+            ..step(2, 400)
+        });
+    }
+    JobSpec {
+        spec: "text".to_owned(),
+        steps,
+        ..JobSpec::default()
+    }
+}
+
+fn strike(world: &mut World) {
+    let now = world.now;
+    let for_ms = 500 + world.random.below(9_000);
+    let nodes = world.nodes.len() as u64;
+    let node = usize::try_from(world.random.below(nodes)).expect("small");
+    let node = if world.random.percent(50) { world.holder().unwrap_or(node) } else { node };
+    let endpoints = world.endpoints.len() as u64;
+    let position = usize::try_from(world.random.below(endpoints)).expect("small");
+    let endpoint = world.endpoints.keys().nth(position).expect("in range").clone();
+    let kind = world.random.below(10);
+    world.faults.push((now, format!("fault {kind} on node {node} or {endpoint} for {for_ms}")));
+    match kind {
+        0 => world.kill(node),
+        1 => world.nodes[node].frozen_until_ms = now + for_ms,
+        2 => world.nodes[node].cut_until_ms = now + for_ms,
+        3 => world.nodes[node].store_cut_until_ms = now + for_ms,
+        4 => world.store.down_until_ms = now + for_ms,
+        5 => world.store.lost_percent = if world.store.lost_percent == 0 { 30 } else { 0 },
+        6 => world.late_percent = if world.late_percent == 0 { 8 } else { 0 },
+        7 => world.endpoints.get_mut(&endpoint).expect("there").cut_until_ms = now + for_ms,
+        8 => world.split_until_ms = now + for_ms,
+        _ => {
+            let alive = world.endpoints.values().filter(|endpoint| !endpoint.dead).count();
+            let struck = world.endpoints.get_mut(&endpoint).expect("there");
+            if alive > 4 {
+                struck.dead = true;
+                struck.listed = false;
+            }
+        }
+    }
+}
+
+fn play(seed: u64) -> Result<(), String> {
+    let mut world = World::new(4, 8, seed);
+    for endpoint in world.endpoints.values_mut().skip(5) {
+        endpoint.domain = 1;
+    }
+    world.nodes[3].domain = 1;
+    world.run(1_500);
+    for round in 0..ROUNDS {
+        if world.random.percent(60) {
+            let spec = random_job(&mut world);
+            world.submit(round + 1, spec);
+        }
+        if world.random.percent(25) {
+            strike(&mut world);
+        }
+        if world.random.percent(4) {
+            let id = JobId(1 + world.random.below(round + 1));
+            // A cancel without an answer may have been carried out.
+            world.ask(Request::Cancel { id });
+            world.cancelled.insert(id);
+        }
+        let pause_ms = world.random.below(700);
+        world.run(pause_ms);
+    }
+    world.store.lost_percent = 0;
+    world.late_percent = 0;
+    world.run(SETTLE_MS);
+    world.check_history();
+    let accepted: Vec<JobId> = world.accepted.iter().copied().collect();
+    for id in accepted {
+        let answer = world.ask(Request::State { id });
+        let cancelled = world.cancelled.contains(&id);
+        let right = match answer {
+            Answer::State(JobState::Completed | JobState::Failed) => true,
+            Answer::State(JobState::Cancelled) => cancelled,
+            _ => false,
+        };
+        if !right {
+            world.violations.push(format!("job {id} is {answer:?} at the end"));
+        }
+    }
+    if std::env::var("CHERVILFALL_TRACE").is_ok() {
+        println!("{}", world.story());
+    }
+    match world.violations.first() {
+        Some(first) => Err(format!("seed {seed}: {} violations, the first: {first}", world.violations.len())),
+        None => Ok(()),
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    let set = std::env::var(name).ok().and_then(|text| text.parse().ok());
+    set.unwrap_or(default)
+}
+
+#[test]
+fn random_histories_keep_every_promise() {
+    let first = number("CHERVILFALL_SEED", 0);
+    let count = number("CHERVILFALL_HISTORIES", HISTORIES);
+    let failed: Vec<String> = (first..first + count).filter_map(|seed| play(seed).err()).collect();
+    assert!(failed.is_empty(), "{} of {count} failed:\n{}", failed.len(), failed.join("\n"));
+}
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -24,6 +24,7 @@
 /// A hold that waits for an end.
 pub struct WaitingHold {
     pub node: usize,
+    pub term: u64,
     pub endpoint: EndpointKey,
     pub sent_ms: u64,
     answer_by_ms: u64,
@@ -32,6 +33,7 @@
 /// A hold's answer.
 pub struct AnsweredHold {
     pub node: usize,
+    pub term: u64,
     pub id: EndpointId,
     pub endpoint: EndpointKey,
     pub sent_ms: u64,
@@ -51,9 +53,11 @@
     pub fails_all: bool,
     pub running: BTreeMap<TaskKey, FakeRun>,
     pub starts: Vec<(u64, TaskKey, Run)>,
-    /// Done ends whose lease held until they were acknowledged.
-    pub noted: BTreeSet<TaskKey>,
+    /// Ends whose lease held until they were acknowledged, with the time of the end.
+    pub noted: Vec<(TaskKey, Run, How, u64)>,
     ended: Vec<EndedRun>,
+    /// Times of ends by number, as long as the lease has held since.
+    valid: BTreeMap<u64, u64>,
     next_end: u64,
     fence: u64,
     until_ms: u64,
@@ -75,8 +79,9 @@
             fails_all: false,
             running: BTreeMap::new(),
             starts: Vec::new(),
-            noted: BTreeSet::new(),
+            noted: Vec::new(),
             ended: Vec::new(),
+            valid: BTreeMap::new(),
             next_end: 1,
             fence: 0,
             until_ms: 0,
@@ -106,7 +111,8 @@
         now - now / 50 + self.clock_offset_ms
     }
 
-    fn end(&mut self, task: TaskKey, run: Run, how: How) {
+    fn end(&mut self, now: u64, task: TaskKey, run: Run, how: How) {
+        self.valid.insert(self.next_end, now);
         self.ended.push(EndedRun {
             number: self.next_end,
             task,
@@ -123,6 +129,9 @@
             return;
         }
         let lapsed = self.clock(now) >= self.until_ms;
+        if lapsed {
+            self.valid.clear();
+        }
         let due: Vec<(TaskKey, How)> = self
             .running
             .iter()
@@ -145,7 +154,7 @@
             let run = self.running.remove(&task).expect("listed").run;
             let barred = self.barred.entry(task).or_insert(0);
             *barred = (*barred).max(run);
-            self.end(task, run, how);
+            self.end(now, task, run, how);
         }
         let used: u32 = self.running.values().map(|run| run.cpu_milli).sum();
         if used > self.cpu_milli {
@@ -205,11 +214,12 @@
         StopAnswer::Accepted
     }
 
-    pub fn hold(&mut self, now: u64, order: &HoldOrder, node: usize, sent_ms: u64) {
+    pub fn hold(&mut self, now: u64, order: &HoldOrder, node: usize, term: u64, sent_ms: u64) {
         let endpoint = order.endpoint;
         if order.fence < self.fence {
             self.holds.push(WaitingHold {
                 node,
+                term,
                 endpoint,
                 sent_ms,
                 answer_by_ms: 0,
@@ -222,11 +232,15 @@
                 self.until_ms = self.until_ms.max(until_ms);
             }
         }
-        let noted = self.ended.iter().filter(|end| end.number <= order.acknowledged && end.how == How::Done);
-        self.noted.extend(noted.map(|end| end.task));
+        for end in self.ended.iter().filter(|end| end.number <= order.acknowledged) {
+            if let Some(at_ms) = self.valid.get(&end.number) {
+                self.noted.push((end.task, end.run, end.how, *at_ms));
+            }
+        }
         self.ended.retain(|end| end.number > order.acknowledged);
         self.holds.push(WaitingHold {
             node,
+            term,
             endpoint,
             sent_ms,
             answer_by_ms: now + order.wait_ms.max(1),
@@ -258,6 +272,7 @@
         };
         let answers = ready.into_iter().map(|hold| AnsweredHold {
             node: hold.node,
+            term: hold.term,
             id: self.id.clone(),
             endpoint: hold.endpoint,
             sent_ms: hold.sent_ms,
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -12,7 +12,7 @@
 
 use chervilfall_planner::{
     Action, AdviceAnswer, AdviceTerms, Answer, Candidate, CandidateMove, CommitOutcome, Configuration,
-    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
+    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, How, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
     Queue, ReplyTo, Request, RosterEntry, StartAnswer, Step, StopAnswer, Stored, TaskKey,
 };
 
@@ -29,7 +29,7 @@
 #[derive(Debug, Clone)]
 pub enum Later {
     /// An order reaches its endpoint.
-    Arrive(usize, Box<Action>, u64),
+    Arrive(usize, u64, Box<Action>, u64),
     /// An event reaches a planner of a term.
     Tell(usize, u64, Box<Event>),
     /// A transaction reaches the store.
@@ -67,6 +67,8 @@
     pub split_until_ms: u64,
     /// Tasks that are done, by noted ends.
     pub violations: Vec<String>,
+    /// Faults and takeovers, for stories.
+    pub faults: Vec<(u64, String)>,
     pub jobs: BTreeMap<JobId, JobSpec>,
     pub accepted: BTreeSet<JobId>,
     pub refused: BTreeSet<JobId>,
@@ -133,6 +135,7 @@
             late_percent: 0,
             split_until_ms: 0,
             violations: Vec::new(),
+            faults: Vec::new(),
             jobs: BTreeMap::new(),
             accepted: BTreeSet::new(),
             refused: BTreeSet::new(),
@@ -182,7 +185,7 @@
                 return;
             }
             match entry.remove() {
-                Later::Arrive(node, action, sent_ms) => self.arrive(node, *action, sent_ms),
+                Later::Arrive(node, term, action, sent_ms) => self.arrive(node, term, *action, sent_ms),
                 Later::Tell(node, term, event) => self.tell(node, term, *event),
                 Later::Commit(node, term, batch, answered) => {
                     let outcome = self.store.commit(&batch);
@@ -249,6 +252,7 @@
         };
         let takeover = self.nodes[node].candidate.won(row, version);
         let stored = self.stored();
+        self.faults.push((self.now, format!("fault takeover by {node}, term {}", takeover.row.term)));
         let mut planner = Planner::new(self.limits.clone(), takeover, stored, self.now);
         let config = Arc::clone(&self.config);
         planner.handle(self.now, Event::Configured(config));
@@ -341,12 +345,12 @@
         if self.random.percent(self.late_percent) {
             let delay_ms = 2_000 + self.random.below(10_000);
             let sent_ms = self.now;
-            self.after(delay_ms, Later::Arrive(usize::MAX, Box::new(action), sent_ms));
+            self.after(delay_ms, Later::Arrive(usize::MAX, term, Box::new(action), sent_ms));
             self.after(wait_ms, Later::Tell(node, term, Box::new(unanswered)));
             return;
         }
         let sent_ms = self.now;
-        self.after(HOP_MS, Later::Arrive(node, Box::new(action), sent_ms));
+        self.after(HOP_MS, Later::Arrive(node, term, Box::new(action), sent_ms));
     }
 
     fn split(&self, node: usize, id: &EndpointId) -> bool {
@@ -354,7 +358,7 @@
         self.split_until_ms > self.now && self.nodes[node].domain != domain
     }
 
-    fn arrive(&mut self, node: usize, action: Action, sent_ms: u64) {
+    fn arrive(&mut self, node: usize, term: u64, action: Action, sent_ms: u64) {
         let now = self.now;
         let id = order_target(&action).clone();
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
@@ -384,13 +388,12 @@
                 })
             }
             Action::Hold(order) => {
-                endpoint.hold(now, &order, node, sent_ms);
+                endpoint.hold(now, &order, node, term, sent_ms);
                 None
             }
             _ => None,
         };
         if let (Some(event), true) = (event, node != usize::MAX) {
-            let term = self.nodes[node].planner.as_ref().map_or(0, Planner::term);
             self.after(HOP_MS, Later::Tell(node, term, Box::new(event)));
         }
     }
@@ -406,7 +409,7 @@
                 continue;
             }
             let lost = self.split(hold.node, &hold.id);
-            let term = self.nodes[hold.node].planner.as_ref().map_or(0, Planner::term);
+            let term = hold.term;
             let event = Event::Held {
                 endpoint: hold.endpoint,
                 sent_ms: hold.sent_ms,
@@ -430,6 +433,62 @@
         }
     }
 
+    /// Returns what was seen of every task that a violation names, in order of time.
+    pub fn story(&self) -> String {
+        let mut lines: Vec<(u64, String)> = Vec::new();
+        for endpoint in self.endpoints.values() {
+            let id = &endpoint.id;
+            for (at_ms, task, run) in &endpoint.starts {
+                lines.push((*at_ms, format!("{task} run {run} starts on {id}")));
+            }
+            for (task, run, how, at_ms) in &endpoint.noted {
+                lines.push((*at_ms, format!("{task} run {run} ends {how:?} on {id}, noted")));
+            }
+        }
+        lines.extend(self.faults.iter().cloned());
+        lines.sort();
+        let named = |line: &str| {
+            let task = line.split(' ').next().unwrap_or("");
+            task == "fault" || self.violations.iter().any(|violation| violation.starts_with(task))
+        };
+        let lines = lines.iter().filter(|(_, line)| named(line));
+        lines.map(|(at_ms, line)| format!("{at_ms} {line}\n")).collect()
+    }
+
+    /// Looks at the whole history: no start after a noted end as done, or after the last attempt.
+    pub fn check_history(&mut self) {
+        let mut done: BTreeMap<TaskKey, u64> = BTreeMap::new();
+        let mut failed: BTreeMap<TaskKey, BTreeMap<u64, u64>> = BTreeMap::new();
+        for (task, run, how, at_ms) in self.endpoints.values().flat_map(|endpoint| &endpoint.noted) {
+            match how {
+                How::Done => {
+                    done.insert(*task, *at_ms);
+                }
+                How::Failed => {
+                    failed.entry(*task).or_default().insert(*run, *at_ms);
+                }
+                _ => {}
+            }
+        }
+        let attempts = self.queue.attempts as usize;
+        let exhausted = |task: &TaskKey| {
+            let mut times: Vec<u64> = failed.get(task)?.values().copied().collect();
+            times.sort_unstable();
+            times.get(attempts - 1).copied()
+        };
+        for (at_ms, task, run) in self.endpoints.values().flat_map(|endpoint| &endpoint.starts) {
+            if done.get(task).is_some_and(|done_ms| done_ms < at_ms) {
+                self.violations.push(format!("{task} run {run} started at {at_ms} after it was done"));
+            }
+            if exhausted(task).is_some_and(|failed_ms| failed_ms < *at_ms) {
+                self.violations.push(format!("{task} run {run} started at {at_ms} after its attempts"));
+            }
+            if self.refused.contains(&task.job) {
+                self.violations.push(format!("{task} started although its job was refused"));
+            }
+        }
+    }
+
     /// Returns the node that holds the group, if one does.
     pub fn holder(&self) -> Option<usize> {
         let holders = self.nodes.iter().enumerate();
