Wait for commits by what they took, not a fixed second

Cause: a commit whose answer was lost held up all others for a second. Change: the wait is four times the recent average, 120 ms to 1 s, doubled with each try of a batch; a repeated batch does no harm, since the claim row moves.

--- a/crates/chervilfall_planner/src/commit.rs
+++ b/crates/chervilfall_planner/src/commit.rs
@@ -1,6 +1,6 @@
 //! Group commits: what changed since the last one, under the condition that the claim still holds.
 
-use crate::ids::RowVersion;
+use crate::ids::{Millis, RowVersion};
 
 /// Names a row: table and key; the group's part is added where the row is written.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,6 +30,8 @@
     pub expected: RowVersion,
     /// The rows, the claim row among them.
     pub changes: Vec<RowChange>,
+    /// How long to wait for an answer.
+    pub timeout_ms: Millis,
 }
 
 /// What came of a batch.
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -6,6 +6,9 @@
 use crate::ids::{Fence, Millis, RowVersion};
 use crate::record::{decode, encode, RecordError, CLAIMS, HOLDER};
 
+/// How long the answer to a claim is awaited: some times what a slow store takes.
+const CLAIM_TIMEOUT_MS: Millis = 1_000;
+
 /// The claim row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderRow {
@@ -149,6 +152,7 @@
             number: 0,
             expected: version,
             changes: vec![RowChange::Put(key, row.encode())],
+            timeout_ms: CLAIM_TIMEOUT_MS,
         };
         CandidateMove::Claim(batch, row)
     }
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -20,8 +20,13 @@
     pub commit_gap_ms: Millis,
     /// A commit renews the claim at least this often.
     pub renew_ms: Millis,
-    /// A commit is repeated after this.
+    /// Pause before a commit is repeated that the store has refused or left without an answer.
     pub commit_retry_ms: Millis,
+    /// Shortest wait for the answer to a commit: many times what a sound store takes. A repeated
+    /// commit does no harm, and a lost answer holds up all that wait for the next one.
+    pub commit_timeout_min_ms: Millis,
+    /// Longest wait for the answer to a commit.
+    pub commit_timeout_max_ms: Millis,
     /// Most rows of a commit; the store takes 100 entries.
     pub commit_rows: usize,
     /// Most bytes of values in a commit; the store takes a megabyte with encoding.
@@ -62,6 +67,8 @@
             commit_gap_ms: 20,
             renew_ms: 400,
             commit_retry_ms: 50,
+            commit_timeout_min_ms: 120,
+            commit_timeout_max_ms: 1_000,
             commit_rows: 95,
             commit_bytes: 600_000,
             accept_wait_ms: 1_200,
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -10,6 +10,9 @@
 use crate::planner::Planner;
 use crate::record::{encode, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
 
+/// Factor on what recent commits took.
+const COMMIT_TIMEOUT_FACTOR: u64 = 4;
+
 /// What the store does not have yet.
 #[derive(Debug, Default)]
 pub(crate) struct Unsaved {
@@ -96,6 +99,7 @@
             number: self.holder.number,
             expected: self.version,
             changes: builder.changes,
+            timeout_ms: self.commit_timeout_ms(),
         };
         self.last_batch_ms = self.now;
         self.actions.push(Action::Commit(batch.clone()));
@@ -112,6 +116,12 @@
         });
     }
 
+    /// Returns how long to wait for an answer: some times what recent commits took.
+    fn commit_timeout_ms(&self) -> Millis {
+        let usual_ms = self.commit_took_ms * COMMIT_TIMEOUT_FACTOR;
+        usual_ms.clamp(self.limits.commit_timeout_min_ms, self.limits.commit_timeout_max_ms)
+    }
+
     fn add_new_jobs(&mut self, builder: &mut Builder) {
         while builder.has_room() {
             let Some(id) = self.unsaved.new_jobs.pop_front() else {
@@ -174,6 +184,10 @@
             CommitOutcome::Stored(version) => self.stored(version),
             CommitOutcome::Conflict(found) => self.conflict(found),
             CommitOutcome::NotDone | CommitOutcome::Unknown => {
+                if outcome == CommitOutcome::Unknown {
+                    let longer_ms = flight.batch.timeout_ms * 2;
+                    flight.batch.timeout_ms = longer_ms.min(self.limits.commit_timeout_max_ms);
+                }
                 // The same batch again: whichever copy comes first, the other finds the claim moved.
                 flight.retry_at_ms = self.now + self.limits.commit_retry_ms;
                 log::debug!(number = number, outcome:? = outcome; "commit not answered with success");
@@ -205,6 +219,7 @@
             return;
         };
         let took_ms = self.now.saturating_sub(flight.first_sent_ms);
+        self.commit_took_ms = (self.commit_took_ms * 3 + took_ms) / 4;
         if took_ms > self.limits.renew_ms {
             log::warn!(number = flight.batch.number, took_ms = took_ms; "commit was slow");
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -63,6 +63,8 @@
     /// When the last stored commit was first sent, which is what leases and successors count from.
     covered_from_ms: Millis,
     last_batch_ms: Millis,
+    /// What recent commits took, on average.
+    commit_took_ms: Millis,
     barrier: Option<Barrier>,
     nodes: Vec<NodeId>,
     advice_calls: BTreeMap<u64, AdviceCall>,
@@ -96,6 +98,7 @@
             flight: None,
             covered_from_ms: now,
             last_batch_ms: now,
+            commit_took_ms: 0,
             barrier,
             nodes: Vec::new(),
             advice_calls: BTreeMap::new(),
