Send copies of a commit side by side, instead of waiting for each answer

Change: while a commit has no answer, another copy follows after twice what recent commits took (60 ms at least), four at most; the first to come makes the others find the claim moved.

--- a/crates/chervilfall_planner/src/commit.rs
+++ b/crates/chervilfall_planner/src/commit.rs
@@ -30,7 +30,7 @@
     pub expected: RowVersion,
     /// The rows, the claim row among them.
     pub changes: Vec<RowChange>,
-    /// How long to wait for an answer.
+    /// How long to wait for an answer to this copy.
     pub timeout_ms: Millis,
 }
 
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -22,11 +22,13 @@
     pub renew_ms: Millis,
     /// Pause before a commit is repeated that the store has refused or left without an answer.
     pub commit_retry_ms: Millis,
-    /// Shortest wait for the answer to a commit: many times what a sound store takes. A repeated
-    /// commit does no harm, and a lost answer holds up all that wait for the next one.
-    pub commit_timeout_min_ms: Millis,
-    /// Longest wait for the answer to a commit.
-    pub commit_timeout_max_ms: Millis,
+    /// Shortest wait before a second copy of a commit is sent beside the first: many times what a
+    /// sound store takes. Whichever copy comes first, the others find the claim moved.
+    pub commit_copy_ms: Millis,
+    /// Most copies of a commit on their way.
+    pub commit_copies: u32,
+    /// How long the answer to a copy is awaited: some times what a slow store takes.
+    pub commit_timeout_ms: Millis,
     /// Most rows of a commit; the store takes 100 entries.
     pub commit_rows: usize,
     /// Most bytes of values in a commit; the store takes a megabyte with encoding.
@@ -67,8 +69,9 @@
             commit_gap_ms: 20,
             renew_ms: 400,
             commit_retry_ms: 50,
-            commit_timeout_min_ms: 120,
-            commit_timeout_max_ms: 1_000,
+            commit_copy_ms: 60,
+            commit_copies: 4,
+            commit_timeout_ms: 1_000,
             commit_rows: 95,
             commit_bytes: 600_000,
             accept_wait_ms: 1_200,
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -11,7 +11,7 @@
 use crate::record::{encode, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
 
 /// Factor on what recent commits took.
-const COMMIT_TIMEOUT_FACTOR: u64 = 4;
+const COMMIT_COPY_FACTOR: u64 = 2;
 
 /// What the store does not have yet.
 #[derive(Debug, Default)]
@@ -43,9 +43,10 @@
 pub(crate) struct Flight {
     batch: Batch,
     pub(crate) first_sent_ms: Millis,
-    /// Set while an answer is awaited.
-    awaited: bool,
-    retry_at_ms: Millis,
+    /// Copies whose answers are awaited.
+    awaited: u32,
+    /// When another copy is due.
+    next_copy_ms: Millis,
     new_jobs: BTreeSet<JobId>,
     progress: Vec<(JobId, Option<JobState>, bool)>,
     acknowledgements: BTreeMap<EndpointKey, u64>,
@@ -61,9 +62,11 @@
 
 impl Planner {
     pub(super) fn commit_if_due(&mut self) {
+        let copy_ms = self.commit_copy_ms();
         if let Some(flight) = &mut self.flight {
-            if !flight.awaited && self.now >= flight.retry_at_ms {
-                flight.awaited = true;
+            if self.now >= flight.next_copy_ms && flight.awaited < self.limits.commit_copies {
+                flight.awaited += 1;
+                flight.next_copy_ms = self.now + copy_ms;
                 self.actions.push(Action::Commit(flight.batch.clone()));
             }
             return;
@@ -99,15 +102,15 @@
             number: self.holder.number,
             expected: self.version,
             changes: builder.changes,
-            timeout_ms: self.commit_timeout_ms(),
+            timeout_ms: self.limits.commit_timeout_ms,
         };
         self.last_batch_ms = self.now;
         self.actions.push(Action::Commit(batch.clone()));
         self.flight = Some(Flight {
             batch,
             first_sent_ms: self.now,
-            awaited: true,
-            retry_at_ms: self.now,
+            awaited: 1,
+            next_copy_ms: self.now + self.commit_copy_ms(),
             new_jobs: builder.new_jobs,
             progress: builder.progress,
             acknowledgements,
@@ -116,10 +119,10 @@
         });
     }
 
-    /// Returns how long to wait for an answer: some times what recent commits took.
-    fn commit_timeout_ms(&self) -> Millis {
-        let usual_ms = self.commit_took_ms * COMMIT_TIMEOUT_FACTOR;
-        usual_ms.clamp(self.limits.commit_timeout_min_ms, self.limits.commit_timeout_max_ms)
+    /// Returns when to send another copy: after some times what recent commits took.
+    fn commit_copy_ms(&self) -> Millis {
+        let usual_ms = self.commit_took_ms * COMMIT_COPY_FACTOR;
+        usual_ms.clamp(self.limits.commit_copy_ms, self.limits.commit_timeout_ms)
     }
 
     fn add_new_jobs(&mut self, builder: &mut Builder) {
@@ -179,17 +182,14 @@
         if flight.batch.number != number {
             return;
         }
-        flight.awaited = false;
+        flight.awaited = flight.awaited.saturating_sub(1);
         match outcome {
             CommitOutcome::Stored(version) => self.stored(version),
             CommitOutcome::Conflict(found) => self.conflict(found),
             CommitOutcome::NotDone | CommitOutcome::Unknown => {
-                if outcome == CommitOutcome::Unknown {
-                    let longer_ms = flight.batch.timeout_ms * 2;
-                    flight.batch.timeout_ms = longer_ms.min(self.limits.commit_timeout_max_ms);
+                if flight.awaited == 0 {
+                    flight.next_copy_ms = self.now + self.limits.commit_retry_ms;
                 }
-                // The same batch again: whichever copy comes first, the other finds the claim moved.
-                flight.retry_at_ms = self.now + self.limits.commit_retry_ms;
                 log::debug!(number = number, outcome:? = outcome; "commit not answered with success");
             }
         }
