Tell from one reading of the claim row how long it has stood still

Cause: a follower had to watch the claim row for 1.5 s after it had found its holder silent or stale. Change: the row carries the store's steady clock as its writer knew it, so that one reading with the store's clock tells its age; heartbeats are 200 ms, silence 800 ms, a claim stands still for 1.3 s and three times what the reading took. Copies of a commit follow at growing distances, measured from the copy that was answered; the group's rows are read side by side.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -180,10 +180,15 @@
     }
 
     fn commit(&self, term: u64, batch: Batch) {
-        let (store, group, number) = (self.platform.store().clone(), self.group.clone(), batch.number);
+        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        let (number, copy) = (batch.number, batch.copy);
         self.run(term, async move {
             let outcome = store.commit(&group, batch).await;
-            Event::Committed { number, outcome }
+            Event::Committed {
+                number,
+                copy,
+                outcome,
+            }
         });
     }
 
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 
 use chervilfall_planner::{
-    AdviceAnswer, AdviceOrder, Batch, CommitOutcome, EndpointEntry, HoldAnswer, HoldOrder, RowVersion,
+    AdviceAnswer, AdviceOrder, Batch, CommitOutcome, EndpointEntry, HoldAnswer, HoldOrder, Millis, RowVersion,
     StartAnswer, StartOrder, StopAnswer, StopOrder,
 };
 
@@ -46,13 +46,13 @@
         table: &str,
     ) -> impl Future<Output = Result<Vec<Row>, StoreError>> + Send;
 
-    /// Reads one row.
+    /// Reads one row, and the store's steady clock.
     fn read_row(
         &self,
         group: &str,
         table: &str,
         key: &str,
-    ) -> impl Future<Output = Result<Option<Row>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<(Option<Row>, Millis), StoreError>> + Send;
 
     /// Reads the list of endpoints.
     fn read_endpoints(&self) -> impl Future<Output = Result<Vec<EndpointEntry>, StoreError>> + Send;
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -66,13 +66,13 @@
 impl Default for Timings {
     fn default() -> Self {
         Self {
-            heartbeat_ms: 250,
-            silence_ms: 1_000,
+            heartbeat_ms: 200,
+            silence_ms: 800,
             connect_ms: 400,
-            stale_ms: 1_300,
-            stall_ms: 1_500,
+            stale_ms: 1_000,
+            stall_ms: 1_300,
             refused_stall_ms: 500,
-            claim_poll_ms: 200,
+            claim_poll_ms: 150,
             config_poll_ms: 600,
             endpoints_poll_ms: 500,
             holder_wait_ms: 1_200,
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -23,6 +23,8 @@
 
 /// How long a refused connection counts as a sign that the holder's process is gone.
 const REFUSED_MS: u64 = 1_000;
+/// Commits of a holder that a slow store may take while the claim row stands still.
+const SLOW_STORE_FACTOR: u64 = 3;
 /// Attempts to read the group's rows after a claim.
 const LOAD_TRIES: u32 = 8;
 /// Pause between these, with the time for the store to come back.
@@ -33,6 +35,13 @@
     task: JoinHandle<DialError>,
 }
 
+/// A reading of the claim row and of the store's clock.
+struct ClaimReading {
+    version: RowVersion,
+    store_ms: u64,
+    row: Option<HolderRow>,
+}
+
 /// Watches the claim row.
 pub(crate) struct ClaimWatch<P> {
     pub(crate) platform: P,
@@ -67,11 +76,13 @@
             if self.end_of_dialing(&mut dialing).await == Some(DialError::Refused) {
                 refused_ms = Some(now_ms());
             }
+            let began_ms = now_ms();
             let read = self.read_claim().await;
+            let took_ms = now_ms().saturating_sub(began_ms);
             dependency.note(&read);
-            if let Ok((version, row)) = read {
+            if let Ok(reading) = read {
                 let refused = refused_ms.is_some_and(|at| now_ms().saturating_sub(at) < REFUSED_MS);
-                self.consider(&mut candidate, &mut dialing, version, row, refused).await;
+                self.consider(&mut candidate, &mut dialing, reading, refused, took_ms).await;
             }
             let jitter = rand::rng().random_range(0..=poll.as_millis() / 2);
             let jitter = u64::try_from(jitter).unwrap_or(0);
@@ -108,26 +119,36 @@
         Some(error)
     }
 
-    async fn read_claim(&self) -> Result<(RowVersion, Option<HolderRow>), StoreError> {
-        let row = self.platform.store().read_row(&self.group, "claims", "holder").await?;
+    async fn read_claim(&self) -> Result<ClaimReading, StoreError> {
+        let (row, store_ms) = self.platform.store().read_row(&self.group, "claims", "holder").await?;
         let Some(row) = row else {
-            return Ok((0, None));
+            return Ok(ClaimReading {
+                version: 0,
+                store_ms,
+                row: None,
+            });
         };
         let holder = HolderRow::decode(&row.value).map_err(|error| StoreError::Malformed(error.to_string()))?;
-        Ok((row.version, Some(holder)))
+        Ok(ClaimReading {
+            version: row.version,
+            store_ms,
+            row: Some(holder),
+        })
     }
 
     async fn consider(
         &self,
         candidate: &mut Candidate,
         dialing: &mut Option<Dialing>,
-        version: RowVersion,
-        row: Option<HolderRow>,
+        reading: ClaimReading,
         refused: bool,
+        took_ms: u64,
     ) {
         let timings = &self.settings.timings;
         let stall_ms = if refused { timings.refused_stall_ms } else { timings.stall_ms };
-        match candidate.observe(now_ms(), version, row, stall_ms) {
+        // A store that is slow to answer is slow to take the holder's commits as well.
+        let stall_ms = stall_ms + SLOW_STORE_FACTOR * took_ms;
+        match candidate.observe(now_ms(), reading.store_ms, reading.version, reading.row, stall_ms) {
             CandidateMove::Follow(holder) => self.follow(dialing, holder),
             CandidateMove::Claim(batch, row) => {
                 if self.front.stopping() {
@@ -135,7 +156,7 @@
                 }
                 let claimed_ms = now_ms();
                 let outcome = self.platform.store().commit(&self.group, batch).await;
-                if let CommitOutcome::Stored(version) = outcome {
+                if let CommitOutcome::Stored { version, .. } = outcome {
                     self.abandon(dialing);
                     let takeover = candidate.won(row, version);
                     log::info!(term = takeover.row.term, fence = version; "group claimed");
@@ -201,9 +222,10 @@
 
     async fn read_group(&self) -> Result<Stored, StoreError> {
         let store = self.platform.store();
-        let jobs = store.read_table(&self.group, "jobs").await?;
-        let progress = store.read_table(&self.group, "progress").await?;
-        let roster = store.read_row(&self.group, "claims", "roster").await?;
+        let jobs = store.read_table(&self.group, "jobs");
+        let progress = store.read_table(&self.group, "progress");
+        let roster = store.read_row(&self.group, "claims", "roster");
+        let (jobs, progress, (roster, _)) = tokio::try_join!(jobs, progress, roster)?;
         Ok(Stored {
             jobs: decode_rows(jobs, JobRow::decode)?,
             progress: decode_rows(progress, ProgressRow::decode)?,
--- a/crates/chervilfall_planner/src/commit.rs
+++ b/crates/chervilfall_planner/src/commit.rs
@@ -26,6 +26,8 @@
 pub struct Batch {
     /// Number of the batch; it also stands in the claim row.
     pub number: u64,
+    /// Which copy of the batch this is, from 0.
+    pub copy: usize,
     /// Version that the claim row must have.
     pub expected: RowVersion,
     /// The rows, the claim row among them.
@@ -37,8 +39,13 @@
 /// What came of a batch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommitOutcome {
-    /// It is stored; the claim row has this version.
-    Stored(RowVersion),
+    /// It is stored.
+    Stored {
+        /// Version that the claim row has now.
+        version: RowVersion,
+        /// The store's steady clock when it answered.
+        store_ms: Millis,
+    },
     /// The claim row has another version; holds the row, if there is one.
     Conflict(Option<(RowVersion, Vec<u8>)>),
     /// It was surely not carried out.
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -24,6 +24,8 @@
     pub number: u64,
     /// The holder has handed the group back.
     pub released: bool,
+    /// The store's steady clock when the row was written, as the writer knew it; 0 if it did not.
+    pub written_store_ms: Millis,
 }
 
 impl HolderRow {
@@ -102,11 +104,15 @@
         self.seen = None;
     }
 
-    /// Takes a reading of the claim row; `stall_ms` is how long the row must stand still before
-    /// it is claimed.
+    /// Takes a reading of the claim row, and of the store's clock; `stall_ms` is how long the row
+    /// must stand still before it is claimed.
+    ///
+    /// The row says when it was written by the store's clock, so that one reading can tell how long
+    /// it has stood still. A claim that comes too early does no harm but to the work of a takeover.
     pub fn observe(
         &mut self,
         now: Millis,
+        store_ms: Millis,
         version: RowVersion,
         row: Option<HolderRow>,
         stall_ms: Millis,
@@ -122,7 +128,10 @@
             None => self.claim(0, version),
             Some(holder) => {
                 let free = holder.released || self.is_own(&holder);
-                if free || now.saturating_sub(first_ms) >= stall_ms {
+                let seen_still_ms = now.saturating_sub(first_ms);
+                let written_ms = holder.written_store_ms;
+                let said_still_ms = if written_ms == 0 { 0 } else { store_ms.saturating_sub(written_ms) };
+                if free || seen_still_ms.max(said_still_ms) >= stall_ms {
                     return self.claim(holder.term, version);
                 }
                 CandidateMove::Follow(holder)
@@ -143,6 +152,7 @@
             address: self.address.clone(),
             number: 0,
             released: false,
+            written_store_ms: 0,
         };
         let key = RowKey {
             table: CLAIMS,
@@ -150,6 +160,7 @@
         };
         let batch = Batch {
             number: 0,
+            copy: 0,
             expected: version,
             changes: vec![RowChange::Put(key, row.encode())],
             timeout_ms: CLAIM_TIMEOUT_MS,
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -191,6 +191,8 @@
     Committed {
         /// Its number.
         number: u64,
+        /// Which copy was answered.
+        copy: usize,
         /// What came of it.
         outcome: CommitOutcome,
     },
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -26,7 +26,7 @@
     /// sound store takes. Whichever copy comes first, the others find the claim moved.
     pub commit_copy_ms: Millis,
     /// Most copies of a commit on their way.
-    pub commit_copies: u32,
+    pub commit_copies: usize,
     /// How long the answer to a copy is awaited: some times what a slow store takes.
     pub commit_timeout_ms: Millis,
     /// Most rows of a commit; the store takes 100 entries.
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -44,7 +44,9 @@
     batch: Batch,
     pub(crate) first_sent_ms: Millis,
     /// Copies whose answers are awaited.
-    awaited: u32,
+    awaited: usize,
+    /// When each copy was sent.
+    sent_ms: Vec<Millis>,
     /// When another copy is due.
     next_copy_ms: Millis,
     new_jobs: BTreeSet<JobId>,
@@ -65,8 +67,12 @@
         let copy_ms = self.commit_copy_ms();
         if let Some(flight) = &mut self.flight {
             if self.now >= flight.next_copy_ms && flight.awaited < self.limits.commit_copies {
+                // Each copy is work for the store, so that they follow at growing distances.
+                let doublings = u32::try_from(flight.awaited).unwrap_or(0);
                 flight.awaited += 1;
-                flight.next_copy_ms = self.now + copy_ms;
+                flight.next_copy_ms = self.now + copy_ms * 2_u64.pow(doublings);
+                flight.batch.copy = flight.sent_ms.len();
+                flight.sent_ms.push(self.now);
                 self.actions.push(Action::Commit(flight.batch.clone()));
             }
             return;
@@ -95,11 +101,13 @@
         let releases = self.releasing && complete;
         let row = HolderRow {
             released: releases,
+            written_store_ms: self.store_now_ms(),
             ..self.holder.clone()
         };
         builder.put(CLAIMS, HOLDER.to_owned(), row.encode());
         let batch = Batch {
             number: self.holder.number,
+            copy: 0,
             expected: self.version,
             changes: builder.changes,
             timeout_ms: self.limits.commit_timeout_ms,
@@ -110,6 +118,7 @@
             batch,
             first_sent_ms: self.now,
             awaited: 1,
+            sent_ms: vec![self.now],
             next_copy_ms: self.now + self.commit_copy_ms(),
             new_jobs: builder.new_jobs,
             progress: builder.progress,
@@ -125,6 +134,11 @@
         usual_ms.clamp(self.limits.commit_copy_ms, self.limits.commit_timeout_ms)
     }
 
+    /// Returns the store's clock as far as it is known, else 0.
+    fn store_now_ms(&self) -> Millis {
+        self.store_clock.map_or(0, |(theirs_ms, at_ms)| theirs_ms + self.now.saturating_sub(at_ms))
+    }
+
     fn add_new_jobs(&mut self, builder: &mut Builder) {
         while builder.has_room() {
             let Some(id) = self.unsaved.new_jobs.pop_front() else {
@@ -175,7 +189,7 @@
         }
     }
 
-    pub(super) fn committed(&mut self, number: u64, outcome: CommitOutcome) {
+    pub(super) fn committed(&mut self, number: u64, copy: usize, outcome: CommitOutcome) {
         let Some(flight) = &mut self.flight else {
             return;
         };
@@ -183,8 +197,15 @@
             return;
         }
         flight.awaited = flight.awaited.saturating_sub(1);
+        if let (CommitOutcome::Stored { .. }, Some(sent_ms)) = (&outcome, flight.sent_ms.get(copy)) {
+            let took_ms = self.now.saturating_sub(*sent_ms);
+            self.commit_took_ms = took_ms.max(self.commit_took_ms * 3 / 4);
+        }
         match outcome {
-            CommitOutcome::Stored(version) => self.stored(version),
+            CommitOutcome::Stored { version, store_ms } => {
+                self.store_clock = Some((store_ms, self.now));
+                self.stored(version);
+            }
             CommitOutcome::Conflict(found) => self.conflict(found),
             CommitOutcome::NotDone | CommitOutcome::Unknown => {
                 if flight.awaited == 0 {
@@ -219,7 +240,6 @@
             return;
         };
         let took_ms = self.now.saturating_sub(flight.first_sent_ms);
-        self.commit_took_ms = (self.commit_took_ms * 3 + took_ms) / 4;
         if took_ms > self.limits.renew_ms {
             log::warn!(number = flight.batch.number, took_ms = took_ms; "commit was slow");
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -63,8 +63,11 @@
     /// When the last stored commit was first sent, which is what leases and successors count from.
     covered_from_ms: Millis,
     last_batch_ms: Millis,
-    /// What recent commits took, on average.
+    /// What recent commits took from the sending of the copy that was answered: rises at once,
+    /// falls slowly.
     commit_took_ms: Millis,
+    /// A reading of the store's clock, and when it arrived.
+    store_clock: Option<(Millis, Millis)>,
     barrier: Option<Barrier>,
     nodes: Vec<NodeId>,
     advice_calls: BTreeMap<u64, AdviceCall>,
@@ -99,6 +102,7 @@
             covered_from_ms: now,
             last_batch_ms: now,
             commit_took_ms: 0,
+            store_clock: None,
             barrier,
             nodes: Vec::new(),
             advice_calls: BTreeMap::new(),
@@ -157,7 +161,11 @@
             Event::Nodes(nodes) => self.set_nodes(nodes),
             Event::Configured(config) => self.configure(config),
             Event::Endpoints(entries) => self.list_endpoints(entries),
-            Event::Committed { number, outcome } => self.committed(number, outcome),
+            Event::Committed {
+                number,
+                copy,
+                outcome,
+            } => self.committed(number, copy, outcome),
             Event::Started {
                 endpoint,
                 task,
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -188,14 +188,14 @@
                 Later::Arrive(node, term, action, sent_ms) => self.arrive(node, term, *action, sent_ms),
                 Later::Tell(node, term, event) => self.tell(node, term, *event),
                 Later::Commit(node, term, batch, answered) => {
-                    let outcome = self.store.commit(&batch);
+                    let outcome = self.store.commit(self.now, &batch);
                     if answered && self.now < self.store.down_until_ms {
                         // The store went away while the call was on its way.
                         continue;
                     }
                     if answered {
-                        let number = batch.number;
-                        let event = Event::Committed { number, outcome };
+                        let (number, copy) = (batch.number, batch.copy);
+                        let event = Event::Committed { number, copy, outcome };
                         self.after(HOP_MS, Later::Tell(node, term, Box::new(event)));
                     }
                 }
@@ -243,11 +243,11 @@
     fn watch_claim(&mut self, node: usize) {
         let (version, bytes) = self.store.row("claims", "holder");
         let row = bytes.map(|bytes| HolderRow::decode(&bytes).expect("claim row"));
-        let moved = self.nodes[node].candidate.observe(self.now, version, row, 1_500);
+        let moved = self.nodes[node].candidate.observe(self.now, self.now, version, row, 1_500);
         let CandidateMove::Claim(batch, row) = moved else {
             return;
         };
-        let CommitOutcome::Stored(version) = self.store.commit(&batch) else {
+        let CommitOutcome::Stored { version, .. } = self.store.commit(self.now, &batch) else {
             return;
         };
         let takeover = self.nodes[node].candidate.won(row, version);
@@ -309,11 +309,11 @@
     }
 
     fn send_commit(&mut self, node: usize, term: u64, batch: chervilfall_planner::Batch) {
-        let number = batch.number;
+        let (number, copy) = (batch.number, batch.copy);
         let late = self.random.percent(self.store.lost_percent);
         if !self.store_reachable(node) {
             let outcome = if late { CommitOutcome::Unknown } else { CommitOutcome::NotDone };
-            let event = Event::Committed { number, outcome };
+            let event = Event::Committed { number, copy, outcome };
             self.after(100, Later::Tell(node, term, Box::new(event)));
             return;
         }
@@ -321,7 +321,7 @@
             let delay_ms = self.random.below(3_000);
             self.after(delay_ms, Later::Commit(node, term, Box::new(batch), false));
             let outcome = CommitOutcome::Unknown;
-            let event = Event::Committed { number, outcome };
+            let event = Event::Committed { number, copy, outcome };
             self.after(TIMEOUT_MS, Later::Tell(node, term, Box::new(event)));
             return;
         }
--- a/crates/chervilfall_planner/tests/world/store.rs
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -15,7 +15,7 @@
 }
 
 impl FakeStore {
-    pub fn commit(&mut self, batch: &Batch) -> CommitOutcome {
+    pub fn commit(&mut self, now: u64, batch: &Batch) -> CommitOutcome {
         let claim = self.rows.get(&("claims".to_owned(), "holder".to_owned()));
         if claim.map_or(0, |(version, _)| *version) != batch.expected {
             return CommitOutcome::Conflict(claim.cloned());
@@ -32,7 +32,10 @@
                 }
             }
         }
-        CommitOutcome::Stored(self.version)
+        CommitOutcome::Stored {
+            version: self.version,
+            store_ms: now,
+        }
     }
 
     pub fn row(&self, table: &str, key: &str) -> (u64, Option<Vec<u8>>) {
