Let a submission wait for a holder or the store for a quarter of its objective

Cause: submissions were refused at once while the store was away, and waited 1.2 s for a holder, whatever their objective. Change: they wait for a quarter of their objective, at most half of the caller's remaining time, and are then refused, truthfully: none that was in a batch is refused.

--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -111,11 +111,20 @@
     }
 
     /// Asks the holder and waits for its answer, at most `patience` if that is given.
-    pub async fn ask(&self, request: Request, patience: Option<Duration>) -> Answer {
+    pub async fn ask(&self, mut request: Request, patience: Option<Duration>) -> Answer {
         let wait = Duration::from_millis(self.timings.answer_wait_ms);
         let wait = patience.map_or(wait, |patience| patience.mul_f64(0.8).min(wait));
         let deadline = Instant::now() + wait;
-        let holder_wait = Duration::from_millis(self.timings.holder_wait_ms).min(wait);
+        let holder_wait_ms = match &mut request {
+            Request::Submit { wait_ms, .. } => {
+                // A caller that is refused needs some of its time to come back.
+                let half = patience.map_or(u64::MAX, |patience| millis(patience) / 2);
+                *wait_ms = (*wait_ms).min(half);
+                *wait_ms
+            }
+            _ => self.timings.holder_wait_ms,
+        };
+        let holder_wait = Duration::from_millis(holder_wait_ms).min(wait);
         let holder_deadline = Instant::now() + holder_wait;
         let mut sent = false;
         loop {
@@ -170,6 +179,10 @@
     !matches!(leadership, Leadership::Nobody)
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Answers a request that the holder has not answered: refused only if it was sent to nobody.
 fn not_answered(sent: bool, request: &Request) -> Answer {
     let refused = !sent && matches!(request, Request::Submit { .. });
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -50,7 +50,7 @@
     pub config_poll_ms: u64,
     /// Time between readings of the list of endpoints by the holder.
     pub endpoints_poll_ms: u64,
-    /// How long a request waits for a holder before it is refused.
+    /// How long a request that submits nothing waits for a holder before it is refused.
     pub holder_wait_ms: u64,
     /// How long a request waits for the holder's answer.
     pub answer_wait_ms: u64,
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -28,6 +28,8 @@
         id: JobId,
         /// What to run.
         spec: JobSpec,
+        /// How long the submission may wait for the store before it is refused.
+        wait_ms: Millis,
     },
     /// Asks for a job's state.
     State {
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -2,6 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::Queue;
+use crate::ids::Millis;
+
+/// Longest wait of a submission for a holder or the store: callers give up after some seconds.
+const ACCEPT_WAIT_MAX_MS: Millis = 1_200;
+/// Part of the objective that a submission may wait for a holder or the store.
+const ACCEPT_WAIT_PART: Millis = 4;
+
 /// A step: tasks of the same kind.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -65,6 +73,34 @@
         self.repeat_count.max(1)
     }
 
+    /// Returns the longest chain of estimated work.
+    #[must_use]
+    pub fn chain_ms(&self) -> Millis {
+        let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let earlier = step.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
+            let begin = earlier.max().copied().unwrap_or(0);
+            ends.push(begin + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns the time from its submission in which the job should complete.
+    #[must_use]
+    pub fn objective_ms(&self, queue: &Queue) -> Millis {
+        // An estimate is a number of milliseconds far below the precision of a float.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let stretched = (queue.stretch.max(0.0) * self.chain_ms() as f64) as Millis;
+        queue.target_latency_ms + stretched
+    }
+
+    /// Returns how long the submission may wait for a holder or the store before it is refused: a small
+    /// part of the objective, so that the caller can still come back in time.
+    #[must_use]
+    pub fn accept_wait_ms(&self, queue: &Queue) -> Millis {
+        (self.objective_ms(queue) / ACCEPT_WAIT_PART).min(ACCEPT_WAIT_MAX_MS)
+    }
+
     /// Returns when an occurrence is due, in milliseconds since 1970; 0 means at once.
     #[must_use]
     pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -33,8 +33,8 @@
     pub commit_rows: usize,
     /// Most bytes of values in a commit; the store takes a megabyte with encoding.
     pub commit_bytes: usize,
-    /// Longest that a submission waits for its commit to begin before it is refused.
-    pub accept_wait_ms: Millis,
+    /// Most submissions that wait for the store; more are refused at once.
+    pub accept_queue: usize,
     /// How long a hold may wait for an end.
     pub hold_wait_ms: Millis,
     /// Pause before a hold that follows an unanswered one.
@@ -74,7 +74,7 @@
             commit_timeout_ms: 1_000,
             commit_rows: 95,
             commit_bytes: 600_000,
-            accept_wait_ms: 1_200,
+            accept_queue: 1_000,
             hold_wait_ms: 1_000,
             hold_retry_ms: 250,
             silent_ms: 1_400,
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -1,5 +1,7 @@
 //! Callers' requests.
 
+use std::collections::VecDeque;
+
 use crate::action::{Action, Answer, JobState, ReplyTo};
 use crate::config::Queue;
 use crate::event::Request;
@@ -11,14 +13,15 @@
 
 /// When a refused caller should come back: about the time that a takeover or a short outage takes.
 pub(super) const RETRY_MS: Millis = 1_000;
-/// A commit that is not answered for this long shows that the store is away, and submissions are
-/// refused at once.
-const STORE_AWAY_MS: Millis = 900;
-
 impl Planner {
     pub(super) fn request(&mut self, to: ReplyTo, request: Request) {
         match request {
-            Request::Submit { queue, id, spec } => self.submit(to, queue, id, spec),
+            Request::Submit {
+                queue,
+                id,
+                spec,
+                wait_ms,
+            } => self.submit(to, queue, id, spec, wait_ms),
             Request::State { id } => self.state(to, id),
             Request::Cancel { id } => self.cancel(to, id),
             Request::Waiting { queue } => self.count_waiting(to, &queue),
@@ -29,7 +32,7 @@
         self.actions.push(Action::Reply { to, answer });
     }
 
-    fn submit(&mut self, to: ReplyTo, queue: Queue, id: JobId, spec: JobSpec) {
+    fn submit(&mut self, to: ReplyTo, queue: Queue, id: JobId, spec: JobSpec, wait_ms: Millis) {
         if let Some(job) = self.jobs.get_mut(&id) {
             if job.stored {
                 self.reply(to, Answer::Accepted);
@@ -38,8 +41,8 @@
             }
             return;
         }
-        if self.store_away() || self.releasing {
-            log::info!(job:% = id, queue = queue.name.as_str(), claim_age_ms = self.claim_age_ms(self.now); "refused, the store does not answer");
+        if self.unsaved.new_jobs.len() >= self.limits.accept_queue {
+            log::info!(job:% = id, queue = queue.name.as_str(), claim_age_ms = self.claim_age_ms(self.now); "refused, too many wait for the store");
             self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
             return;
         }
@@ -56,35 +59,39 @@
         }
         let mut job = Job::new(id, row, self.now);
         job.submitters.push(to);
+        job.refuse_at_ms = self.now + wait_ms;
         self.jobs.insert(id, job);
         self.unsaved.new_jobs.push_back(id);
     }
 
-    fn store_away(&self) -> bool {
-        let flight = self.flight.as_ref();
-        flight.is_some_and(|flight| self.now.saturating_sub(flight.first_sent_ms) > STORE_AWAY_MS)
-    }
-
     /// Refuses submissions whose commit did not begin in time; they are in no batch.
     pub(super) fn refuse_overdue(&mut self) {
-        let bound_ms = self.now.saturating_sub(self.limits.accept_wait_ms);
-        while let Some(id) = self.unsaved.new_jobs.front().copied() {
-            let overdue = self.jobs.get(&id).is_none_or(|job| job.accepted_ms < bound_ms);
-            if !overdue {
-                return;
-            }
-            self.unsaved.new_jobs.pop_front();
-            let Some(job) = self.jobs.remove(&id) else {
-                continue;
-            };
-            self.unsaved.progress.remove(&id);
-            log::info!(job:% = id, waited_ms = self.now - job.accepted_ms; "refused, the store does not answer");
-            for to in job.submitters {
-                self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
-            }
-            for to in job.cancellers {
-                self.reply(to, Answer::Unknown);
-            }
+        let now = self.now;
+        let jobs = &self.jobs;
+        let overdue = |id: &JobId| jobs.get(id).is_none_or(|job| now >= job.refuse_at_ms);
+        let (refused, waiting): (VecDeque<JobId>, _) =
+            self.unsaved.new_jobs.drain(..).partition(overdue);
+        self.unsaved.new_jobs = waiting;
+        for id in refused {
+            self.refuse_waiting(id);
+        }
+    }
+
+    fn refuse_waiting(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.unsaved.progress.remove(&id);
+        log::info!(
+            job:% = id, queue = job.queue.name.as_str(), waited_ms = self.now - job.accepted_ms,
+            claim_age_ms = self.claim_age_ms(self.now);
+            "refused, the store does not answer"
+        );
+        for to in job.submitters {
+            self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
+        }
+        for to in job.cancellers {
+            self.reply(to, Answer::Unknown);
         }
     }
 
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -80,6 +80,8 @@
     pub(crate) text: Arc<str>,
     pub(crate) accepted_ms: Millis,
     pub(crate) accepted_unix_ms: u64,
+    /// When its submission is refused if no commit with it has begun.
+    pub(crate) refuse_at_ms: Millis,
     /// The job's row is stored.
     pub(crate) stored: bool,
     /// It was read from rows: an earlier holder may have started tasks of it.
@@ -109,6 +111,7 @@
             text,
             accepted_ms: now,
             accepted_unix_ms: row.accepted_unix_ms,
+            refuse_at_ms: now,
             stored: false,
             inherited: false,
             cancelled: false,
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -513,7 +513,12 @@
         let id = JobId(id);
         self.jobs.insert(id, spec.clone());
         let queue = self.queue.clone();
-        let answer = self.ask(Request::Submit { queue, id, spec });
+        let answer = self.ask(Request::Submit {
+            queue,
+            id,
+            spec,
+            wait_ms: 700,
+        });
         match answer {
             Answer::Accepted => {
                 self.accepted.insert(id);
