Grant nothing after a hold that was not answered, and look at leases sooner

Change: after an unanswered hold nothing is granted or started until one is answered; leases are 3 s, holds wait 0.6 s and are given up 0.35 s later.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -153,6 +153,8 @@
     pub(crate) acknowledged: u64,
     pub(crate) heard_ms: Option<Millis>,
     pub(crate) hold_sent_ms: Option<Millis>,
+    /// The last hold was not answered: nothing is granted or started until one is.
+    pub(crate) missed: bool,
     pub(crate) next_hold_ms: Millis,
     pub(crate) paused_until_ms: Millis,
     /// Ends that failed since the last that was done, a sign of an endpoint at fault.
@@ -177,6 +179,7 @@
             acknowledged: 0,
             heard_ms: None,
             hold_sent_ms: None,
+            missed: false,
             next_hold_ms: 0,
             paused_until_ms: 0,
             failures_in_row: 0,
@@ -234,6 +237,7 @@
             && self.rostered
             && self.contacted
             && !self.over
+            && !self.missed
             && !self.entry.draining
             && now >= self.paused_until_ms
             && self.silent_for(now) < limits.silent_ms
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -61,7 +61,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            lease_ms: 3_500,
+            lease_ms: 3_000,
             lease_max_ms: 6_000,
             claim_cover_ms: 9_000,
             drift_permille: 20,
@@ -75,9 +75,9 @@
             commit_rows: 95,
             commit_bytes: 600_000,
             accept_queue: 1_000,
-            hold_wait_ms: 1_000,
-            hold_retry_ms: 250,
-            silent_ms: 1_400,
+            hold_wait_ms: 600,
+            hold_retry_ms: 200,
+            silent_ms: 950,
             stop_retry_ms: 300,
             start_pause_ms: 700,
             ticket_margin_ms: 150,
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -13,7 +13,7 @@
 /// Wait of a hold while the end of a stop is awaited, which an absent run never announces.
 const SETTLE_WAIT_MS: Millis = 150;
 /// Silence after which the lease of an endpoint is looked at.
-const LAPSE_CHECK_MS: Millis = 1_500;
+const LAPSE_CHECK_MS: Millis = 1_000;
 
 impl Planner {
     /// Adds an endpoint that an earlier holder may have given work.
@@ -107,13 +107,13 @@
                 continue;
             }
             // An endpoint that does not answer is granted nothing more, so that its leases lapse.
-            let silent = endpoint.silent_for(now) > self.limits.silent_ms;
+            let silent = endpoint.missed || endpoint.silent_for(now) > self.limits.silent_ms;
             let until_ms = if silent { None } else { endpoint.lease(now, lease_ms, bound_ms) };
             let settling = endpoint
                 .placed
                 .values()
                 .any(|placed| matches!(placed.phase, RunPhase::Stopping { .. }));
-            let wait_ms = if !endpoint.contacted || endpoint.taken_in > endpoint.acknowledged {
+            let wait_ms = if silent || !endpoint.contacted || endpoint.taken_in > endpoint.acknowledged {
                 0
             } else if settling {
                 SETTLE_WAIT_MS
@@ -144,7 +144,10 @@
             HoldAnswer::Report(report) => self.take_report(key, sent_ms, report),
             HoldAnswer::Fenced => self.step_down(StepDownReason::Fenced),
             HoldAnswer::OtherIncarnation => self.incarnation_over(key),
-            HoldAnswer::Refused | HoldAnswer::Unanswered => endpoint.next_hold_ms = now + retry_ms,
+            HoldAnswer::Refused | HoldAnswer::Unanswered => {
+                endpoint.missed = true;
+                endpoint.next_hold_ms = now + retry_ms;
+            }
         }
     }
 
@@ -159,6 +162,7 @@
         endpoint.read_clock(now, report.clock_ms);
         endpoint.heard_ms = Some(now);
         endpoint.over = false;
+        endpoint.missed = false;
         endpoint.lapsed_ms = None;
         let first = !endpoint.contacted;
         if first {
