Leave endpoints alone that fail what others run, and try a failed task elsewhere

Cause: an endpoint that fails all that it starts is always free, and best fit sent it more and more. Change: three failures of different jobs in a row pause an endpoint for 2 s, doubling to 16 s; then one task on trial decides. A step's tasks go to an endpoint where one of them failed only if no other has room. Test: an_endpoint_that_fails_everything_is_left_alone; red with the rule switched off.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -8,6 +8,7 @@
 use crate::ids::{EndpointId, Millis, Run, TaskKey};
 use crate::job::Step;
 use crate::limits::Limits;
+use crate::policy::quarantine::{Quarantine, Standing};
 
 new_key_type! {
     /// Key of an endpoint's incarnation in the planner's arena.
@@ -157,8 +158,7 @@
     pub(crate) missed: bool,
     pub(crate) next_hold_ms: Millis,
     pub(crate) paused_until_ms: Millis,
-    /// Ends that failed since the last that was done, a sign of an endpoint at fault.
-    pub(crate) failures_in_row: u32,
+    pub(crate) quarantine: Quarantine,
     reading: Option<Reading>,
     /// Latest lease that may have been granted, on the endpoint's clock.
     granted_ms: Millis,
@@ -182,7 +182,7 @@
             missed: false,
             next_hold_ms: 0,
             paused_until_ms: 0,
-            failures_in_row: 0,
+            quarantine: Quarantine::default(),
             reading: None,
             granted_ms: 0,
         }
@@ -240,9 +240,27 @@
             && !self.missed
             && !self.entry.draining
             && now >= self.paused_until_ms
+            && self.fit(now)
             && self.silent_for(now) < limits.silent_ms
     }
 
+    /// Returns whether its ends speak for giving it a task.
+    fn fit(&self, now: Millis) -> bool {
+        match self.quarantine.standing(now) {
+            Standing::Sound => true,
+            Standing::Trial => self.placed.is_empty(),
+            Standing::Paused => false,
+        }
+    }
+
+    /// Returns how many tasks it may be given at once.
+    pub(crate) fn most(&self, now: Millis) -> u32 {
+        match self.quarantine.standing(now) {
+            Standing::Sound => u32::MAX,
+            Standing::Trial | Standing::Paused => 1,
+        }
+    }
+
     pub(crate) fn free(&self) -> Room {
         Room::of_entry(&self.entry).minus(self.used)
     }
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -28,7 +28,7 @@
         self.keep_checkpoint(task, &end.checkpoint);
         match end.how {
             How::Done => self.complete(task),
-            How::Failed => self.note_failure(task, end.run),
+            How::Failed => self.note_failure(task, key, end.run),
             How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
         self.requeue(task, key, end.run);
@@ -37,8 +37,12 @@
     fn count_failure(&mut self, key: EndpointKey, end: &EndedRun) {
         let endpoint = &mut self.endpoints[key];
         match end.how {
-            How::Done => endpoint.failures_in_row = 0,
-            How::Failed => endpoint.failures_in_row += 1,
+            How::Done => endpoint.quarantine.done(),
+            How::Failed => {
+                if let Some(pause_ms) = endpoint.quarantine.failed(self.now, end.task.job) {
+                    log::warn!(endpoint:% = endpoint.entry.id, pause_ms = pause_ms; "endpoint fails what it runs, left alone");
+                }
+            }
             How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
     }
@@ -155,7 +159,7 @@
     }
 
     /// Counts a failed run once, however often it is listed.
-    fn note_failure(&mut self, task: TaskKey, run: Run) {
+    fn note_failure(&mut self, task: TaskKey, endpoint: EndpointKey, run: Run) {
         let key = task.step_key();
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -166,9 +170,13 @@
         };
         let (gang, lasts) = (step.gang, step.long_running);
         let index = if gang { 0 } else { task.index };
-        let progress = job.step_progress_mut(key);
-        let entry = progress.and_then(|progress| progress.tasks.get_mut(index as usize));
-        let Some(entry) = entry else {
+        let Some(progress) = job.step_progress_mut(key) else {
+            return;
+        };
+        if !progress.failed_on.contains(&endpoint) {
+            progress.failed_on.push(endpoint);
+        }
+        let Some(entry) = progress.tasks.get_mut(index as usize) else {
             return;
         };
         if lasts || entry.state == TaskState::Done || entry.failed.contains(&run) {
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -69,16 +69,18 @@
         let offers = usable.map(|(endpoint_key, endpoint)| {
             let range = key.task(0)..=key.task(u32::MAX);
             let most = match step.max_per_endpoint {
-                0 => u32::MAX,
+                0 => endpoint.most(self.now),
                 most => {
                     let there = endpoint.placed.range(range).count();
-                    most.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX))
+                    let left = most.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX));
+                    left.min(endpoint.most(self.now))
                 }
             };
             Offer {
                 endpoint: endpoint_key,
                 free: endpoint.free(),
                 most,
+                failed: progress.failed_on.contains(&endpoint_key),
                 near: step
                     .affinity
                     .as_ref()
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod order;
 pub(crate) mod placement;
+pub(crate) mod quarantine;
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -9,6 +9,8 @@
     pub(crate) free: Room,
     /// Most further tasks of the step that the endpoint may be given.
     pub(crate) most: u32,
+    /// A run of the step has failed there.
+    pub(crate) failed: bool,
     /// The step's data is on its rack, or the step does not ask for a rack.
     pub(crate) near: bool,
 }
@@ -25,13 +27,15 @@
     }
 }
 
-/// Picks endpoints for up to `count` tasks: near ones first, and of these the one that is left
+/// Picks endpoints for up to `count` tasks: those where the step has not failed and near ones first, and of these the one that is left
 /// with the least processor, so that large holes stay for wide tasks.
 pub(crate) fn pick(offers: &mut [Offer], need: Room, count: u32) -> Vec<EndpointKey> {
     let mut picks = Vec::new();
     for _ in 0..count {
         let fitting = offers.iter_mut().filter(|offer| offer.fits(need) > 0);
-        let best = fitting.min_by_key(|offer| (!offer.near, offer.free.cpu_milli, offer.free.memory_mb));
+        let best = fitting.min_by_key(|offer| {
+            (offer.failed, !offer.near, offer.free.cpu_milli, offer.free.memory_mb)
+        });
         let Some(best) = best else {
             break;
         };
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -43,6 +43,8 @@
     pub(crate) advice: Advice,
     /// The members of the gang's run are being withdrawn.
     pub(crate) aborting: bool,
+    /// Endpoints on which a run of the step has failed; others are tried first.
+    pub(crate) failed_on: Vec<EndpointKey>,
 }
 
 impl StepProgress {
@@ -59,6 +61,7 @@
             placed: 0,
             advice: Advice::default(),
             aborting: false,
+            failed_on: Vec::new(),
         }
     }
 
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -195,3 +195,20 @@
     assert_ne!(world.holder(), Some(holder));
     completed(&mut world, 1, 25_000);
 }
+
+#[test]
+fn an_endpoint_that_fails_everything_is_left_alone() {
+    let mut world = ready_world(13);
+    let bad = world.endpoints.keys().next().expect("an endpoint").clone();
+    world.endpoints.get_mut(&bad).expect("there").fails_all = true;
+    for id in 1..=40 {
+        assert_eq!(world.submit(id, job(vec![step(2, 200)])), Answer::Accepted);
+        world.run(100);
+    }
+    world.run(2_000);
+    let starts = world.endpoints[&bad].starts.len();
+    assert!(starts <= 12, "{starts} starts on the endpoint at fault");
+    let done = (1..=40).filter(|id| state(&mut world, *id) == Answer::State(JobState::Completed));
+    let done = done.count();
+    assert!(done >= 37, "{done} of 40 jobs completed");
+}
