--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -67,10 +67,10 @@
     fn default() -> Self {
         Self {
             heartbeat_ms: 200,
-            silence_ms: 800,
+            silence_ms: 700,
             connect_ms: 400,
-            stale_ms: 1_000,
-            stall_ms: 1_300,
+            stale_ms: 800,
+            stall_ms: 1_200,
             refused_stall_ms: 500,
             claim_poll_ms: 150,
             config_poll_ms: 600,
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -61,7 +61,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            lease_ms: 3_000,
+            lease_ms: 2_500,
             lease_max_ms: 6_000,
             claim_cover_ms: 9_000,
             drift_permille: 20,
@@ -70,7 +70,7 @@
             renew_ms: 400,
             commit_retry_ms: 50,
             commit_copy_ms: 60,
-            commit_copies: 4,
+            commit_copies: 8,
             commit_timeout_ms: 1_000,
             commit_rows: 95,
             commit_bytes: 600_000,
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -12,6 +12,8 @@
 
 /// Factor on what recent commits took.
 const COMMIT_COPY_FACTOR: u64 = 2;
+/// Most doublings of the distance between copies.
+const COMMIT_COPY_DOUBLINGS: usize = 2;
 
 /// What the store does not have yet.
 #[derive(Debug, Default)]
@@ -68,9 +70,9 @@
         if let Some(flight) = &mut self.flight {
             if self.now >= flight.next_copy_ms && flight.awaited < self.limits.commit_copies {
                 // Each copy is work for the store, so that they follow at growing distances.
-                let doublings = u32::try_from(flight.awaited).unwrap_or(0);
+                let doubled_ms = copy_ms << flight.awaited.min(COMMIT_COPY_DOUBLINGS);
                 flight.awaited += 1;
-                flight.next_copy_ms = self.now + copy_ms * 2_u64.pow(doublings);
+                flight.next_copy_ms = self.now + doubled_ms;
                 flight.batch.copy = flight.sent_ms.len();
                 flight.sent_ms.push(self.now);
                 self.actions.push(Action::Commit(flight.batch.clone()));
