--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod endpoint;
+pub mod oracle;
 pub mod random;
 pub mod store;
 
@@ -12,8 +13,8 @@
 
 use chervilfall_planner::{
     Action, AdviceAnswer, AdviceTerms, Answer, Candidate, CandidateMove, CommitOutcome, Configuration,
-    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, How, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
-    Queue, ReplyTo, Request, RosterEntry, StartAnswer, Step, StopAnswer, Stored, TaskKey,
+    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
+    Queue, ReplyTo, Request, RosterEntry, StartAnswer, Step, StopAnswer, Stored,
 };
 
 use endpoint::FakeEndpoint;
@@ -420,17 +421,8 @@
         }
     }
 
-    /// Looks at all endpoints: no task twice at once, none after it is done for good.
     fn check(&mut self) {
-        let mut seen: BTreeMap<TaskKey, EndpointId> = BTreeMap::new();
-        for endpoint in self.endpoints.values().filter(|endpoint| !endpoint.dead) {
-            for task in endpoint.running.keys() {
-                if let Some(other) = seen.insert(*task, endpoint.id.clone()) {
-                    let text = format!("{task} on {other} and {} at {}", endpoint.id, self.now);
-                    self.violations.push(text);
-                }
-            }
-        }
+        oracle::overlaps(self.endpoints.values(), self.now, &mut self.violations);
     }
 
     /// Returns what was seen of every task that a violation names, in order of time.
@@ -455,38 +447,10 @@
         lines.map(|(at_ms, line)| format!("{at_ms} {line}\n")).collect()
     }
 
-    /// Looks at the whole history: no start after a noted end as done, or after the last attempt.
+    /// Looks at the whole history.
     pub fn check_history(&mut self) {
-        let mut done: BTreeMap<TaskKey, u64> = BTreeMap::new();
-        let mut failed: BTreeMap<TaskKey, BTreeMap<u64, u64>> = BTreeMap::new();
-        for (task, run, how, at_ms) in self.endpoints.values().flat_map(|endpoint| &endpoint.noted) {
-            match how {
-                How::Done => {
-                    done.insert(*task, *at_ms);
-                }
-                How::Failed => {
-                    failed.entry(*task).or_default().insert(*run, *at_ms);
-                }
-                _ => {}
-            }
-        }
         let attempts = self.queue.attempts as usize;
-        let exhausted = |task: &TaskKey| {
-            let mut times: Vec<u64> = failed.get(task)?.values().copied().collect();
-            times.sort_unstable();
-            times.get(attempts - 1).copied()
-        };
-        for (at_ms, task, run) in self.endpoints.values().flat_map(|endpoint| &endpoint.starts) {
-            if done.get(task).is_some_and(|done_ms| done_ms < at_ms) {
-                self.violations.push(format!("{task} run {run} started at {at_ms} after it was done"));
-            }
-            if exhausted(task).is_some_and(|failed_ms| failed_ms < *at_ms) {
-                self.violations.push(format!("{task} run {run} started at {at_ms} after its attempts"));
-            }
-            if self.refused.contains(&task.job) {
-                self.violations.push(format!("{task} started although its job was refused"));
-            }
-        }
+        oracle::history(self.endpoints.values(), attempts, &self.refused, &mut self.violations);
     }
 
     /// Returns the node that holds the group, if one does.
