Leave the claim to machines with more processor

Change: a node with less than half of the last holder's processor waits 1.2 s longer before it claims, as does a small one at the first start.

--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -84,8 +84,12 @@
     }
 }
 
+const fn one() -> f64 {
+    1.0
+}
+
 /// Settings of a node.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the node.
@@ -103,6 +107,9 @@
     /// Address of the advice service.
     #[serde(default)]
     pub advice: Option<SocketAddr>,
+    /// Processor that the node may use, in cores: nodes with more hold the group first.
+    #[serde(default = "one")]
+    pub cpu_cores: f64,
     /// Longest lease that endpoints grant.
     pub lease_max_ms: u64,
     /// How long a finished job can be asked for, in seconds.
@@ -115,6 +122,14 @@
 }
 
 impl Settings {
+    /// Returns the processor that the node may use, in thousandths of a core.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn cpu_permille(&self) -> u64 {
+        // The check of the settings keeps it between a thousandth and many cores.
+        (self.cpu_cores * 1_000.0) as u64
+    }
+
     /// Reads settings from a file.
     ///
     /// # Errors
@@ -146,6 +161,9 @@
         if settings.node.is_empty() {
             return Err(field("node".to_owned(), "must not be empty".to_owned()));
         }
+        if !(0.001..=1_000.0).contains(&settings.cpu_cores) {
+            return Err(field("cpu_cores".to_owned(), "must be between 0.001 and 1000".to_owned()));
+        }
         let timings = &settings.timings;
         if timings.silence_ms <= 2 * timings.heartbeat_ms {
             let cause = format!("must exceed twice heartbeat_ms, which is {}", timings.heartbeat_ms);
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilfall_planner::{
-    Candidate, CandidateMove, CommitOutcome, HolderRow, JobId, JobRow, ProgressRow, RosterEntry,
+    Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, JobId, JobRow, ProgressRow, RosterEntry,
     RowVersion, Stored,
 };
 use rand::Rng;
@@ -56,13 +56,14 @@
 impl<P: Platform> ClaimWatch<P> {
     /// Runs until a planned stop begins, and goes on to follow the next holder then.
     pub(crate) async fn run(self) {
-        let mut candidate = Candidate::new(
-            self.settings.node.clone(),
-            self.incarnation,
-            self.settings.link_listen.to_string(),
+        let mut candidate = Candidate::new(Identity {
+            node: self.settings.node.clone(),
+            incarnation: self.incarnation,
+            address: self.settings.link_listen.to_string(),
             // Steady time counts from the start of the process.
-            0,
-        );
+            started_ms: 0,
+            cpu_permille: self.settings.cpu_permille(),
+        });
         let mut dependency = Dependency::new("claim row");
         let mut dialing: Option<Dialing> = None;
         let mut refused_ms: Option<u64> = None;
@@ -150,6 +151,7 @@
         let stall_ms = stall_ms + SLOW_STORE_FACTOR * took_ms;
         match candidate.observe(now_ms(), reading.store_ms, reading.version, reading.row, stall_ms) {
             CandidateMove::Follow(holder) => self.follow(dialing, holder),
+            CandidateMove::Wait => {}
             CandidateMove::Claim(batch, row) => {
                 if self.front.stopping() {
                     return;
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -9,6 +9,12 @@
 /// How long the answer to a claim is awaited: some times what a slow store takes.
 const CLAIM_TIMEOUT_MS: Millis = 1_000;
 
+/// How long machines with little processor leave a claim to others: the time that those need to
+/// notice and to claim.
+const DEFERENCE_MS: Millis = 1_200;
+/// A machine with this share defers to nobody while there is no holder yet; below half of it, it does.
+const LARGE_PERMILLE: u64 = 500;
+
 /// The claim row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderRow {
@@ -24,6 +30,8 @@
     pub number: u64,
     /// The holder has handed the group back.
     pub released: bool,
+    /// Processor share of the holder's machine, in thousandths of a core.
+    pub cpu_permille: u64,
     /// The store's steady clock when the row was written, as the writer knew it; 0 if it did not.
     pub written_store_ms: Millis,
 }
@@ -65,6 +73,8 @@
 pub enum CandidateMove {
     /// Follow this holder.
     Follow(HolderRow),
+    /// Leave the claim to others for now.
+    Wait,
     /// Write this batch to claim the group.
     Claim(Batch, HolderRow),
 }
@@ -79,26 +89,45 @@
 /// Watches the claim row on behalf of a node that has no working planner.
 #[derive(Debug, Clone)]
 pub struct Candidate {
-    node: String,
-    incarnation: u64,
-    address: String,
-    started_ms: Millis,
+    identity: Identity,
     seen: Option<Seen>,
 }
 
+/// Who a candidate is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Name of the node.
+    pub node: String,
+    /// Random number of its process.
+    pub incarnation: u64,
+    /// Where its links are taken.
+    pub address: String,
+    /// When its process began.
+    pub started_ms: Millis,
+    /// Processor share of its machine, in thousandths of a core.
+    pub cpu_permille: u64,
+}
+
 impl Candidate {
-    /// Returns a candidate that has read nothing yet, of a process that began at `started_ms`.
+    /// Returns a candidate that has read nothing yet.
     #[must_use]
-    pub const fn new(node: String, incarnation: u64, address: String, started_ms: Millis) -> Self {
+    pub const fn new(identity: Identity) -> Self {
         Self {
-            node,
-            incarnation,
-            address,
-            started_ms,
+            identity,
             seen: None,
         }
     }
 
+    /// Returns how long this node leaves the claim to machines with more processor: a planner's work
+    /// grows with the fleet, and a machine with half of what the last holder had falls behind.
+    const fn deference_ms(&self, last_permille: u64) -> Millis {
+        if self.identity.cpu_permille * 2 < last_permille {
+            DEFERENCE_MS
+        } else {
+            0
+        }
+    }
+
     /// Forgets what was read: the holder works, so that an old reading tells nothing.
     pub fn reset(&mut self) {
         self.seen = None;
@@ -125,9 +154,18 @@
             row: row.clone(),
         });
         match row {
-            None => self.claim(0, version),
+            None => {
+                let deference_ms = self.deference_ms(LARGE_PERMILLE);
+                if now.saturating_sub(first_ms) < deference_ms {
+                    return CandidateMove::Wait;
+                }
+                self.claim(0, version)
+            }
             Some(holder) => {
-                let free = holder.released || self.is_own(&holder);
+                let own = self.is_own(&holder);
+                let deference_ms = if own { 0 } else { self.deference_ms(holder.cpu_permille) };
+                let stall_ms = stall_ms + deference_ms;
+                let free = own || (holder.released && now.saturating_sub(first_ms) >= deference_ms);
                 let seen_still_ms = now.saturating_sub(first_ms);
                 let written_ms = holder.written_store_ms;
                 let said_still_ms = if written_ms == 0 { 0 } else { store_ms.saturating_sub(written_ms) };
@@ -141,15 +179,16 @@
 
     /// Returns whether the holder is this process, or an earlier one on this machine.
     fn is_own(&self, holder: &HolderRow) -> bool {
-        holder.node == self.node && holder.address == self.address
+        holder.node == self.identity.node && holder.address == self.identity.address
     }
 
     fn claim(&self, term: u64, version: RowVersion) -> CandidateMove {
         let row = HolderRow {
             term: term + 1,
-            node: self.node.clone(),
-            incarnation: self.incarnation,
-            address: self.address.clone(),
+            node: self.identity.node.clone(),
+            incarnation: self.identity.incarnation,
+            address: self.identity.address.clone(),
+            cpu_permille: self.identity.cpu_permille,
             number: 0,
             released: false,
             written_store_ms: 0,
@@ -178,8 +217,8 @@
             predecessor_seen_ms: predecessor.map(|seen| seen.first_ms),
             predecessor_gone_ms: predecessor
                 .and_then(|seen| seen.row.as_ref())
-                .filter(|holder| self.is_own(holder) && holder.incarnation != self.incarnation)
-                .map(|_| self.started_ms),
+                .filter(|holder| self.is_own(holder) && holder.incarnation != self.identity.incarnation)
+                .map(|_| self.identity.started_ms),
         }
     }
 }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -24,7 +24,7 @@
 };
 pub use commit::{Batch, CommitOutcome, RowChange, RowKey};
 pub use config::{AdviceTerms, Configuration, Queue, QueueName, Service, ServiceName};
-pub use election::{Candidate, CandidateMove, HolderRow, Takeover};
+pub use election::{Candidate, CandidateMove, HolderRow, Identity, Takeover};
 pub use endpoint::{EndpointEntry, EndpointKey};
 pub use event::{
     AdviceAnswer, EndedRun, Event, HoldAnswer, HoldReport, How, NodeId, Refusal, Request, RunningRun,
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -13,7 +13,7 @@
 
 use chervilfall_planner::{
     Action, AdviceAnswer, AdviceTerms, Answer, Candidate, CandidateMove, CommitOutcome, Configuration,
-    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
+    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, Identity, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
     Queue, ReplyTo, Request, RosterEntry, StartAnswer, Step, StopAnswer, Stored,
 };
 
@@ -110,7 +110,7 @@
         };
         let nodes = (0..nodes).map(|number| FakeNode {
             planner: None,
-            candidate: Candidate::new(format!("node-{number}"), number as u64 + 1, format!("127.0.0.1:{number}"), 0),
+            candidate: identity(number, number as u64 + 1, 0),
             frozen_until_ms: 0,
             cut_until_ms: 0,
             store_cut_until_ms: 0,
@@ -514,11 +514,20 @@
         let incarnation = 1_000 + self.sequence;
         let state = &mut self.nodes[node];
         state.planner = None;
-        let address = format!("127.0.0.1:{node}");
-        state.candidate = Candidate::new(format!("node-{node}"), incarnation, address, self.now);
+        state.candidate = identity(node, incarnation, self.now);
     }
 }
 
+fn identity(node: usize, incarnation: u64, started_ms: u64) -> Candidate {
+    Candidate::new(Identity {
+        node: format!("node-{node}"),
+        incarnation,
+        address: format!("127.0.0.1:{node}"),
+        started_ms,
+        cpu_permille: 1_000,
+    })
+}
+
 fn order_target(action: &Action) -> &EndpointId {
     match action {
         Action::Start(order) => &order.id,
