Make passes over the open steps cheap

Change: endpoints that take work are gathered once a pass; a step that can neither be placed nor asked about is left at once; passes run when something has changed. A first call for advice names four endpoints a waiting task, 30 at least, instead of all.

--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -19,12 +19,17 @@
 #[derive(Debug, Default)]
 pub(crate) struct Advice {
     known: BTreeMap<EndpointKey, Permission>,
+    /// When the last ticket lapses.
+    valid_until_ms: Millis,
     /// Number of the call that is on its way.
     pub(crate) asking: Option<u64>,
 }
 
 impl Advice {
     pub(crate) fn learn(&mut self, endpoint: EndpointKey, permission: Permission) {
+        if let Permission::Granted(_, valid_until_ms) = &permission {
+            self.valid_until_ms = self.valid_until_ms.max(*valid_until_ms);
+        }
         self.known.insert(endpoint, permission);
     }
 
@@ -36,6 +41,11 @@
         matches!(self.known.get(&endpoint), Some(Permission::Granted(..)))
     }
 
+    /// Returns whether some ticket may still be valid at `at_ms`.
+    pub(crate) const fn any_ticket(&self, at_ms: Millis) -> bool {
+        self.valid_until_ms > at_ms
+    }
+
     /// Returns a ticket that is still valid at `at_ms`.
     pub(crate) fn ticket(&self, endpoint: EndpointKey, at_ms: Millis) -> Option<&Ticket> {
         match self.known.get(&endpoint)? {
--- a/crates/chervilfall_planner/src/config.rs
+++ b/crates/chervilfall_planner/src/config.rs
@@ -10,6 +10,9 @@
 /// Name of a service, a pool of endpoints.
 pub type ServiceName = String;
 
+/// Calls for advice whose fixed part takes at least this long count as slow.
+const SLOW_DECIDE_MS: f64 = 200.0;
+
 /// How long it takes to ask which endpoints may run a step.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AdviceTerms {
@@ -21,6 +24,14 @@
     pub valid_ms: u64,
 }
 
+impl AdviceTerms {
+    /// Returns whether a call holds up others of its node for long.
+    #[must_use]
+    pub fn is_slow(&self) -> bool {
+        self.decide_ms >= SLOW_DECIDE_MS
+    }
+}
+
 /// A queue.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -54,6 +54,8 @@
     pub advice_slack_ms: Millis,
     /// How long a finished job can be asked for.
     pub status_ms: Millis,
+    /// Longest time between passes over the open steps when nothing has changed.
+    pub pass_ms: Millis,
     /// Most bytes of a row.
     pub row_bytes: usize,
 }
@@ -84,6 +86,7 @@
             advice_endpoints: 100,
             advice_slack_ms: 600,
             status_ms: 150_000,
+            pass_ms: 50,
             row_bytes: 65_536,
         }
     }
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -6,14 +6,12 @@
 use crate::action::{Action, AdviceOrder};
 use crate::advice::Permission;
 use crate::config::AdviceTerms;
-use crate::endpoint::{EndpointKey, Room};
+use crate::endpoint::EndpointKey;
 use crate::event::{AdviceAnswer, NodeId};
 use crate::ids::{EndpointId, Millis};
 use crate::planner::Planner;
 use crate::tasks::StepKey;
 
-/// Calls whose fixed part takes at least this long count as slow.
-const SLOW_DECIDE_MS: f64 = 200.0;
 /// Part of the nodes that slow calls may use, as a fraction.
 const SLOW_NODES: (usize, usize) = (1, 2);
 
@@ -43,6 +41,11 @@
         }
     }
 
+    /// Returns whether a node can make a call now.
+    pub(super) fn can_ask(&self, slow: bool) -> bool {
+        self.idle_node(slow).is_some()
+    }
+
     /// Returns a node that can make a call now.
     fn idle_node(&self, slow: bool) -> Option<NodeId> {
         let calls = self.advice_calls.values();
@@ -61,7 +64,7 @@
 
     /// Asks about endpoints for a step, if a node is free and no call for the step is on its way.
     pub(super) fn ask(&mut self, step: StepKey, terms: AdviceTerms, keys: &[EndpointKey]) -> bool {
-        let slow = terms.decide_ms >= SLOW_DECIDE_MS;
+        let slow = terms.is_slow();
         let Some(node) = self.idle_node(slow) else {
             return false;
         };
@@ -145,20 +148,6 @@
                 progress.advice.learn(*key, Permission::Granted(ticket, valid_until_ms));
             }
         }
-        self.schedule();
-    }
-
-    /// Returns the endpoints of a service by free processor, those with most first.
-    pub(super) fn by_room(&self, service: &str, need: Room) -> Vec<EndpointKey> {
-        let mut found: Vec<(u32, EndpointKey)> = self
-            .endpoints
-            .iter()
-            .filter(|(_, endpoint)| endpoint.entry.service == service)
-            .filter(|(_, endpoint)| endpoint.takes_work(self.now, &self.limits))
-            .filter(|(_, endpoint)| Room::of_entry(&endpoint.entry).holds(need))
-            .map(|(key, endpoint)| (endpoint.free().cpu_milli, key))
-            .collect();
-        found.sort_by(|left, right| right.cmp(left));
-        found.into_iter().map(|(_, key)| key).collect()
+        self.schedule_due = true;
     }
 }
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -268,7 +268,7 @@
             self.step_down(StepDownReason::Released);
             return;
         }
-        self.schedule();
+        self.schedule_if_due();
         self.send_holds();
     }
 
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -363,6 +363,7 @@
     /// Takes a run off an endpoint's books.
     pub(super) fn free(&mut self, key: EndpointKey, task: TaskKey) {
         self.stopping.remove(&(key, task));
+        self.schedule_due = true;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.release(task);
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -73,6 +73,9 @@
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
     finished: VecDeque<(Millis, JobId)>,
+    /// Something has changed that a pass over the open steps should look at soon.
+    schedule_due: bool,
+    last_pass_ms: Millis,
     releasing: bool,
     stepped_down: bool,
     actions: Vec<Action>,
@@ -108,6 +111,8 @@
             advice_calls: BTreeMap::new(),
             next_advice: 0,
             finished: VecDeque::new(),
+            schedule_due: false,
+            last_pass_ms: now,
             releasing: false,
             stepped_down: false,
             actions: Vec::new(),
@@ -188,6 +193,16 @@
         }
     }
 
+    /// Runs a pass if something has changed, or for tickets and endpoints that come and go with time.
+    fn schedule_if_due(&mut self) {
+        let since_ms = self.now.saturating_sub(self.last_pass_ms);
+        if self.schedule_due || since_ms >= self.limits.pass_ms {
+            self.schedule_due = false;
+            self.last_pass_ms = self.now;
+            self.schedule();
+        }
+    }
+
     fn tick(&mut self, unix_ms: u64) {
         self.unix_ms = unix_ms;
         self.check_barrier();
@@ -196,7 +211,7 @@
         self.drop_finished();
         self.refuse_overdue();
         self.check_advice();
-        self.schedule();
+        self.schedule_if_due();
         self.send_stops();
         self.send_holds();
         self.commit_if_due();
@@ -342,6 +357,7 @@
         });
         if ready {
             self.open.insert((rank(job), key));
+            self.schedule_due = true;
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -1,9 +1,14 @@
 //! Offers room to steps that wait, best rank first.
+//!
+//! A pass visits every open step, and there can be hundreds of them beside hundreds of endpoints. So
+//! whatever does not depend on the step is worked out once a pass, and a step that can neither be
+//! placed nor asked about is left at once.
 
 use std::collections::BTreeMap;
 
+use crate::advice::Advice;
 use crate::config::AdviceTerms;
-use crate::endpoint::{EndpointKey, Room};
+use crate::endpoint::{Endpoint, EndpointKey, Room};
 use crate::event::Ticket;
 use crate::ids::Run;
 use crate::job::Step;
@@ -11,28 +16,68 @@
 use crate::policy::placement::{pick, pick_all, Offer};
 use crate::tasks::{StepKey, TaskState};
 
+/// Fewest endpoints that a first call for advice names, if there are as many.
+const ASK_LEAST: u32 = 30;
+/// Endpoints that a call names for each task that waits: about a quarter may run a step.
+const ASK_FOR_EACH_TASK: u32 = 4;
+
+/// What holds for all steps of a pass.
+struct Pass {
+    /// Endpoints of each service that take work.
+    pools: BTreeMap<String, Vec<EndpointKey>>,
+    /// A node can make a fast call for advice.
+    fast_idle: bool,
+    /// A node can make a slow call for advice.
+    slow_idle: bool,
+}
+
+/// What a step needs to be placed, taken from its job.
+struct Wanted {
+    step: Step,
+    service: String,
+    advice: Option<AdviceTerms>,
+}
+
 impl Planner {
     pub(super) fn schedule(&mut self) {
-        if self.now >= self.cover_until_ms() {
+        if self.open.is_empty() || self.now >= self.cover_until_ms() {
             return;
         }
+        let mut pass = self.begin_pass();
         let keys: Vec<StepKey> = self.open.iter().map(|(_, key)| *key).collect();
         for key in keys {
-            self.serve_step(key);
+            self.serve_step(&mut pass, key);
+        }
+    }
+
+    fn begin_pass(&self) -> Pass {
+        let mut pools: BTreeMap<String, Vec<EndpointKey>> = BTreeMap::new();
+        for (key, endpoint) in &self.endpoints {
+            if !endpoint.takes_work(self.now, &self.limits) {
+                continue;
+            }
+            match pools.get_mut(&endpoint.entry.service) {
+                Some(pool) => pool.push(key),
+                None => {
+                    pools.insert(endpoint.entry.service.clone(), vec![key]);
+                }
+            }
+        }
+        Pass {
+            pools,
+            fast_idle: self.can_ask(false),
+            slow_idle: self.can_ask(true),
         }
     }
 
-    fn serve_step(&mut self, key: StepKey) {
+    fn serve_step(&mut self, pass: &mut Pass, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let Some(step) = job.spec.steps.get(key.step as usize).cloned() else {
+        let Some(progress) = job.step_progress(key) else {
             return;
         };
-        let advice = job.queue.advice;
-        let service = job.queue.service.clone();
-        let inherited = job.inherited;
-        let Some(progress) = job.step_progress(key) else {
+        let Some(step) = job.spec.steps.get(key.step as usize) else {
             return;
         };
         if step.gang && progress.placed > 0 {
@@ -41,72 +86,97 @@
             }
             return;
         }
-        let mut offers = self.offers(key, &step, &service, advice.is_some());
-        if !(inherited && self.barrier.is_some()) {
-            self.place_step(key, &step, &mut offers, advice.is_some());
+        let advice = job.queue.advice;
+        let blocked = job.inherited && self.barrier.is_some();
+        let placeable = !blocked && (advice.is_none() || progress.advice.any_ticket(self.now));
+        let idle = advice.is_some_and(|terms| if terms.is_slow() { pass.slow_idle } else { pass.fast_idle });
+        let askable = idle && progress.advice.asking.is_none();
+        if !placeable && !askable {
+            return;
         }
-        if let Some(terms) = advice {
-            self.ask_for_step(key, &step, &service, terms);
+        let wanted = Wanted {
+            step: step.clone(),
+            service: job.queue.service.clone(),
+            advice,
+        };
+        if placeable {
+            self.place_step(pass, key, &wanted);
+        }
+        if askable && self.ask_for_step(pass, key, &wanted) {
+            pass.fast_idle = self.can_ask(false);
+            pass.slow_idle = self.can_ask(true);
         }
     }
 
     /// Returns the endpoints that the step may use now.
-    fn offers(&self, key: StepKey, step: &Step, service: &str, advised: bool) -> Vec<Offer> {
+    fn offers(&self, pass: &Pass, key: StepKey, wanted: &Wanted) -> Vec<Offer> {
         let Some(progress) = self.jobs.get(&key.job).and_then(|job| job.step_progress(key)) else {
             return Vec::new();
         };
-        let need = Room::of_step(step);
-        let usable = self.endpoints.iter().filter(|(endpoint_key, endpoint)| {
-            endpoint.entry.service == service
-                && endpoint.takes_work(self.now, &self.limits)
-                && endpoint.free().holds(need)
+        let Some(pool) = pass.pools.get(&wanted.service) else {
+            return Vec::new();
+        };
+        let need = Room::of_step(&wanted.step);
+        let advised = wanted.advice.is_some();
+        let usable = pool.iter().filter_map(|endpoint_key| {
+            let endpoint = self.endpoints.get(*endpoint_key)?;
+            let fits = endpoint.free().holds(need)
                 && (!advised || progress.advice.ticket(*endpoint_key, self.now).is_some())
-                && step
-                    .required_label
-                    .as_ref()
-                    .is_none_or(|label| endpoint.entry.labels.contains(label))
+                && endpoint.takes_work(self.now, &self.limits);
+            fits.then_some((*endpoint_key, endpoint))
         });
-        let offers = usable.map(|(endpoint_key, endpoint)| {
-            let range = key.task(0)..=key.task(u32::MAX);
-            let most = match step.max_per_endpoint {
-                0 => endpoint.most(self.now),
-                most => {
-                    let there = endpoint.placed.range(range).count();
-                    let left = most.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX));
-                    left.min(endpoint.most(self.now))
-                }
-            };
-            Offer {
-                endpoint: endpoint_key,
-                free: endpoint.free(),
-                most,
-                failed: progress.failed_on.contains(&endpoint_key),
-                near: step
-                    .affinity
-                    .as_ref()
-                    .is_none_or(|rack| endpoint.entry.rack.as_ref() == Some(rack)),
-            }
+        let failed_on = &progress.failed_on;
+        let offers = usable.filter_map(|(endpoint_key, endpoint)| {
+            let failed = failed_on.contains(&endpoint_key);
+            self.offer(endpoint_key, endpoint, key, &wanted.step, failed)
         });
         offers.collect()
     }
 
-    fn place_step(&mut self, key: StepKey, step: &Step, offers: &mut [Offer], advised: bool) {
+    fn offer(
+        &self,
+        endpoint_key: EndpointKey,
+        endpoint: &Endpoint,
+        key: StepKey,
+        step: &Step,
+        failed: bool,
+    ) -> Option<Offer> {
+        let required = step.required_label.as_ref();
+        if required.is_some_and(|label| !endpoint.entry.labels.contains(label)) {
+            return None;
+        }
+        let mut most = endpoint.most(self.now);
+        if step.max_per_endpoint > 0 {
+            let there = endpoint.placed.range(key.task(0)..=key.task(u32::MAX)).count();
+            let left = step.max_per_endpoint.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX));
+            most = most.min(left);
+        }
+        let near = step.affinity.as_ref().is_none_or(|rack| endpoint.entry.rack.as_ref() == Some(rack));
+        Some(Offer {
+            endpoint: endpoint_key,
+            free: endpoint.free(),
+            most,
+            failed,
+            near,
+        })
+    }
+
+    fn place_step(&mut self, pass: &Pass, key: StepKey, wanted: &Wanted) {
+        let step = &wanted.step;
         let need = Room::of_step(step);
+        let mut offers = self.offers(pass, key, wanted);
         let Some(progress) = self.jobs.get(&key.job).and_then(|job| job.step_progress(key)) else {
             return;
         };
         let waiting = progress.waiting();
         let picks = if step.gang {
-            self.pick_gang(step, offers, need, waiting)
+            self.pick_gang(step, &mut offers, need, waiting)
         } else {
-            pick(offers, need, waiting)
+            pick(&mut offers, need, waiting)
         };
         if picks.is_empty() {
             return;
         }
-        let Some(progress) = self.jobs.get(&key.job).and_then(|job| job.step_progress(key)) else {
-            return;
-        };
         let tasks = (0_u32..).zip(&progress.tasks);
         let waiting: Vec<(u32, Run)> = tasks
             .filter(|(_, task)| task.state == TaskState::Waiting)
@@ -123,7 +193,6 @@
             self.share_checkpoint(key);
         }
         for (endpoint, index, run, ticket) in starts {
-            debug_assert!(!advised || ticket.is_some());
             self.start(endpoint, key.task(index), run, ticket);
         }
         let left = self
@@ -164,38 +233,47 @@
     }
 
     /// Asks about endpoints that are not known for the step yet, or refreshes tickets of allowed
-    /// ones that have room now.
-    fn ask_for_step(&mut self, key: StepKey, step: &Step, service: &str, terms: AdviceTerms) {
+    /// ones that have room now. Returns whether a call was made.
+    fn ask_for_step(&mut self, pass: &Pass, key: StepKey, wanted: &Wanted) -> bool {
+        let (Some(terms), Some(pool)) = (wanted.advice, pass.pools.get(&wanted.service)) else {
+            return false;
+        };
         let Some(progress) = self.jobs.get(&key.job).and_then(|job| job.step_progress(key)) else {
-            return;
+            return false;
         };
-        if progress.advice.asking.is_some() || progress.waiting() == 0 {
-            return;
-        }
-        let need = Room::of_step(step);
-        let candidates = self.by_room(service, need);
-        let unknown: Vec<EndpointKey> = candidates
-            .iter()
-            .filter(|endpoint| !progress.advice.known(**endpoint))
-            .copied()
-            .collect();
-        if !unknown.is_empty() {
-            self.ask(key, terms, &unknown);
-            return;
+        let waiting = progress.waiting();
+        if waiting == 0 {
+            return false;
         }
-        let with_room: Vec<EndpointKey> = candidates
-            .into_iter()
-            .filter(|endpoint| progress.advice.allowed(*endpoint))
-            .filter(|endpoint| self.endpoints[*endpoint].free().holds(need))
-            .collect();
-        let stale = with_room.iter().any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
-        let fits: u64 = with_room
-            .iter()
-            .map(|endpoint| u64::from(self.endpoints[*endpoint].free().fits(need)))
-            .sum();
-        let enough = if step.gang { u64::from(progress.waiting()) } else { 1 };
-        if stale && fits >= enough {
-            self.ask(key, terms, &with_room);
+        let need = Room::of_step(&wanted.step);
+        let enough = if wanted.step.gang { u64::from(waiting) } else { 1 };
+        let usable = self.allowed_with_room(pool, &progress.advice, need);
+        let fits = |keys: &[EndpointKey]| -> u64 {
+            keys.iter().map(|key| u64::from(self.endpoints[*key].free().fits(need))).sum()
+        };
+        if fits(&usable) >= enough {
+            let stale = usable.iter().any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
+            return stale && self.ask(key, terms, &usable);
         }
+        let unknown = self.unknown_by_room(pool, &progress.advice, need);
+        let most = (waiting * ASK_FOR_EACH_TASK).max(ASK_LEAST) as usize;
+        let named = &unknown[..unknown.len().min(most)];
+        !named.is_empty() && self.ask(key, terms, named)
+    }
+
+    /// Returns the endpoints that may run the step and have room for a task of it.
+    fn allowed_with_room(&self, pool: &[EndpointKey], advice: &Advice, need: Room) -> Vec<EndpointKey> {
+        let allowed = pool.iter().filter(|key| advice.allowed(**key));
+        allowed.filter(|key| self.endpoints[**key].free().holds(need)).copied().collect()
+    }
+
+    /// Returns the endpoints that nothing is known of, those with most free processor first.
+    fn unknown_by_room(&self, pool: &[EndpointKey], advice: &Advice, need: Room) -> Vec<EndpointKey> {
+        let unknown = pool.iter().filter(|key| !advice.known(**key));
+        let able = unknown.filter(|key| Room::of_entry(&self.endpoints[**key].entry).holds(need));
+        let mut found: Vec<(u32, EndpointKey)> =
+            able.map(|key| (self.endpoints[*key].free().cpu_milli, *key)).collect();
+        found.sort_unstable_by(|left, right| right.cmp(left));
+        found.into_iter().map(|(_, key)| key).collect()
     }
 }
