--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -7,8 +7,8 @@
 
 use chervilfall_kernel::ControlLoop;
 use chervilfall_planner::{
-    Action, AdviceAnswer, AdviceOrder, Answer, Batch, EndpointEntry, Event, Limits, NodeId, Planner,
-    ReplyTo, Request, StepDownReason, Stored, Takeover,
+    Action, AdviceAnswer, AdviceOrder, Answer, Batch, EndpointEntry, Event, Limits, NodeId,
+    Planner, ReplyTo, Request, StepDownReason, Stored, Takeover,
 };
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -124,8 +124,12 @@
             Action::Reply { to, answer } => self.reply(to, answer),
             Action::Commit(batch) => self.commit(term, batch),
             Action::Start(order) => {
-                let (endpoints, key, task, run) =
-                    (self.platform.endpoints().clone(), order.endpoint, order.task, order.run);
+                let (endpoints, key, task, run) = (
+                    self.platform.endpoints().clone(),
+                    order.endpoint,
+                    order.task,
+                    order.run,
+                );
                 self.run(term, async move {
                     let answer = endpoints.start(order).await;
                     Event::Started {
@@ -137,8 +141,12 @@
                 });
             }
             Action::Stop(order) => {
-                let (endpoints, key, task, run) =
-                    (self.platform.endpoints().clone(), order.endpoint, order.task, order.run);
+                let (endpoints, key, task, run) = (
+                    self.platform.endpoints().clone(),
+                    order.endpoint,
+                    order.task,
+                    order.run,
+                );
                 self.run(term, async move {
                     let answer = endpoints.stop(order).await;
                     Event::Stopped {
@@ -209,7 +217,10 @@
         if !sent {
             let answer = AdviceAnswer::Failed;
             // A full queue only delays the retry until the call's deadline.
-            drop(self.sender.try_send(ControlEvent::Advised { number, answer }));
+            drop(
+                self.sender
+                    .try_send(ControlEvent::Advised { number, answer }),
+            );
         }
     }
 
@@ -337,9 +348,15 @@
                 to: ReplyTo { node: id, number },
                 request,
             }),
-            ControlEvent::Advised { number, answer } => self.feed(Event::Advised { number, answer }),
+            ControlEvent::Advised { number, answer } => {
+                self.feed(Event::Advised { number, answer });
+            }
             ControlEvent::Done { term, event } => {
-                if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
+                if self
+                    .planner
+                    .as_ref()
+                    .is_some_and(|planner| planner.term() == term)
+                {
                     self.feed(event);
                 }
             }
--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -35,7 +35,11 @@
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         waiting.insert(number, ask.answer);
         let request = Box::new(ask.request);
-        if self.queue.try_send(ToHolder::Request { number, request }).is_ok() {
+        if self
+            .queue
+            .try_send(ToHolder::Request { number, request })
+            .is_ok()
+        {
             return true;
         }
         waiting.remove(&number);
@@ -135,7 +139,9 @@
             DialError::Failed(error.to_string())
         }
     })?;
-    stream.set_nodelay(true).map_err(|error| DialError::Failed(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| DialError::Failed(error.to_string()))?;
     let url = format!("ws://{address}/link");
     let (socket, _) = tokio_tungstenite::client_async(url, stream)
         .await
--- a/crates/chervilfall_node/src/link/frames.rs
+++ b/crates/chervilfall_node/src/link/frames.rs
@@ -44,7 +44,9 @@
     silence: Duration,
 ) -> Result<T, LinkEnd> {
     loop {
-        let next = timeout(silence, stream.next()).await.map_err(|_| LinkEnd::Silent)?;
+        let next = timeout(silence, stream.next())
+            .await
+            .map_err(|_| LinkEnd::Silent)?;
         let message = next.ok_or(LinkEnd::Closed)?;
         match message.map_err(|error| LinkEnd::Broken(error.to_string()))? {
             Message::Binary(bytes) => {
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -54,14 +54,18 @@
 ) -> Result<(), LinkEnd> {
     let silence = Duration::from_millis(timings.silence_ms);
     let broken = |error: String| LinkEnd::Broken(error);
-    stream.set_nodelay(true).map_err(|error| broken(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| broken(error.to_string()))?;
     let accepted = timeout(silence, tokio_tungstenite::accept_async(stream)).await;
     let socket = accepted
         .map_err(|_| LinkEnd::Silent)?
         .map_err(|error| broken(error.to_string()))?;
     let (sink, mut stream) = socket.split();
     let ToHolder::Hello { node } = read(&mut stream, silence).await? else {
-        return Err(LinkEnd::Malformed("the first message names no node".to_owned()));
+        return Err(LinkEnd::Malformed(
+            "the first message names no node".to_owned(),
+        ));
     };
     let id: NodeId = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let (queue, receiver) = mpsc::channel(QUEUE);
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -66,7 +66,11 @@
         let timings = settings.timings.clone();
         let (control, receiver) = mpsc::channel(CONTROL_QUEUE);
         let leadership = Arc::new(LeadershipState::new());
-        let front = Arc::new(Front::new(Arc::clone(&leadership), control.clone(), timings.clone()));
+        let front = Arc::new(Front::new(
+            Arc::clone(&leadership),
+            control.clone(),
+            timings.clone(),
+        ));
         let limits = Limits {
             lease_max_ms: settings.lease_max_ms,
             status_ms: settings.status_s * 1_000 + 30_000,
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -3,8 +3,8 @@
 use std::future::Future;
 
 use chervilfall_planner::{
-    AdviceAnswer, AdviceOrder, Batch, CommitOutcome, EndpointEntry, HoldAnswer, HoldOrder, Millis, RowVersion,
-    StartAnswer, StartOrder, StopAnswer, StopOrder,
+    AdviceAnswer, AdviceOrder, Batch, CommitOutcome, EndpointEntry, HoldAnswer, HoldOrder, Millis,
+    RowVersion, StartAnswer, StartOrder, StopAnswer, StopOrder,
 };
 
 use crate::routes::RouteTable;
@@ -55,7 +55,8 @@
     ) -> impl Future<Output = Result<(Option<Row>, Millis), StoreError>> + Send;
 
     /// Reads the list of endpoints.
-    fn read_endpoints(&self) -> impl Future<Output = Result<Vec<EndpointEntry>, StoreError>> + Send;
+    fn read_endpoints(&self)
+        -> impl Future<Output = Result<Vec<EndpointEntry>, StoreError>> + Send;
 
     /// Reads the configuration in force if it is newer than `known`.
     fn read_configuration(
--- a/crates/chervilfall_node/src/routes.rs
+++ b/crates/chervilfall_node/src/routes.rs
@@ -46,7 +46,9 @@
         Configuration {
             version: self.version,
             queues: queues.map(|queue| (queue.name.clone(), queue)).collect(),
-            services: services.map(|service| (service.name.clone(), service)).collect(),
+            services: services
+                .map(|service| (service.name.clone(), service))
+                .collect(),
         }
     }
 }
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -162,15 +162,24 @@
             return Err(field("node".to_owned(), "must not be empty".to_owned()));
         }
         if !(0.001..=1_000.0).contains(&settings.cpu_cores) {
-            return Err(field("cpu_cores".to_owned(), "must be between 0.001 and 1000".to_owned()));
+            return Err(field(
+                "cpu_cores".to_owned(),
+                "must be between 0.001 and 1000".to_owned(),
+            ));
         }
         let timings = &settings.timings;
         if timings.silence_ms <= 2 * timings.heartbeat_ms {
-            let cause = format!("must exceed twice heartbeat_ms, which is {}", timings.heartbeat_ms);
+            let cause = format!(
+                "must exceed twice heartbeat_ms, which is {}",
+                timings.heartbeat_ms
+            );
             return Err(field("timings.silence_ms".to_owned(), cause));
         }
         if timings.tick_ms == 0 {
-            return Err(field("timings.tick_ms".to_owned(), "must be at least 1".to_owned()));
+            return Err(field(
+                "timings.tick_ms".to_owned(),
+                "must be at least 1".to_owned(),
+            ));
         }
         Ok(settings)
     }
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use chervilfall_planner::{
-    Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, JobId, JobRow, ProgressRow, RosterEntry,
-    RowVersion, Stored,
+    Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, JobId, JobRow, ProgressRow,
+    RosterEntry, RowVersion, Stored,
 };
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -83,11 +83,13 @@
             dependency.note(&read);
             if let Ok(reading) = read {
                 let refused = refused_ms.is_some_and(|at| now_ms().saturating_sub(at) < REFUSED_MS);
-                self.consider(&mut candidate, &mut dialing, reading, refused, took_ms).await;
+                self.consider(&mut candidate, &mut dialing, reading, refused, took_ms)
+                    .await;
             }
             let jitter = rand::rng().random_range(0..=poll.as_millis() / 2);
             let jitter = u64::try_from(jitter).unwrap_or(0);
-            self.wait_for_trouble(poll / 2 + Duration::from_millis(jitter)).await;
+            self.wait_for_trouble(poll / 2 + Duration::from_millis(jitter))
+                .await;
         }
     }
 
@@ -111,7 +113,10 @@
     }
 
     async fn end_of_dialing(&self, dialing: &mut Option<Dialing>) -> Option<DialError> {
-        if !dialing.as_ref().is_some_and(|dialing| dialing.task.is_finished()) {
+        if !dialing
+            .as_ref()
+            .is_some_and(|dialing| dialing.task.is_finished())
+        {
             return None;
         }
         let ended = dialing.take()?;
@@ -121,7 +126,11 @@
     }
 
     async fn read_claim(&self) -> Result<ClaimReading, StoreError> {
-        let (row, store_ms) = self.platform.store().read_row(&self.group, "claims", "holder").await?;
+        let (row, store_ms) = self
+            .platform
+            .store()
+            .read_row(&self.group, "claims", "holder")
+            .await?;
         let Some(row) = row else {
             return Ok(ClaimReading {
                 version: 0,
@@ -129,7 +138,8 @@
                 row: None,
             });
         };
-        let holder = HolderRow::decode(&row.value).map_err(|error| StoreError::Malformed(error.to_string()))?;
+        let holder = HolderRow::decode(&row.value)
+            .map_err(|error| StoreError::Malformed(error.to_string()))?;
         Ok(ClaimReading {
             version: row.version,
             store_ms,
@@ -146,10 +156,20 @@
         took_ms: u64,
     ) {
         let timings = &self.settings.timings;
-        let stall_ms = if refused { timings.refused_stall_ms } else { timings.stall_ms };
+        let stall_ms = if refused {
+            timings.refused_stall_ms
+        } else {
+            timings.stall_ms
+        };
         // A store that is slow to answer is slow to take the holder's commits as well.
         let stall_ms = stall_ms + SLOW_STORE_FACTOR * took_ms;
-        match candidate.observe(now_ms(), reading.store_ms, reading.version, reading.row, stall_ms) {
+        match candidate.observe(
+            now_ms(),
+            reading.store_ms,
+            reading.version,
+            reading.row,
+            stall_ms,
+        ) {
             CandidateMove::Follow(holder) => self.follow(dialing, holder),
             CandidateMove::Wait => {}
             CandidateMove::Claim(batch, row) => {
@@ -183,10 +203,14 @@
             return;
         };
         let (settings, front) = (Arc::clone(&self.settings), Arc::clone(&self.front));
-        let (leadership, advisor) = (Arc::clone(&self.leadership), self.platform.advisor().clone());
-        let task = tokio::spawn(async move {
-            dial(address, &settings, &front, &leadership, &advisor).await
-        });
+        let (leadership, advisor) = (
+            Arc::clone(&self.leadership),
+            self.platform.advisor().clone(),
+        );
+        let task =
+            tokio::spawn(
+                async move { dial(address, &settings, &front, &leadership, &advisor).await },
+            );
         *dialing = Some(Dialing { row: holder, task });
     }
 
@@ -212,7 +236,9 @@
                     // The control thread ends with the process only.
                     drop(self.control.send(event).await);
                     // The control thread says when it has taken over; until then nothing is claimed.
-                    let held = self.leadership.wait_until(|leadership| matches!(leadership, Leadership::Local));
+                    let held = self
+                        .leadership
+                        .wait_until(|leadership| matches!(leadership, Leadership::Local));
                     drop(tokio::time::timeout(Duration::from_secs(1), held).await);
                     return;
                 }
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -41,7 +41,9 @@
 }
 
 async fn put_in_force(table: RouteTable, front: &Front, control: &mpsc::Sender<ControlEvent>) {
-    let older = front.routes().is_some_and(|current| current.version > table.version);
+    let older = front
+        .routes()
+        .is_some_and(|current| current.version > table.version);
     if older {
         log::warn!(version = table.version; "older configuration ignored");
         return;
--- a/crates/chervilfall_node/src/watch/endpoints.rs
+++ b/crates/chervilfall_node/src/watch/endpoints.rs
@@ -19,7 +19,9 @@
 ) {
     let mut dependency = Dependency::new("endpoint list");
     loop {
-        let held = leadership.wait_until(|leadership| matches!(leadership, Leadership::Local)).await;
+        let held = leadership
+            .wait_until(|leadership| matches!(leadership, Leadership::Local))
+            .await;
         if held.is_none() {
             return;
         }
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -163,12 +163,20 @@
             }
             Some(holder) => {
                 let own = self.is_own(&holder);
-                let deference_ms = if own { 0 } else { self.deference_ms(holder.cpu_permille) };
+                let deference_ms = if own {
+                    0
+                } else {
+                    self.deference_ms(holder.cpu_permille)
+                };
                 let stall_ms = stall_ms + deference_ms;
                 let free = own || (holder.released && now.saturating_sub(first_ms) >= deference_ms);
                 let seen_still_ms = now.saturating_sub(first_ms);
                 let written_ms = holder.written_store_ms;
-                let said_still_ms = if written_ms == 0 { 0 } else { store_ms.saturating_sub(written_ms) };
+                let said_still_ms = if written_ms == 0 {
+                    0
+                } else {
+                    store_ms.saturating_sub(written_ms)
+                };
                 if free || seen_still_ms.max(said_still_ms) >= stall_ms {
                     return self.claim(holder.term, version);
                 }
@@ -217,7 +225,9 @@
             predecessor_seen_ms: predecessor.map(|seen| seen.first_ms),
             predecessor_gone_ms: predecessor
                 .and_then(|seen| seen.row.as_ref())
-                .filter(|holder| self.is_own(holder) && holder.incarnation != self.identity.incarnation)
+                .filter(|holder| {
+                    self.is_own(holder) && holder.incarnation != self.identity.incarnation
+                })
                 .map(|_| self.identity.started_ms),
         }
     }
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -95,7 +95,10 @@
             (self.gpus, need.gpus),
         ];
         let counts = parts.into_iter().filter(|(_, need)| *need > 0);
-        counts.map(|(have, need)| have / need).min().unwrap_or(u32::MAX)
+        counts
+            .map(|(have, need)| have / need)
+            .min()
+            .unwrap_or(u32::MAX)
     }
 }
 
@@ -190,7 +193,9 @@
 
     /// Takes a reading of its clock.
     pub(crate) fn read_clock(&mut self, now: Millis, theirs_ms: Millis) {
-        let newer = self.reading.is_none_or(|reading| theirs_ms >= reading.theirs_ms);
+        let newer = self
+            .reading
+            .is_none_or(|reading| theirs_ms >= reading.theirs_ms);
         if newer {
             self.reading = Some(Reading {
                 theirs_ms,
@@ -201,7 +206,12 @@
 
     /// Returns the lease to ask for: `lease_ms` from now, but no further than `bound_ms` on our
     /// clock. None while its clock is unknown or the bound has passed.
-    pub(crate) fn lease(&mut self, now: Millis, lease_ms: Millis, bound_ms: Millis) -> Option<Millis> {
+    pub(crate) fn lease(
+        &mut self,
+        now: Millis,
+        lease_ms: Millis,
+        bound_ms: Millis,
+    ) -> Option<Millis> {
         let reading = self.reading?;
         let left_ms = bound_ms.checked_sub(now)?.min(lease_ms);
         let until_ms = reading.theirs_ms + now.saturating_sub(reading.received_ms) + left_ms;
@@ -224,11 +234,13 @@
         };
         let passed_ms = now.saturating_sub(reading.received_ms);
         let slow_ms = passed_ms * limits.drift_permille / 1_000 + 1;
-        reading.theirs_ms + passed_ms - slow_ms.min(passed_ms) > self.granted_ms + limits.clock_slack_ms / 3
+        reading.theirs_ms + passed_ms - slow_ms.min(passed_ms)
+            > self.granted_ms + limits.clock_slack_ms / 3
     }
 
     pub(crate) fn silent_for(&self, now: Millis) -> Millis {
-        self.heard_ms.map_or(Millis::MAX, |heard| now.saturating_sub(heard))
+        self.heard_ms
+            .map_or(Millis::MAX, |heard| now.saturating_sub(heard))
     }
 
     /// Returns whether it can be given new work.
--- a/crates/chervilfall_planner/src/ids.rs
+++ b/crates/chervilfall_planner/src/ids.rs
@@ -20,7 +20,9 @@
 
 /// A text that is no job's name.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("a job's name has 16 lower-case hexadecimal digits, this has {0} bytes or other characters")]
+#[error(
+    "a job's name has 16 lower-case hexadecimal digits, this has {0} bytes or other characters"
+)]
 pub struct InvalidJobId(usize);
 
 /// Digits of a job's name.
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -81,7 +81,10 @@
     pub fn chain_ms(&self) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
-            let earlier = step.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
+            let earlier = step
+                .after
+                .iter()
+                .filter_map(|earlier| ends.get(usize::from(*earlier)));
             let begin = earlier.max().copied().unwrap_or(0);
             ends.push(begin + step.estimate_ms);
         }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -20,15 +20,16 @@
 mod tasks;
 
 pub use action::{
-    Action, AdviceOrder, Answer, HoldOrder, JobState, ReplyTo, StartOrder, StepDownReason, StopOrder,
+    Action, AdviceOrder, Answer, HoldOrder, JobState, ReplyTo, StartOrder, StepDownReason,
+    StopOrder,
 };
 pub use commit::{Batch, CommitOutcome, RowChange, RowKey};
 pub use config::{AdviceTerms, Configuration, Queue, QueueName, Service, ServiceName};
 pub use election::{Candidate, CandidateMove, HolderRow, Identity, Takeover};
 pub use endpoint::{EndpointEntry, EndpointKey};
 pub use event::{
-    AdviceAnswer, EndedRun, Event, HoldAnswer, HoldReport, How, NodeId, Refusal, Request, RunningRun,
-    StartAnswer, StopAnswer, Ticket,
+    AdviceAnswer, EndedRun, Event, HoldAnswer, HoldReport, How, NodeId, Refusal, Request,
+    RunningRun, StartAnswer, StopAnswer, Ticket,
 };
 pub use ids::{EndpointId, Fence, InvalidJobId, JobId, Millis, RowVersion, Run, TaskKey};
 pub use job::{JobSpec, Step};
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -68,7 +68,11 @@
         let Some(node) = self.idle_node(slow) else {
             return false;
         };
-        let Some(progress) = self.jobs.get_mut(&step.job).and_then(|job| job.step_progress_mut(step)) else {
+        let Some(progress) = self
+            .jobs
+            .get_mut(&step.job)
+            .and_then(|job| job.step_progress_mut(step))
+        else {
             return false;
         };
         if progress.advice.asking.is_some() || keys.is_empty() {
@@ -109,7 +113,10 @@
     }
 
     pub(super) fn check_advice(&mut self) {
-        let late = self.advice_calls.iter().filter(|(_, call)| self.now >= call.deadline_ms);
+        let late = self
+            .advice_calls
+            .iter()
+            .filter(|(_, call)| self.now >= call.deadline_ms);
         let late: Vec<u64> = late.map(|(number, _)| *number).collect();
         for number in late {
             self.advised(number, AdviceAnswer::Failed);
@@ -121,7 +128,10 @@
             return;
         };
         let took_ms = self.now.saturating_sub(call.sent_ms);
-        let progress = self.jobs.get_mut(&call.step.job).and_then(|job| job.step_progress_mut(call.step));
+        let progress = self
+            .jobs
+            .get_mut(&call.step.job)
+            .and_then(|job| job.step_progress_mut(call.step));
         let Some(progress) = progress else {
             return;
         };
@@ -137,7 +147,8 @@
         );
         // A ticket counts from some moment after the call was sent; the latest safe reading is that
         // moment's earliest: when the service can have begun to answer, shortly before now.
-        let valid_until_ms = self.now + call.valid_ms - self.limits.ticket_margin_ms.min(call.valid_ms);
+        let valid_until_ms =
+            self.now + call.valid_ms - self.limits.ticket_margin_ms.min(call.valid_ms);
         for id in &call.endpoints {
             if let Some(key) = self.endpoint_keys.get(id) {
                 progress.advice.learn(*key, Permission::Denied);
@@ -145,7 +156,9 @@
         }
         for (id, ticket) in granted {
             if let Some(key) = self.endpoint_keys.get(&id) {
-                progress.advice.learn(*key, Permission::Granted(ticket, valid_until_ms));
+                progress
+                    .advice
+                    .learn(*key, Permission::Granted(ticket, valid_until_ms));
             }
         }
         self.schedule_due = true;
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -26,7 +26,9 @@
             from_ms + lease_ms + slow_ms + limits.clock_slack_ms
         };
         let covered = lapse(seen_ms, limits.claim_cover_ms);
-        let gone = takeover.predecessor_gone_ms.map(|gone_ms| lapse(gone_ms, limits.lease_ms));
+        let gone = takeover
+            .predecessor_gone_ms
+            .map(|gone_ms| lapse(gone_ms, limits.lease_ms));
         Some(Self {
             lapse_ms: gone.map_or(covered, |gone| gone.min(covered)),
             missing: BTreeSet::new(),
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -138,7 +138,9 @@
 
     /// Returns the store's clock as far as it is known, else 0.
     fn store_now_ms(&self) -> Millis {
-        self.store_clock.map_or(0, |(theirs_ms, at_ms)| theirs_ms + self.now.saturating_sub(at_ms))
+        self.store_clock.map_or(0, |(theirs_ms, at_ms)| {
+            theirs_ms + self.now.saturating_sub(at_ms)
+        })
     }
 
     fn add_new_jobs(&mut self, builder: &mut Builder) {
@@ -199,7 +201,8 @@
             return;
         }
         flight.awaited = flight.awaited.saturating_sub(1);
-        if let (CommitOutcome::Stored { .. }, Some(sent_ms)) = (&outcome, flight.sent_ms.get(copy)) {
+        if let (CommitOutcome::Stored { .. }, Some(sent_ms)) = (&outcome, flight.sent_ms.get(copy))
+        {
             let took_ms = self.now.saturating_sub(*sent_ms);
             self.commit_took_ms = took_ms.max(self.commit_took_ms * 3 / 4);
         }
@@ -332,7 +335,8 @@
 
     fn put(&mut self, table: &'static str, key: String, value: Vec<u8>) {
         self.bytes = self.bytes.saturating_sub(value.len());
-        self.changes.push(RowChange::Put(RowKey { table, key }, value));
+        self.changes
+            .push(RowChange::Put(RowKey { table, key }, value));
     }
 
     fn remove(&mut self, table: &'static str, id: JobId) {
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -108,18 +108,23 @@
             }
             // An endpoint that does not answer is granted nothing more, so that its leases lapse.
             let silent = endpoint.missed || endpoint.silent_for(now) > self.limits.silent_ms;
-            let until_ms = if silent { None } else { endpoint.lease(now, lease_ms, bound_ms) };
+            let until_ms = if silent {
+                None
+            } else {
+                endpoint.lease(now, lease_ms, bound_ms)
+            };
             let settling = endpoint
                 .placed
                 .values()
                 .any(|placed| matches!(placed.phase, RunPhase::Stopping { .. }));
-            let wait_ms = if silent || !endpoint.contacted || endpoint.taken_in > endpoint.acknowledged {
-                0
-            } else if settling {
-                SETTLE_WAIT_MS
-            } else {
-                self.limits.hold_wait_ms
-            };
+            let wait_ms =
+                if silent || !endpoint.contacted || endpoint.taken_in > endpoint.acknowledged {
+                    0
+                } else if settling {
+                    SETTLE_WAIT_MS
+                } else {
+                    self.limits.hold_wait_ms
+                };
             endpoint.hold_sent_ms = Some(now);
             self.actions.push(Action::Hold(HoldOrder {
                 endpoint: key,
@@ -141,7 +146,7 @@
         };
         endpoint.hold_sent_ms = None;
         match answer {
-            HoldAnswer::Report(report) => self.take_report(key, sent_ms, report),
+            HoldAnswer::Report(report) => self.take_report(key, sent_ms, &report),
             HoldAnswer::Fenced => self.step_down(StepDownReason::Fenced),
             HoldAnswer::OtherIncarnation => self.incarnation_over(key),
             HoldAnswer::Refused | HoldAnswer::Unanswered => {
@@ -151,7 +156,7 @@
         }
     }
 
-    fn take_report(&mut self, key: EndpointKey, sent_ms: Millis, report: HoldReport) {
+    fn take_report(&mut self, key: EndpointKey, sent_ms: Millis, report: &HoldReport) {
         let now = self.now;
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
@@ -183,11 +188,15 @@
         }
         let pending = endpoint.taken_in > endpoint.acknowledged;
         // The next hold follows the commit that stores the ends, or renews the lease meanwhile.
-        endpoint.next_hold_ms = if pending { now + self.limits.hold_retry_ms } else { now };
+        endpoint.next_hold_ms = if pending {
+            now + self.limits.hold_retry_ms
+        } else {
+            now
+        };
         for running in &report.running {
             self.take_running(key, running);
         }
-        self.settle_absent(key, sent_ms, &report);
+        self.settle_absent(key, sent_ms, report);
         self.pass_barrier(key);
     }
 
@@ -217,7 +226,8 @@
         let task = running.task;
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task)).map(|task| task.state);
-        let wanted = job.is_some_and(|job| job.outcome.is_none()) && state == Some(TaskState::Waiting);
+        let wanted =
+            job.is_some_and(|job| job.outcome.is_none()) && state == Some(TaskState::Waiting);
         let step = job.and_then(|job| job.spec.steps.get(task.step as usize));
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
@@ -281,8 +291,11 @@
         let Some(endpoint) = self.endpoints.get(key) else {
             return;
         };
-        let listed: BTreeSet<(TaskKey, Run)> =
-            report.running.iter().map(|running| (running.task, running.run)).collect();
+        let listed: BTreeSet<(TaskKey, Run)> = report
+            .running
+            .iter()
+            .map(|running| (running.task, running.run))
+            .collect();
         let absent = endpoint.placed.iter().filter(|(task, placed)| {
             let since_ms = match placed.phase {
                 RunPhase::Starting => None,
@@ -292,7 +305,8 @@
             since_ms.is_some_and(|since_ms| since_ms < sent_ms)
                 && !listed.contains(&(**task, placed.run))
         });
-        let absent: Vec<(TaskKey, Run)> = absent.map(|(task, placed)| (*task, placed.run)).collect();
+        let absent: Vec<(TaskKey, Run)> =
+            absent.map(|(task, placed)| (*task, placed.run)).collect();
         for (task, run) in absent {
             log::info!(task:% = task, run = run, endpoint:% = self.endpoints[key].entry.id; "run is not there");
             self.free(key, task);
@@ -352,8 +366,11 @@
             return;
         };
         endpoint.over = true;
-        let placed: Vec<(TaskKey, Run)> =
-            endpoint.placed.iter().map(|(task, placed)| (*task, placed.run)).collect();
+        let placed: Vec<(TaskKey, Run)> = endpoint
+            .placed
+            .iter()
+            .map(|(task, placed)| (*task, placed.run))
+            .collect();
         for (task, run) in placed {
             self.free(key, task);
             self.requeue(task, key, run);
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -54,7 +54,11 @@
             return;
         };
         let over = job.outcome.is_some();
-        let gang = job.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
+        let gang = job
+            .spec
+            .steps
+            .get(task.step as usize)
+            .is_some_and(|step| step.gang);
         let Some(progress) = job.step_progress_mut(key) else {
             return;
         };
@@ -79,7 +83,11 @@
 
     /// Withdraws what is left of a gang's run, so that it can start anew as a whole.
     pub(super) fn abort_gang(&mut self, key: StepKey) {
-        let Some(progress) = self.jobs.get_mut(&key.job).and_then(|job| job.step_progress_mut(key)) else {
+        let Some(progress) = self
+            .jobs
+            .get_mut(&key.job)
+            .and_then(|job| job.step_progress_mut(key))
+        else {
             return;
         };
         if progress.aborting {
@@ -197,9 +205,11 @@
 }
 
 fn placed_members(progress: &StepProgress, key: StepKey) -> Vec<(EndpointKey, TaskKey, Run)> {
-    let members = (0_u32..).zip(&progress.tasks).filter_map(|(index, task)| match task.state {
-        TaskState::Placed(endpoint, run) => Some((endpoint, key.task(index), run)),
-        TaskState::Waiting | TaskState::Done => None,
-    });
+    let members = (0_u32..)
+        .zip(&progress.tasks)
+        .filter_map(|(index, task)| match task.state {
+            TaskState::Placed(endpoint, run) => Some((endpoint, key.task(index), run)),
+            TaskState::Waiting | TaskState::Done => None,
+        });
     members.collect()
 }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -3,8 +3,8 @@
 mod advise;
 mod barrier;
 mod commits;
-mod ends;
 mod endpoints;
+mod ends;
 mod orders;
 mod requests;
 mod schedule;
@@ -270,7 +270,9 @@
             let answer = if in_flight || job.stored {
                 Answer::Undecided
             } else {
-                Answer::Refused { retry_ms: requests::RETRY_MS }
+                Answer::Refused {
+                    retry_ms: requests::RETRY_MS,
+                }
             };
             for to in &job.submitters {
                 self.actions.push(Action::Reply { to: *to, answer });
@@ -345,14 +347,19 @@
         if job.outcome.is_some() || !job.stored || progress.waiting() == 0 {
             return;
         }
-        let after = job.spec.steps.get(key.step as usize).map(|step| &step.after);
+        let after = job
+            .spec
+            .steps
+            .get(key.step as usize)
+            .map(|step| &step.after);
         let ready = after.is_some_and(|after| {
             after.iter().all(|earlier| {
                 let earlier = StepKey {
                     step: *earlier,
                     ..key
                 };
-                job.step_progress(earlier).is_some_and(|step| step.complete())
+                job.step_progress(earlier)
+                    .is_some_and(super::tasks::StepProgress::complete)
             })
         });
         if ready {
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -16,11 +16,19 @@
     }
 
     /// Orders a start. Returns false if no lease can be granted.
-    pub(super) fn start(&mut self, key: EndpointKey, task: TaskKey, run: Run, ticket: Option<Ticket>) -> bool {
+    pub(super) fn start(
+        &mut self,
+        key: EndpointKey,
+        task: TaskKey,
+        run: Run,
+        ticket: Option<Ticket>,
+    ) -> bool {
         let bound_ms = self.cover_until_ms();
         let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
         let (now, fence) = (self.now, self.fence);
-        let (Some(job), Some(endpoint)) = (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key)) else {
+        let (Some(job), Some(endpoint)) =
+            (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key))
+        else {
             return false;
         };
         let Some(step) = job.spec.steps.get(task.step as usize) else {
@@ -71,11 +79,21 @@
         true
     }
 
-    pub(super) fn started(&mut self, key: EndpointKey, task: TaskKey, run: Run, answer: &StartAnswer) {
+    pub(super) fn started(
+        &mut self,
+        key: EndpointKey,
+        task: TaskKey,
+        run: Run,
+        answer: &StartAnswer,
+    ) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
-        let Some(placed) = endpoint.placed.get_mut(&task).filter(|placed| placed.run == run) else {
+        let Some(placed) = endpoint
+            .placed
+            .get_mut(&task)
+            .filter(|placed| placed.run == run)
+        else {
             return;
         };
         match answer {
@@ -132,7 +150,11 @@
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
-        let Some(placed) = endpoint.placed.get_mut(&task).filter(|placed| placed.run == run) else {
+        let Some(placed) = endpoint
+            .placed
+            .get_mut(&task)
+            .filter(|placed| placed.run == run)
+        else {
             return;
         };
         if matches!(placed.phase, RunPhase::Stopping { .. }) {
@@ -173,12 +195,22 @@
         }
     }
 
-    pub(super) fn stopped(&mut self, key: EndpointKey, task: TaskKey, run: Run, answer: &StopAnswer) {
+    pub(super) fn stopped(
+        &mut self,
+        key: EndpointKey,
+        task: TaskKey,
+        run: Run,
+        answer: &StopAnswer,
+    ) {
         let now = self.now;
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
-        let Some(placed) = endpoint.placed.get_mut(&task).filter(|placed| placed.run == run) else {
+        let Some(placed) = endpoint
+            .placed
+            .get_mut(&task)
+            .filter(|placed| placed.run == run)
+        else {
             return;
         };
         match answer {
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -47,7 +47,12 @@
             return;
         }
         let row = JobRow {
-            queue: self.config.queues.get(&queue.name).cloned().unwrap_or(queue),
+            queue: self
+                .config
+                .queues
+                .get(&queue.name)
+                .cloned()
+                .unwrap_or(queue),
             spec,
             accepted_unix_ms: self.unix_ms,
         };
@@ -139,7 +144,12 @@
         self.unsaved.progress.insert(id);
         self.finished.push_back((self.now, id));
         let rank = crate::policy::order::rank(&self.jobs[&id]);
-        let keys: Vec<_> = self.open.iter().filter(|(_, key)| key.job == id).map(|(_, key)| *key).collect();
+        let keys: Vec<_> = self
+            .open
+            .iter()
+            .filter(|(_, key)| key.job == id)
+            .map(|(_, key)| *key)
+            .collect();
         for key in keys {
             self.open.remove(&(rank, key));
         }
@@ -155,7 +165,12 @@
             for (step, progress) in (0_u16..).zip(steps) {
                 for (index, task) in (0_u32..).zip(&progress.tasks) {
                     if let TaskState::Placed(endpoint, run) = task.state {
-                        let key = crate::ids::TaskKey { job: id, occurrence: *occurrence, step, index };
+                        let key = crate::ids::TaskKey {
+                            job: id,
+                            occurrence: *occurrence,
+                            step,
+                            index,
+                        };
                         placed.push((endpoint, key, run));
                     }
                 }
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -89,7 +89,13 @@
         let advice = job.queue.advice;
         let blocked = job.inherited && self.barrier.is_some();
         let placeable = !blocked && (advice.is_none() || progress.advice.any_ticket(self.now));
-        let idle = advice.is_some_and(|terms| if terms.is_slow() { pass.slow_idle } else { pass.fast_idle });
+        let idle = advice.is_some_and(|terms| {
+            if terms.is_slow() {
+                pass.slow_idle
+            } else {
+                pass.fast_idle
+            }
+        });
         let askable = idle && progress.advice.asking.is_none();
         if !placeable && !askable {
             return;
@@ -110,7 +116,11 @@
 
     /// Returns the endpoints that the step may use now.
     fn offers(&self, pass: &Pass, key: StepKey, wanted: &Wanted) -> Vec<Offer> {
-        let Some(progress) = self.jobs.get(&key.job).and_then(|job| job.step_progress(key)) else {
+        let Some(progress) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step_progress(key))
+        else {
             return Vec::new();
         };
         let Some(pool) = pass.pools.get(&wanted.service) else {
@@ -147,11 +157,19 @@
         }
         let mut most = endpoint.most(self.now);
         if step.max_per_endpoint > 0 {
-            let there = endpoint.placed.range(key.task(0)..=key.task(u32::MAX)).count();
-            let left = step.max_per_endpoint.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX));
+            let there = endpoint
+                .placed
+                .range(key.task(0)..=key.task(u32::MAX))
+                .count();
+            let left = step
+                .max_per_endpoint
+                .saturating_sub(u32::try_from(there).unwrap_or(u32::MAX));
             most = most.min(left);
         }
-        let near = step.affinity.as_ref().is_none_or(|rack| endpoint.entry.rack.as_ref() == Some(rack));
+        let near = step
+            .affinity
+            .as_ref()
+            .is_none_or(|rack| endpoint.entry.rack.as_ref() == Some(rack));
         Some(Offer {
             endpoint: endpoint_key,
             free: endpoint.free(),
@@ -165,7 +183,11 @@
         let step = &wanted.step;
         let need = Room::of_step(step);
         let mut offers = self.offers(pass, key, wanted);
-        let Some(progress) = self.jobs.get(&key.job).and_then(|job| job.step_progress(key)) else {
+        let Some(progress) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step_progress(key))
+        else {
             return;
         };
         let waiting = progress.waiting();
@@ -199,21 +221,29 @@
             .jobs
             .get(&key.job)
             .and_then(|job| job.step_progress(key))
-            .map_or(0, |progress| progress.waiting());
+            .map_or(0, super::super::tasks::StepProgress::waiting);
         if left == 0 {
             self.close_step(key);
         }
     }
 
     /// Picks endpoints for a gang: on one rack if that matters and is possible.
-    fn pick_gang(&self, step: &Step, offers: &mut [Offer], need: Room, count: u32) -> Vec<EndpointKey> {
+    fn pick_gang(
+        &self,
+        step: &Step,
+        offers: &mut [Offer],
+        need: Room,
+        count: u32,
+    ) -> Vec<EndpointKey> {
         if step.same_rack {
             let mut racks: BTreeMap<Option<&String>, Vec<Offer>> = BTreeMap::new();
             for offer in offers.iter() {
                 let rack = self.endpoints[offer.endpoint].entry.rack.as_ref();
                 racks.entry(rack).or_default().push(offer.clone());
             }
-            let picks = racks.values_mut().find_map(|offers| pick_all(offers, need, count));
+            let picks = racks
+                .values_mut()
+                .find_map(|offers| pick_all(offers, need, count));
             if let Some(picks) = picks {
                 return picks;
             }
@@ -223,10 +253,19 @@
 
     /// All members of a gang resume from the same checkpoint.
     fn share_checkpoint(&mut self, key: StepKey) {
-        let Some(progress) = self.jobs.get_mut(&key.job).and_then(|job| job.step_progress_mut(key)) else {
+        let Some(progress) = self
+            .jobs
+            .get_mut(&key.job)
+            .and_then(|job| job.step_progress_mut(key))
+        else {
             return;
         };
-        let newest = progress.tasks.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
+        let newest = progress
+            .tasks
+            .iter()
+            .map(|task| task.checkpoint.clone())
+            .max()
+            .unwrap_or_default();
         for task in &mut progress.tasks {
             task.checkpoint.clone_from(&newest);
         }
@@ -238,7 +277,11 @@
         let (Some(terms), Some(pool)) = (wanted.advice, pass.pools.get(&wanted.service)) else {
             return false;
         };
-        let Some(progress) = self.jobs.get(&key.job).and_then(|job| job.step_progress(key)) else {
+        let Some(progress) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step_progress(key))
+        else {
             return false;
         };
         let waiting = progress.waiting();
@@ -246,13 +289,21 @@
             return false;
         }
         let need = Room::of_step(&wanted.step);
-        let enough = if wanted.step.gang { u64::from(waiting) } else { 1 };
+        let enough = if wanted.step.gang {
+            u64::from(waiting)
+        } else {
+            1
+        };
         let usable = self.allowed_with_room(pool, &progress.advice, need);
         let fits = |keys: &[EndpointKey]| -> u64 {
-            keys.iter().map(|key| u64::from(self.endpoints[*key].free().fits(need))).sum()
+            keys.iter()
+                .map(|key| u64::from(self.endpoints[*key].free().fits(need)))
+                .sum()
         };
         if fits(&usable) >= enough {
-            let stale = usable.iter().any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
+            let stale = usable
+                .iter()
+                .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
             return stale && self.ask(key, terms, &usable);
         }
         let unknown = self.unknown_by_room(pool, &progress.advice, need);
@@ -262,17 +313,31 @@
     }
 
     /// Returns the endpoints that may run the step and have room for a task of it.
-    fn allowed_with_room(&self, pool: &[EndpointKey], advice: &Advice, need: Room) -> Vec<EndpointKey> {
+    fn allowed_with_room(
+        &self,
+        pool: &[EndpointKey],
+        advice: &Advice,
+        need: Room,
+    ) -> Vec<EndpointKey> {
         let allowed = pool.iter().filter(|key| advice.allowed(**key));
-        allowed.filter(|key| self.endpoints[**key].free().holds(need)).copied().collect()
+        allowed
+            .filter(|key| self.endpoints[**key].free().holds(need))
+            .copied()
+            .collect()
     }
 
     /// Returns the endpoints that nothing is known of, those with most free processor first.
-    fn unknown_by_room(&self, pool: &[EndpointKey], advice: &Advice, need: Room) -> Vec<EndpointKey> {
+    fn unknown_by_room(
+        &self,
+        pool: &[EndpointKey],
+        advice: &Advice,
+        need: Room,
+    ) -> Vec<EndpointKey> {
         let unknown = pool.iter().filter(|key| !advice.known(**key));
         let able = unknown.filter(|key| Room::of_entry(&self.endpoints[**key].entry).holds(need));
-        let mut found: Vec<(u32, EndpointKey)> =
-            able.map(|key| (self.endpoints[*key].free().cpu_milli, *key)).collect();
+        let mut found: Vec<(u32, EndpointKey)> = able
+            .map(|key| (self.endpoints[*key].free().cpu_milli, *key))
+            .collect();
         found.sort_unstable_by(|left, right| right.cmp(left));
         found.into_iter().map(|(_, key)| key).collect()
     }
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -34,7 +34,12 @@
     for _ in 0..count {
         let fitting = offers.iter_mut().filter(|offer| offer.fits(need) > 0);
         let best = fitting.min_by_key(|offer| {
-            (offer.failed, !offer.near, offer.free.cpu_milli, offer.free.memory_mb)
+            (
+                offer.failed,
+                !offer.near,
+                offer.free.cpu_milli,
+                offer.free.memory_mb,
+            )
         });
         let Some(best) = best else {
             break;
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -148,7 +148,9 @@
     }
 
     pub(crate) fn step_progress(&self, key: StepKey) -> Option<&StepProgress> {
-        self.occurrences.get(&key.occurrence)?.get(key.step as usize)
+        self.occurrences
+            .get(&key.occurrence)?
+            .get(key.step as usize)
     }
 
     pub(crate) fn step_progress_mut(&mut self, key: StepKey) -> Option<&mut StepProgress> {
@@ -158,7 +160,9 @@
     }
 
     pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
-        self.step_progress(key.step_key())?.tasks.get(key.index as usize)
+        self.step_progress(key.step_key())?
+            .tasks
+            .get(key.index as usize)
     }
 
     /// Returns the state that callers may see: what the store holds.
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -40,12 +40,24 @@
     let for_ms = 500 + world.random.below(9_000);
     let nodes = world.nodes.len() as u64;
     let node = usize::try_from(world.random.below(nodes)).expect("small");
-    let node = if world.random.percent(50) { world.holder().unwrap_or(node) } else { node };
+    let node = if world.random.percent(50) {
+        world.holder().unwrap_or(node)
+    } else {
+        node
+    };
     let endpoints = world.endpoints.len() as u64;
     let position = usize::try_from(world.random.below(endpoints)).expect("small");
-    let endpoint = world.endpoints.keys().nth(position).expect("in range").clone();
+    let endpoint = world
+        .endpoints
+        .keys()
+        .nth(position)
+        .expect("in range")
+        .clone();
     let kind = world.random.below(10);
-    world.faults.push((now, format!("fault {kind} on node {node} or {endpoint} for {for_ms}")));
+    world.faults.push((
+        now,
+        format!("fault {kind} on node {node} or {endpoint} for {for_ms}"),
+    ));
     match kind {
         0 => world.kill(node),
         1 => world.nodes[node].frozen_until_ms = now + for_ms,
@@ -54,10 +66,20 @@
         4 => world.store.down_until_ms = now + for_ms,
         5 => world.store.lost_percent = if world.store.lost_percent == 0 { 30 } else { 0 },
         6 => world.late_percent = if world.late_percent == 0 { 8 } else { 0 },
-        7 => world.endpoints.get_mut(&endpoint).expect("there").cut_until_ms = now + for_ms,
+        7 => {
+            world
+                .endpoints
+                .get_mut(&endpoint)
+                .expect("there")
+                .cut_until_ms = now + for_ms;
+        }
         8 => world.split_until_ms = now + for_ms,
         _ => {
-            let alive = world.endpoints.values().filter(|endpoint| !endpoint.dead).count();
+            let alive = world
+                .endpoints
+                .values()
+                .filter(|endpoint| !endpoint.dead)
+                .count();
             let struck = world.endpoints.get_mut(&endpoint).expect("there");
             if alive > 4 {
                 struck.dead = true;
@@ -105,14 +127,19 @@
             _ => false,
         };
         if !right {
-            world.violations.push(format!("job {id} is {answer:?} at the end"));
+            world
+                .violations
+                .push(format!("job {id} is {answer:?} at the end"));
         }
     }
     if std::env::var("CHERVILFALL_TRACE").is_ok() {
         println!("{}", world.story());
     }
     match world.violations.first() {
-        Some(first) => Err(format!("seed {seed}: {} violations, the first: {first}", world.violations.len())),
+        Some(first) => Err(format!(
+            "seed {seed}: {} violations, the first: {first}",
+            world.violations.len()
+        )),
         None => Ok(()),
     }
 }
@@ -126,6 +153,13 @@
 fn random_histories_keep_every_promise() {
     let first = number("CHERVILFALL_SEED", 0);
     let count = number("CHERVILFALL_HISTORIES", HISTORIES);
-    let failed: Vec<String> = (first..first + count).filter_map(|seed| play(seed).err()).collect();
-    assert!(failed.is_empty(), "{} of {count} failed:\n{}", failed.len(), failed.join("\n"));
+    let failed: Vec<String> = (first..first + count)
+        .filter_map(|seed| play(seed).err())
+        .collect();
+    assert!(
+        failed.is_empty(),
+        "{} of {count} failed:\n{}",
+        failed.len(),
+        failed.join("\n")
+    );
 }
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -26,7 +26,11 @@
         }
         world.run(50);
     }
-    panic!("job {id} is {:?} after {bound_ms} ms; {:?}", state(world, id), world.violations);
+    panic!(
+        "job {id} is {:?} after {bound_ms} ms; {:?}",
+        state(world, id),
+        world.violations
+    );
 }
 
 fn ready_world(seed: u64) -> World {
@@ -83,7 +87,12 @@
     ];
     for (number, case) in (1_u64..).zip(cases) {
         let mut world = ready_world(7);
-        assert_eq!(world.submit(number, case.spec), Answer::Accepted, "{}", case.name);
+        assert_eq!(
+            world.submit(number, case.spec),
+            Answer::Accepted,
+            "{}",
+            case.name
+        );
         completed(&mut world, number, case.within_ms);
     }
 }
@@ -117,14 +126,20 @@
         assert_eq!(world.submit(1, job(vec![step(1, 3_000)])), Answer::Accepted);
         world.run(400);
         let now = world.now;
-        let endpoint = world.endpoints.values_mut().find(|endpoint| !endpoint.running.is_empty());
+        let endpoint = world
+            .endpoints
+            .values_mut()
+            .find(|endpoint| !endpoint.running.is_empty());
         let endpoint = endpoint.expect("the task has started");
         endpoint.dead = case.dead;
         endpoint.listed = !case.unlisted;
         endpoint.cut_until_ms = now + 60_000;
         let id = endpoint.id.clone();
         world.run_until(6_500, |world| {
-            let others = world.endpoints.values().filter(|endpoint| endpoint.id != id);
+            let others = world
+                .endpoints
+                .values()
+                .filter(|endpoint| endpoint.id != id);
             others.map(|endpoint| endpoint.starts.len()).sum::<usize>() == 1
         });
         completed(&mut world, 1, 5_000);
@@ -140,18 +155,34 @@
     let holder = world.holder().expect("a holder");
     world.kill(holder);
     completed(&mut world, 1, 8_000);
-    let starts: usize = world.endpoints.values().map(|endpoint| endpoint.starts.len()).sum();
-    assert!(starts <= 7, "{starts} starts of 6 tasks, of which one in fifty fails");
+    let starts: usize = world
+        .endpoints
+        .values()
+        .map(|endpoint| endpoint.starts.len())
+        .sum();
+    assert!(
+        starts <= 7,
+        "{starts} starts of 6 tasks, of which one in fifty fails"
+    );
 }
 
 #[test]
 fn a_cancelled_job_stops_and_stays_cancelled() {
     let mut world = ready_world(5);
-    assert_eq!(world.submit(1, job(vec![step(4, 20_000)])), Answer::Accepted);
+    assert_eq!(
+        world.submit(1, job(vec![step(4, 20_000)])),
+        Answer::Accepted
+    );
     world.run(300);
-    assert_eq!(world.ask(Request::Cancel { id: JobId(1) }), Answer::Cancelled);
+    assert_eq!(
+        world.ask(Request::Cancel { id: JobId(1) }),
+        Answer::Cancelled
+    );
     world.run(600);
-    assert!(world.endpoints.values().all(|endpoint| endpoint.running.is_empty()));
+    assert!(world
+        .endpoints
+        .values()
+        .all(|endpoint| endpoint.running.is_empty()));
     let holder = world.holder().expect("a holder");
     world.kill(holder);
     world.run(3_000);
@@ -167,11 +198,21 @@
     world.store.down_until_ms = world.now + 5_000;
     world.run(1_500);
     let answer = world.submit(2, job(vec![step(1, 100)]));
-    assert!(matches!(answer, Answer::Refused { retry_ms } if retry_ms > 0), "{answer:?}");
+    assert!(
+        matches!(answer, Answer::Refused { retry_ms } if retry_ms > 0),
+        "{answer:?}"
+    );
     completed(&mut world, 1, 9_000);
     assert_eq!(state(&mut world, 2), Answer::Unknown);
-    let starts: usize = world.endpoints.values().map(|endpoint| endpoint.starts.len()).sum();
-    assert!(starts <= 5, "{starts} starts of 4 tasks, of which one in fifty fails");
+    let starts: usize = world
+        .endpoints
+        .values()
+        .map(|endpoint| endpoint.starts.len())
+        .sum();
+    assert!(
+        starts <= 5,
+        "{starts} starts of 4 tasks, of which one in fifty fails"
+    );
 }
 
 #[test]
@@ -185,10 +226,19 @@
     world.nodes[holder].domain = 1;
     // The first job fills what comes first, and leaves it free for restarts when it ends.
     assert_eq!(world.submit(2, job(vec![step(12, 800)])), Answer::Accepted);
-    assert_eq!(world.submit(1, job(vec![step(8, 12_000)])), Answer::Accepted);
+    assert_eq!(
+        world.submit(1, job(vec![step(8, 12_000)])),
+        Answer::Accepted
+    );
     world.run(1_500);
-    let there = world.endpoints.values().filter(|endpoint| endpoint.domain == 0);
-    assert_eq!(there.map(|endpoint| endpoint.running.len()).sum::<usize>(), 8);
+    let there = world
+        .endpoints
+        .values()
+        .filter(|endpoint| endpoint.domain == 0);
+    assert_eq!(
+        there.map(|endpoint| endpoint.running.len()).sum::<usize>(),
+        8
+    );
     world.split_until_ms = world.now + 9_000;
     world.run(9_000);
     assert_eq!(world.violations, Vec::<String>::new());
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use chervilfall_planner::{
-    EndedRun, EndpointEntry, EndpointId, EndpointKey, HoldAnswer, HoldOrder, HoldReport, How, JobSpec,
-    Refusal, Run, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskKey,
+    EndedRun, EndpointEntry, EndpointId, EndpointKey, HoldAnswer, HoldOrder, HoldReport, How,
+    JobSpec, Refusal, Run, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskKey,
 };
 
 use super::random::Random;
@@ -158,7 +158,10 @@
         }
         let used: u32 = self.running.values().map(|run| run.cpu_milli).sum();
         if used > self.cpu_milli {
-            violations.push(format!("{} carries {used} of {} at {now}", self.id, self.cpu_milli));
+            violations.push(format!(
+                "{} carries {used} of {} at {now}",
+                self.id, self.cpu_milli
+            ));
         }
     }
 
@@ -173,10 +176,17 @@
             return StartAnswer::Refused(Refusal::Fence);
         }
         self.fence = order.fence;
-        if self.running.get(&order.task).is_some_and(|run| run.run == order.run) {
+        if self
+            .running
+            .get(&order.task)
+            .is_some_and(|run| run.run == order.run)
+        {
             return StartAnswer::Accepted;
         }
-        let barred = self.barred.get(&order.task).is_some_and(|run| *run >= order.run);
+        let barred = self
+            .barred
+            .get(&order.task)
+            .is_some_and(|run| *run >= order.run);
         if barred {
             self.until_ms = self.until_ms.max(order.until_ms);
             return StartAnswer::Refused(Refusal::Old);
@@ -208,7 +218,11 @@
         self.fence = order.fence;
         let barred = self.barred.entry(order.task).or_insert(0);
         *barred = (*barred).max(order.run);
-        if let Some(run) = self.running.get_mut(&order.task).filter(|run| run.run == order.run) {
+        if let Some(run) = self
+            .running
+            .get_mut(&order.task)
+            .filter(|run| run.run == order.run)
+        {
             run.stops_ms.get_or_insert(now + STOP_MS);
         }
         StopAnswer::Accepted
@@ -232,7 +246,11 @@
                 self.until_ms = self.until_ms.max(until_ms);
             }
         }
-        for end in self.ended.iter().filter(|end| end.number <= order.acknowledged) {
+        for end in self
+            .ended
+            .iter()
+            .filter(|end| end.number <= order.acknowledged)
+        {
             if let Some(at_ms) = self.valid.get(&end.number) {
                 self.noted.push((end.task, end.run, end.how, *at_ms));
             }
@@ -253,8 +271,10 @@
             return Vec::new();
         }
         let any_end = !self.ended.is_empty();
-        let (ready, waiting): (Vec<_>, Vec<_>) =
-            self.holds.drain(..).partition(|hold| any_end || now >= hold.answer_by_ms);
+        let (ready, waiting): (Vec<_>, Vec<_>) = self
+            .holds
+            .drain(..)
+            .partition(|hold| any_end || now >= hold.answer_by_ms);
         self.holds = waiting;
         let cut = self.cut_until_ms > now;
         let report = HoldReport {
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -12,9 +12,10 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    Action, AdviceAnswer, AdviceTerms, Answer, Candidate, CandidateMove, CommitOutcome, Configuration,
-    EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, Identity, JobId, JobRow, JobSpec, Limits, Planner, ProgressRow,
-    Queue, ReplyTo, Request, RosterEntry, StartAnswer, Step, StopAnswer, Stored,
+    Action, AdviceAnswer, AdviceTerms, Answer, Candidate, CandidateMove, CommitOutcome,
+    Configuration, EndpointId, EndpointKey, Event, HoldAnswer, HolderRow, Identity, JobId, JobRow,
+    JobSpec, Limits, Planner, ProgressRow, Queue, ReplyTo, Request, RosterEntry, StartAnswer, Step,
+    StopAnswer, Stored,
 };
 
 use endpoint::FakeEndpoint;
@@ -147,7 +148,8 @@
 
     fn after(&mut self, delay_ms: u64, later: Later) {
         self.sequence += 1;
-        self.later.insert((self.now + delay_ms, self.sequence), later);
+        self.later
+            .insert((self.now + delay_ms, self.sequence), later);
     }
 
     /// Lets time pass.
@@ -177,7 +179,10 @@
             }
             self.run(5);
         }
-        panic!("not done within {bound_ms} ms; violations: {:?}", self.violations);
+        panic!(
+            "not done within {bound_ms} ms; violations: {:?}",
+            self.violations
+        );
     }
 
     fn happen(&mut self) {
@@ -186,7 +191,9 @@
                 return;
             }
             match entry.remove() {
-                Later::Arrive(node, term, action, sent_ms) => self.arrive(node, term, *action, sent_ms),
+                Later::Arrive(node, term, action, sent_ms) => {
+                    self.arrive(node, term, *action, sent_ms);
+                }
                 Later::Tell(node, term, event) => self.tell(node, term, *event),
                 Later::Commit(node, term, batch, answered) => {
                     let outcome = self.store.commit(self.now, &batch);
@@ -196,7 +203,11 @@
                     }
                     if answered {
                         let (number, copy) = (batch.number, batch.copy);
-                        let event = Event::Committed { number, copy, outcome };
+                        let event = Event::Committed {
+                            number,
+                            copy,
+                            outcome,
+                        };
                         self.after(HOP_MS, Later::Tell(node, term, Box::new(event)));
                     }
                 }
@@ -210,7 +221,11 @@
             self.after(wait_ms, Later::Tell(node, term, Box::new(event)));
             return;
         }
-        if self.nodes[node].planner.as_ref().is_some_and(|planner| planner.term() == term) {
+        if self.nodes[node]
+            .planner
+            .as_ref()
+            .is_some_and(|planner| planner.term() == term)
+        {
             self.feed(node, event);
         }
     }
@@ -238,13 +253,17 @@
 
     fn store_reachable(&self, node: usize) -> bool {
         let split = self.split_until_ms > self.now && self.nodes[node].domain != 0;
-        self.store.down_until_ms <= self.now && self.nodes[node].store_cut_until_ms <= self.now && !split
+        self.store.down_until_ms <= self.now
+            && self.nodes[node].store_cut_until_ms <= self.now
+            && !split
     }
 
     fn watch_claim(&mut self, node: usize) {
         let (version, bytes) = self.store.row("claims", "holder");
         let row = bytes.map(|bytes| HolderRow::decode(&bytes).expect("claim row"));
-        let moved = self.nodes[node].candidate.observe(self.now, self.now, version, row, 1_500);
+        let moved = self.nodes[node]
+            .candidate
+            .observe(self.now, self.now, version, row, 1_500);
         let CandidateMove::Claim(batch, row) = moved else {
             return;
         };
@@ -253,7 +272,10 @@
         };
         let takeover = self.nodes[node].candidate.won(row, version);
         let stored = self.stored();
-        self.faults.push((self.now, format!("fault takeover by {node}, term {}", takeover.row.term)));
+        self.faults.push((
+            self.now,
+            format!("fault takeover by {node}, term {}", takeover.row.term),
+        ));
         let mut planner = Planner::new(self.limits.clone(), takeover, stored, self.now);
         let config = Arc::clone(&self.config);
         planner.handle(self.now, Event::Configured(config));
@@ -267,12 +289,17 @@
         let progress = self.store.table("progress");
         let roster = self.store.row("claims", "roster").1;
         Stored {
-            jobs: jobs.iter().map(|(key, value)| (parse(key), JobRow::decode(value).expect("job"))).collect(),
+            jobs: jobs
+                .iter()
+                .map(|(key, value)| (parse(key), JobRow::decode(value).expect("job")))
+                .collect(),
             progress: progress
                 .iter()
                 .map(|(key, value)| (parse(key), ProgressRow::decode(value).expect("progress")))
                 .collect(),
-            roster: roster.map(|bytes| RosterEntry::decode_all(&bytes).expect("roster")).unwrap_or_default(),
+            roster: roster
+                .map(|bytes| RosterEntry::decode_all(&bytes).expect("roster"))
+                .unwrap_or_default(),
         }
     }
 
@@ -295,7 +322,10 @@
             }
             Action::Commit(batch) => self.send_commit(node, term, batch),
             Action::Advise { order, .. } => {
-                let granted = order.endpoints.iter().map(|id| (id.clone(), "ticket".to_owned()));
+                let granted = order
+                    .endpoints
+                    .iter()
+                    .map(|id| (id.clone(), "ticket".to_owned()));
                 let answer = AdviceAnswer::Granted(granted.collect());
                 let number = order.number;
                 let event = Event::Advised { number, answer };
@@ -313,8 +343,16 @@
         let (number, copy) = (batch.number, batch.copy);
         let late = self.random.percent(self.store.lost_percent);
         if !self.store_reachable(node) {
-            let outcome = if late { CommitOutcome::Unknown } else { CommitOutcome::NotDone };
-            let event = Event::Committed { number, copy, outcome };
+            let outcome = if late {
+                CommitOutcome::Unknown
+            } else {
+                CommitOutcome::NotDone
+            };
+            let event = Event::Committed {
+                number,
+                copy,
+                outcome,
+            };
             self.after(100, Later::Tell(node, term, Box::new(event)));
             return;
         }
@@ -322,7 +360,11 @@
             let delay_ms = self.random.below(3_000);
             self.after(delay_ms, Later::Commit(node, term, Box::new(batch), false));
             let outcome = CommitOutcome::Unknown;
-            let event = Event::Committed { number, copy, outcome };
+            let event = Event::Committed {
+                number,
+                copy,
+                outcome,
+            };
             self.after(TIMEOUT_MS, Later::Tell(node, term, Box::new(event)));
             return;
         }
@@ -332,7 +374,10 @@
     fn send_order(&mut self, node: usize, term: u64, action: Action) {
         let id = order_target(&action).clone();
         let cut = self.nodes[node].cut_until_ms > self.now
-            || self.endpoints.get(&id).is_none_or(|endpoint| endpoint.cut_until_ms > self.now)
+            || self
+                .endpoints
+                .get(&id)
+                .is_none_or(|endpoint| endpoint.cut_until_ms > self.now)
             || self.split(node, &id);
         let unanswered = unanswered(&action, self.now);
         let mut wait_ms = TIMEOUT_MS;
@@ -346,7 +391,10 @@
         if self.random.percent(self.late_percent) {
             let delay_ms = 2_000 + self.random.below(10_000);
             let sent_ms = self.now;
-            self.after(delay_ms, Later::Arrive(usize::MAX, term, Box::new(action), sent_ms));
+            self.after(
+                delay_ms,
+                Later::Arrive(usize::MAX, term, Box::new(action), sent_ms),
+            );
             self.after(wait_ms, Later::Tell(node, term, Box::new(unanswered)));
             return;
         }
@@ -414,7 +462,11 @@
             let event = Event::Held {
                 endpoint: hold.endpoint,
                 sent_ms: hold.sent_ms,
-                answer: if lost { HoldAnswer::Unanswered } else { hold.answer },
+                answer: if lost {
+                    HoldAnswer::Unanswered
+                } else {
+                    hold.answer
+                },
             };
             let delay_ms = if lost { TIMEOUT_MS } else { HOP_MS };
             self.after(delay_ms, Later::Tell(hold.node, term, Box::new(event)));
@@ -434,23 +486,38 @@
                 lines.push((*at_ms, format!("{task} run {run} starts on {id}")));
             }
             for (task, run, how, at_ms) in &endpoint.noted {
-                lines.push((*at_ms, format!("{task} run {run} ends {how:?} on {id}, noted")));
+                lines.push((
+                    *at_ms,
+                    format!("{task} run {run} ends {how:?} on {id}, noted"),
+                ));
             }
         }
         lines.extend(self.faults.iter().cloned());
         lines.sort();
         let named = |line: &str| {
             let task = line.split(' ').next().unwrap_or("");
-            task == "fault" || self.violations.iter().any(|violation| violation.starts_with(task))
+            task == "fault"
+                || self
+                    .violations
+                    .iter()
+                    .any(|violation| violation.starts_with(task))
         };
         let lines = lines.iter().filter(|(_, line)| named(line));
-        lines.map(|(at_ms, line)| format!("{at_ms} {line}\n")).collect()
+        let lines: Vec<String> = lines
+            .map(|(at_ms, line)| format!("{at_ms} {line}"))
+            .collect();
+        lines.join("\n")
     }
 
     /// Looks at the whole history.
     pub fn check_history(&mut self) {
         let attempts = self.queue.attempts as usize;
-        oracle::history(self.endpoints.values(), attempts, &self.refused, &mut self.violations);
+        oracle::history(
+            self.endpoints.values(),
+            attempts,
+            &self.refused,
+            &mut self.violations,
+        );
     }
 
     /// Returns the node that holds the group, if one does.
--- a/crates/chervilfall_planner/tests/world/oracle.rs
+++ b/crates/chervilfall_planner/tests/world/oracle.rs
@@ -50,10 +50,14 @@
     };
     for (at_ms, task, run) in endpoints.flat_map(|endpoint| &endpoint.starts) {
         if done.get(task).is_some_and(|done_ms| done_ms < at_ms) {
-            violations.push(format!("{task} run {run} started at {at_ms} after it was done"));
+            violations.push(format!(
+                "{task} run {run} started at {at_ms} after it was done"
+            ));
         }
         if exhausted(task).is_some_and(|failed_ms| failed_ms < *at_ms) {
-            violations.push(format!("{task} run {run} started at {at_ms} after its attempts"));
+            violations.push(format!(
+                "{task} run {run} started at {at_ms} after its attempts"
+            ));
         }
         if refused.contains(&task.job) {
             violations.push(format!("{task} started although its job was refused"));
--- a/crates/chervilfall_planner/tests/world/store.rs
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -40,11 +40,14 @@
 
     pub fn row(&self, table: &str, key: &str) -> (u64, Option<Vec<u8>>) {
         let row = self.rows.get(&(table.to_owned(), key.to_owned()));
-        row.map_or((0, None), |(version, value)| (*version, Some(value.clone())))
+        row.map_or((0, None), |(version, value)| {
+            (*version, Some(value.clone()))
+        })
     }
 
     pub fn table(&self, table: &str) -> Vec<(String, Vec<u8>)> {
         let rows = self.rows.iter().filter(|((name, _), _)| name == table);
-        rows.map(|((_, key), (_, value))| (key.clone(), value.clone())).collect()
+        rows.map(|((_, key), (_, value))| (key.clone(), value.clone()))
+            .collect()
     }
 }
--- a/crates/chervilfall_telemetry/src/lines.rs
+++ b/crates/chervilfall_telemetry/src/lines.rs
@@ -104,7 +104,9 @@
         }
         let mut fields = Fields::default();
         record.key_values().visit(&mut fields)?;
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or(Duration::ZERO);
         let line = Line {
             unix_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
             node: &self.node,
@@ -138,8 +140,10 @@
         let missing = left_out.swap(0, Ordering::Relaxed);
         if missing > 0 {
             bytes.extend_from_slice(
-                format!("{{\"level\":\"WARN\",\"event\":\"log lines left out\",\"lines\":{missing}}}\n")
-                    .as_bytes(),
+                format!(
+                    "{{\"level\":\"WARN\",\"event\":\"log lines left out\",\"lines\":{missing}}}\n"
+                )
+                .as_bytes(),
             );
         }
         let mut output = std::io::stdout().lock();
