Claim only what nobody could renew for want of the store, and keep a claim alive while rows are read

Change: the standstill counts from the first reading that succeeds again; a small machine waits by its own clock; the claim is renewed while rows are read; a finished job's row is dropped with its outcome. Metrics are served, refusals and lost runs logged.

--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
-use chervilfall_planner::{Answer, Request};
+use chervilfall_planner::{Answer, JobId, Request};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{timeout, Instant};
 
@@ -111,7 +111,27 @@
     }
 
     /// Asks the holder and waits for its answer, at most `patience` if that is given.
-    pub async fn ask(&self, mut request: Request, patience: Option<Duration>) -> Answer {
+    pub async fn ask(&self, request: Request, patience: Option<Duration>) -> Answer {
+        let began = Instant::now();
+        let kind = kind(&request);
+        let job = job(&request);
+        let answer = self.ask_in_time(request, patience).await;
+        let took_s = began.elapsed().as_secs_f64();
+        if let (Some(job), true) = (job, is_failure(answer)) {
+            let patience_ms = patience.map_or(0, millis);
+            log::info!(
+                job:% = job, kind = kind, answer = word(answer), took_ms = millis(began.elapsed()),
+                patience_ms = patience_ms, claim_age_ms = self.claim_age_ms();
+                "request not carried out"
+            );
+        }
+        metrics::histogram!("chervilfall_request_seconds", "kind" => kind).record(took_s);
+        metrics::counter!("chervilfall_requests_total", "kind" => kind, "answer" => word(answer))
+            .increment(1);
+        answer
+    }
+
+    async fn ask_in_time(&self, mut request: Request, patience: Option<Duration>) -> Answer {
         let wait = Duration::from_millis(self.timings.answer_wait_ms);
         let wait = patience.map_or(wait, |patience| patience.mul_f64(0.8).min(wait));
         let deadline = Instant::now() + wait;
@@ -179,6 +199,43 @@
     !matches!(leadership, Leadership::Nobody)
 }
 
+const fn job(request: &Request) -> Option<JobId> {
+    match request {
+        Request::Submit { id, .. } | Request::State { id } | Request::Cancel { id } => Some(*id),
+        Request::Waiting { .. } => None,
+    }
+}
+
+const fn is_failure(answer: Answer) -> bool {
+    matches!(
+        answer,
+        Answer::Refused { .. } | Answer::NotCancelled { .. } | Answer::TooLarge | Answer::Undecided
+    )
+}
+
+const fn kind(request: &Request) -> &'static str {
+    match request {
+        Request::Submit { .. } => "submit",
+        Request::State { .. } => "state",
+        Request::Cancel { .. } => "cancel",
+        Request::Waiting { .. } => "waiting",
+    }
+}
+
+const fn word(answer: Answer) -> &'static str {
+    match answer {
+        Answer::Accepted => "accepted",
+        Answer::Refused { .. } => "refused",
+        Answer::State(_) => "state",
+        Answer::Cancelled => "cancelled",
+        Answer::NotCancelled { .. } => "unavailable",
+        Answer::Unknown => "unknown",
+        Answer::Waiting(_) => "waiting",
+        Answer::TooLarge => "too_large",
+        Answer::Undecided => "undecided",
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -102,6 +102,9 @@
     pub ready_listen: SocketAddr,
     /// Address that takes links of other nodes.
     pub link_listen: SocketAddr,
+    /// Address that serves metrics; none for no such listener.
+    #[serde(default)]
+    pub metrics_listen: Option<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Address of the advice service.
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -6,7 +6,7 @@
 
 use chervilfall_planner::{
     Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, JobId, JobRow, ProgressRow,
-    RosterEntry, RowVersion, Stored,
+    RosterEntry, RowVersion, Stored, Takeover,
 };
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -25,11 +25,16 @@
 const REFUSED_MS: u64 = 1_000;
 /// Commits of a holder that a slow store may take while the claim row stands still.
 const SLOW_STORE_FACTOR: u64 = 3;
+/// Time between renewals of a claim whose rows are being read: a third of its standstill.
+const RENEW_MS: u64 = 400;
 /// Attempts to read the group's rows after a claim.
 const LOAD_TRIES: u32 = 8;
 /// Pause between these, with the time for the store to come back.
 const LOAD_PAUSE_MS: u64 = 100;
 
+/// Somebody else has claimed the group.
+struct ClaimLost;
+
 struct Dialing {
     row: HolderRow,
     task: JoinHandle<DialError>,
@@ -81,6 +86,9 @@
             let read = self.read_claim().await;
             let took_ms = now_ms().saturating_sub(began_ms);
             dependency.note(&read);
+            if read.is_err() {
+                candidate.unreadable();
+            }
             if let Ok(reading) = read {
                 let refused = refused_ms.is_some_and(|at| now_ms().saturating_sub(at) < REFUSED_MS);
                 self.consider(&mut candidate, &mut dialing, reading, refused, took_ms)
@@ -181,7 +189,7 @@
                 if let CommitOutcome::Stored { version, .. } = outcome {
                     self.abandon(dialing);
                     let takeover = candidate.won(row, version);
-                    log::info!(term = takeover.row.term, fence = version; "group claimed");
+                    log::info!(term = takeover.row.term, fence = takeover.fence; "group claimed");
                     self.load(takeover, claimed_ms).await;
                 } else {
                     log::info!(outcome:? = outcome; "claim not won");
@@ -223,29 +231,79 @@
         }
     }
 
-    /// Reads the rows of the group that was claimed.
-    async fn load(&self, takeover: chervilfall_planner::Takeover, claimed_ms: u64) {
+    /// Reads the rows of the group that was claimed, and keeps the claim alive meanwhile: a machine
+    /// with a slow link can take longer than the claim may stand still.
+    async fn load(&self, mut takeover: Takeover, claimed_ms: u64) {
+        let reading = self.read_group_patiently();
+        tokio::pin!(reading);
+        let renew = Duration::from_millis(RENEW_MS);
+        let mut confirmed_ms = claimed_ms;
+        let stored = loop {
+            tokio::select! {
+                stored = &mut reading => break stored,
+                () = tokio::time::sleep(renew) => {
+                    let sent_ms = now_ms();
+                    match self.renew(&mut takeover).await {
+                        Ok(true) => confirmed_ms = sent_ms,
+                        Ok(false) => {}
+                        Err(ClaimLost) => {
+                            log::info!(term = takeover.row.term; "claim lost while rows were read");
+                            return;
+                        }
+                    }
+                }
+            }
+        };
+        let Some(stored) = stored else {
+            return;
+        };
+        let event = ControlEvent::Claimed {
+            takeover,
+            stored,
+            claimed_ms: confirmed_ms,
+        };
+        // The control thread ends with the process only.
+        drop(self.control.send(event).await);
+        // The control thread says when it has taken over; until then nothing is claimed.
+        let held = self
+            .leadership
+            .wait_until(|leadership| matches!(leadership, Leadership::Local));
+        drop(tokio::time::timeout(Duration::from_secs(1), held).await);
+    }
+
+    /// Renews a claim; returns whether that is confirmed.
+    async fn renew(&self, takeover: &mut Takeover) -> Result<bool, ClaimLost> {
+        let batch = Candidate::renewal(takeover);
+        let number = batch.number;
+        let outcome = self.platform.store().commit(&self.group, batch).await;
+        let version = match outcome {
+            CommitOutcome::Stored { version, .. } => version,
+            CommitOutcome::Conflict(Some((version, bytes))) => {
+                // An earlier copy of this renewal may have been carried out.
+                let row = HolderRow::decode(&bytes).map_err(|_| ClaimLost)?;
+                let own = row.incarnation == self.incarnation && row.term == takeover.row.term;
+                if !own || row.number != number {
+                    return Err(ClaimLost);
+                }
+                version
+            }
+            CommitOutcome::Conflict(None) => return Err(ClaimLost),
+            CommitOutcome::NotDone | CommitOutcome::Unknown => return Ok(false),
+        };
+        takeover.version = version;
+        takeover.row.number = number;
+        Ok(true)
+    }
+
+    async fn read_group_patiently(&self) -> Option<Stored> {
         for _ in 0..LOAD_TRIES {
             match self.read_group().await {
-                Ok(stored) => {
-                    let event = ControlEvent::Claimed {
-                        takeover,
-                        stored,
-                        claimed_ms,
-                    };
-                    // The control thread ends with the process only.
-                    drop(self.control.send(event).await);
-                    // The control thread says when it has taken over; until then nothing is claimed.
-                    let held = self
-                        .leadership
-                        .wait_until(|leadership| matches!(leadership, Leadership::Local));
-                    drop(tokio::time::timeout(Duration::from_secs(1), held).await);
-                    return;
-                }
+                Ok(stored) => return Some(stored),
                 Err(error) => log::warn!(error:% = error; "can't read the group's rows"),
             }
             tokio::time::sleep(Duration::from_millis(LOAD_PAUSE_MS)).await;
         }
+        None
     }
 
     async fn read_group(&self) -> Result<Stored, StoreError> {
--- a/crates/chervilfall_planner/src/config.rs
+++ b/crates/chervilfall_planner/src/config.rs
@@ -33,7 +33,7 @@
 }
 
 /// A queue.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Its name.
     pub name: QueueName,
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -58,8 +58,10 @@
 pub struct Takeover {
     /// The new claim row.
     pub row: HolderRow,
-    /// Its version: the fencing token, and the condition of the next commit.
-    pub version: Fence,
+    /// Version of the claiming commit: the fencing token.
+    pub fence: Fence,
+    /// Version of the claim row now: the condition of the next commit.
+    pub version: RowVersion,
     /// When the predecessor's last commit was first seen here; no lease of its reaches further
     /// than the claim's cover from there. None if there was no predecessor.
     pub predecessor_seen_ms: Option<Millis>,
@@ -91,6 +93,10 @@
 pub struct Candidate {
     identity: Identity,
     seen: Option<Seen>,
+    /// When the row was first read again, if it could not be read before.
+    readable_ms: Option<Millis>,
+    /// The last attempt to read the row failed.
+    unreadable: bool,
 }
 
 /// Who a candidate is.
@@ -115,6 +121,8 @@
         Self {
             identity,
             seen: None,
+            readable_ms: None,
+            unreadable: false,
         }
     }
 
@@ -131,6 +139,14 @@
     /// Forgets what was read: the holder works, so that an old reading tells nothing.
     pub fn reset(&mut self) {
         self.seen = None;
+        self.readable_ms = None;
+        self.unreadable = false;
+    }
+
+    /// Notes that the row could not be read: nobody could renew the claim meanwhile either, so that
+    /// its standstill counts from the next reading only.
+    pub fn unreadable(&mut self) {
+        self.unreadable = true;
     }
 
     /// Takes a reading of the claim row, and of the store's clock; `stall_ms` is how long the row
@@ -146,6 +162,9 @@
         row: Option<HolderRow>,
         stall_ms: Millis,
     ) -> CandidateMove {
+        if std::mem::take(&mut self.unreadable) {
+            self.readable_ms = Some(now);
+        }
         let known = self.seen.as_ref().filter(|seen| seen.version == version);
         let first_ms = known.map_or(now, |seen| seen.first_ms);
         self.seen = Some(Seen {
@@ -169,7 +188,8 @@
                     self.deference_ms(holder.cpu_permille)
                 };
                 let stall_ms = stall_ms + deference_ms;
-                let free = own || (holder.released && now.saturating_sub(first_ms) >= deference_ms);
+                let deferred = now.saturating_sub(first_ms) >= deference_ms;
+                let free = own || (holder.released && deferred);
                 let seen_still_ms = now.saturating_sub(first_ms);
                 let written_ms = holder.written_store_ms;
                 let said_still_ms = if written_ms == 0 {
@@ -177,7 +197,11 @@
                 } else {
                     store_ms.saturating_sub(written_ms)
                 };
-                if free || seen_still_ms.max(said_still_ms) >= stall_ms {
+                let readable_for_ms = self
+                    .readable_ms
+                    .map_or(Millis::MAX, |at_ms| now.saturating_sub(at_ms));
+                let still_ms = seen_still_ms.max(said_still_ms).min(readable_for_ms);
+                if free || (still_ms >= stall_ms && deferred) {
                     return self.claim(holder.term, version);
                 }
                 CandidateMove::Follow(holder)
@@ -215,12 +239,31 @@
         CandidateMove::Claim(batch, row)
     }
 
+    /// Returns the batch that renews a claim while its holder does not plan yet.
+    #[must_use]
+    pub fn renewal(takeover: &Takeover) -> Batch {
+        let mut row = takeover.row.clone();
+        row.number += 1;
+        let key = RowKey {
+            table: CLAIMS,
+            key: HOLDER.to_owned(),
+        };
+        Batch {
+            number: row.number,
+            copy: 0,
+            expected: takeover.version,
+            changes: vec![RowChange::Put(key, row.encode())],
+            timeout_ms: CLAIM_TIMEOUT_MS,
+        }
+    }
+
     /// Returns the claim that was won with a batch of [`Candidate::observe`].
     #[must_use]
     pub fn won(&self, row: HolderRow, version: Fence) -> Takeover {
         let predecessor = self.seen.as_ref().filter(|seen| seen.row.is_some());
         Takeover {
             row,
+            fence: version,
             version,
             predecessor_seen_ms: predecessor.map(|seen| seen.first_ms),
             predecessor_gone_ms: predecessor
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -14,6 +14,7 @@
 mod ids;
 mod job;
 mod limits;
+mod meters;
 mod planner;
 mod policy;
 mod record;
--- /dev/null
+++ b/crates/chervilfall_planner/src/meters.rs
@@ -0,0 +1,93 @@
+//! What a planner counts and times, by the conventions of Prometheus.
+
+use metrics::{counter, gauge, histogram};
+
+use crate::event::{How, Refusal};
+use crate::ids::Millis;
+
+fn seconds(ms: Millis) -> f64 {
+    ms as f64 / 1_000.0
+}
+
+/// Times a commit from its first copy to its answer.
+pub(crate) fn commit(took_ms: Millis) {
+    histogram!("chervilfall_commit_seconds").record(seconds(took_ms));
+}
+
+/// Counts a submission that was stored, and how long that took.
+pub(crate) fn accepted(waited_ms: Millis) {
+    counter!("chervilfall_jobs_accepted_total").increment(1);
+    histogram!("chervilfall_accept_seconds").record(seconds(waited_ms));
+}
+
+/// Counts a submission that was refused.
+pub(crate) fn refused(reason: &'static str) {
+    counter!("chervilfall_jobs_refused_total", "reason" => reason).increment(1);
+}
+
+/// Times a job from acceptance to its first start, by the queue's priority.
+pub(crate) fn first_start(priority: u32, waited_ms: Millis) {
+    let priority = priority.to_string();
+    histogram!("chervilfall_first_start_seconds", "priority" => priority)
+        .record(seconds(waited_ms));
+}
+
+/// Counts a start.
+pub(crate) fn start() {
+    counter!("chervilfall_starts_total").increment(1);
+}
+
+/// Counts a start that was refused.
+pub(crate) fn start_refused(refusal: Refusal) {
+    let reason = match refusal {
+        Refusal::Fence => "fence",
+        Refusal::Old => "old",
+        Refusal::Late => "late",
+        Refusal::Room => "room",
+        Refusal::Ticket => "ticket",
+        Refusal::Unhealthy => "unhealthy",
+        Refusal::Malformed => "malformed",
+    };
+    counter!("chervilfall_starts_refused_total", "reason" => reason).increment(1);
+}
+
+/// Counts a start or stop that was not answered.
+pub(crate) fn unanswered(order: &'static str) {
+    counter!("chervilfall_orders_unanswered_total", "order" => order).increment(1);
+}
+
+/// Counts the end of a run.
+pub(crate) fn ended(how: How) {
+    let how = match how {
+        How::Done => "done",
+        How::Failed => "failed",
+        How::Stopped => "stopped",
+        How::Lapsed => "lapsed",
+        How::Broken => "broken",
+        How::Alone => "alone",
+    };
+    counter!("chervilfall_runs_ended_total", "how" => how).increment(1);
+}
+
+/// Times a call for advice.
+pub(crate) fn advice(took_ms: Millis, answered: bool) {
+    let outcome = if answered { "answered" } else { "failed" };
+    histogram!("chervilfall_advice_seconds", "outcome" => outcome).record(seconds(took_ms));
+}
+
+/// Counts endpoints whose leases lapsed.
+pub(crate) fn lapsed() {
+    counter!("chervilfall_endpoints_lapsed_total").increment(1);
+}
+
+/// Counts a takeover.
+pub(crate) fn takeover() {
+    counter!("chervilfall_takeovers_total").increment(1);
+}
+
+/// Shows how much waits.
+pub(crate) fn queues(open_steps: usize, unsaved_jobs: usize, claim_age_ms: Millis) {
+    gauge!("chervilfall_open_steps").set(open_steps as f64);
+    gauge!("chervilfall_unsaved_jobs").set(unsaved_jobs as f64);
+    gauge!("chervilfall_claim_age_seconds").set(seconds(claim_age_ms));
+}
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -9,6 +9,7 @@
 use crate::endpoint::EndpointKey;
 use crate::event::{AdviceAnswer, NodeId};
 use crate::ids::{EndpointId, Millis};
+use crate::meters;
 use crate::planner::Planner;
 use crate::tasks::StepKey;
 
@@ -128,6 +129,7 @@
             return;
         };
         let took_ms = self.now.saturating_sub(call.sent_ms);
+        meters::advice(took_ms, answer != AdviceAnswer::Failed);
         let progress = self
             .jobs
             .get_mut(&call.step.job)
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -7,6 +7,7 @@
 use crate::election::HolderRow;
 use crate::endpoint::EndpointKey;
 use crate::ids::{EndpointId, JobId, Millis, RowVersion};
+use crate::meters;
 use crate::planner::Planner;
 use crate::record::{encode, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
 
@@ -162,6 +163,9 @@
             };
             if let Some(job) = self.jobs.get(&id) {
                 builder.put(PROGRESS, id.to_string(), encode(&job.progress()));
+                if job.outcome.is_some() && !builder.new_jobs.contains(&id) {
+                    builder.remove(JOBS, id);
+                }
                 builder.progress.push((id, job.outcome, job.cancelled));
             }
         }
@@ -248,6 +252,7 @@
         if took_ms > self.limits.renew_ms {
             log::warn!(number = flight.batch.number, took_ms = took_ms; "commit was slow");
         }
+        meters::commit(took_ms);
         self.version = version;
         self.covered_from_ms = flight.first_sent_ms;
         for id in flight.new_jobs {
@@ -281,6 +286,7 @@
         };
         job.stored = true;
         let submitters = std::mem::take(&mut job.submitters);
+        meters::accepted(self.now.saturating_sub(job.accepted_ms));
         log::info!(
             job:% = id, queue = job.queue.name.as_str(), steps = job.spec.steps.len(),
             waited_ms = self.now.saturating_sub(job.accepted_ms);
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -6,6 +6,7 @@
 use crate::endpoint::{Endpoint, EndpointEntry, EndpointKey, Placed, Room, RunPhase};
 use crate::event::{HoldAnswer, HoldReport, RunningRun};
 use crate::ids::{EndpointId, Millis, Run, TaskKey};
+use crate::meters;
 use crate::planner::Planner;
 use crate::record::RosterEntry;
 use crate::tasks::TaskState;
@@ -338,6 +339,7 @@
                 tasks = endpoint.placed.len();
                 "leases lapsed, endpoint is silent"
             );
+            meters::lapsed();
             self.clear_endpoint(key);
         }
         // An endpoint that has never answered runs nothing of ours.
@@ -371,7 +373,10 @@
             .iter()
             .map(|(task, placed)| (*task, placed.run))
             .collect();
+        let silent_ms = endpoint.silent_for(self.now);
+        let id = endpoint.entry.id.clone();
         for (task, run) in placed {
+            log::info!(task:% = task, run = run, endpoint:% = id, silent_ms = silent_ms; "run given up with its endpoint");
             self.free(key, task);
             self.requeue(task, key, run);
         }
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::EndpointKey;
 use crate::event::{EndedRun, How};
 use crate::ids::{JobId, Run, TaskKey};
+use crate::meters;
 use crate::planner::Planner;
 use crate::tasks::{StepKey, StepProgress, TaskState};
 
@@ -11,6 +12,7 @@
     /// Takes in an end that an endpoint lists for the first time.
     pub(super) fn take_end(&mut self, key: EndpointKey, end: &EndedRun) {
         let task = end.task;
+        meters::ended(end.how);
         self.count_failure(key, end);
         let there = self.endpoints[key].placed.get(&task);
         if there.is_some_and(|placed| placed.run == end.run) {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -21,7 +21,9 @@
 use crate::event::{Event, NodeId};
 use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, TaskKey};
 use crate::limits::Limits;
+use crate::meters;
 use crate::policy::order::{rank, Rank};
+use crate::policy::reservation::Reservations;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::tasks::{Job, StepKey};
 use advise::AdviceCall;
@@ -73,6 +75,8 @@
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
     finished: VecDeque<(Millis, JobId)>,
+    /// Endpoints that the last pass kept for gangs.
+    reservations: Reservations,
     /// Something has changed that a pass over the open steps should look at soon.
     schedule_due: bool,
     last_pass_ms: Millis,
@@ -88,7 +92,7 @@
         let barrier = Barrier::after(&takeover, &limits);
         let mut planner = Self {
             limits,
-            fence: takeover.version,
+            fence: takeover.fence,
             version: takeover.version,
             holder: takeover.row,
             now,
@@ -111,6 +115,7 @@
             advice_calls: BTreeMap::new(),
             next_advice: 0,
             finished: VecDeque::new(),
+            reservations: Reservations::default(),
             schedule_due: false,
             last_pass_ms: now,
             releasing: false,
@@ -132,7 +137,8 @@
         for (id, row) in stored.progress {
             match self.jobs.get_mut(&id) {
                 Some(job) => job.restore(&row),
-                None => log::warn!(job:% = id; "progress row without a job, ignored"),
+                // A finished job's own row is dropped, so that takeovers read little.
+                None => self.restore_finished(id, &row),
             }
         }
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
@@ -140,6 +146,7 @@
             self.activate(id);
         }
         let entries = stored.roster.len();
+        meters::takeover();
         for entry in stored.roster {
             self.add_rostered(entry);
         }
@@ -150,6 +157,18 @@
         );
     }
 
+    fn restore_finished(&mut self, id: JobId, row: &ProgressRow) {
+        if row.outcome.is_none() {
+            log::error!(job:% = id; "progress of a job whose own row is missing");
+            return;
+        }
+        let mut job = Job::new(id, JobRow::default(), self.now);
+        job.stored = true;
+        job.inherited = true;
+        job.restore(row);
+        self.jobs.insert(id, job);
+    }
+
     /// Takes an event that happened at `now` and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
         self.now = self.now.max(now);
@@ -200,6 +219,11 @@
             self.schedule_due = false;
             self.last_pass_ms = self.now;
             self.schedule();
+            meters::queues(
+                self.open.len(),
+                self.unsaved.new_jobs.len(),
+                self.claim_age_ms(self.now),
+            );
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::{EndpointKey, Placed, Room, RunPhase};
 use crate::event::{Refusal, StartAnswer, StopAnswer, Ticket};
 use crate::ids::{Run, TaskKey};
+use crate::meters;
 use crate::planner::Planner;
 use crate::tasks::{TaskState, RUNS_PER_TERM};
 
@@ -49,7 +50,10 @@
         entry.last_run = run;
         progress.placed += 1;
         let checkpoint = entry.checkpoint.clone();
-        job.started = true;
+        if !std::mem::replace(&mut job.started, true) {
+            meters::first_start(job.queue.priority, now.saturating_sub(job.accepted_ms));
+        }
+        meters::start();
         endpoint.place(
             task,
             Placed {
@@ -106,6 +110,7 @@
             StartAnswer::Refused(refusal) => self.start_refused(key, task, run, *refusal),
             StartAnswer::OtherIncarnation => self.incarnation_over(key),
             StartAnswer::Unanswered => {
+                meters::unanswered("start");
                 if placed.phase == RunPhase::Starting {
                     endpoint.paused_until_ms = self.now + self.limits.start_pause_ms;
                     log::info!(task:% = task, run = run, endpoint:% = endpoint.entry.id; "start not answered, run is withdrawn");
@@ -118,6 +123,7 @@
 
     fn start_refused(&mut self, key: EndpointKey, task: TaskKey, run: Run, refusal: Refusal) {
         log::info!(task:% = task, run = run, endpoint:% = self.endpoints[key].entry.id, refusal:? = refusal; "start refused");
+        meters::start_refused(refusal);
         if refusal == Refusal::Fence {
             self.step_down(StepDownReason::Fenced);
             return;
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -7,6 +7,7 @@
 use crate::event::Request;
 use crate::ids::{JobId, Millis};
 use crate::job::JobSpec;
+use crate::meters;
 use crate::planner::Planner;
 use crate::record::{encode, JobRow};
 use crate::tasks::{Job, TaskState};
@@ -87,6 +88,7 @@
             return;
         };
         self.unsaved.progress.remove(&id);
+        meters::refused("store");
         log::info!(
             job:% = id, queue = job.queue.name.as_str(), waited_ms = self.now - job.accepted_ms,
             claim_age_ms = self.claim_age_ms(self.now);
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -25,7 +25,7 @@
 pub struct RecordError(String);
 
 /// An accepted job.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobRow {
     /// Queue as it was when the job was accepted; it outlives the queue's removal.
     pub queue: Queue,
--- /dev/null
+++ b/crates/chervilfall_planner/tests/election.rs
@@ -0,0 +1,120 @@
+//! When a node claims the group.
+
+use chervilfall_planner::{Candidate, CandidateMove, HolderRow, Identity};
+
+/// How long the row must stand still.
+const STALL_MS: u64 = 1_200;
+
+fn candidate(cpu_permille: u64) -> Candidate {
+    Candidate::new(Identity {
+        node: "node-1".to_owned(),
+        incarnation: 1,
+        address: "127.0.0.1:1".to_owned(),
+        started_ms: 0,
+        cpu_permille,
+    })
+}
+
+fn holder(written_store_ms: u64, released: bool) -> HolderRow {
+    HolderRow {
+        term: 3,
+        node: "node-2".to_owned(),
+        incarnation: 2,
+        address: "127.0.0.1:2".to_owned(),
+        number: 7,
+        released,
+        cpu_permille: 500,
+        written_store_ms,
+    }
+}
+
+#[test]
+fn a_claim_is_made_when_the_row_has_stood_still() {
+    struct Case {
+        name: &'static str,
+        cpu_permille: u64,
+        /// Time, and the row then; `None` for a failed reading.
+        readings: Vec<(u64, Option<(u64, HolderRow)>)>,
+        claims: bool,
+    }
+    let cases = [
+        Case {
+            name: "written just now",
+            cpu_permille: 500,
+            readings: vec![(10_000, Some((5, holder(9_900, false))))],
+            claims: false,
+        },
+        Case {
+            name: "one reading tells that it is old",
+            cpu_permille: 500,
+            readings: vec![(10_000, Some((5, holder(8_700, false))))],
+            claims: true,
+        },
+        Case {
+            name: "the store was away, so that nobody could renew it",
+            cpu_permille: 500,
+            readings: vec![(9_900, None), (10_000, Some((5, holder(5_000, false))))],
+            claims: false,
+        },
+        Case {
+            name: "the store is back for long enough",
+            cpu_permille: 500,
+            readings: vec![
+                (9_900, None),
+                (10_000, Some((5, holder(5_000, false)))),
+                (11_300, Some((5, holder(5_000, false)))),
+            ],
+            claims: true,
+        },
+        Case {
+            name: "the holder has moved it since the store is back",
+            cpu_permille: 500,
+            readings: vec![
+                (9_900, None),
+                (10_000, Some((5, holder(5_000, false)))),
+                (11_300, Some((6, holder(11_200, false)))),
+            ],
+            claims: false,
+        },
+        Case {
+            name: "a small machine leaves it to larger ones first",
+            cpu_permille: 120,
+            readings: vec![(10_000, Some((5, holder(2_000, false))))],
+            claims: false,
+        },
+        Case {
+            name: "a small machine claims when no other does",
+            cpu_permille: 120,
+            readings: vec![
+                (10_000, Some((5, holder(2_000, false)))),
+                (11_300, Some((5, holder(2_000, false)))),
+            ],
+            claims: true,
+        },
+        Case {
+            name: "handed back",
+            cpu_permille: 500,
+            readings: vec![(10_000, Some((5, holder(9_990, true))))],
+            claims: true,
+        },
+        Case {
+            name: "handed back, seen by a small machine",
+            cpu_permille: 120,
+            readings: vec![(10_000, Some((5, holder(9_990, true))))],
+            claims: false,
+        },
+    ];
+    for case in cases {
+        let mut candidate = candidate(case.cpu_permille);
+        let mut claims = false;
+        for (now, reading) in case.readings {
+            let Some((version, row)) = reading else {
+                candidate.unreadable();
+                continue;
+            };
+            let moved = candidate.observe(now, now, version, Some(row), STALL_MS);
+            claims = matches!(moved, CandidateMove::Claim(..));
+        }
+        assert_eq!(claims, case.claims, "{}", case.name);
+    }
+}
