Send a start that was not answered again before the run is withdrawn

Change: the same start (same run) is sent up to three times; the endpoint takes the first copy and finds the run there for the others. A refusal after an unanswered copy is no proof: the run is stopped. The new test of a late gang passes with one copy as well: it holds the promise, not the gain.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -124,6 +124,8 @@
     pub(crate) run: Run,
     pub(crate) phase: RunPhase,
     pub(crate) room: Room,
+    /// Copies of the start that were not answered; each may be carried out until its bound.
+    pub(crate) unanswered: u32,
     /// When the start was answered; lists asked for later must show it.
     pub(crate) confirmed_ms: Option<Millis>,
 }
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -46,6 +46,8 @@
     pub stop_retry_ms: Millis,
     /// Pause of starts on an endpoint that refused or left one unanswered.
     pub start_pause_ms: Millis,
+    /// Most copies of a start that are sent before the run is withdrawn.
+    pub start_copies: u32,
     /// Time left on a ticket for a start to reach the endpoint.
     pub ticket_margin_ms: Millis,
     /// Most endpoints in a call for advice.
@@ -82,6 +84,7 @@
             silent_ms: 950,
             stop_retry_ms: 300,
             start_pause_ms: 700,
+            start_copies: 3,
             ticket_margin_ms: 150,
             advice_endpoints: 100,
             advice_slack_ms: 600,
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -240,6 +240,7 @@
                 run: running.run,
                 phase: RunPhase::Running,
                 room,
+                unanswered: 0,
                 confirmed_ms: Some(self.now),
             },
         );
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -24,9 +24,10 @@
         run: Run,
         ticket: Option<Ticket>,
     ) -> bool {
-        let bound_ms = self.cover_until_ms();
-        let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
-        let (now, fence) = (self.now, self.fence);
+        let Some(order) = self.start_order(key, task, run, ticket) else {
+            return false;
+        };
+        let now = self.now;
         let (Some(job), Some(endpoint)) =
             (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key))
         else {
@@ -36,10 +37,9 @@
             return false;
         };
         let room = Room::of_step(step);
-        let Some(until_ms) = endpoint.lease(now, lease_ms, bound_ms) else {
-            return false;
-        };
-        let text = job.text.clone();
+        if !std::mem::replace(&mut job.started, true) {
+            meters::first_start(job.queue.priority, now.saturating_sub(job.accepted_ms));
+        }
         let Some(progress) = job.step_progress_mut(task.step_key()) else {
             return false;
         };
@@ -49,10 +49,6 @@
         entry.state = TaskState::Placed(key, run);
         entry.last_run = run;
         progress.placed += 1;
-        let checkpoint = entry.checkpoint.clone();
-        if !std::mem::replace(&mut job.started, true) {
-            meters::first_start(job.queue.priority, now.saturating_sub(job.accepted_ms));
-        }
         meters::start();
         endpoint.place(
             task,
@@ -60,26 +56,68 @@
                 run,
                 phase: RunPhase::Starting,
                 room,
+                unanswered: 0,
                 confirmed_ms: None,
             },
         );
         log::info!(
-            task:% = task, run = run, endpoint:% = endpoint.entry.id, until_ms = until_ms, fence = fence,
-            free_cpu_milli = endpoint.free().cpu_milli, resumed = !checkpoint.is_empty();
+            task:% = task, run = run, endpoint:% = order.id, until_ms = order.until_ms,
+            fence = order.fence, free_cpu_milli = endpoint.free().cpu_milli,
+            resumed = !order.checkpoint.is_empty();
             "start ordered"
         );
-        self.actions.push(Action::Start(StartOrder {
+        self.actions.push(Action::Start(order));
+        true
+    }
+
+    /// Returns the order that starts a run; none if no lease can be granted.
+    fn start_order(
+        &mut self,
+        key: EndpointKey,
+        task: TaskKey,
+        run: Run,
+        ticket: Option<Ticket>,
+    ) -> Option<StartOrder> {
+        let bound_ms = self.cover_until_ms();
+        let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
+        let job = self.jobs.get(&task.job)?;
+        let checkpoint = job.task(task)?.checkpoint.clone();
+        let endpoint = self.endpoints.get_mut(key)?;
+        let until_ms = endpoint.lease(self.now, lease_ms, bound_ms)?;
+        Some(StartOrder {
             endpoint: key,
             id: endpoint.entry.id.clone(),
             address: endpoint.entry.address.clone(),
             task,
             run,
-            spec: text,
+            spec: job.text.clone(),
             until_ms,
-            fence,
+            fence: self.fence,
             checkpoint,
             ticket,
-        }));
+        })
+    }
+
+    /// Sends a start that was not answered again: the same run, so that whichever copy comes first
+    /// starts it and the others find it there. Returns false if that can't be done.
+    fn send_start_again(&mut self, key: EndpointKey, task: TaskKey, run: Run) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let progress = job.step_progress(task.step_key());
+        let ticket = progress.and_then(|progress| progress.advice.ticket(key, self.now).cloned());
+        let silent = self
+            .endpoints
+            .get(key)
+            .is_none_or(|endpoint| endpoint.missed);
+        if silent || (job.queue.advice.is_some() && ticket.is_none()) {
+            return false;
+        }
+        let Some(order) = self.start_order(key, task, run, ticket) else {
+            return false;
+        };
+        log::info!(task:% = task, run = run, endpoint:% = order.id; "start sent again");
+        self.actions.push(Action::Start(order));
         true
     }
 
@@ -111,12 +149,19 @@
             StartAnswer::OtherIncarnation => self.incarnation_over(key),
             StartAnswer::Unanswered => {
                 meters::unanswered("start");
-                if placed.phase == RunPhase::Starting {
-                    endpoint.paused_until_ms = self.now + self.limits.start_pause_ms;
-                    log::info!(task:% = task, run = run, endpoint:% = endpoint.entry.id; "start not answered, run is withdrawn");
-                    self.begin_stop(key, task, run);
-                    self.abort_if_gang(task);
+                if placed.phase != RunPhase::Starting {
+                    return;
                 }
+                placed.unanswered += 1;
+                let again = placed.unanswered < self.limits.start_copies;
+                if again && self.send_start_again(key, task, run) {
+                    return;
+                }
+                let endpoint = &mut self.endpoints[key];
+                endpoint.paused_until_ms = self.now + self.limits.start_pause_ms;
+                log::info!(task:% = task, run = run, endpoint:% = endpoint.entry.id; "start not answered, run is withdrawn");
+                self.begin_stop(key, task, run);
+                self.abort_if_gang(task);
             }
         }
     }
@@ -128,6 +173,16 @@
             self.step_down(StepDownReason::Fenced);
             return;
         }
+        let unanswered = self.endpoints[key]
+            .placed
+            .get(&task)
+            .map_or(0, |placed| placed.unanswered);
+        if unanswered > 0 {
+            // An earlier copy may still be carried out, or has been.
+            self.begin_stop(key, task, run);
+            self.abort_if_gang(task);
+            return;
+        }
         self.free(key, task);
         let pause_ms = self.limits.start_pause_ms;
         match refusal {
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -262,3 +262,16 @@
     let done = done.count();
     assert!(done >= 37, "{done} of 40 jobs completed");
 }
+
+#[test]
+fn a_gang_comes_together_although_orders_are_carried_out_late() {
+    let mut world = World::new(3, 12, 17);
+    world.run(1_500);
+    world.late_percent = 8;
+    let gang = Step {
+        gang: true,
+        ..step(20, 500)
+    };
+    assert_eq!(world.submit(1, job(vec![gang])), Answer::Accepted);
+    completed(&mut world, 1, 6_000);
+}
