--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -23,7 +23,6 @@
 use crate::limits::Limits;
 use crate::meters;
 use crate::policy::order::{rank, Rank};
-use crate::policy::reservation::Reservations;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::tasks::{Job, StepKey};
 use advise::AdviceCall;
@@ -75,8 +74,6 @@
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
     finished: VecDeque<(Millis, JobId)>,
-    /// Endpoints that the last pass kept for gangs.
-    reservations: Reservations,
     /// Something has changed that a pass over the open steps should look at soon.
     schedule_due: bool,
     last_pass_ms: Millis,
@@ -115,7 +112,6 @@
             advice_calls: BTreeMap::new(),
             next_advice: 0,
             finished: VecDeque::new(),
-            reservations: Reservations::default(),
             schedule_due: false,
             last_pass_ms: now,
             releasing: false,
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -14,7 +14,6 @@
 use crate::job::Step;
 use crate::planner::Planner;
 use crate::policy::placement::{pick, pick_all, Offer};
-use crate::policy::reservation::Reservations;
 use crate::tasks::{StepKey, TaskState};
 
 /// Fewest endpoints that a first call for advice names, if there are as many.
@@ -26,8 +25,6 @@
 struct Pass {
     /// Endpoints of each service that take work.
     pools: BTreeMap<String, Vec<EndpointKey>>,
-    /// Endpoints kept for gangs of a better rank than the steps that follow.
-    reservations: Reservations,
     /// A node can make a fast call for advice.
     fast_idle: bool,
     /// A node can make a slow call for advice.
@@ -51,7 +48,6 @@
         for key in keys {
             self.serve_step(&mut pass, key);
         }
-        self.reservations = pass.reservations;
     }
 
     fn begin_pass(&self) -> Pass {
@@ -69,7 +65,6 @@
         }
         Pass {
             pools,
-            reservations: Reservations::default(),
             fast_idle: self.can_ask(false),
             slow_idle: self.can_ask(true),
         }
@@ -102,8 +97,7 @@
             }
         });
         let askable = idle && progress.advice.asking.is_none();
-        let keeps = step.gang && !blocked && !pass.reservations.is_full();
-        if !placeable && !askable && !keeps {
+        if !placeable && !askable {
             return;
         }
         let wanted = Wanted {
@@ -114,48 +108,12 @@
         if placeable {
             self.place_step(pass, key, &wanted);
         }
-        if keeps {
-            self.keep_for_gang(pass, key, &wanted);
-        }
         if askable && self.ask_for_step(pass, key, &wanted) {
             pass.fast_idle = self.can_ask(false);
             pass.slow_idle = self.can_ask(true);
         }
     }
 
-    /// Keeps endpoints for a gang that could not be placed.
-    fn keep_for_gang(&self, pass: &mut Pass, key: StepKey, wanted: &Wanted) {
-        let Some(progress) = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.step_progress(key))
-        else {
-            return;
-        };
-        let Some(pool) = pass.pools.get(&wanted.service) else {
-            return;
-        };
-        let waiting = progress.waiting();
-        if waiting == 0 {
-            return;
-        }
-        let need = Room::of_step(&wanted.step);
-        let advised = wanted.advice.is_some();
-        let able = pool
-            .iter()
-            .filter(|key| !advised || progress.advice.allowed(**key));
-        let candidates = able.map(|key| {
-            let endpoint = &self.endpoints[*key];
-            (
-                *key,
-                endpoint.free().fits(need),
-                Room::of_entry(&endpoint.entry).fits(need),
-            )
-        });
-        let candidates = candidates.filter(|(_, _, empty)| *empty > 0).collect();
-        pass.reservations.keep(candidates, waiting);
-    }
-
     /// Returns the endpoints that the step may use now.
     fn offers(&self, pass: &Pass, key: StepKey, wanted: &Wanted) -> Vec<Offer> {
         let Some(progress) = self
@@ -173,7 +131,6 @@
         let usable = pool.iter().filter_map(|endpoint_key| {
             let endpoint = self.endpoints.get(*endpoint_key)?;
             let fits = endpoint.free().holds(need)
-                && !pass.reservations.keeps(*endpoint_key)
                 && (!advised || progress.advice.ticket(*endpoint_key, self.now).is_some())
                 && endpoint.takes_work(self.now, &self.limits);
             fits.then_some((*endpoint_key, endpoint))
@@ -217,7 +174,6 @@
             endpoint: endpoint_key,
             free: endpoint.free(),
             most,
-            kept: self.reservations.keeps(endpoint_key),
             failed,
             near,
         })
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -3,4 +3,3 @@
 pub(crate) mod order;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
-pub(crate) mod reservation;
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -9,8 +9,6 @@
     pub(crate) free: Room,
     /// Most further tasks of the step that the endpoint may be given.
     pub(crate) most: u32,
-    /// It is kept for a gang of lower rank.
-    pub(crate) kept: bool,
     /// A run of the step has failed there.
     pub(crate) failed: bool,
     /// The step's data is on its rack, or the step does not ask for a rack.
@@ -38,7 +36,6 @@
         let best = fitting.min_by_key(|offer| {
             (
                 offer.failed,
-                offer.kept,
                 !offer.near,
                 offer.free.cpu_milli,
                 offer.free.memory_mb,
