--- /dev/null
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -0,0 +1,119 @@
+//! Settings of a node.
+
+use chervilfall_node::Settings;
+
+const GOOD: &str = "node: n1\ndomain: a\nlisten: 127.0.0.1:1\nready_listen: 127.0.0.1:2\n\
+link_listen: 127.0.0.1:3\nstore: 127.0.0.1:4\nlease_max_ms: 10000\nstatus_s: 120\nrow_bytes: 65536\n";
+
+#[test]
+fn a_wrong_field_is_named() {
+    struct Case {
+        name: &'static str,
+        more: &'static str,
+        without: &'static str,
+        says: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "no address",
+            more: "",
+            without: "store: 127.0.0.1:4\n",
+            says: "missing field `store`",
+        },
+        Case {
+            name: "an address that is none",
+            more: "advice: nowhere\n",
+            without: "",
+            says: "advice",
+        },
+        Case {
+            name: "an unknown field",
+            more: "stroe: 1\n",
+            without: "",
+            says: "stroe",
+        },
+        Case {
+            name: "silence too short",
+            more: "timings:\n  silence_ms: 300\n",
+            without: "",
+            says: "timings.silence_ms",
+        },
+        Case {
+            name: "no ticks",
+            more: "timings:\n  tick_ms: 0\n",
+            without: "",
+            says: "timings.tick_ms",
+        },
+        Case {
+            name: "no processor",
+            more: "cpu_cores: 0\n",
+            without: "",
+            says: "cpu_cores",
+        },
+        Case {
+            name: "no name",
+            more: "node: ''\n",
+            without: "node: n1\n",
+            says: "node",
+        },
+    ];
+    assert!(Settings::parse("good", GOOD).is_ok());
+    for case in cases {
+        let text = GOOD.replace(case.without, "") + case.more;
+        let error = Settings::parse("bad", &text)
+            .expect_err(case.name)
+            .to_string();
+        assert!(error.contains(case.says), "{}: {error}", case.name);
+    }
+}
+
+#[test]
+fn a_host_with_a_port_and_the_longest_prefix_pick_the_route() {
+    use chervilfall_node::{Route, RouteTable};
+    use chervilfall_planner::Queue;
+    let route = |name: &str, prefix: &str| Route {
+        host: "jobs.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        queue: Queue {
+            name: name.to_owned(),
+            ..Queue::default()
+        },
+    };
+    let table = RouteTable {
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        ..RouteTable::default()
+    };
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        queue: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            host: "jobs.example",
+            path: "/a/x",
+            queue: Some("short"),
+        },
+        Case {
+            host: "JOBS.example:8080",
+            path: "/a/b/x",
+            queue: Some("long"),
+        },
+        Case {
+            host: "other.example",
+            path: "/a/x",
+            queue: None,
+        },
+        Case {
+            host: "jobs.example",
+            path: "/c/",
+            queue: None,
+        },
+    ];
+    for case in cases {
+        let found = table
+            .find(case.host, case.path)
+            .map(|route| route.queue.name.as_str());
+        assert_eq!(found, case.queue, "{} {}", case.host, case.path);
+    }
+}
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -200,8 +200,8 @@
                 let readable_for_ms = self
                     .readable_ms
                     .map_or(Millis::MAX, |at_ms| now.saturating_sub(at_ms));
-                let still_ms = seen_still_ms.max(said_still_ms).min(readable_for_ms);
-                if free || (still_ms >= stall_ms && deferred) {
+                let age_ms = seen_still_ms.max(said_still_ms).min(readable_for_ms);
+                if free || (age_ms >= stall_ms && deferred) {
                     return self.claim(holder.term, version);
                 }
                 CandidateMove::Follow(holder)
