Count leases of all earlier holders, and start nothing beside a run of unknown size

The claim row now says whether its holder was past its barrier, and only then is the short count used.

--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a node.
 
-use chervilfall_node::Settings;
+use chervilfall_node::{Route, RouteTable, Settings};
+use chervilfall_planner::Queue;
 
 const GOOD: &str = "node: n1\ndomain: a\nlisten: 127.0.0.1:1\nready_listen: 127.0.0.1:2\n\
 link_listen: 127.0.0.1:3\nstore: 127.0.0.1:4\nlease_max_ms: 10000\nstatus_s: 120\nrow_bytes: 65536\n";
@@ -69,8 +70,11 @@
 
 #[test]
 fn a_host_with_a_port_and_the_longest_prefix_pick_the_route() {
-    use chervilfall_node::{Route, RouteTable};
-    use chervilfall_planner::Queue;
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        queue: Option<&'static str>,
+    }
     let route = |name: &str, prefix: &str| Route {
         host: "jobs.example".to_owned(),
         path_prefix: prefix.to_owned(),
@@ -83,11 +87,6 @@
         routes: vec![route("short", "/a/"), route("long", "/a/b/")],
         ..RouteTable::default()
     };
-    struct Case {
-        host: &'static str,
-        path: &'static str,
-        queue: Option<&'static str>,
-    }
     let cases = [
         Case {
             host: "jobs.example",
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -30,6 +30,9 @@
     pub number: u64,
     /// The holder has handed the group back.
     pub released: bool,
+    /// The holder has seen all endpoints that earlier holders may have given leases, or these have
+    /// lapsed.
+    pub settled: bool,
     /// Processor share of the holder's machine, in thousandths of a core.
     pub cpu_permille: u64,
     /// The store's steady clock when the row was written, as the writer knew it; 0 if it did not.
@@ -65,8 +68,8 @@
     /// When the predecessor's last commit was first seen here; no lease of its reaches further
     /// than the claim's cover from there. None if there was no predecessor.
     pub predecessor_seen_ms: Option<Millis>,
-    /// Set if the predecessor was an earlier process on this very machine: it has granted nothing
-    /// since this process began.
+    /// Set if the predecessor was an earlier process on this very machine, which has granted nothing
+    /// since this process began, and if no lease of still earlier holders was left.
     pub predecessor_gone_ms: Option<Millis>,
 }
 
@@ -223,6 +226,7 @@
             cpu_permille: self.identity.cpu_permille,
             number: 0,
             released: false,
+            settled: false,
             written_store_ms: 0,
         };
         let key = RowKey {
@@ -269,7 +273,9 @@
             predecessor_gone_ms: predecessor
                 .and_then(|seen| seen.row.as_ref())
                 .filter(|holder| {
-                    self.is_own(holder) && holder.incarnation != self.identity.incarnation
+                    self.is_own(holder)
+                        && holder.settled
+                        && holder.incarnation != self.identity.incarnation
                 })
                 .map(|_| self.identity.started_ms),
         }
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -124,6 +124,8 @@
     pub(crate) run: Run,
     pub(crate) phase: RunPhase,
     pub(crate) room: Room,
+    /// What it takes is not known, because its job's row is gone: nothing is started beside it.
+    pub(crate) unsized_run: bool,
     /// Copies of the start that were not answered; each may be carried out until its bound.
     pub(crate) unanswered: u32,
     /// When the start was answered; lists asked for later must show it.
@@ -153,6 +155,8 @@
     pub(crate) lapsed_ms: Option<Millis>,
     pub(crate) placed: BTreeMap<TaskKey, Placed>,
     pub(crate) used: Room,
+    /// Runs whose room is not known.
+    unsized_runs: usize,
     /// Highest end that was taken in.
     pub(crate) taken_in: u64,
     /// Highest end that is stored.
@@ -180,6 +184,7 @@
             lapsed_ms: None,
             placed: BTreeMap::new(),
             used: Room::default(),
+            unsized_runs: 0,
             taken_in: 0,
             acknowledged: 0,
             heard_ms: None,
@@ -252,6 +257,7 @@
             && self.contacted
             && !self.over
             && !self.missed
+            && self.unsized_runs == 0
             && !self.entry.draining
             && now >= self.paused_until_ms
             && self.fit(now)
@@ -280,15 +286,16 @@
     }
 
     pub(crate) fn place(&mut self, task: TaskKey, placed: Placed) {
+        self.release(task);
         self.used = self.used.add(placed.room);
-        if let Some(old) = self.placed.insert(task, placed) {
-            self.used = self.used.minus(old.room);
-        }
+        self.unsized_runs += usize::from(placed.unsized_run);
+        self.placed.insert(task, placed);
     }
 
     pub(crate) fn release(&mut self, task: TaskKey) -> Option<Placed> {
         let placed = self.placed.remove(&task)?;
         self.used = self.used.minus(placed.room);
+        self.unsized_runs -= usize::from(placed.unsized_run);
         Some(placed)
     }
 }
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -104,6 +104,7 @@
         let releases = self.releasing && complete;
         let row = HolderRow {
             released: releases,
+            settled: self.barrier.is_none(),
             written_store_ms: self.store_now_ms(),
             ..self.holder.clone()
         };
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -233,13 +233,14 @@
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
-        let room = step.map_or_else(|| Room::of_entry(&endpoint.entry), Room::of_step);
+        let room = step.map(Room::of_step);
         endpoint.place(
             task,
             Placed {
                 run: running.run,
                 phase: RunPhase::Running,
-                room,
+                room: room.unwrap_or_default(),
+                unsized_run: room.is_none(),
                 unanswered: 0,
                 confirmed_ms: Some(self.now),
             },
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -56,6 +56,7 @@
                 run,
                 phase: RunPhase::Starting,
                 room,
+                unsized_run: false,
                 unanswered: 0,
                 confirmed_ms: None,
             },
--- a/crates/chervilfall_planner/tests/election.rs
+++ b/crates/chervilfall_planner/tests/election.rs
@@ -23,6 +23,7 @@
         address: "127.0.0.1:2".to_owned(),
         number: 7,
         released,
+        settled: true,
         cpu_permille: 500,
         written_store_ms,
     }
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -7,6 +7,14 @@
 
 /// Histories of a run in CI; more by `CHERVILFALL_HISTORIES`.
 const HISTORIES: u64 = 150;
+/// Seeds that failed once, played at every run.
+///
+/// 763: a process that found its own machine's earlier process as holder counted leases from its own
+/// start, although that one had not yet outwaited the leases of the holder before it.
+///
+/// 11474: a run whose job's row was dropped took no room on an endpoint that a successor knew from the
+/// roster only.
+const REGRESSIONS: [u64; 2] = [763, 11_474];
 /// Rounds of jobs and faults in a history.
 const ROUNDS: u64 = 40;
 /// Time for all jobs to end after the last fault: the longest lapse and some runs.
@@ -35,9 +43,27 @@
     }
 }
 
-fn strike(world: &mut World) {
+/// How long faults last and how many orders come late.
+#[derive(Debug, Clone, Copy)]
+struct Roughness {
+    longest_ms: u64,
+    late_percent: u64,
+}
+
+/// Faults that end before the cover of a claim does.
+const USUAL: Roughness = Roughness {
+    longest_ms: 9_000,
+    late_percent: 8,
+};
+/// Faults that outlast the cover of a claim, and most orders late.
+const ROUGH: Roughness = Roughness {
+    longest_ms: 15_000,
+    late_percent: 55,
+};
+
+fn strike(world: &mut World, roughness: Roughness) {
     let now = world.now;
-    let for_ms = 500 + world.random.below(9_000);
+    let for_ms = 500 + world.random.below(roughness.longest_ms);
     let nodes = world.nodes.len() as u64;
     let node = usize::try_from(world.random.below(nodes)).expect("small");
     let node = if world.random.percent(50) {
@@ -65,7 +91,10 @@
         3 => world.nodes[node].store_cut_until_ms = now + for_ms,
         4 => world.store.down_until_ms = now + for_ms,
         5 => world.store.lost_percent = if world.store.lost_percent == 0 { 30 } else { 0 },
-        6 => world.late_percent = if world.late_percent == 0 { 8 } else { 0 },
+        6 => {
+            let late = world.late_percent == 0;
+            world.late_percent = if late { roughness.late_percent } else { 0 };
+        }
         7 => {
             world
                 .endpoints
@@ -89,7 +118,7 @@
     }
 }
 
-fn play(seed: u64) -> Result<(), String> {
+fn play(seed: u64, roughness: Roughness) -> Result<(), String> {
     let mut world = World::new(4, 8, seed);
     for endpoint in world.endpoints.values_mut().skip(5) {
         endpoint.domain = 1;
@@ -102,7 +131,7 @@
             world.submit(round + 1, spec);
         }
         if world.random.percent(25) {
-            strike(&mut world);
+            strike(&mut world, roughness);
         }
         if world.random.percent(4) {
             let id = JobId(1 + world.random.below(round + 1));
@@ -149,17 +178,29 @@
     set.unwrap_or(default)
 }
 
-#[test]
-fn random_histories_keep_every_promise() {
-    let first = number("CHERVILFALL_SEED", 0);
-    let count = number("CHERVILFALL_HISTORIES", HISTORIES);
-    let failed: Vec<String> = (first..first + count)
-        .filter_map(|seed| play(seed).err())
+fn play_all(seeds: impl Iterator<Item = u64>, roughness: Roughness) {
+    let failed: Vec<String> = seeds
+        .filter_map(|seed| play(seed, roughness).err())
         .collect();
     assert!(
         failed.is_empty(),
-        "{} of {count} failed:\n{}",
+        "{} failed:\n{}",
         failed.len(),
         failed.join("\n")
     );
 }
+
+#[test]
+fn random_histories_keep_every_promise() {
+    let first = number("CHERVILFALL_SEED", 0);
+    let count = number("CHERVILFALL_HISTORIES", HISTORIES);
+    let seeds = REGRESSIONS.into_iter().chain(first..first + count);
+    play_all(seeds, USUAL);
+}
+
+#[test]
+fn rough_histories_keep_every_promise() {
+    let first = number("CHERVILFALL_SEED", 0);
+    let count = number("CHERVILFALL_HISTORIES", HISTORIES);
+    play_all(first..first + count, ROUGH);
+}
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -496,11 +496,11 @@
         lines.sort();
         let named = |line: &str| {
             let task = line.split(' ').next().unwrap_or("");
-            task == "fault"
-                || self
-                    .violations
-                    .iter()
-                    .any(|violation| violation.starts_with(task))
+            let concerned = |violation: &String| {
+                let subject = violation.split(' ').next().unwrap_or("");
+                subject == task || line.contains(&format!(" on {subject}"))
+            };
+            task == "fault" || self.violations.iter().any(concerned)
         };
         let lines = lines.iter().filter(|(_, line)| named(line));
         let lines: Vec<String> = lines
