Read once more: one lookup of a run, one name a table, a test that can fail

Behaviour as it was. The lookup of a placed run stood twice in orders.rs; names of tables and rows stood as text in the node and the adapter beside their constants; two comments said what the code did not do. The test of a late gang passed with one copy of a start as with three, because the tests' endpoints don't make members wait for each other. It is replaced by one as strict on the promise that these endpoints can show: with copies at least 98% of the members are there in time, without them under 90%.

--- a/crates/chervilfall_node/src/link/frames.rs
+++ b/crates/chervilfall_node/src/link/frames.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// Writes messages as they come, and a heartbeat when none does.
+/// Writes messages as they come.
 pub(super) async fn write<T: Serialize>(
     mut sink: SplitSink<Socket, Message>,
     mut queue: mpsc::Receiver<T>,
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -6,7 +6,7 @@
 
 use chervilfall_planner::{
     Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, JobId, JobRow, ProgressRow,
-    RosterEntry, RowVersion, Stored, Takeover,
+    RosterEntry, RowVersion, Stored, Takeover, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER,
 };
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -137,7 +137,7 @@
         let (row, store_ms) = self
             .platform
             .store()
-            .read_row(&self.group, "claims", "holder")
+            .read_row(&self.group, CLAIMS, HOLDER)
             .await?;
         let Some(row) = row else {
             return Ok(ClaimReading {
@@ -308,9 +308,9 @@
 
     async fn read_group(&self) -> Result<Stored, StoreError> {
         let store = self.platform.store();
-        let jobs = store.read_table(&self.group, "jobs");
-        let progress = store.read_table(&self.group, "progress");
-        let roster = store.read_row(&self.group, "claims", "roster");
+        let jobs = store.read_table(&self.group, JOBS);
+        let progress = store.read_table(&self.group, PROGRESS);
+        let roster = store.read_row(&self.group, CLAIMS, ROSTER);
         let (jobs, progress, (roster, _)) = tokio::try_join!(jobs, progress, roster)?;
         Ok(Stored {
             jobs: decode_rows(jobs, JobRow::decode)?,
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -36,4 +36,6 @@
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
 pub use planner::{Planner, Stored};
-pub use record::{JobRow, ProgressRow, RecordError, RosterEntry};
+pub use record::{
+    JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER,
+};
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -5,7 +5,8 @@
 /// Timings and limits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
-    /// Lease that a hold grants an endpoint's tasks. Three holds can fail before it lapses.
+    /// Lease that a hold grants an endpoint's tasks. It outlasts a takeover, which takes up to 1.9 s;
+    /// a longer one keeps the tasks of lost endpoints waiting.
     pub lease_ms: Millis,
     /// Longest lease that endpoints grant.
     pub lease_max_ms: Millis,
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -122,6 +122,12 @@
         true
     }
 
+    /// Returns a run on an endpoint, if it is the one that the books show there.
+    fn placed_mut(&mut self, key: EndpointKey, task: TaskKey, run: Run) -> Option<&mut Placed> {
+        let placed = self.endpoints.get_mut(key)?.placed.get_mut(&task)?;
+        (placed.run == run).then_some(placed)
+    }
+
     pub(super) fn started(
         &mut self,
         key: EndpointKey,
@@ -129,21 +135,15 @@
         run: Run,
         answer: &StartAnswer,
     ) {
-        let Some(endpoint) = self.endpoints.get_mut(key) else {
-            return;
-        };
-        let Some(placed) = endpoint
-            .placed
-            .get_mut(&task)
-            .filter(|placed| placed.run == run)
-        else {
+        let (now, copies) = (self.now, self.limits.start_copies);
+        let Some(placed) = self.placed_mut(key, task, run) else {
             return;
         };
         match answer {
             StartAnswer::Accepted => {
                 if placed.phase == RunPhase::Starting {
                     placed.phase = RunPhase::Running;
-                    placed.confirmed_ms = Some(self.now);
+                    placed.confirmed_ms = Some(now);
                 }
             }
             StartAnswer::Refused(refusal) => self.start_refused(key, task, run, *refusal),
@@ -154,7 +154,7 @@
                     return;
                 }
                 placed.unanswered += 1;
-                let again = placed.unanswered < self.limits.start_copies;
+                let again = placed.unanswered < copies;
                 if again && self.send_start_again(key, task, run) {
                     return;
                 }
@@ -265,14 +265,7 @@
         answer: &StopAnswer,
     ) {
         let now = self.now;
-        let Some(endpoint) = self.endpoints.get_mut(key) else {
-            return;
-        };
-        let Some(placed) = endpoint
-            .placed
-            .get_mut(&task)
-            .filter(|placed| placed.run == run)
-        else {
+        let Some(placed) = self.placed_mut(key, task, run) else {
             return;
         };
         match answer {
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -263,15 +263,39 @@
     assert!(done >= 37, "{done} of 40 jobs completed");
 }
 
+/// Worlds in which a gang of twenty is started while one order in twelve is carried out late.
+const LATE_GANGS: u64 = 10;
+
+/// Members of these gangs that were started before the first of them was done. The world's endpoints
+/// don't make members wait for each other, so that a member whose order is late is not started at all.
+fn members_in_time(copies: u32) -> usize {
+    let mut started = 0;
+    for seed in 0..LATE_GANGS {
+        let mut world = World::new(3, 12, seed);
+        world.limits.start_copies = copies;
+        world.run(1_500);
+        world.late_percent = 8;
+        let gang = Step {
+            gang: true,
+            ..step(20, 2_000)
+        };
+        assert_eq!(world.submit(1, job(vec![gang])), Answer::Accepted);
+        world.run(1_500);
+        let endpoints = world.endpoints.values();
+        started += endpoints
+            .map(|endpoint| endpoint.running.len())
+            .sum::<usize>();
+    }
+    started
+}
+
 #[test]
-fn a_gang_comes_together_although_orders_are_carried_out_late() {
-    let mut world = World::new(3, 12, 17);
-    world.run(1_500);
-    world.late_percent = 8;
-    let gang = Step {
-        gang: true,
-        ..step(20, 500)
-    };
-    assert_eq!(world.submit(1, job(vec![gang])), Answer::Accepted);
-    completed(&mut world, 1, 6_000);
+fn copies_of_unanswered_starts_bring_a_gang_together() {
+    let (once, copied) = (members_in_time(1), members_in_time(3));
+    let all = 20 * usize::try_from(LATE_GANGS).expect("few");
+    assert!(
+        copied * 100 >= all * 98,
+        "{copied} of {all} members with copies"
+    );
+    assert!(once * 100 < all * 90, "{once} of {all} members without");
 }
