Put steps that can't be in time behind those that can

Cause: steps waited first come, first served within a priority.

Ruled out: room (the lower priority was served), refused starts (0 of them).

Change: the rank of an open step begins with what can still be had of its job: in time, late, overdue. Ranks are renewed each pass. The open steps stand in a type of their own, so that a rank may change, and with it a queue's priority by configuration, which was ignored until now.

Calls for advice of the gangs are what binds next.

--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -5,6 +5,7 @@
 mod commits;
 mod endpoints;
 mod ends;
+mod open;
 mod orders;
 mod requests;
 mod schedule;
@@ -22,12 +23,13 @@
 use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, TaskKey};
 use crate::limits::Limits;
 use crate::meters;
-use crate::policy::order::{rank, Rank};
+use crate::policy::order::rank;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::tasks::{Job, StepKey};
 use advise::AdviceCall;
 use barrier::Barrier;
 use commits::{Flight, Unsaved};
+use open::OpenSteps;
 
 /// What the rows of a group say.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -54,8 +56,7 @@
     jobs: BTreeMap<JobId, Job>,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     endpoint_keys: BTreeMap<EndpointId, EndpointKey>,
-    /// Steps whose turn has come and that have tasks without a place, best rank first.
-    open: BTreeSet<(Rank, StepKey)>,
+    open: OpenSteps,
     /// Occurrences that are not due yet, by due time.
     due: BTreeSet<(u64, JobId, u32)>,
     stopping: BTreeSet<(EndpointKey, TaskKey)>,
@@ -98,7 +99,7 @@
             jobs: BTreeMap::new(),
             endpoints: SlotMap::with_key(),
             endpoint_keys: BTreeMap::new(),
-            open: BTreeSet::new(),
+            open: OpenSteps::default(),
             due: BTreeSet::new(),
             stopping: BTreeSet::new(),
             unsaved: Unsaved::default(),
@@ -260,9 +261,7 @@
         }
         for job in self.jobs.values_mut() {
             if let Some(queue) = config.queues.get(&job.queue.name) {
-                if job.queue.priority == queue.priority {
-                    job.queue.clone_from(queue);
-                }
+                job.queue.clone_from(queue);
             }
         }
         self.config = config;
@@ -383,17 +382,24 @@
             })
         });
         if ready {
-            self.open.insert((rank(job), key));
+            self.open.insert(key, rank(job, key, self.unix_ms));
             self.schedule_due = true;
         }
     }
 
-    fn close_step(&mut self, key: StepKey) {
-        if let Some(job) = self.jobs.get(&key.job) {
-            self.open.remove(&(rank(job), key));
+    /// Ranks the open steps anew: with time, jobs fall behind those that can still be in time.
+    fn rank_open_steps(&mut self) {
+        for key in self.open.keys() {
+            if let Some(job) = self.jobs.get(&key.job) {
+                self.open.insert(key, rank(job, key, self.unix_ms));
+            }
         }
     }
 
+    fn close_step(&mut self, key: StepKey) {
+        self.open.remove(key);
+    }
+
     fn drop_finished(&mut self) {
         while let Some((at_ms, id)) = self.finished.front().copied() {
             if self.now.saturating_sub(at_ms) < self.limits.status_ms {
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -14,6 +14,7 @@
 
 /// When a refused caller should come back: about the time that a takeover or a short outage takes.
 pub(super) const RETRY_MS: Millis = 1_000;
+
 impl Planner {
     pub(super) fn request(&mut self, to: ReplyTo, request: Request) {
         match request {
@@ -145,16 +146,7 @@
         log::info!(job:% = id, queue = job.queue.name.as_str(), outcome:? = outcome, age_ms = age_ms; "job finished");
         self.unsaved.progress.insert(id);
         self.finished.push_back((self.now, id));
-        let rank = crate::policy::order::rank(&self.jobs[&id]);
-        let keys: Vec<_> = self
-            .open
-            .iter()
-            .filter(|(_, key)| key.job == id)
-            .map(|(_, key)| *key)
-            .collect();
-        for key in keys {
-            self.open.remove(&(rank, key));
-        }
+        self.open.remove_job(id);
         self.stop_all(id);
     }
 
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -44,8 +44,8 @@
             return;
         }
         let mut pass = self.begin_pass();
-        let keys: Vec<StepKey> = self.open.iter().map(|(_, key)| *key).collect();
-        for key in keys {
+        self.rank_open_steps();
+        for key in self.open.keys() {
             self.serve_step(&mut pass, key);
         }
     }
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request, Step};
 use world::{step, World};
 
@@ -299,3 +301,41 @@
     );
     assert!(once * 100 < all * 90, "{once} of {all} members without");
 }
+
+/// Jobs that come twice as fast as one endpoint can run them.
+const PRESSING_JOBS: u64 = 40;
+
+#[test]
+fn under_overload_jobs_that_can_be_in_time_go_before_those_that_cannot() {
+    let mut world = World::new(3, 1, 17);
+    world.run(1_500);
+    let objective_ms = 3_000;
+    let mut in_time = BTreeSet::new();
+    let mut sent = BTreeMap::new();
+    for round in 0..PRESSING_JOBS + 8 {
+        if round < PRESSING_JOBS {
+            let id = round + 1;
+            assert_eq!(
+                world.submit(id, job(vec![step(4, 1_000)])),
+                Answer::Accepted
+            );
+            sent.insert(id, world.now);
+        }
+        let next = world.now + 500;
+        while world.now < next {
+            for (id, sent_ms) in &sent {
+                let done = state(&mut world, *id) == Answer::State(JobState::Completed);
+                if done && world.now <= sent_ms + objective_ms {
+                    in_time.insert(*id);
+                }
+            }
+            world.run(20);
+        }
+    }
+    // First come, first served, 12 of them are.
+    assert!(in_time.len() >= 15, "{in_time:?} were in time");
+    completed(&mut world, 1, 10_000);
+    for id in sent.into_keys() {
+        completed(&mut world, id, 40_000);
+    }
+}
