Count the call for advice in a job's objective

Cause: the objective that callers measure allows one call for advice on 30 endpoints a step of the chain. The planner's did not, so that it held jobs for late that were not (by 1.8 s for wide gangs on 350 endpoints).

Change: the chain of an objective has that call in each step. How long a call takes is worked out in one place.

--- a/crates/chervilfall_planner/src/config.rs
+++ b/crates/chervilfall_planner/src/config.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::Millis;
+
 /// Name of a queue.
 pub type QueueName = String;
 
@@ -25,6 +27,19 @@
 }
 
 impl AdviceTerms {
+    /// Returns how long a call that names `endpoints` takes.
+    #[must_use]
+    pub fn call_ms(&self, endpoints: usize) -> Millis {
+        // A stated time is a small positive number of milliseconds, a call names few endpoints.
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss
+        )]
+        let call_ms = (self.decide_ms + self.each_ms * endpoints as f64) as Millis;
+        call_ms
+    }
+
     /// Returns whether a call holds up others of its node for long.
     #[must_use]
     pub fn is_slow(&self) -> bool {
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -13,6 +13,9 @@
 /// Part of the objective that a submission may wait for a holder or the store.
 const ACCEPT_WAIT_PART: Millis = 4;
 
+/// Endpoints named in the call for advice that an objective allows for each step of the chain.
+const OBJECTIVE_ADVICE: usize = 30;
+
 /// A step: tasks of the same kind.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -79,6 +82,11 @@
     /// Returns the longest chain of estimated work.
     #[must_use]
     pub fn chain_ms(&self) -> Millis {
+        self.chain_with_ms(0)
+    }
+
+    /// Returns the longest chain of estimated work, with `each_ms` more for each step.
+    fn chain_with_ms(&self, each_ms: Millis) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let earlier = step
@@ -86,7 +94,7 @@
                 .iter()
                 .filter_map(|earlier| ends.get(usize::from(*earlier)));
             let begin = earlier.max().copied().unwrap_or(0);
-            ends.push(begin + step.estimate_ms);
+            ends.push(begin + step.estimate_ms + each_ms);
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -94,9 +102,12 @@
     /// Returns the time from its submission in which the job should complete.
     #[must_use]
     pub fn objective_ms(&self, queue: &Queue) -> Millis {
+        let advice_ms = queue
+            .advice
+            .map_or(0, |terms| terms.call_ms(OBJECTIVE_ADVICE));
         // An estimate is a number of milliseconds far below the precision of a float.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let stretched = (queue.stretch.max(0.0) * self.chain_ms() as f64) as Millis;
+        let stretched = (queue.stretch.max(0.0) * self.chain_with_ms(advice_ms) as f64) as Millis;
         queue.target_latency_ms + stretched
     }
 
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -13,7 +13,8 @@
 use crate::planner::Planner;
 use crate::tasks::StepKey;
 
-/// Part of the nodes that slow calls may use, as a fraction.
+/// Part of the nodes that slow calls may use, as a fraction. With a half, wide gangs on 350 endpoints
+/// met their objective in 53 of 320 cases, with three quarters in 121; others lost less than that.
 const SLOW_NODES: (usize, usize) = (1, 2);
 
 /// A call on its way.
@@ -87,10 +88,7 @@
             .filter_map(|key| self.endpoints.get(*key))
             .map(|endpoint| endpoint.entry.id.clone())
             .collect();
-        let work_ms = terms.decide_ms + terms.each_ms * endpoints.len() as f64;
-        // A stated time is a small positive number of milliseconds.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let timeout_ms = work_ms as Millis + self.limits.advice_slack_ms;
+        let timeout_ms = terms.call_ms(endpoints.len()) + self.limits.advice_slack_ms;
         self.advice_calls.insert(
             number,
             AdviceCall {
