Ask for a wide gang with several calls for advice at a time

Cause: a gang's call names up to 100 endpoints, of which a quarter may run it, and a second call began when the first had not been enough, 1.4 s later. Tickets last 1.5 s on one site: there a gang never held those of two calls together. What counts is how many it holds at one time.

Change: calls for a gang run side by side on different nodes, up to three, and name eight endpoints a task in all (four before). The advice of a step knows what the calls on their way name.

--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -21,8 +21,8 @@
     known: BTreeMap<EndpointKey, Permission>,
     /// When the last ticket lapses.
     valid_until_ms: Millis,
-    /// Number of the call that is on its way.
-    pub(crate) asking: Option<u64>,
+    /// Endpoints that the calls on their way name, by number of the call.
+    asking: BTreeMap<u64, Vec<EndpointKey>>,
 }
 
 impl Advice {
@@ -33,6 +33,31 @@
         self.known.insert(endpoint, permission);
     }
 
+    pub(crate) fn begin_call(&mut self, number: u64, endpoints: Vec<EndpointKey>) {
+        self.asking.insert(number, endpoints);
+    }
+
+    pub(crate) fn end_call(&mut self, number: u64) {
+        self.asking.remove(&number);
+    }
+
+    /// Returns the number of calls on their way.
+    pub(crate) fn calls(&self) -> usize {
+        self.asking.len()
+    }
+
+    /// Returns the number of endpoints that calls on their way name.
+    pub(crate) fn asked(&self) -> usize {
+        self.asking.values().map(Vec::len).sum()
+    }
+
+    /// Returns whether a call on its way names the endpoint.
+    pub(crate) fn asks_about(&self, endpoint: EndpointKey) -> bool {
+        self.asking
+            .values()
+            .any(|endpoints| endpoints.contains(&endpoint))
+    }
+
     pub(crate) fn known(&self, endpoint: EndpointKey) -> bool {
         self.known.contains_key(&endpoint)
     }
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -64,7 +64,7 @@
         idle.copied().max_by_key(|node| *node != 0)
     }
 
-    /// Asks about endpoints for a step, if a node is free and no call for the step is on its way.
+    /// Asks about endpoints for a step, if a node is free.
     pub(super) fn ask(&mut self, step: StepKey, terms: AdviceTerms, keys: &[EndpointKey]) -> bool {
         let slow = terms.is_slow();
         let Some(node) = self.idle_node(slow) else {
@@ -77,14 +77,15 @@
         else {
             return false;
         };
-        if progress.advice.asking.is_some() || keys.is_empty() {
+        let keys = &keys[..keys.len().min(self.limits.advice_endpoints)];
+        if keys.is_empty() {
             return false;
         }
         self.next_advice += 1;
         let number = self.next_advice;
-        progress.advice.asking = Some(number);
-        let keys = keys.iter().take(self.limits.advice_endpoints);
+        progress.advice.begin_call(number, keys.to_vec());
         let endpoints: Vec<EndpointId> = keys
+            .iter()
             .filter_map(|key| self.endpoints.get(*key))
             .map(|endpoint| endpoint.entry.id.clone())
             .collect();
@@ -135,7 +136,7 @@
         let Some(progress) = progress else {
             return;
         };
-        progress.advice.asking = None;
+        progress.advice.end_call(number);
         let AdviceAnswer::Granted(granted) = answer else {
             log::info!(step:% = call.step, node = call.node, took_ms = took_ms; "advice failed");
             return;
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -19,7 +19,10 @@
 /// Fewest endpoints that a first call for advice names, if there are as many.
 const ASK_LEAST: u32 = 30;
 /// Endpoints that a call names for each task that waits: about a quarter may run a step.
-const ASK_FOR_EACH_TASK: u32 = 4;
+const ASK_FOR_EACH_TASK: u32 = 8;
+
+/// Most calls on their way for one gang.
+const GANG_CALLS: usize = 3;
 
 /// What holds for all steps of a pass.
 struct Pass {
@@ -96,7 +99,7 @@
                 pass.fast_idle
             }
         });
-        let askable = idle && progress.advice.asking.is_none();
+        let askable = idle && progress.advice.calls() < if step.gang { GANG_CALLS } else { 1 };
         if !placeable && !askable {
             return;
         }
@@ -108,7 +111,8 @@
         if placeable {
             self.place_step(pass, key, &wanted);
         }
-        if askable && self.ask_for_step(pass, key, &wanted) {
+        if askable {
+            while self.ask_for_step(pass, key, &wanted) {}
             pass.fast_idle = self.can_ask(false);
             pass.slow_idle = self.can_ask(true);
         }
@@ -300,7 +304,14 @@
                 .map(|key| u64::from(self.endpoints[*key].free().fits(need)))
                 .sum()
         };
+        let calls = progress.advice.calls();
+        if calls > 0 && !(wanted.step.gang && calls < GANG_CALLS) {
+            return false;
+        }
         if fits(&usable) >= enough {
+            if calls > 0 {
+                return false;
+            }
             let stale = usable
                 .iter()
                 .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
@@ -308,6 +319,10 @@
         }
         let unknown = self.unknown_by_room(pool, &progress.advice, need);
         let most = (waiting * ASK_FOR_EACH_TASK).max(ASK_LEAST) as usize;
+        let most = most.saturating_sub(progress.advice.asked());
+        if calls > 0 && most < ASK_LEAST as usize {
+            return false;
+        }
         let named = &unknown[..unknown.len().min(most)];
         !named.is_empty() && self.ask(key, terms, named)
     }
@@ -333,7 +348,9 @@
         advice: &Advice,
         need: Room,
     ) -> Vec<EndpointKey> {
-        let unknown = pool.iter().filter(|key| !advice.known(**key));
+        let unknown = pool
+            .iter()
+            .filter(|key| !advice.known(**key) && !advice.asks_about(**key));
         let able = unknown.filter(|key| Room::of_entry(&self.endpoints[**key].entry).holds(need));
         let mut found: Vec<(u32, EndpointKey)> = able
             .map(|key| (self.endpoints[*key].free().cpu_milli, *key))
