--- a/crates/chervilfall_cli/src/args.rs
+++ b/crates/chervilfall_cli/src/args.rs
@@ -291,11 +291,15 @@
     pub(crate) what: String,
 }
 
-/// Tells why a request waits, where it was placed, and what was refused.
+/// Tells why a request waits, where it was placed, and what was refused; with log files, from the
+/// structured lines that nodes have written, without asking an entry instance.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub(crate) struct Explain {
-    /// key of the request
+    /// key of the request, or id of the job in log files
     #[argh(positional)]
     pub(crate) key: String,
+    /// file with log lines; may be given several times
+    #[argh(option)]
+    pub(crate) log: Vec<PathBuf>,
 }
--- a/crates/chervilfall_cli/src/commands/mod.rs
+++ b/crates/chervilfall_cli/src/commands/mod.rs
@@ -32,8 +32,13 @@
 ///
 /// Returns an error if the command could not be carried out.
 pub(crate) async fn run(args: Args) -> anyhow::Result<ExitStatus> {
-    let client = open_client(args.entry, args.token_file)?;
     let json = args.json;
+    if let Command::Explain(explain) = &args.command {
+        if !explain.log.is_empty() {
+            return explain::from_logs(json, explain);
+        }
+    }
+    let client = open_client(args.entry, args.token_file)?;
     match args.command {
         Command::Submit(args) => submit::run(&client, json, args).await,
         Command::Run(args) => run::run(&client, json, args).await,
--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -238,7 +238,7 @@
         };
         let link = self.links.get(&to.node);
         if link.is_some_and(|link| link.queue.try_send(reply).is_err()) {
-            log::warn!(node = to.node, number = to.number; "reply lost, the follower does not read");
+            log::warn!(follower = to.node, number = to.number; "reply lost, the follower does not read");
         }
     }
 
@@ -279,7 +279,7 @@
             drop(link.queue.try_send(ToFollower::NotHolder));
             return;
         };
-        log::info!(link = id, node = node; "follower linked");
+        log::info!(link = id, follower = node; "follower linked");
         let heartbeat = heartbeat(planner);
         // The queue is new and empty.
         drop(link.queue.try_send(heartbeat));
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -138,11 +138,11 @@
         };
         progress.advice.end_call(number);
         let AdviceAnswer::Granted(granted) = answer else {
-            log::info!(step:% = call.step, node = call.node, took_ms = took_ms; "advice failed");
+            log::info!(step:% = call.step, caller = call.node, took_ms = took_ms; "advice failed");
             return;
         };
         log::info!(
-            step:% = call.step, node = call.node, took_ms = took_ms,
+            step:% = call.step, caller = call.node, took_ms = took_ms,
             asked = call.endpoints.len(), granted = granted.len();
             "advice received"
         );
--- /dev/null
+++ b/crates/chervilfall_story/src/story.rs
@@ -0,0 +1,239 @@
+//! The story of a job.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::clocks::{differences, ClockDifference};
+use crate::line::{Lines, LogLine};
+
+/// Time before a job's first line and after its last for which circumstances are told: a takeover takes
+/// up to 2 s.
+const AROUND_MS: u64 = 2_000;
+/// Lines of one node about the same event that follow each other within this time are told as one.
+const FOLD_MS: u64 = 50;
+/// Event of the line that says how many lines were left out.
+const LEFT_OUT: &str = "log lines left out";
+/// Events that tell how the group or its dependencies fared.
+const CIRCUMSTANCES: [&str; 9] = [
+    "group taken over",
+    "group given up",
+    "group claimed",
+    "inherited tasks may start",
+    "commit was slow",
+    "commit not answered",
+    "dependency lost",
+    "dependency regained",
+    "planned stop begins",
+];
+
+/// Something that happened, once or several times in a row.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Entry {
+    /// Time since the job's first line; negative for what happened before it.
+    pub at_ms: i64,
+    /// Lines that it stands for.
+    pub count: usize,
+    /// Whether it is about the job itself; if not, about its endpoints, the group or a dependency.
+    pub own: bool,
+    /// The first of the lines.
+    pub line: LogLine,
+}
+
+/// Lines that a node left out while the job was at work.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct LeftOut {
+    /// Node.
+    pub node: String,
+    /// The line that says so.
+    pub line: LogLine,
+}
+
+/// What happened to a job.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Story {
+    /// Job.
+    pub job: String,
+    /// Nodes that have lines about it.
+    pub nodes: Vec<String>,
+    /// What happened, in order of time.
+    pub entries: Vec<Entry>,
+    /// Position of the entry before which most time passed without a line about the job.
+    pub widest_gap: Option<usize>,
+    /// Differences of clocks that the lines show.
+    pub clocks: Vec<ClockDifference>,
+    /// Lines that nodes left out meanwhile.
+    pub left_out: Vec<LeftOut>,
+    /// Lines that could not be read, of all that were given.
+    pub unreadable: usize,
+}
+
+impl Story {
+    /// Tells what happened to `job`; `None` if no line is about it.
+    #[must_use]
+    pub fn tell(job: &str, read: &Lines) -> Option<Self> {
+        let own: Vec<&LogLine> = read.lines.iter().filter(|line| line.touches(job)).collect();
+        let first_ms = own.iter().map(|line| line.unix_ms).min()?;
+        let last_ms = own.iter().map(|line| line.unix_ms).max()?;
+        let window = first_ms.saturating_sub(AROUND_MS)..=last_ms + AROUND_MS;
+        let endpoints: BTreeSet<&str> = own
+            .iter()
+            .filter_map(|line| line.text("endpoint"))
+            .collect();
+        let around: Vec<&LogLine> = read
+            .lines
+            .iter()
+            .filter(|line| window.contains(&line.unix_ms))
+            .collect();
+        let circumstances = around
+            .iter()
+            .copied()
+            .filter(|line| !line.touches(job) && is_circumstance(line, &endpoints));
+        let mut lines: Vec<&LogLine> = own.iter().copied().chain(circumstances).collect();
+        lines.sort_by_key(|line| line.unix_ms);
+        let entries = fold(&lines, job, first_ms);
+        let left_out = around.iter().filter(|line| line.event == LEFT_OUT);
+        let nodes: BTreeSet<&str> = own.iter().map(|line| line.node.as_str()).collect();
+        Some(Self {
+            job: job.to_owned(),
+            nodes: nodes.into_iter().map(str::to_owned).collect(),
+            widest_gap: widest_gap(&entries),
+            entries,
+            clocks: differences(&read.lines),
+            left_out: left_out
+                .map(|line| LeftOut {
+                    node: line.node.clone(),
+                    line: (*line).clone(),
+                })
+                .collect(),
+            unreadable: read.unreadable,
+        })
+    }
+}
+
+fn is_circumstance(line: &LogLine, endpoints: &BTreeSet<&str>) -> bool {
+    if CIRCUMSTANCES.contains(&line.event.as_str()) {
+        return true;
+    }
+    // Other jobs' lines name endpoints too; those of an endpoint itself name no task.
+    let of_endpoint = line
+        .text("endpoint")
+        .is_some_and(|endpoint| endpoints.contains(endpoint));
+    of_endpoint && line.text("task").is_none()
+}
+
+fn fold(lines: &[&LogLine], job: &str, first_ms: u64) -> Vec<Entry> {
+    let mut entries: Vec<Entry> = Vec::new();
+    for line in lines {
+        let own = line.touches(job);
+        let at_ms = since(first_ms, line.unix_ms);
+        if let Some(last) = entries.last_mut() {
+            let same = last.line.event == line.event && last.line.node == line.node;
+            if same && own == last.own && line.unix_ms - last.line.unix_ms <= FOLD_MS {
+                last.count += 1;
+                continue;
+            }
+        }
+        entries.push(Entry {
+            at_ms,
+            count: 1,
+            own,
+            line: (*line).clone(),
+        });
+    }
+    entries
+}
+
+fn since(first_ms: u64, unix_ms: u64) -> i64 {
+    i64::try_from(unix_ms)
+        .unwrap_or(i64::MAX)
+        .saturating_sub_unsigned(first_ms)
+}
+
+fn widest_gap(entries: &[Entry]) -> Option<usize> {
+    let own: Vec<(usize, i64)> = entries
+        .iter()
+        .enumerate()
+        .filter(|(_, entry)| entry.own)
+        .map(|(position, entry)| (position, entry.at_ms))
+        .collect();
+    let gaps = own
+        .windows(2)
+        .map(|pair| (pair[1].1 - pair[0].1, pair[1].0));
+    gaps.max_by_key(|(gap_ms, position)| (*gap_ms, std::cmp::Reverse(*position)))
+        .map(|(_, position)| position)
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "job {}, lines of {}",
+            self.job,
+            self.nodes.join(", ")
+        )?;
+        let mut last_own_ms = None;
+        for (position, entry) in self.entries.iter().enumerate() {
+            if entry.own {
+                if let (Some(last_ms), true) = (last_own_ms, self.widest_gap == Some(position)) {
+                    writeln!(
+                        formatter,
+                        "               the widest gap: {} ms without a line about the job",
+                        entry.at_ms - last_ms
+                    )?;
+                }
+                last_own_ms = Some(entry.at_ms);
+            }
+            writeln!(formatter, "{entry}")?;
+        }
+        for clock in &self.clocks {
+            writeln!(
+                formatter,
+                "the clock of {} is at least {} ms behind that of {}",
+                clock.behind, clock.at_least_ms, clock.ahead
+            )?;
+        }
+        for left_out in &self.left_out {
+            writeln!(
+                formatter,
+                "{} left lines out:{}",
+                left_out.node,
+                fields(&left_out.line)
+            )?;
+        }
+        if self.unreadable > 0 {
+            writeln!(formatter, "{} lines could not be read", self.unreadable)?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.own { ' ' } else { '*' };
+        write!(
+            formatter,
+            "{:>8} ms {mark} {:<18} {}",
+            self.at_ms, self.line.node, self.line.event
+        )?;
+        if self.count > 1 {
+            write!(formatter, " ({} times)", self.count)?;
+        }
+        formatter.write_str(&fields(&self.line))
+    }
+}
+
+fn fields(line: &LogLine) -> String {
+    let mut text = String::new();
+    for (name, value) in &line.fields {
+        if name == "part" {
+            continue;
+        }
+        let shown = value
+            .as_str()
+            .map_or_else(|| value.to_string(), str::to_owned);
+        text.push_str(&format!(" {name}={shown}"));
+    }
+    text
+}
--- a/crates/chervilfall_telemetry/src/lines.rs
+++ b/crates/chervilfall_telemetry/src/lines.rs
@@ -24,6 +24,8 @@
 const RESERVED_LINES: usize = 2_048;
 /// Pause of the writer between its writes, so that lines are written in groups.
 const WRITE_PAUSE_MS: u64 = 25;
+/// Members that each line has by itself.
+const RESERVED: [&str; 5] = ["unix_ms", "node", "level", "part", "event"];
 /// Name of the one appender.
 const APPENDER: &str = "lines";
 
@@ -40,10 +42,11 @@
         waiting: Arc::new(AtomicU64::new(0)),
         left_out: Arc::new(AtomicU64::new(0)),
     };
+    let name = node.to_owned();
     let (waiting, left_out) = (Arc::clone(&lines.waiting), Arc::clone(&lines.left_out));
     thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&receiver, &waiting, &left_out))?;
+        .spawn(move || write_lines(&name, &receiver, &waiting, &left_out))?;
     let appender = Appender::builder().build(APPENDER, Box::new(lines));
     let mut config = Config::builder().appender(appender);
     for name in QUIET {
@@ -89,7 +92,14 @@
         } else {
             value.to_string().into()
         };
-        self.0.insert(key.to_string(), json);
+        let name = key.as_str();
+        // An object with two members of one name can't be read by everybody.
+        let name = if RESERVED.contains(&name) {
+            format!("field_{name}")
+        } else {
+            name.to_owned()
+        };
+        self.0.insert(name, json);
         Ok(())
     }
 }
@@ -104,11 +114,8 @@
         }
         let mut fields = Fields::default();
         record.key_values().visit(&mut fields)?;
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or(Duration::ZERO);
         let line = Line {
-            unix_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            unix_ms: unix_ms(),
             node: &self.node,
             level: record.level().as_str(),
             part: record.target(),
@@ -128,7 +135,36 @@
     fn flush(&self) {}
 }
 
-fn write_lines(receiver: &Receiver<Vec<u8>>, waiting: &AtomicU64, left_out: &AtomicU64) {
+/// Returns the time of day; a clock set before 1970 counts as 0.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or(Duration::ZERO);
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the line that says how many lines were left out.
+fn left_out_line(node: &str, missing: u64) -> Vec<u8> {
+    let line = Line {
+        unix_ms: unix_ms(),
+        node,
+        level: "WARN",
+        part: module_path!(),
+        event: "log lines left out".to_owned(),
+        fields: Fields(BTreeMap::from([("lines".to_owned(), missing.into())])),
+    };
+    // Numbers and texts have a JSON form; without one there is nothing to say.
+    let mut bytes = serde_json::to_vec(&line).unwrap_or_default();
+    bytes.push(b'\n');
+    bytes
+}
+
+fn write_lines(
+    node: &str,
+    receiver: &Receiver<Vec<u8>>,
+    waiting: &AtomicU64,
+    left_out: &AtomicU64,
+) {
     while let Ok(first) = receiver.recv() {
         let mut bytes = first;
         let mut lines = 1;
@@ -139,12 +175,7 @@
         waiting.fetch_sub(lines, Ordering::Relaxed);
         let missing = left_out.swap(0, Ordering::Relaxed);
         if missing > 0 {
-            bytes.extend_from_slice(
-                format!(
-                    "{{\"level\":\"WARN\",\"event\":\"log lines left out\",\"lines\":{missing}}}\n"
-                )
-                .as_bytes(),
-            );
+            bytes.extend_from_slice(&left_out_line(node, missing));
         }
         let mut output = std::io::stdout().lock();
         // There is no other place to report that standard output is gone.
