Let the roster say of silent endpoints when their leases lapse

Cause: after a takeover, inherited tasks wait until every endpoint of the roster has shown its lists or the predecessor's last lease has lapsed, 9.5 s after its last commit.

Ruled out: dropping them from the roster sooner. A lapse counts only once a later commit is stored, and the store had turned the holder away before that.

Change: an endpoint that is silent for 0.95 s is marked in the roster with the time, by the store's clock, at which its last lease has lapsed. From the batch that says so on it is granted nothing, neither by holds nor by starts, until a roster without the mark is stored. A successor passes it as soon as a commit of its own was carried out later than that. The time is an upper bound: the reading of the store's clock counts from the sending of the call that brought it, both clocks may drift by 2%. Endpoints that a holder has never heard are not marked, a mark is kept by successors that don't reach them, and none is set while the store is away.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -145,8 +145,10 @@
     pub(crate) entry: EndpointEntry,
     /// The platform lists it now.
     pub(crate) listed: bool,
-    /// It stands in the stored roster, so that a successor knows that it may hold leases.
+    /// It stands in the stored roster as one that may be granted leases, so that a successor knows.
     pub(crate) rostered: bool,
+    /// What the roster says of a silent endpoint: when its last lease has lapsed, by the store's clock.
+    pub(crate) lapses_store_ms: Option<Millis>,
     /// It has answered a hold of this planner, so that older holders are shut out there.
     pub(crate) contacted: bool,
     /// All its leases have lapsed since it was last heard, or its incarnation is over.
@@ -179,6 +181,7 @@
             entry,
             listed,
             rostered: false,
+            lapses_store_ms: None,
             contacted: false,
             over: false,
             lapsed_ms: None,
@@ -234,6 +237,15 @@
         }
     }
 
+    /// Returns when, on our clock, every lease that it was granted has surely lapsed. None while its clock
+    /// is unknown.
+    pub(crate) fn lapse_ms(&self, limits: &Limits) -> Option<Millis> {
+        let reading = self.reading?;
+        let left_ms = self.granted_ms.saturating_sub(reading.theirs_ms) + limits.clock_slack_ms;
+        let slow_ms = left_ms * limits.drift_permille / (1_000 - limits.drift_permille) + 1;
+        Some(reading.received_ms + left_ms + slow_ms)
+    }
+
     /// Returns whether every lease that it was granted has surely lapsed.
     pub(crate) fn surely_lapsed(&self, now: Millis, limits: &Limits) -> bool {
         let Some(reading) = self.reading else {
@@ -250,18 +262,22 @@
             .map_or(Millis::MAX, |heard| now.saturating_sub(heard))
     }
 
+    /// Returns whether it is granted nothing until it answers again.
+    pub(crate) fn is_silent(&self, now: Millis, limits: &Limits) -> bool {
+        self.missed || self.silent_for(now) > limits.silent_ms
+    }
+
     /// Returns whether it can be given new work.
     pub(crate) fn takes_work(&self, now: Millis, limits: &Limits) -> bool {
         self.listed
             && self.rostered
             && self.contacted
             && !self.over
-            && !self.missed
             && self.unsized_runs == 0
             && !self.entry.draining
             && now >= self.paused_until_ms
             && self.fit(now)
-            && self.silent_for(now) < limits.silent_ms
+            && !self.is_silent(now, limits)
     }
 
     /// Returns whether its ends speak for giving it a task.
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -1,6 +1,6 @@
 //! After a takeover: inherited tasks wait until no run of an earlier holder can be overlooked.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::election::Takeover;
 use crate::endpoint::EndpointKey;
@@ -12,8 +12,9 @@
 #[derive(Debug)]
 pub(crate) struct Barrier {
     lapse_ms: Millis,
-    /// Endpoints that have not shown their lists yet.
-    missing: BTreeSet<EndpointKey>,
+    /// Endpoints that have not shown their lists yet, and when the leases of those that were silent
+    /// before have lapsed, by the store's clock.
+    missing: BTreeMap<EndpointKey, Option<Millis>>,
 }
 
 impl Barrier {
@@ -31,12 +32,19 @@
             .map(|gone_ms| lapse(gone_ms, limits.lease_ms));
         Some(Self {
             lapse_ms: gone.map_or(covered, |gone| gone.min(covered)),
-            missing: BTreeSet::new(),
+            missing: BTreeMap::new(),
         })
     }
 
-    pub(crate) fn add(&mut self, endpoint: EndpointKey) {
-        self.missing.insert(endpoint);
+    pub(crate) fn add(&mut self, endpoint: EndpointKey, lapses_store_ms: Option<Millis>) {
+        self.missing.insert(endpoint, lapses_store_ms);
+    }
+
+    /// Takes off endpoints whose leases had lapsed at `store_ms`, when the store carried out a commit of
+    /// this holder, so that no successor had granted them any.
+    fn pass_lapsed(&mut self, store_ms: Millis) {
+        self.missing
+            .retain(|_, lapses_store_ms| lapses_store_ms.is_none_or(|lapses| store_ms < lapses));
     }
 }
 
@@ -49,9 +57,12 @@
     }
 
     pub(super) fn check_barrier(&mut self) {
-        let Some(barrier) = &self.barrier else {
+        let Some(barrier) = &mut self.barrier else {
             return;
         };
+        if let Some((store_ms, _)) = self.store_clock {
+            barrier.pass_lapsed(store_ms);
+        }
         // The lapse counts once a later commit shows that no successor extends leases meanwhile.
         let lapsed = self.covered_from_ms >= barrier.lapse_ms;
         if !barrier.missing.is_empty() && !lapsed {
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -176,16 +176,23 @@
         if !std::mem::take(&mut self.unsaved.roster) {
             return;
         }
-        let entries: Vec<RosterEntry> = self
-            .endpoints
-            .values()
-            .map(|endpoint| RosterEntry {
+        let mut entries = Vec::with_capacity(self.endpoints.len());
+        let mut grantable = BTreeSet::new();
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.lapses_store_ms.is_none() {
+                grantable.insert(endpoint.entry.id.clone());
+            } else {
+                // From here on the store may say so.
+                endpoint.rostered = false;
+            }
+            entries.push(RosterEntry {
                 id: endpoint.entry.id.clone(),
                 address: endpoint.entry.address.clone(),
-            })
-            .collect();
+                lapses_store_ms: endpoint.lapses_store_ms,
+            });
+        }
         builder.put(CLAIMS, ROSTER.to_owned(), encode(&entries));
-        builder.roster = Some(entries.into_iter().map(|entry| entry.id).collect());
+        builder.roster = Some(grantable);
     }
 
     fn add_removed(&mut self, builder: &mut Builder) {
@@ -213,6 +220,8 @@
         }
         match outcome {
             CommitOutcome::Stored { version, store_ms } => {
+                let sent_ms = flight.sent_ms.get(copy).copied();
+                self.store_ahead = sent_ms.map(|sent_ms| (store_ms, sent_ms));
                 self.store_clock = Some((store_ms, self.now));
                 self.stored(version);
             }
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -13,12 +13,16 @@
 
 /// Wait of a hold while the end of a stop is awaited, which an absent run never announces.
 const SETTLE_WAIT_MS: Millis = 150;
+/// Age of the last stored commit from which on no endpoint is marked as silent: twice the time between
+/// renewals.
+const MARK_CLAIM_AGE_MS: Millis = 800;
 /// Silence after which the lease of an endpoint is looked at.
 const LAPSE_CHECK_MS: Millis = 1_000;
 
 impl Planner {
     /// Adds an endpoint that an earlier holder may have given work.
     pub(super) fn add_rostered(&mut self, entry: RosterEntry) {
+        let lapses_store_ms = entry.lapses_store_ms;
         let entry = EndpointEntry {
             id: entry.id,
             address: entry.address,
@@ -33,10 +37,11 @@
         };
         let key = self.add_endpoint(entry, false);
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.rostered = true;
+            endpoint.rostered = lapses_store_ms.is_none();
+            endpoint.lapses_store_ms = lapses_store_ms;
         }
         if let Some(barrier) = &mut self.barrier {
-            barrier.add(key);
+            barrier.add(key, lapses_store_ms);
         }
     }
 
@@ -108,8 +113,8 @@
                 continue;
             }
             // An endpoint that does not answer is granted nothing more, so that its leases lapse.
-            let silent = endpoint.missed || endpoint.silent_for(now) > self.limits.silent_ms;
-            let until_ms = if silent {
+            let silent = endpoint.is_silent(now, &self.limits);
+            let until_ms = if silent || !endpoint.rostered {
                 None
             } else {
                 endpoint.lease(now, lease_ms, bound_ms)
@@ -170,6 +175,9 @@
         endpoint.over = false;
         endpoint.missed = false;
         endpoint.lapsed_ms = None;
+        if endpoint.lapses_store_ms.take().is_some() {
+            self.unsaved.roster = true;
+        }
         let first = !endpoint.contacted;
         if first {
             endpoint.assume_granted(&self.limits);
@@ -352,6 +360,38 @@
         }
     }
 
+    /// Lets the roster say of endpoints that have fallen silent when their leases lapse, so that a successor
+    /// need not wait for them as long as for those that this holder may go on to grant leases.
+    pub(super) fn mark_silent(&mut self) {
+        let Some((store_ms, sent_ms)) = self.store_ahead else {
+            return;
+        };
+        let now = self.now;
+        // While the store is away a mark can neither help a successor nor be taken back.
+        if self.claim_age_ms(now) > MARK_CLAIM_AGE_MS {
+            return;
+        }
+        let drift_permille = self.limits.drift_permille;
+        for endpoint in self.endpoints.values_mut() {
+            let silent = endpoint.silent_for(now) > self.limits.silent_ms;
+            if !silent || !endpoint.contacted || endpoint.lapses_store_ms.is_some() {
+                continue;
+            }
+            let Some(lapse_ms) = endpoint.lapse_ms(&self.limits) else {
+                continue;
+            };
+            let after_ms = lapse_ms.saturating_sub(sent_ms);
+            let drift_ms = after_ms * drift_permille / 1_000 + 1;
+            endpoint.lapses_store_ms = Some(store_ms + after_ms + drift_ms);
+            log::info!(
+                endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
+                lapses_in_ms = lapse_ms.saturating_sub(now), tasks = endpoint.placed.len();
+                "endpoint is silent"
+            );
+            self.unsaved.roster = true;
+        }
+    }
+
     pub(super) fn incarnation_over(&mut self, key: EndpointKey) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -70,6 +70,9 @@
     commit_took_ms: Millis,
     /// A reading of the store's clock, and when it arrived.
     store_clock: Option<(Millis, Millis)>,
+    /// A reading of the store's clock, and when the call was sent that brought it: the clock was not
+    /// ahead of this then.
+    store_ahead: Option<(Millis, Millis)>,
     barrier: Option<Barrier>,
     nodes: Vec<NodeId>,
     advice_calls: BTreeMap<u64, AdviceCall>,
@@ -108,6 +111,7 @@
             last_batch_ms: now,
             commit_took_ms: 0,
             store_clock: None,
+            store_ahead: None,
             barrier,
             nodes: Vec::new(),
             advice_calls: BTreeMap::new(),
@@ -228,6 +232,7 @@
         self.unix_ms = unix_ms;
         self.check_barrier();
         self.check_leases();
+        self.mark_silent();
         self.open_due();
         self.drop_finished();
         self.refuse_overdue();
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -107,10 +107,9 @@
         };
         let progress = job.step_progress(task.step_key());
         let ticket = progress.and_then(|progress| progress.advice.ticket(key, self.now).cloned());
-        let silent = self
-            .endpoints
-            .get(key)
-            .is_none_or(|endpoint| endpoint.missed);
+        let silent = self.endpoints.get(key).is_none_or(|endpoint| {
+            !endpoint.rostered || endpoint.is_silent(self.now, &self.limits)
+        });
         if silent || (job.queue.advice.is_some() && ticket.is_none()) {
             return false;
         }
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -5,7 +5,7 @@
 
 use crate::action::JobState;
 use crate::config::Queue;
-use crate::ids::{EndpointId, Run};
+use crate::ids::{EndpointId, Millis, Run};
 use crate::job::JobSpec;
 
 /// Table of accepted jobs, by name.
@@ -68,6 +68,10 @@
     pub id: EndpointId,
     /// Address.
     pub address: String,
+    /// Set if the endpoint is silent: no lease reaches beyond this time by the store's clock, and none is
+    /// granted before a later roster without this.
+    #[serde(default)]
+    pub lapses_store_ms: Option<Millis>,
 }
 
 /// Encodes a value.
