Prove that a marked endpoint gets no lease before the roster says so

A directed test: an endpoint is silent until the roster says so, then heard by the old holder alone, which has lost the store; a successor starts its tasks elsewhere. Without the rule two runs overlap.

--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -420,3 +420,37 @@
     completed(&mut world, 2, 2_000);
     completed(&mut world, 1, 9_000);
 }
+
+#[test]
+fn a_silent_endpoint_that_answers_again_gets_no_lease_before_the_roster_says_so() {
+    let mut world = ready_world(3);
+    assert_eq!(
+        world.submit(1, job(vec![step(2, 20_000)])),
+        Answer::Accepted
+    );
+    world.run(400);
+    let now = world.now;
+    let endpoint = world
+        .endpoints
+        .values_mut()
+        .find(|endpoint| !endpoint.running.is_empty());
+    let endpoint = endpoint.expect("the job has started");
+    let id = endpoint.id.clone();
+    // Silent until the roster says so, and then heard by the old holder alone, which has lost the store.
+    endpoint.domain = 1;
+    endpoint.cut_until_ms = now + 1_600;
+    let holder = world.holder().expect("a holder");
+    world.nodes[holder].domain = 1;
+    world.run(1_550);
+    world.nodes[holder].store_cut_until_ms = world.now + 20_000;
+    world.split_until_ms = world.now + 20_000;
+    world.run_until(6_000, |world| {
+        let others = world
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.id != id);
+        others.map(|endpoint| endpoint.starts.len()).sum::<usize>() == 2
+    });
+    world.run(6_000);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
