--- a/crates/chervilfall_story/src/clocks.rs
+++ b/crates/chervilfall_story/src/clocks.rs
@@ -1,4 +1,5 @@
-//! Differences of clocks, from lines of which one must come before the other.
+//! Differences of clocks, from lines of which one must come before the other: a claim, and that another
+//! node has heard of it.
 
 use std::collections::BTreeMap;
 
@@ -6,27 +7,12 @@
 
 use crate::line::LogLine;
 
-/// A line that must come before another one on a different node.
-struct Order {
-    cause: &'static str,
-    effect: &'static str,
-    /// Field that has the same value in both.
-    field: &'static str,
-}
-
-/// A node follows a holder only after its claim, and answers a caller only after the holder has refused.
-const ORDERS: [Order; 2] = [
-    Order {
-        cause: "group claimed",
-        effect: "holder found",
-        field: "term",
-    },
-    Order {
-        cause: "refused, the store does not answer",
-        effect: "request not carried out",
-        field: "job",
-    },
-];
+/// Written by a holder before it tells anybody of its claim.
+const CLAIMED: &str = "group claimed";
+/// Written by a node that has heard a holder speak of its claim.
+const FOUND: &str = "holder found";
+/// Number of the claim, in both.
+const TERM: &str = "term";
 
 /// A clock that is behind another one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -41,24 +27,21 @@
 
 /// Returns the differences that the lines show, the largest of each pair of nodes.
 pub(crate) fn differences(lines: &[LogLine]) -> Vec<ClockDifference> {
+    let claims: BTreeMap<u64, &LogLine> = lines
+        .iter()
+        .filter(|line| line.event == CLAIMED)
+        .filter_map(|line| Some((line.number(TERM)?, line)))
+        .collect();
     let mut found: BTreeMap<(String, String), u64> = BTreeMap::new();
-    for order in &ORDERS {
-        let causes: BTreeMap<String, &LogLine> = lines
-            .iter()
-            .filter(|line| line.event == order.cause)
-            .filter_map(|line| Some((line.fields.get(order.field)?.to_string(), line)))
-            .collect();
-        for effect in lines.iter().filter(|line| line.event == order.effect) {
-            let value = effect.fields.get(order.field).map(ToString::to_string);
-            let Some(cause) = value.and_then(|value| causes.get(&value)) else {
-                continue;
-            };
-            if cause.node == effect.node || effect.unix_ms >= cause.unix_ms {
-                continue;
-            }
-            let pair = (effect.node.clone(), cause.node.clone());
+    for heard in lines.iter().filter(|line| line.event == FOUND) {
+        let claim = heard.number(TERM).and_then(|term| claims.get(&term));
+        let Some(claim) = claim.filter(|claim| claim.node != heard.node) else {
+            continue;
+        };
+        if heard.unix_ms < claim.unix_ms {
+            let pair = (heard.node.clone(), claim.node.clone());
             let largest = found.entry(pair).or_default();
-            *largest = (*largest).max(cause.unix_ms - effect.unix_ms);
+            *largest = (*largest).max(claim.unix_ms - heard.unix_ms);
         }
     }
     found
--- a/crates/chervilfall_story/src/line.rs
+++ b/crates/chervilfall_story/src/line.rs
@@ -29,6 +29,12 @@
         self.fields.get(field)?.as_str()
     }
 
+    /// Returns a field's number, if it has one.
+    #[must_use]
+    pub fn number(&self, field: &str) -> Option<u64> {
+        self.fields.get(field)?.as_u64()
+    }
+
     /// Returns whether the line is about the job, one of its steps or one of its tasks.
     #[must_use]
     pub fn touches(&self, job: &str) -> bool {
--- a/crates/chervilfall_story/tests/story.rs
+++ b/crates/chervilfall_story/tests/story.rs
@@ -168,7 +168,14 @@
         line(5_000, "b", "group claimed", r#","term":2"#),
         line(4_400, "c", "holder found", r#","term":2"#),
         line(5_200, "d", "holder found", r#","term":2"#),
-        line(5_300, "b", "accepted", &of_job("job", JOB)),
+        // A caller that came twice: the order of these is open.
+        line(5_300, "e", "request not carried out", &of_job("job", JOB)),
+        line(
+            5_400,
+            "b",
+            "refused, the store does not answer",
+            &of_job("job", JOB),
+        ),
     ];
     let story = Story::tell(JOB, &read(&lines)).expect("lines about the job");
     let expected = ClockDifference {
