Split the planner's large files and the tests' world by job

Turns of steps, leases, and what a step asks the advice service about have files of their own, as have the world's nodes, orders and callers.

--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -0,0 +1,100 @@
+//! Which endpoints a step asks the advice service about.
+
+use crate::advice::Advice;
+use crate::endpoint::{EndpointKey, Room};
+use crate::planner::schedule::{Pass, Wanted};
+use crate::planner::Planner;
+use crate::tasks::StepKey;
+
+/// Fewest endpoints that a first call for advice names, if there are as many.
+const ASK_LEAST: u32 = 30;
+/// Endpoints that a call names for each task that waits: about a quarter may run a step.
+const ASK_FOR_EACH_TASK: u32 = 8;
+/// Most calls on their way for one gang.
+pub(super) const GANG_CALLS: usize = 3;
+
+impl Planner {
+    /// Asks about endpoints that are not known for the step yet, or refreshes tickets of allowed
+    /// ones that have room now. Returns whether a call was made.
+    pub(super) fn ask_for_step(&mut self, pass: &Pass, key: StepKey, wanted: &Wanted) -> bool {
+        let (Some(terms), Some(pool)) = (wanted.advice, pass.pools.get(&wanted.service)) else {
+            return false;
+        };
+        let Some(progress) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step_progress(key))
+        else {
+            return false;
+        };
+        let waiting = progress.waiting();
+        if waiting == 0 {
+            return false;
+        }
+        let need = Room::of_step(&wanted.step);
+        let enough = if wanted.step.gang {
+            u64::from(waiting)
+        } else {
+            1
+        };
+        let usable = self.allowed_with_room(pool, &progress.advice, need);
+        let fits = |keys: &[EndpointKey]| -> u64 {
+            keys.iter()
+                .map(|key| u64::from(self.endpoints[*key].free().fits(need)))
+                .sum()
+        };
+        let calls = progress.advice.calls();
+        if calls > 0 && !(wanted.step.gang && calls < GANG_CALLS) {
+            return false;
+        }
+        if fits(&usable) >= enough {
+            if calls > 0 {
+                return false;
+            }
+            let stale = usable
+                .iter()
+                .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
+            return stale && self.ask(key, terms, &usable);
+        }
+        let unknown = self.unknown_by_room(pool, &progress.advice, need);
+        let most = (waiting * ASK_FOR_EACH_TASK).max(ASK_LEAST) as usize;
+        let most = most.saturating_sub(progress.advice.asked());
+        if calls > 0 && most < ASK_LEAST as usize {
+            return false;
+        }
+        let named = &unknown[..unknown.len().min(most)];
+        !named.is_empty() && self.ask(key, terms, named)
+    }
+
+    /// Returns the endpoints that may run the step and have room for a task of it.
+    fn allowed_with_room(
+        &self,
+        pool: &[EndpointKey],
+        advice: &Advice,
+        need: Room,
+    ) -> Vec<EndpointKey> {
+        let allowed = pool.iter().filter(|key| advice.allowed(**key));
+        allowed
+            .filter(|key| self.endpoints[**key].free().holds(need))
+            .copied()
+            .collect()
+    }
+
+    /// Returns the endpoints that nothing is known of, those with most free processor first.
+    fn unknown_by_room(
+        &self,
+        pool: &[EndpointKey],
+        advice: &Advice,
+        need: Room,
+    ) -> Vec<EndpointKey> {
+        let unknown = pool
+            .iter()
+            .filter(|key| !advice.known(**key) && !advice.asks_about(**key));
+        let able = unknown.filter(|key| Room::of_entry(&self.endpoints[**key].entry).holds(need));
+        let mut found: Vec<(u32, EndpointKey)> = able
+            .map(|key| (self.endpoints[*key].free().cpu_milli, *key))
+            .collect();
+        found.sort_unstable_by(|left, right| right.cmp(left));
+        found.into_iter().map(|(_, key)| key).collect()
+    }
+}
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -1,24 +1,15 @@
-//! Endpoints: the list, holds, lapsed leases.
+//! Endpoints: the list, and what their reports say.
 
 use std::collections::BTreeSet;
 
-use crate::action::{Action, HoldOrder, StepDownReason};
+use crate::action::StepDownReason;
 use crate::endpoint::{Endpoint, EndpointEntry, EndpointKey, Placed, Room, RunPhase};
 use crate::event::{HoldAnswer, HoldReport, RunningRun};
 use crate::ids::{EndpointId, Millis, Run, TaskKey};
-use crate::meters;
 use crate::planner::Planner;
 use crate::record::RosterEntry;
 use crate::tasks::TaskState;
 
-/// Wait of a hold while the end of a stop is awaited, which an absent run never announces.
-const SETTLE_WAIT_MS: Millis = 150;
-/// Age of the last stored commit from which on no endpoint is marked as silent: twice the time between
-/// renewals.
-const MARK_CLAIM_AGE_MS: Millis = 800;
-/// Silence after which the lease of an endpoint is looked at.
-const LAPSE_CHECK_MS: Millis = 1_000;
-
 impl Planner {
     /// Adds an endpoint that an earlier holder may have given work.
     pub(super) fn add_rostered(&mut self, entry: RosterEntry) {
@@ -99,51 +90,6 @@
         }
     }
 
-    /// Bound on our clock that no lease may exceed.
-    pub(super) const fn cover_until_ms(&self) -> Millis {
-        self.covered_from_ms + self.limits.claim_cover_ms
-    }
-
-    pub(super) fn send_holds(&mut self) {
-        let now = self.now;
-        let bound_ms = self.cover_until_ms();
-        let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
-        for (key, endpoint) in &mut self.endpoints {
-            if endpoint.hold_sent_ms.is_some() || now < endpoint.next_hold_ms {
-                continue;
-            }
-            // An endpoint that does not answer is granted nothing more, so that its leases lapse.
-            let silent = endpoint.is_silent(now, &self.limits);
-            let until_ms = if silent || !endpoint.rostered {
-                None
-            } else {
-                endpoint.lease(now, lease_ms, bound_ms)
-            };
-            let settling = endpoint
-                .placed
-                .values()
-                .any(|placed| matches!(placed.phase, RunPhase::Stopping { .. }));
-            let wait_ms =
-                if silent || !endpoint.contacted || endpoint.taken_in > endpoint.acknowledged {
-                    0
-                } else if settling {
-                    SETTLE_WAIT_MS
-                } else {
-                    self.limits.hold_wait_ms
-                };
-            endpoint.hold_sent_ms = Some(now);
-            self.actions.push(Action::Hold(HoldOrder {
-                endpoint: key,
-                id: endpoint.entry.id.clone(),
-                address: endpoint.entry.address.clone(),
-                until_ms,
-                fence: self.fence,
-                acknowledged: endpoint.acknowledged,
-                wait_ms,
-            }));
-        }
-    }
-
     pub(super) fn held(&mut self, key: EndpointKey, sent_ms: Millis, answer: HoldAnswer) {
         let retry_ms = self.limits.hold_retry_ms;
         let now = self.now;
@@ -325,73 +271,6 @@
         }
     }
 
-    /// Frees what was on endpoints whose leases have surely lapsed.
-    ///
-    /// A successor may have extended leases that this holder sees lapse. So a lapse counts only once
-    /// a commit that was sent after it is stored, which shows that there was no successor by then.
-    pub(super) fn check_leases(&mut self) {
-        let (now, covered_from_ms) = (self.now, self.covered_from_ms);
-        let mut lapsed = Vec::new();
-        for (key, endpoint) in &mut self.endpoints {
-            let silent = endpoint.contacted && endpoint.silent_for(now) > LAPSE_CHECK_MS;
-            if endpoint.over || !silent || !endpoint.surely_lapsed(now, &self.limits) {
-                continue;
-            }
-            let lapsed_ms = *endpoint.lapsed_ms.get_or_insert(now);
-            if covered_from_ms >= lapsed_ms {
-                lapsed.push(key);
-            }
-        }
-        for key in lapsed {
-            let endpoint = &self.endpoints[key];
-            log::warn!(
-                endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
-                tasks = endpoint.placed.len();
-                "leases lapsed, endpoint is silent"
-            );
-            meters::lapsed();
-            self.clear_endpoint(key);
-        }
-        // An endpoint that has never answered runs nothing of ours.
-        for endpoint in self.endpoints.values_mut() {
-            if !endpoint.contacted && !endpoint.listed && self.barrier.is_none() {
-                endpoint.over = true;
-            }
-        }
-    }
-
-    /// Lets the roster say of endpoints that have fallen silent when their leases lapse, so that a successor
-    /// need not wait for them as long as for those that this holder may go on to grant leases.
-    pub(super) fn mark_silent(&mut self) {
-        let Some((store_ms, sent_ms)) = self.store_ahead else {
-            return;
-        };
-        let now = self.now;
-        // While the store is away a mark can neither help a successor nor be taken back.
-        if self.claim_age_ms(now) > MARK_CLAIM_AGE_MS {
-            return;
-        }
-        let drift_permille = self.limits.drift_permille;
-        for endpoint in self.endpoints.values_mut() {
-            let silent = endpoint.silent_for(now) > self.limits.silent_ms;
-            if !silent || !endpoint.contacted || endpoint.lapses_store_ms.is_some() {
-                continue;
-            }
-            let Some(lapse_ms) = endpoint.lapse_ms(&self.limits) else {
-                continue;
-            };
-            let after_ms = lapse_ms.saturating_sub(sent_ms);
-            let drift_ms = after_ms * drift_permille / 1_000 + 1;
-            endpoint.lapses_store_ms = Some(store_ms + after_ms + drift_ms);
-            log::info!(
-                endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
-                lapses_in_ms = lapse_ms.saturating_sub(now), tasks = endpoint.placed.len();
-                "endpoint is silent"
-            );
-            self.unsaved.roster = true;
-        }
-    }
-
     pub(super) fn incarnation_over(&mut self, key: EndpointKey) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
@@ -405,7 +284,7 @@
         self.pass_barrier(key);
     }
 
-    fn clear_endpoint(&mut self, key: EndpointKey) {
+    pub(super) fn clear_endpoint(&mut self, key: EndpointKey) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -1,14 +1,17 @@
 //! The planner: takes events, returns actions.
 
 mod advise;
+mod ask;
 mod barrier;
 mod commits;
 mod endpoints;
 mod ends;
+mod leases;
 mod open;
 mod orders;
 mod requests;
 mod schedule;
+mod turns;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -23,9 +26,8 @@
 use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, TaskKey};
 use crate::limits::Limits;
 use crate::meters;
-use crate::policy::order::rank;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
-use crate::tasks::{Job, StepKey};
+use crate::tasks::Job;
 use advise::AdviceCall;
 use barrier::Barrier;
 use commits::{Flight, Unsaved};
@@ -308,103 +310,6 @@
         }
     }
 
-    /// Puts a job's steps whose turn has come in the queue.
-    fn activate(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        if job.outcome.is_some() {
-            self.finished.push_back((self.now, id));
-            return;
-        }
-        if job.spec.repeat_count == 0 {
-            self.open_occurrence(id, 0);
-            return;
-        }
-        let due = (job.spec.due_unix_ms(0), id, 0);
-        self.due.insert(due);
-    }
-
-    fn open_due(&mut self) {
-        while let Some((due_unix_ms, id, occurrence)) = self.due.first().copied() {
-            if due_unix_ms > self.unix_ms {
-                return;
-            }
-            self.due.pop_first();
-            self.open_occurrence(id, occurrence);
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let next = occurrence + 1;
-            if next < job.spec.occurrences() {
-                self.due.insert((job.spec.due_unix_ms(next), id, next));
-            }
-        }
-    }
-
-    fn open_occurrence(&mut self, id: JobId, occurrence: u32) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        job.occurrence(occurrence);
-        let steps = job.spec.steps.len();
-        for step in 0..steps {
-            let Ok(step) = u16::try_from(step) else {
-                return;
-            };
-            self.open_step(StepKey {
-                job: id,
-                occurrence,
-                step,
-            });
-        }
-    }
-
-    /// Queues a step if its turn has come and tasks of it wait.
-    fn open_step(&mut self, key: StepKey) {
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        let Some(progress) = job.step_progress(key) else {
-            return;
-        };
-        if job.outcome.is_some() || !job.stored || progress.waiting() == 0 {
-            return;
-        }
-        let after = job
-            .spec
-            .steps
-            .get(key.step as usize)
-            .map(|step| &step.after);
-        let ready = after.is_some_and(|after| {
-            after.iter().all(|earlier| {
-                let earlier = StepKey {
-                    step: *earlier,
-                    ..key
-                };
-                job.step_progress(earlier)
-                    .is_some_and(super::tasks::StepProgress::complete)
-            })
-        });
-        if ready {
-            self.open.insert(key, rank(job, key, self.unix_ms));
-            self.schedule_due = true;
-        }
-    }
-
-    /// Ranks the open steps anew: with time, jobs fall behind those that can still be in time.
-    fn rank_open_steps(&mut self) {
-        for key in self.open.keys() {
-            if let Some(job) = self.jobs.get(&key.job) {
-                self.open.insert(key, rank(job, key, self.unix_ms));
-            }
-        }
-    }
-
-    fn close_step(&mut self, key: StepKey) {
-        self.open.remove(key);
-    }
-
     fn drop_finished(&mut self) {
         while let Some((at_ms, id)) = self.finished.front().copied() {
             if self.now.saturating_sub(at_ms) < self.limits.status_ms {
--- /dev/null
+++ b/crates/chervilfall_planner/tests/world/callers.rs
@@ -0,0 +1,54 @@
+//! Callers of the holder.
+
+use chervilfall_planner::{Answer, Event, JobId, JobSpec, ReplyTo, Request};
+
+use super::World;
+
+impl World {
+    /// Sends a request to the holder and returns its number.
+    pub fn request(&mut self, request: Request) -> Option<(usize, u64)> {
+        let node = self.holder()?;
+        self.next_request += 1;
+        let number = self.next_request;
+        let to = ReplyTo { node: 0, number };
+        self.feed(node, Event::Request { to, request });
+        Some((node, number))
+    }
+
+    /// Hands a job in and waits for the answer.
+    pub fn submit(&mut self, id: u64, spec: JobSpec) -> Answer {
+        let id = JobId(id);
+        self.jobs.insert(id, spec.clone());
+        let queue = self.queue.clone();
+        let answer = self.ask(Request::Submit {
+            queue,
+            id,
+            spec,
+            wait_ms: 700,
+        });
+        match answer {
+            Answer::Accepted => {
+                self.accepted.insert(id);
+            }
+            Answer::Refused { .. } => {
+                self.refused.insert(id);
+            }
+            _ => {}
+        }
+        answer
+    }
+
+    /// Asks and waits for the answer.
+    pub fn ask(&mut self, request: Request) -> Answer {
+        let Some((node, number)) = self.request(request) else {
+            return Answer::Refused { retry_ms: 0 };
+        };
+        for _ in 0..400 {
+            if let Some(answer) = self.nodes[node].replies.get(&number) {
+                return *answer;
+            }
+            self.run(5);
+        }
+        Answer::Undecided
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_planner/tests/world/orders.rs
@@ -0,0 +1,141 @@
+//! Orders to endpoints: cut, carried out late, answered.
+
+use chervilfall_planner::{Action, EndpointId, Event, HoldAnswer, StartAnswer, StopAnswer};
+
+use super::{Later, World, HOP_MS, TIMEOUT_MS};
+
+impl World {
+    pub(super) fn send_order(&mut self, node: usize, term: u64, action: Action) {
+        let id = order_target(&action).clone();
+        let cut = self.nodes[node].cut_until_ms > self.now
+            || self
+                .endpoints
+                .get(&id)
+                .is_none_or(|endpoint| endpoint.dead || endpoint.cut_until_ms > self.now)
+            || self.split(node, &id);
+        let unanswered = unanswered(&action, self.now);
+        let mut wait_ms = TIMEOUT_MS;
+        if let Action::Hold(order) = &action {
+            wait_ms += order.wait_ms;
+        }
+        if cut {
+            self.after(wait_ms, Later::Tell(node, term, Box::new(unanswered)));
+            return;
+        }
+        if self.random.percent(self.late_percent) {
+            let delay_ms = 2_000 + self.random.below(10_000);
+            let sent_ms = self.now;
+            self.after(
+                delay_ms,
+                Later::Arrive(usize::MAX, term, Box::new(action), sent_ms),
+            );
+            self.after(wait_ms, Later::Tell(node, term, Box::new(unanswered)));
+            return;
+        }
+        let sent_ms = self.now;
+        self.after(HOP_MS, Later::Arrive(node, term, Box::new(action), sent_ms));
+    }
+
+    pub(super) fn split(&self, node: usize, id: &EndpointId) -> bool {
+        let domain = self.endpoints.get(id).map_or(0, |endpoint| endpoint.domain);
+        self.split_until_ms > self.now && self.nodes[node].domain != domain
+    }
+
+    pub(super) fn arrive(&mut self, node: usize, term: u64, action: Action, sent_ms: u64) {
+        let now = self.now;
+        let id = order_target(&action).clone();
+        let Some(endpoint) = self.endpoints.get_mut(&id) else {
+            return;
+        };
+        if endpoint.dead {
+            return;
+        }
+        let event = match action {
+            Action::Start(order) => {
+                let spec = self.jobs.get(&order.task.job).cloned();
+                let answer = endpoint.start(now, &order, spec.as_ref(), &mut self.random);
+                Some(Event::Started {
+                    endpoint: order.endpoint,
+                    task: order.task,
+                    run: order.run,
+                    answer,
+                })
+            }
+            Action::Stop(order) => {
+                let answer = endpoint.stop(now, &order);
+                Some(Event::Stopped {
+                    endpoint: order.endpoint,
+                    task: order.task,
+                    run: order.run,
+                    answer,
+                })
+            }
+            Action::Hold(order) => {
+                endpoint.hold(now, &order, node, term, sent_ms);
+                None
+            }
+            _ => None,
+        };
+        if let (Some(event), true) = (event, node != usize::MAX) {
+            self.after(HOP_MS, Later::Tell(node, term, Box::new(event)));
+        }
+    }
+
+    pub(super) fn answer_holds(&mut self) {
+        let now = self.now;
+        let mut answers = Vec::new();
+        for endpoint in self.endpoints.values_mut() {
+            answers.extend(endpoint.ready_holds(now));
+        }
+        for hold in answers {
+            if hold.node == usize::MAX {
+                continue;
+            }
+            let lost = self.split(hold.node, &hold.id);
+            let term = hold.term;
+            let event = Event::Held {
+                endpoint: hold.endpoint,
+                sent_ms: hold.sent_ms,
+                answer: if lost {
+                    HoldAnswer::Unanswered
+                } else {
+                    hold.answer
+                },
+            };
+            let delay_ms = if lost { TIMEOUT_MS } else { HOP_MS };
+            self.after(delay_ms, Later::Tell(hold.node, term, Box::new(event)));
+        }
+    }
+}
+
+fn order_target(action: &Action) -> &EndpointId {
+    match action {
+        Action::Start(order) => &order.id,
+        Action::Stop(order) => &order.id,
+        Action::Hold(order) => &order.id,
+        other => panic!("no order to an endpoint: {other:?}"),
+    }
+}
+
+fn unanswered(action: &Action, sent_ms: u64) -> Event {
+    match action {
+        Action::Start(order) => Event::Started {
+            endpoint: order.endpoint,
+            task: order.task,
+            run: order.run,
+            answer: StartAnswer::Unanswered,
+        },
+        Action::Stop(order) => Event::Stopped {
+            endpoint: order.endpoint,
+            task: order.task,
+            run: order.run,
+            answer: StopAnswer::Unanswered,
+        },
+        Action::Hold(order) => Event::Held {
+            endpoint: order.endpoint,
+            sent_ms,
+            answer: HoldAnswer::Unanswered,
+        },
+        other => panic!("no order to an endpoint: {other:?}"),
+    }
+}
