--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -51,6 +51,8 @@
     /// Failure domain.
     pub domain: usize,
     pub fails_all: bool,
+    pub rack: Option<String>,
+    pub labels: BTreeSet<String>,
     pub running: BTreeMap<TaskKey, FakeRun>,
     pub starts: Vec<(u64, TaskKey, Run)>,
     /// Ends whose lease held until they were acknowledged, with the time of the end.
@@ -77,6 +79,8 @@
             cut_until_ms: 0,
             domain: 0,
             fails_all: false,
+            rack: None,
+            labels: BTreeSet::new(),
             running: BTreeMap::new(),
             starts: Vec::new(),
             noted: Vec::new(),
@@ -101,8 +105,8 @@
             cpu_milli: self.cpu_milli,
             memory_mb: 16_000,
             gpus: 0,
-            rack: None,
-            labels: BTreeSet::new(),
+            rack: self.rack.clone(),
+            labels: self.labels.clone(),
         }
     }
 
