Report the burn of objectives from log files

Cause: the burn report spoke to live instances of the older interface only; of nodes on the users' platform there was none.

Rows are the type that live instances report. The line `job finished` names the objective that its job was measured by; completed jobs whose line lacks it are counted and said, not guessed.

--- a/crates/chervilfall_cli/src/args.rs
+++ b/crates/chervilfall_cli/src/args.rs
@@ -282,13 +282,23 @@
     pub(crate) memory_mib: u64,
 }
 
-/// Reports on the system.
+/// Reports on the system; with log files, from the structured lines that nodes have written, without asking
+/// an entry instance.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
 pub(crate) struct Report {
     /// what to report: burn
     #[argh(positional)]
     pub(crate) what: String,
+    /// file with log lines; may be given several times
+    #[argh(option)]
+    pub(crate) log: Vec<PathBuf>,
+    /// share of jobs that have to complete within their objective, in thousandths; with log files
+    #[argh(option, default = "990")]
+    pub(crate) success_permille: u64,
+    /// file to write a page with plots to; with log files
+    #[argh(option)]
+    pub(crate) html: Option<PathBuf>,
 }
 
 /// Tells why a request waits, where it was placed, and what was refused; with log files, from the
--- a/crates/chervilfall_cli/src/commands/explain.rs
+++ b/crates/chervilfall_cli/src/commands/explain.rs
@@ -1,13 +1,11 @@
 //! Tells what happened to a request.
 
-use std::fs::File;
-use std::io::BufReader;
-
 use anyhow::Context;
 use chervilfall_client::RpcClient;
-use chervilfall_story::{read_lines, Lines, Story};
+use chervilfall_story::Story;
 
 use crate::args::Explain;
+use crate::commands::logs;
 use crate::exit::ExitStatus;
 use crate::print;
 
@@ -34,14 +32,7 @@
 ///
 /// Returns an error if a file can't be read or no line is about the job.
 pub(super) fn from_logs(json: bool, args: &Explain) -> anyhow::Result<ExitStatus> {
-    let mut read = Lines::default();
-    for path in &args.log {
-        let file = File::open(path).with_context(|| format!("can't open {}", path.display()))?;
-        let lines = read_lines(BufReader::new(file))
-            .with_context(|| format!("can't read {}", path.display()))?;
-        read.lines.extend(lines.lines);
-        read.unreadable += lines.unreadable;
-    }
+    let read = logs::read(&args.log)?;
     let story = Story::tell(&args.key, &read).with_context(|| {
         format!(
             "none of {} lines is about job {}",
--- a/crates/chervilfall_cli/src/commands/mod.rs
+++ b/crates/chervilfall_cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod explain;
 mod list;
+mod logs;
 mod quota;
 mod report;
 mod run;
@@ -33,10 +34,14 @@
 /// Returns an error if the command could not be carried out.
 pub(crate) async fn run(args: Args) -> anyhow::Result<ExitStatus> {
     let json = args.json;
-    if let Command::Explain(explain) = &args.command {
-        if !explain.log.is_empty() {
+    match &args.command {
+        Command::Explain(explain) if !explain.log.is_empty() => {
             return explain::from_logs(json, explain);
         }
+        Command::Report(report) if !report.log.is_empty() => {
+            return report::from_logs(json, report);
+        }
+        _ => {}
     }
     let client = open_client(args.entry, args.token_file)?;
     match args.command {
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -143,7 +143,11 @@
         job.outcome = Some(outcome);
         job.finished_ms = Some(self.now);
         let age_ms = self.now.saturating_sub(job.accepted_ms);
-        log::info!(job:% = id, queue = job.queue.name.as_str(), outcome:? = outcome, age_ms = age_ms; "job finished");
+        log::info!(
+            job:% = id, queue = job.queue.name.as_str(), outcome:? = outcome, age_ms = age_ms,
+            objective_ms = job.spec.objective_ms(&job.queue);
+            "job finished"
+        );
         self.unsaved.progress.insert(id);
         self.finished.push_back((self.now, id));
         self.open.remove_job(id);
--- a/crates/chervilfall_story/src/story.rs
+++ b/crates/chervilfall_story/src/story.rs
@@ -224,16 +224,13 @@
     }
 }
 
+/// Returns the fields as they stand behind an event, each with a space before it.
 fn fields(line: &LogLine) -> String {
-    let mut text = String::new();
-    for (name, value) in &line.fields {
-        if name == "part" {
-            continue;
-        }
-        let shown = value
-            .as_str()
-            .map_or_else(|| value.to_string(), str::to_owned);
-        text.push_str(&format!(" {name}={shown}"));
-    }
-    text
+    let shown = line.fields.iter().filter(|(name, _)| *name != "part");
+    shown
+        .map(|(name, value)| match value.as_str() {
+            Some(text) => format!(" {name}={text}"),
+            None => format!(" {name}={value}"),
+        })
+        .collect()
 }
