Keep the roster in buckets, each a row

The roster was one row of 60 bytes an endpoint; the store takes 65,536 bytes a row, so that no commit of that holder was ever carried out. At 999 endpoints 60 of 64 KB were used, a third of it by the marks of silent endpoints.

Ruled out by the test: nothing else stands in the way of 1,600 endpoints in virtual time.

Change: 64 rows in a table of their own, by a hash of the endpoint's id; only changed ones are written, before jobs, because endpoints can be used only once they are rostered. One change rewrites 2 KB of 2,500 endpoints (150 KB before).

Test: the tests' store refuses rows and transactions that the real one refuses; 1,600 endpoints then run no job without the change, and do with it, also after a takeover. Rows of earlier versions are not read.

--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -310,20 +310,27 @@
         let store = self.platform.store();
         let jobs = store.read_table(&self.group, JOBS);
         let progress = store.read_table(&self.group, PROGRESS);
-        let roster = store.read_row(&self.group, CLAIMS, ROSTER);
-        let (jobs, progress, (roster, _)) = tokio::try_join!(jobs, progress, roster)?;
+        let roster = store.read_table(&self.group, ROSTER);
+        let (jobs, progress, roster) = tokio::try_join!(jobs, progress, roster)?;
         Ok(Stored {
             jobs: decode_rows(jobs, JobRow::decode)?,
             progress: decode_rows(progress, ProgressRow::decode)?,
-            roster: match roster {
-                Some(row) => RosterEntry::decode_all(&row.value)
-                    .map_err(|error| StoreError::Malformed(format!("row roster: {error}")))?,
-                None => Vec::new(),
-            },
+            roster: decode_roster(roster)?,
         })
     }
 }
 
+/// Decodes the rows of the roster; to take one that cannot be read for absent would forget leases.
+fn decode_roster(rows: Vec<Row>) -> Result<Vec<RosterEntry>, StoreError> {
+    let mut roster = Vec::new();
+    for row in rows {
+        let entries = RosterEntry::decode_all(&row.value)
+            .map_err(|error| StoreError::Malformed(format!("row {}: {error}", row.key)))?;
+        roster.extend(entries);
+    }
+    Ok(roster)
+}
+
 /// Decodes rows named by job; a row that cannot be read stops the takeover, because to take it for
 /// absent would forget an accepted job.
 fn decode_rows<T, E: std::fmt::Display>(
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -9,7 +9,7 @@
 use crate::ids::{EndpointId, JobId, Millis, RowVersion};
 use crate::meters;
 use crate::planner::Planner;
-use crate::record::{encode, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
+use crate::record::{encode, RosterBucket, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
 
 /// Factor on what recent commits took.
 const COMMIT_COPY_FACTOR: u64 = 2;
@@ -23,7 +23,7 @@
     pub(crate) progress: BTreeSet<JobId>,
     pub(crate) acknowledgements: BTreeMap<EndpointKey, u64>,
     removed: Vec<JobId>,
-    pub(crate) roster: bool,
+    pub(crate) roster: BTreeSet<RosterBucket>,
 }
 
 impl Unsaved {
@@ -37,7 +37,7 @@
             && self.progress.is_empty()
             && self.acknowledgements.is_empty()
             && self.removed.is_empty()
-            && !self.roster
+            && self.roster.is_empty()
     }
 }
 
@@ -55,7 +55,8 @@
     new_jobs: BTreeSet<JobId>,
     progress: Vec<(JobId, Option<JobState>, bool)>,
     acknowledgements: BTreeMap<EndpointKey, u64>,
-    roster: Option<BTreeSet<EndpointId>>,
+    /// Endpoints that may be granted leases once it is stored.
+    grantable: BTreeSet<EndpointId>,
     releases: bool,
 }
 
@@ -91,9 +92,10 @@
     fn send_batch(&mut self) {
         self.holder.number += 1;
         let mut builder = Builder::new(self.limits.commit_rows, self.limits.commit_bytes);
+        // Endpoints can be used only once they stand in the roster, so it comes before jobs.
+        self.add_roster(&mut builder);
         self.add_new_jobs(&mut builder);
         self.add_progress(&mut builder);
-        self.add_roster(&mut builder);
         self.add_removed(&mut builder);
         let complete = self.unsaved.new_jobs.is_empty() && self.unsaved.progress.is_empty();
         let acknowledgements = if complete {
@@ -127,7 +129,7 @@
             new_jobs: builder.new_jobs,
             progress: builder.progress,
             acknowledgements,
-            roster: builder.roster,
+            grantable: builder.grantable,
             releases,
         });
     }
@@ -172,27 +174,37 @@
         }
     }
 
+    /// Adds the buckets of the roster that have changed.
     fn add_roster(&mut self, builder: &mut Builder) {
-        if !std::mem::take(&mut self.unsaved.roster) {
+        let mut rows: BTreeMap<RosterBucket, Vec<RosterEntry>> = BTreeMap::new();
+        while builder.has_room_for(rows.len()) {
+            let Some(bucket) = self.unsaved.roster.pop_first() else {
+                break;
+            };
+            rows.insert(bucket, Vec::new());
+        }
+        if rows.is_empty() {
             return;
         }
-        let mut entries = Vec::with_capacity(self.endpoints.len());
-        let mut grantable = BTreeSet::new();
         for endpoint in self.endpoints.values_mut() {
+            let Some(row) = rows.get_mut(&RosterBucket::of(&endpoint.entry.id)) else {
+                continue;
+            };
             if endpoint.lapses_store_ms.is_none() {
-                grantable.insert(endpoint.entry.id.clone());
+                builder.grantable.insert(endpoint.entry.id.clone());
             } else {
                 // From here on the store may say so.
                 endpoint.rostered = false;
             }
-            entries.push(RosterEntry {
+            row.push(RosterEntry {
                 id: endpoint.entry.id.clone(),
                 address: endpoint.entry.address.clone(),
                 lapses_store_ms: endpoint.lapses_store_ms,
             });
         }
-        builder.put(CLAIMS, ROSTER.to_owned(), encode(&entries));
-        builder.roster = Some(grantable);
+        for (bucket, row) in rows {
+            builder.put(ROSTER, bucket.key(), encode(&row));
+        }
     }
 
     fn add_removed(&mut self, builder: &mut Builder) {
@@ -277,9 +289,10 @@
                 endpoint.next_hold_ms = endpoint.gathered_ms(self.now, self.limits.hold_gap_ms);
             }
         }
-        if let Some(ids) = flight.roster {
-            for endpoint in self.endpoints.values_mut() {
-                endpoint.rostered = ids.contains(&endpoint.entry.id);
+        for id in flight.grantable {
+            let endpoint = self.endpoint_keys.get(&id);
+            if let Some(endpoint) = endpoint.and_then(|key| self.endpoints.get_mut(*key)) {
+                endpoint.rostered = true;
             }
         }
         if flight.releases {
@@ -330,7 +343,7 @@
     changes: Vec<RowChange>,
     new_jobs: BTreeSet<JobId>,
     progress: Vec<(JobId, Option<JobState>, bool)>,
-    roster: Option<BTreeSet<EndpointId>>,
+    grantable: BTreeSet<EndpointId>,
 }
 
 impl Builder {
@@ -341,12 +354,17 @@
             changes: Vec::new(),
             new_jobs: BTreeSet::new(),
             progress: Vec::new(),
-            roster: None,
+            grantable: BTreeSet::new(),
         }
     }
 
     fn has_room(&self) -> bool {
-        self.changes.len() + 1 < self.rows && self.bytes > 0
+        self.has_room_for(0)
+    }
+
+    /// Returns whether there is room for another row beside `more` that are still to be put.
+    fn has_room_for(&self, more: usize) -> bool {
+        self.changes.len() + more + 1 < self.rows && self.bytes > 0
     }
 
     fn put(&mut self, table: &'static str, key: String, value: Vec<u8>) {
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -7,7 +7,7 @@
 use crate::event::{HoldAnswer, HoldReport, RunningRun};
 use crate::ids::{EndpointId, Millis, Run, TaskKey};
 use crate::planner::Planner;
-use crate::record::RosterEntry;
+use crate::record::{RosterBucket, RosterEntry};
 use crate::tasks::TaskState;
 
 impl Planner {
@@ -62,8 +62,8 @@
     fn update_endpoint(&mut self, entry: EndpointEntry) {
         let Some(key) = self.endpoint_keys.get(&entry.id).copied() else {
             log::info!(endpoint:% = entry.id, address = entry.address.as_str(), domain = entry.domain.as_str(); "endpoint joined");
+            self.unsaved.roster.insert(RosterBucket::of(&entry.id));
             self.add_endpoint(entry, true);
-            self.unsaved.roster = true;
             return;
         };
         let Some(endpoint) = self.endpoints.get_mut(key) else {
@@ -85,7 +85,8 @@
             if let Some(endpoint) = self.endpoints.remove(key) {
                 log::info!(endpoint:% = endpoint.entry.id; "endpoint dropped");
                 self.endpoint_keys.remove(&endpoint.entry.id);
-                self.unsaved.roster = true;
+                let bucket = RosterBucket::of(&endpoint.entry.id);
+                self.unsaved.roster.insert(bucket);
             }
         }
     }
@@ -122,7 +123,8 @@
         endpoint.missed = false;
         endpoint.lapsed_ms = None;
         if endpoint.lapses_store_ms.take().is_some() {
-            self.unsaved.roster = true;
+            let bucket = RosterBucket::of(&endpoint.entry.id);
+            self.unsaved.roster.insert(bucket);
         }
         let first = !endpoint.contacted;
         if first {
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -5,6 +5,7 @@
 use crate::ids::Millis;
 use crate::meters;
 use crate::planner::Planner;
+use crate::record::RosterBucket;
 
 /// Wait of a hold while the end of a stop is awaited, which an absent run never announces.
 const SETTLE_WAIT_MS: Millis = 150;
@@ -123,7 +124,8 @@
                 lapses_in_ms = lapse_ms.saturating_sub(now), tasks = endpoint.placed.len();
                 "endpoint is silent"
             );
-            self.unsaved.roster = true;
+            let bucket = RosterBucket::of(&endpoint.entry.id);
+            self.unsaved.roster.insert(bucket);
         }
     }
 }
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -12,13 +12,39 @@
 pub const JOBS: &str = "jobs";
 /// Table of what became of them, by name.
 pub const PROGRESS: &str = "progress";
-/// Table of the claim and the roster.
+/// Table of the claim.
 pub const CLAIMS: &str = "claims";
 /// Key of the claim row.
 pub const HOLDER: &str = "holder";
-/// Key of the row that lists endpoints which may hold leases.
+/// Table of endpoints that may hold leases, by bucket.
 pub const ROSTER: &str = "roster";
 
+/// Buckets of the roster. An entry takes 60 bytes, so that a row holds 1,000 of the 65,536 bytes that the
+/// store takes: enough for 70,000 endpoints, and one endpoint's change rewrites 2 KB of 2,500 endpoints.
+const ROSTER_BUCKETS: u64 = 64;
+/// First value and factor of the FNV-1a hash, which is the same in all versions of this program.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// A part of the roster that stands in one row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RosterBucket(u64);
+
+impl RosterBucket {
+    /// Returns the bucket that an endpoint belongs to.
+    pub(crate) fn of(id: &EndpointId) -> Self {
+        let hash = id.0.bytes().fold(FNV_OFFSET, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+        });
+        Self(hash % ROSTER_BUCKETS)
+    }
+
+    /// Returns the key of its row.
+    pub(crate) fn key(self) -> String {
+        format!("{:02}", self.0)
+    }
+}
+
 /// A row that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("row is not what this version writes: {0}")]
@@ -122,7 +148,7 @@
 }
 
 impl RosterEntry {
-    /// Reads the value of the row that holds the roster.
+    /// Reads the value of a row of the roster.
     ///
     /// # Errors
     ///
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -454,3 +454,16 @@
     world.run(6_000);
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+#[test]
+fn the_rows_of_a_large_fleet_stay_within_what_the_store_takes() {
+    let mut world = World::new(3, 1_600, 23);
+    world.run(2_500);
+    assert_eq!(world.submit(1, job(vec![step(40, 300)])), Answer::Accepted);
+    completed(&mut world, 1, 2_000);
+    let holder = world.holder().expect("a holder");
+    world.kill(holder);
+    world.run(4_000);
+    assert_eq!(world.submit(2, job(vec![step(40, 300)])), Answer::Accepted);
+    completed(&mut world, 2, 2_000);
+}
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -83,7 +83,7 @@
         let parse = |key: &String| key.parse::<JobId>().expect("job id");
         let jobs = self.store.table("jobs");
         let progress = self.store.table("progress");
-        let roster = self.store.row("claims", "roster").1;
+        let roster = self.store.table("roster");
         Stored {
             jobs: jobs
                 .iter()
@@ -94,8 +94,9 @@
                 .map(|(key, value)| (parse(key), ProgressRow::decode(value).expect("progress")))
                 .collect(),
             roster: roster
-                .map(|bytes| RosterEntry::decode_all(&bytes).expect("roster"))
-                .unwrap_or_default(),
+                .iter()
+                .flat_map(|(_, value)| RosterEntry::decode_all(value).expect("roster"))
+                .collect(),
         }
     }
 
--- a/crates/chervilfall_planner/tests/world/store.rs
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -4,6 +4,11 @@
 
 use chervilfall_planner::{Batch, CommitOutcome, RowChange};
 
+/// Most bytes of a row's value.
+const ROW_BYTES: usize = 65_536;
+/// Most changes of a transaction.
+const CHANGES: usize = 100;
+
 /// The store.
 #[derive(Default)]
 pub struct FakeStore {
@@ -20,6 +25,13 @@
         if claim.map_or(0, |(version, _)| *version) != batch.expected {
             return CommitOutcome::Conflict(claim.cloned());
         }
+        let fits = |change: &RowChange| match change {
+            RowChange::Put(_, value) => value.len() <= ROW_BYTES,
+            RowChange::Remove(_) => true,
+        };
+        if batch.changes.len() > CHANGES || !batch.changes.iter().all(fits) {
+            return CommitOutcome::NotDone;
+        }
         self.version += 1;
         for change in &batch.changes {
             match change {
