--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -2,6 +2,7 @@
 
 use crate::advice::Advice;
 use crate::endpoint::{EndpointKey, Room};
+use crate::job::Step;
 use crate::planner::schedule::{Pass, Wanted};
 use crate::planner::Planner;
 use crate::tasks::StepKey;
@@ -10,8 +11,18 @@
 const ASK_LEAST: u32 = 30;
 /// Endpoints that a call names for each task that waits: about a quarter may run a step.
 const ASK_FOR_EACH_TASK: u32 = 8;
-/// Most calls on their way for one gang.
-pub(super) const GANG_CALLS: usize = 3;
+/// Most calls on their way for one gang. Tickets last little longer than a slow call, so that a gang that
+/// needs those of several calls has to make them side by side.
+const GANG_CALLS: usize = 3;
+
+/// Returns how many calls for a step may be on their way.
+pub(super) const fn most_calls(step: &Step) -> usize {
+    if step.gang {
+        GANG_CALLS
+    } else {
+        1
+    }
+}
 
 impl Planner {
     /// Asks about endpoints that are not known for the step yet, or refreshes tickets of allowed
@@ -44,7 +55,7 @@
                 .sum()
         };
         let calls = progress.advice.calls();
-        if calls > 0 && !(wanted.step.gang && calls < GANG_CALLS) {
+        if calls >= most_calls(&wanted.step) {
             return false;
         }
         if fits(&usable) >= enough {
@@ -58,11 +69,12 @@
         }
         let unknown = self.unknown_by_room(pool, &progress.advice, need);
         let most = (waiting * ASK_FOR_EACH_TASK).max(ASK_LEAST) as usize;
-        let most = most.saturating_sub(progress.advice.asked());
-        if calls > 0 && most < ASK_LEAST as usize {
+        let left = most.saturating_sub(progress.advice.asked());
+        // Most of a call's time does not depend on how many it names.
+        if calls > 0 && left < ASK_LEAST as usize {
             return false;
         }
-        let named = &unknown[..unknown.len().min(most)];
+        let named = &unknown[..unknown.len().min(left)];
         !named.is_empty() && self.ask(key, terms, named)
     }
 
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -11,7 +11,7 @@
 use crate::event::Ticket;
 use crate::ids::Run;
 use crate::job::Step;
-use crate::planner::ask::GANG_CALLS;
+use crate::planner::ask::most_calls;
 use crate::planner::Planner;
 use crate::policy::placement::{pick, pick_all, Offer};
 use crate::tasks::{StepKey, StepProgress, TaskState};
@@ -91,7 +91,7 @@
                 pass.fast_idle
             }
         });
-        let askable = idle && progress.advice.calls() < if step.gang { GANG_CALLS } else { 1 };
+        let askable = idle && progress.advice.calls() < most_calls(step);
         if !placeable && !askable {
             return;
         }
