Count a job as waiting until a start of it is confirmed

Cause, found by reading what the answer is made of: a job counted as started once a start was ordered. If the order reaches nobody, for instance an endpoint that was just cut off, the job waits for seconds and is not counted, and its state is told as running.

Change: a job counts as started when a start of it is answered, seen in an endpoint's list, or has ended. The metric of the time to the first start counts the same moment.

Test: the length of a queue and the state of a job whose orders reach nobody (0 and running before).

--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -169,6 +169,7 @@
                     placed.phase = RunPhase::Running;
                     placed.confirmed_ms = Some(self.now);
                 }
+                self.confirm_start(task);
                 self.keep_checkpoint(task, &running.checkpoint);
                 return;
             }
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -27,6 +27,7 @@
         if known.is_none() {
             return;
         }
+        self.confirm_start(task);
         self.keep_checkpoint(task, &end.checkpoint);
         match end.how {
             How::Done => self.complete(task),
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -27,7 +27,6 @@
         let Some(order) = self.start_order(key, task, run, ticket) else {
             return false;
         };
-        let now = self.now;
         let (Some(job), Some(endpoint)) =
             (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key))
         else {
@@ -37,9 +36,6 @@
             return false;
         };
         let room = Room::of_step(step);
-        if !std::mem::replace(&mut job.started, true) {
-            meters::first_start(job.queue.priority, now.saturating_sub(job.accepted_ms));
-        }
         let Some(progress) = job.step_progress_mut(task.step_key()) else {
             return false;
         };
@@ -144,6 +140,7 @@
                     placed.phase = RunPhase::Running;
                     placed.confirmed_ms = Some(now);
                 }
+                self.confirm_start(task);
             }
             StartAnswer::Refused(refusal) => self.start_refused(key, task, run, *refusal),
             StartAnswer::OtherIncarnation => self.incarnation_over(key),
@@ -166,6 +163,18 @@
         }
     }
 
+    /// Notes that a task of a job has begun. An order alone does not say so: until it is answered, callers
+    /// are told that the job waits.
+    pub(super) fn confirm_start(&mut self, task: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if !std::mem::replace(&mut job.started, true) {
+            let waited_ms = self.now.saturating_sub(job.accepted_ms);
+            meters::first_start(job.queue.priority, waited_ms);
+        }
+    }
+
     fn start_refused(&mut self, key: EndpointKey, task: TaskKey, run: Run, refusal: Refusal) {
         log::info!(task:% = task, run = run, endpoint:% = self.endpoints[key].entry.id, refusal:? = refusal; "start refused");
         meters::start_refused(refusal);
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -90,6 +90,7 @@
     /// It was read from rows: an earlier holder may have started tasks of it.
     pub(crate) inherited: bool,
     pub(crate) cancelled: bool,
+    /// A task of it has surely begun.
     pub(crate) started: bool,
     pub(crate) outcome: Option<JobState>,
     /// Outcome that is stored and may be shown.
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -467,3 +467,29 @@
     assert_eq!(world.submit(2, job(vec![step(40, 300)])), Answer::Accepted);
     completed(&mut world, 2, 2_000);
 }
+
+#[test]
+fn a_job_whose_start_was_ordered_but_not_confirmed_is_counted_as_waiting() {
+    let mut world = ready_world(5);
+    let queue = world.queue.name.clone();
+    let now = world.now;
+    // Nobody has noticed yet that no order arrives.
+    for endpoint in world.endpoints.values_mut() {
+        endpoint.cut_until_ms = now + 1_500;
+    }
+    assert_eq!(world.submit(1, job(vec![step(2, 3_000)])), Answer::Accepted);
+    world.run(400);
+    let waiting = Request::Waiting { queue };
+    assert_eq!(world.ask(waiting.clone()), Answer::Waiting(1));
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Pending));
+    world.run_until(8_000, |world| {
+        let endpoints = world.endpoints.values();
+        endpoints
+            .map(|endpoint| endpoint.running.len())
+            .sum::<usize>()
+            == 2
+    });
+    world.run(100);
+    assert_eq!(world.ask(waiting), Answer::Waiting(0));
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
+}
