Let a submission wait for half of its caller's time, and a sent one for the next holder

Cause: while the store is away nothing can be accepted. A caller with 3 s made tries of 0.6 s with pauses of 0.85 s and less between them, so that it was not waiting when the store came back; and a request whose holder was lost was answered "undecided" after 0.6 s though its caller had 2.4 s left. Change: `WaitBounds` works the waits out from the caller's patience; what was sent once waits for the next holder until an answer has to be on its way. A refusal still says only what is in no commit, and comes before half is over. Test: a caller of the usual patience waits for 1.9 of its 3 s; it was 1.4 s.

--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -10,11 +10,14 @@
 
 use crate::control::ControlEvent;
 use crate::leadership::{Ask, Leadership, LeadershipState};
+use crate::patience::WaitBounds;
 use crate::routes::{Route, RouteTable};
 use crate::settings::Timings;
 
 /// When a caller that found no holder should come back.
 const RETRY_MS: u64 = 1_000;
+/// Pause before a request is passed on again that a lost holder had: some round trips of a link.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Answer to a caller's request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -132,25 +135,20 @@
     }
 
     async fn ask_in_time(&self, mut request: Request, patience: Option<Duration>) -> Answer {
-        let wait = Duration::from_millis(self.timings.answer_wait_ms);
-        let wait = patience.map_or(wait, |patience| patience.mul_f64(0.8).min(wait));
-        let deadline = Instant::now() + wait;
-        let holder_wait_ms = match &mut request {
-            Request::Submit { wait_ms, .. } => {
-                // A caller that is refused needs some of its time to come back.
-                let half = patience.map_or(u64::MAX, |patience| millis(patience) / 2);
-                *wait_ms = (*wait_ms).min(half);
-                *wait_ms
-            }
-            _ => self.timings.holder_wait_ms,
-        };
-        let holder_wait = Duration::from_millis(holder_wait_ms).min(wait);
-        let holder_deadline = Instant::now() + holder_wait;
+        let began = Instant::now();
+        let bounds = WaitBounds::new(patience, &self.timings);
+        let answer_by = began + bounds.answer;
+        let settle_by = began + bounds.holder(&request);
         let mut sent = false;
         loop {
-            let Some(leadership) = self.holder_until(holder_deadline.min(deadline)).await else {
+            // What was sent to a holder may be stored: only the next holder can tell.
+            let holder_by = if sent { answer_by } else { settle_by };
+            let Some(leadership) = self.holder_until(holder_by).await else {
                 return not_answered(sent, &request);
             };
+            if let Request::Submit { wait_ms, .. } = &mut request {
+                *wait_ms = millis(settle_by.saturating_duration_since(Instant::now()));
+            }
             let (answer, receiver) = oneshot::channel();
             let ask = Ask {
                 request: request.clone(),
@@ -161,7 +159,7 @@
             drop(leadership);
             if passed_on {
                 sent = true;
-                let left = deadline.saturating_duration_since(Instant::now());
+                let left = answer_by.saturating_duration_since(Instant::now());
                 match timeout(left, receiver).await {
                     Ok(Ok(answer)) => return answer,
                     // The holder went away; a new one answers for what the old one stored.
@@ -169,10 +167,10 @@
                     Err(_) => return not_answered(sent, &request),
                 }
             }
-            if Instant::now() >= holder_deadline.min(deadline) {
+            if Instant::now() >= holder_by {
                 return not_answered(sent, &request);
             }
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(ASK_AGAIN).await;
         }
     }
 
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -10,6 +10,7 @@
 mod leadership;
 mod link;
 mod node;
+mod patience;
 pub mod ports;
 mod routes;
 mod settings;
@@ -17,5 +18,6 @@
 
 pub use front::{Front, FrontAnswer};
 pub use node::{Node, NodeError};
+pub use patience::WaitBounds;
 pub use routes::{Route, RouteTable};
 pub use settings::{Settings, SettingsError, Timings};
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -5,14 +5,6 @@
 use crate::config::Queue;
 use crate::ids::Millis;
 
-/// Shortest wait of a submission for a holder or the store: estimates are far off, and a slow store
-/// needs two commits of a quarter of a second.
-const ACCEPT_WAIT_MIN_MS: Millis = 600;
-/// Longest wait of a submission for a holder or the store: callers give up after some seconds.
-const ACCEPT_WAIT_MAX_MS: Millis = 1_200;
-/// Part of the objective that a submission may wait for a holder or the store.
-const ACCEPT_WAIT_PART: Millis = 4;
-
 /// Endpoints named in the call for advice that an objective allows for each step of the chain.
 const OBJECTIVE_ADVICE: usize = 30;
 
@@ -111,14 +103,6 @@
         queue.target_latency_ms + stretched
     }
 
-    /// Returns how long the submission may wait for a holder or the store before it is refused: a small
-    /// part of the objective, so that the caller can still come back in time.
-    #[must_use]
-    pub fn accept_wait_ms(&self, queue: &Queue) -> Millis {
-        let part_ms = self.objective_ms(queue) / ACCEPT_WAIT_PART;
-        part_ms.clamp(ACCEPT_WAIT_MIN_MS, ACCEPT_WAIT_MAX_MS)
-    }
-
     /// Returns when an occurrence is due, in milliseconds since 1970; 0 means at once.
     #[must_use]
     pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
