Pause runs that can wait so that a gang of a more urgent queue has room

Load is 89% of the room on average and 126% in a burst. Change: a gang that can still be in time and has tickets for endpoints that would hold it pauses runs there which save checkpoints, belong to a less urgent queue and whose job is in the first half of its objective; each task at most twice. Gangs ask about endpoints by the room that can be had. `policies.preemption` switches it off. The endpoints of the test world save checkpoints now.

--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -75,6 +75,7 @@
             lease_max_ms: settings.lease_max_ms,
             status_ms: settings.status_s * 1_000 + 30_000,
             row_bytes: settings.row_bytes * 3 / 4 - 1_024,
+            policies: settings.policies,
             ..Limits::default()
         };
         let loop_ = Control::new(
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use chervilfall_planner::Policies;
 use serde::Deserialize;
 
 /// Why settings are refused.
@@ -128,6 +129,9 @@
     /// Timings.
     #[serde(default)]
     pub timings: Timings,
+    /// Policies in force.
+    #[serde(default)]
+    pub policies: Policies,
 }
 
 impl Settings {
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -1,6 +1,7 @@
 //! Timings and limits of a planner, with the origin of each default.
 
 use crate::ids::Millis;
+use crate::policy::switches::Policies;
 
 /// Timings and limits.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -65,6 +66,8 @@
     pub pass_ms: Millis,
     /// Most bytes of a row.
     pub row_bytes: usize,
+    /// Policies in force.
+    pub policies: Policies,
 }
 
 impl Default for Limits {
@@ -97,6 +100,7 @@
             status_ms: 150_000,
             pass_ms: 50,
             row_bytes: 65_536,
+            policies: Policies::default(),
         }
     }
 }
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -48,10 +48,11 @@
         } else {
             1
         };
-        let usable = self.allowed_with_room(pool, &progress.advice, need);
+        let room = |endpoint: EndpointKey| self.room_to_be_had(endpoint, key, wanted);
+        let usable = allowed_with_room(pool, &progress.advice, need, room);
         let fits = |keys: &[EndpointKey]| -> u64 {
             keys.iter()
-                .map(|key| u64::from(self.endpoints[*key].free().fits(need)))
+                .map(|key| u64::from(room(*key).fits(need)))
                 .sum()
         };
         let calls = progress.advice.calls();
@@ -67,7 +68,7 @@
                 .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
             return stale && self.ask(key, terms, &usable);
         }
-        let unknown = self.unknown_by_room(pool, &progress.advice, need);
+        let unknown = self.unknown_by_room(pool, &progress.advice, need, room);
         let most = (waiting * ASK_FOR_EACH_TASK).max(ASK_LEAST) as usize;
         let left = most.saturating_sub(progress.advice.asked());
         // Most of a call's time does not depend on how many it names.
@@ -78,35 +79,45 @@
         !named.is_empty() && self.ask(key, terms, named)
     }
 
-    /// Returns the endpoints that may run the step and have room for a task of it.
-    fn allowed_with_room(
-        &self,
-        pool: &[EndpointKey],
-        advice: &Advice,
-        need: Room,
-    ) -> Vec<EndpointKey> {
-        let allowed = pool.iter().filter(|key| advice.allowed(**key));
-        allowed
-            .filter(|key| self.endpoints[**key].free().holds(need))
-            .copied()
-            .collect()
+    /// Returns the room on an endpoint that a step can have: for gangs also what others would give way.
+    fn room_to_be_had(&self, endpoint: EndpointKey, key: StepKey, wanted: &Wanted) -> Room {
+        let endpoint = &self.endpoints[endpoint];
+        if self.limits.policies.preemption && wanted.step.gang {
+            endpoint.room_for(key, wanted.priority, self.now)
+        } else {
+            endpoint.free_for(key, self.now)
+        }
     }
 
-    /// Returns the endpoints that nothing is known of, those with most free processor first.
+    /// Returns the endpoints that nothing is known of, those with most processor to be had first.
     fn unknown_by_room(
         &self,
         pool: &[EndpointKey],
         advice: &Advice,
         need: Room,
+        room: impl Fn(EndpointKey) -> Room,
     ) -> Vec<EndpointKey> {
         let unknown = pool
             .iter()
             .filter(|key| !advice.known(**key) && !advice.asks_about(**key));
         let able = unknown.filter(|key| Room::of_entry(&self.endpoints[**key].entry).holds(need));
-        let mut found: Vec<(u32, EndpointKey)> = able
-            .map(|key| (self.endpoints[*key].free().cpu_milli, *key))
-            .collect();
+        let mut found: Vec<(u32, EndpointKey)> =
+            able.map(|key| (room(*key).cpu_milli, *key)).collect();
         found.sort_unstable_by(|left, right| right.cmp(left));
         found.into_iter().map(|(_, key)| key).collect()
     }
 }
+
+/// Returns the endpoints that may run the step and have room for a task of it.
+fn allowed_with_room(
+    pool: &[EndpointKey],
+    advice: &Advice,
+    need: Room,
+    room: impl Fn(EndpointKey) -> Room,
+) -> Vec<EndpointKey> {
+    let allowed = pool.iter().filter(|key| advice.allowed(**key));
+    allowed
+        .filter(|key| room(**key).holds(need))
+        .copied()
+        .collect()
+}
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -200,6 +200,7 @@
                 unsized_run: room.is_none(),
                 unanswered: 0,
                 confirmed_ms: Some(self.now),
+                yields: None,
             },
         );
         let id = endpoint.entry.id.clone();
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -7,6 +7,7 @@
 mod endpoints;
 mod ends;
 mod leases;
+mod make_room;
 mod open;
 mod orders;
 mod requests;
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -6,6 +6,7 @@
 use crate::ids::{Run, TaskKey};
 use crate::meters;
 use crate::planner::Planner;
+use crate::policy::preemption::Yield;
 use crate::tasks::{TaskState, RUNS_PER_TERM};
 
 impl Planner {
@@ -27,6 +28,7 @@
         let Some(order) = self.start_order(key, task, run, ticket) else {
             return false;
         };
+        let (now, unix_ms) = (self.now, self.unix_ms);
         let (Some(job), Some(endpoint)) =
             (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key))
         else {
@@ -36,6 +38,8 @@
             return false;
         };
         let room = Room::of_step(step);
+        let age_ms = unix_ms.saturating_sub(job.accepted_unix_ms);
+        let yields = Yield::of(job, task, now, age_ms);
         let Some(progress) = job.step_progress_mut(task.step_key()) else {
             return false;
         };
@@ -55,6 +59,7 @@
                 unsized_run: false,
                 unanswered: 0,
                 confirmed_ms: None,
+                yields,
             },
         );
         log::info!(
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -31,6 +31,7 @@
     pub(super) step: Step,
     pub(super) service: String,
     pub(super) advice: Option<AdviceTerms>,
+    pub(super) priority: u32,
 }
 
 impl Planner {
@@ -99,9 +100,11 @@
             step: step.clone(),
             service: job.queue.service.clone(),
             advice,
+            priority: job.queue.priority,
         };
         if placeable {
             self.place_step(pass, key, &wanted);
+            self.make_room(pass, key, &wanted);
         }
         if askable {
             while self.ask_for_step(pass, key, &wanted) {}
@@ -126,7 +129,7 @@
         let advised = wanted.advice.is_some();
         let usable = pool.iter().filter_map(|endpoint_key| {
             let endpoint = self.endpoints.get(*endpoint_key)?;
-            let fits = endpoint.free().holds(need)
+            let fits = endpoint.free_for(key, self.now).holds(need)
                 && (!advised || progress.advice.ticket(*endpoint_key, self.now).is_some())
                 && endpoint.takes_work(self.now, &self.limits);
             fits.then_some((*endpoint_key, endpoint))
@@ -139,7 +142,7 @@
         offers.collect()
     }
 
-    fn offer(
+    pub(super) fn offer(
         &self,
         endpoint_key: EndpointKey,
         endpoint: &Endpoint,
@@ -168,7 +171,7 @@
             .is_none_or(|rack| endpoint.entry.rack.as_ref() == Some(rack));
         Some(Offer {
             endpoint: endpoint_key,
-            free: endpoint.free(),
+            free: endpoint.free_for(key, self.now),
             most,
             failed,
             near,
@@ -209,6 +212,7 @@
         }
         if step.gang {
             self.share_checkpoint(key);
+            self.drop_reserved(key);
         }
         for (endpoint, index, run, ticket) in starts {
             self.start(endpoint, key.task(index), run, ticket);
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -2,5 +2,7 @@
 
 pub(crate) mod order;
 pub(crate) mod placement;
+pub(crate) mod preemption;
 pub(crate) mod quarantine;
 pub(crate) mod standstill;
+pub(crate) mod switches;
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -30,6 +30,11 @@
     accepted_unix_ms: u64,
 }
 
+/// Returns whether a job may still complete within its objective.
+pub(crate) fn in_time(job: &Job, key: StepKey, unix_ms: u64) -> bool {
+    rank(job, key, unix_ms).prospect == Prospect::InTime
+}
+
 /// Returns the rank at `unix_ms`: by what can still be had, then by priority, then first come, first
 /// served.
 pub(crate) fn rank(job: &Job, key: StepKey, unix_ms: u64) -> Rank {
--- /dev/null
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -0,0 +1,17 @@
+//! Which policies are in force, so that each can be switched off to see what it is worth.
+
+use serde::Deserialize;
+
+/// Switches of policies; all are on by default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policies {
+    /// Runs that save checkpoints give way to gangs of more urgent queues.
+    pub preemption: bool,
+}
+
+impl Default for Policies {
+    fn default() -> Self {
+        Self { preemption: true }
+    }
+}
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -11,16 +11,33 @@
 
 /// Milliseconds that a stop takes.
 const STOP_MS: u64 = 200;
+/// Milliseconds that a run takes to resume from a checkpoint.
+const RESTORE_MS: u64 = 600;
 
 /// A run at work.
 pub struct FakeRun {
     pub run: Run,
     pub cpu_milli: u32,
+    pub begun_ms: u64,
     pub ends_ms: u64,
+    /// Work that it has from an earlier run, if it saves checkpoints.
+    saved_ms: Option<u64>,
     pub fails: bool,
     pub stops_ms: Option<u64>,
 }
 
+impl FakeRun {
+    /// Returns the checkpoint that a stop leaves: the milliseconds of work that are saved.
+    fn checkpoint(&self, now: u64) -> String {
+        let Some(saved_ms) = self.saved_ms else {
+            return String::new();
+        };
+        let restore_ms = if saved_ms > 0 { RESTORE_MS } else { 0 };
+        let worked_ms = (now - self.begun_ms).saturating_sub(restore_ms);
+        (saved_ms + worked_ms).to_string()
+    }
+}
+
 /// A hold that waits for an end.
 pub struct WaitingHold {
     pub node: usize,
@@ -115,14 +132,14 @@
         now - now / 50 + self.clock_offset_ms
     }
 
-    fn end(&mut self, now: u64, task: TaskKey, run: Run, how: How) {
+    fn end(&mut self, now: u64, task: TaskKey, run: Run, how: How, checkpoint: String) {
         self.valid.insert(self.next_end, now);
         self.ended.push(EndedRun {
             number: self.next_end,
             task,
             run,
             how,
-            checkpoint: String::new(),
+            checkpoint,
         });
         self.next_end += 1;
     }
@@ -155,10 +172,16 @@
             })
             .collect();
         for (task, how) in due {
-            let run = self.running.remove(&task).expect("listed").run;
+            let ended = self.running.remove(&task).expect("listed");
+            let run = ended.run;
+            let checkpoint = if how == How::Stopped {
+                ended.checkpoint(now)
+            } else {
+                String::new()
+            };
             let barred = self.barred.entry(task).or_insert(0);
             *barred = (*barred).max(run);
-            self.end(now, task, run, how);
+            self.end(now, task, run, how, checkpoint);
         }
         let used: u32 = self.running.values().map(|run| run.cpu_milli).sum();
         if used > self.cpu_milli {
@@ -201,13 +224,20 @@
         self.until_ms = self.until_ms.max(order.until_ms);
         let step = spec.and_then(|spec| spec.steps.get(order.task.step as usize));
         let work_ms = step.map_or(1_000, |step| step.estimate_ms);
+        let resumed_ms: Option<u64> = order.checkpoint.parse().ok();
+        let left_ms = resumed_ms.map_or(work_ms, |saved_ms| {
+            RESTORE_MS + work_ms.saturating_sub(saved_ms)
+        });
+        let saves = step.is_some_and(|step| step.checkpointing);
         self.starts.push((now, order.task, order.run));
         self.running.insert(
             order.task,
             FakeRun {
                 run: order.run,
                 cpu_milli: step.map_or(0, |step| step.cpu_milli),
-                ends_ms: now + work_ms,
+                begun_ms: now,
+                ends_ms: now + left_ms,
+                saved_ms: saves.then_some(resumed_ms.unwrap_or(0)),
                 fails: random.percent(2),
                 stops_ms: None,
             },
