Send callers away at once from a node that reaches neither a holder nor the store

Cause: while a failure domain is cut off, its nodes took requests, held them for 1.44 s and refused them, and said that they were ready for 1.6 s: until about 3.4 s after the cut callers came to nodes that could not serve them. Ruled out: a faster takeover; the other domains had a holder 0.6 s after the cut. Change: such a node refuses at once when it has been isolated for 0.6 s, the time of a takeover, and says that it is not ready when the claim is 0.7 s old. Test: real nodes; a follower whose holder is stopped and whose way to the store is silent refuses within 0.5 s. Red without the change (seen with the wait set to 60 s).

--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -17,6 +17,8 @@
 
 /// When a caller that found no holder should come back.
 const RETRY_MS: u64 = 1_000;
+/// Time between looks at whether the node is isolated.
+const ISOLATION_LOOK: Duration = Duration::from_millis(100);
 /// Pause before a request is passed on again that a lost holder had: some round trips of a link.
 const ASK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -43,6 +45,8 @@
     claim_age_ms: AtomicU64,
     /// When that was.
     claim_heard_ms: AtomicU64,
+    /// Since when neither a holder nor the store can be reached, in milliseconds; `u64::MAX` while one can.
+    isolated_since_ms: AtomicU64,
 }
 
 impl Front {
@@ -59,6 +63,7 @@
             stopping: AtomicBool::new(false),
             claim_age_ms: AtomicU64::new(u64::MAX),
             claim_heard_ms: AtomicU64::new(0),
+            isolated_since_ms: AtomicU64::new(u64::MAX),
         }
     }
 
@@ -90,6 +95,26 @@
         said_ms.saturating_add(since_ms)
     }
 
+    /// Notes whether the store can be reached while there is no holder.
+    pub(crate) fn set_isolated(&self, isolated: bool) {
+        let since_ms = if isolated { now_ms() } else { u64::MAX };
+        // The first of several failures in a row counts.
+        let earlier_ms = self.isolated_since_ms.load(Ordering::Relaxed);
+        if !isolated || earlier_ms == u64::MAX {
+            self.isolated_since_ms.store(since_ms, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns until when a request may wait on a node that is isolated, if this one is.
+    fn isolated_until(&self) -> Option<Instant> {
+        let since_ms = self.isolated_since_ms.load(Ordering::Relaxed);
+        if since_ms == u64::MAX {
+            return None;
+        }
+        let until_ms = since_ms + self.timings.isolated_wait_ms;
+        Some(Instant::now() + Duration::from_millis(until_ms.saturating_sub(now_ms())))
+    }
+
     pub(crate) fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
@@ -151,7 +176,7 @@
         loop {
             // What was sent to a holder may be stored: only the next holder can tell.
             let holder_by = if sent { answer_by } else { settle_by };
-            let Some(leadership) = self.holder_until(holder_by).await else {
+            let Some(leadership) = self.holder_until(holder_by, !sent).await else {
                 return not_answered(sent, &request);
             };
             if let Request::Submit { wait_ms, .. } = &mut request {
@@ -182,14 +207,27 @@
         }
     }
 
-    async fn holder_until(&self, deadline: Instant) -> Option<Leadership> {
-        let current = self.leadership.current();
-        if is_somebody(&current) {
-            return Some(current);
+    /// Waits for a holder. If the node is isolated, one that `gives_up` then does not: callers are served sooner
+    /// by nodes that are not cut off.
+    async fn holder_until(&self, deadline: Instant, gives_up: bool) -> Option<Leadership> {
+        loop {
+            let current = self.leadership.current();
+            if is_somebody(&current) {
+                return Some(current);
+            }
+            let isolated_until = self.isolated_until().filter(|_| gives_up);
+            let until = isolated_until.map_or(deadline, |until| until.min(deadline));
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            // Whether the node is isolated can change meanwhile.
+            let look = left.min(ISOLATION_LOOK);
+            let found = timeout(look, self.leadership.wait_until(is_somebody)).await;
+            if let Ok(found) = found {
+                return found;
+            }
         }
-        let left = deadline.saturating_duration_since(Instant::now());
-        let found = timeout(left, self.leadership.wait_until(is_somebody)).await;
-        found.ok().flatten()
     }
 
     fn pass_on(&self, leadership: &Leadership, ask: Ask) -> bool {
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -48,7 +48,8 @@
     pub stall_ms: u64,
     /// The same, when the holder's machine refuses connections: its process is gone.
     pub refused_stall_ms: u64,
-    /// Claim that was not confirmed for this long takes a node out of the balancer's rotation.
+    /// Claim that was not confirmed for this long makes a node say that it is not ready: longer than a takeover
+    /// takes, so that callers of a domain that is cut off are sent to others within two seconds.
     pub ready_age_ms: u64,
     /// Time between readings of the claim row while no holder works.
     pub claim_poll_ms: u64,
@@ -58,6 +59,9 @@
     pub endpoints_poll_ms: u64,
     /// How long a request that submits nothing waits for a holder before it is refused.
     pub holder_wait_ms: u64,
+    /// How long a node that reaches neither a holder nor the store lets requests wait before it refuses them at
+    /// once: as long as a takeover takes.
+    pub isolated_wait_ms: u64,
     /// How long a request waits for the holder's answer.
     pub answer_wait_ms: u64,
     /// Time between ticks of the planner.
@@ -78,11 +82,12 @@
             stale_ms: 300,
             stall_ms: 1_200,
             refused_stall_ms: 80,
-            ready_age_ms: 1_600,
+            ready_age_ms: 700,
             claim_poll_ms: 150,
             config_poll_ms: 600,
             endpoints_poll_ms: 500,
             holder_wait_ms: 1_200,
+            isolated_wait_ms: 600,
             answer_wait_ms: 2_000,
             tick_ms: 10,
             linger_ms: 2_500,
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -81,6 +81,7 @@
         let poll_ms = self.settings.timings.claim_poll_ms;
         loop {
             let pause_ms = if self.holder_works() {
+                self.front.set_isolated(false);
                 candidate.reset();
                 poll_ms
             } else {
@@ -88,6 +89,8 @@
                 let read = self.read_claim().await;
                 let took_ms = now_ms().saturating_sub(began_ms);
                 dependency.note(&read);
+                let nobody = matches!(self.leadership.current(), Leadership::Nobody);
+                self.front.set_isolated(nobody && read.is_err());
                 match read {
                     Ok(reading) => {
                         let refused =
