Remember the cancel of a job that has not come, so that it never runs

What is known: the starts came at the moment at which a takeover's barrier was lifted, so the store had the jobs without their cancel. A failure domain was cut off until 40.0 s. Cause, by reading: a cancel that finds no job was answered "no such job" and forgotten. A submission that a node held meanwhile for a lost holder (now for as long as its caller waits), or that comes again after a refusal, was then accepted and ran. Ruled out: rows lost by the store, a commit taken for stored, finished jobs dropped early (150 s); each read through. Change: such a cancel is stored as a row of its own before it is answered; a submission that comes later is accepted and never runs, at this holder or the next. Nobody is shown a job that was not submitted. At most 2,000 are kept.

--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -67,6 +67,9 @@
     pub status_ms: Millis,
     /// Longest time between passes over the open steps when nothing has changed.
     pub pass_ms: Millis,
+    /// Most jobs that are remembered because they were cancelled before they came: some times what leaves within
+    /// the time that finished jobs are kept.
+    pub awaited_jobs: usize,
     /// Most bytes of a row.
     pub row_bytes: usize,
     /// Policies in force.
@@ -103,6 +106,7 @@
             advice_slack_ms: 600,
             status_ms: 150_000,
             pass_ms: 50,
+            awaited_jobs: 2_000,
             row_bytes: 65_536,
             policies: Policies::default(),
         }
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -334,8 +334,19 @@
             return;
         }
         job.cancel_stored = true;
+        for to in std::mem::take(&mut job.submitters) {
+            self.actions.push(Action::Reply {
+                to,
+                answer: Answer::Accepted,
+            });
+        }
+        let answer = if job.awaited {
+            Answer::Unknown
+        } else {
+            Answer::Cancelled
+        };
         for to in std::mem::take(&mut job.cancellers) {
-            self.reply(to, Answer::Cancelled);
+            self.reply(to, answer);
         }
     }
 }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -84,6 +84,8 @@
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
     finished: VecDeque<(Millis, JobId)>,
+    /// Jobs that were cancelled before they came.
+    awaited: usize,
     /// Something has changed that a pass over the open steps should look at soon.
     schedule_due: bool,
     last_pass_ms: Millis,
@@ -126,6 +128,7 @@
             advice_calls: BTreeMap::new(),
             next_advice: 0,
             finished: VecDeque::new(),
+            awaited: 0,
             schedule_due: false,
             last_pass_ms: now,
             last_whole_pass_ms: 0,
@@ -177,6 +180,7 @@
         job.stored = true;
         job.inherited = true;
         job.restore(row);
+        self.awaited += usize::from(job.awaited);
         self.jobs.insert(id, job);
     }
 
@@ -324,7 +328,8 @@
                 return;
             }
             self.finished.pop_front();
-            self.jobs.remove(&id);
+            let dropped = self.jobs.remove(&id);
+            self.awaited -= usize::from(dropped.is_some_and(|job| job.awaited));
             self.unsaved.remove(id);
         }
     }
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -36,7 +36,9 @@
 
     fn submit(&mut self, to: ReplyTo, queue: Queue, id: JobId, spec: JobSpec, wait_ms: Millis) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            if job.stored {
+            if job.awaited {
+                self.take_awaited(to, id);
+            } else if job.stored {
                 self.reply(to, Answer::Accepted);
             } else {
                 job.submitters.push(to);
@@ -99,12 +101,13 @@
             self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
         }
         for to in job.cancellers {
-            self.reply(to, Answer::Unknown);
+            self.cancel(to, id);
         }
     }
 
     fn state(&mut self, to: ReplyTo, id: JobId) {
         let answer = match self.jobs.get(&id) {
+            Some(job) if job.awaited => Answer::Unknown,
             Some(job) if job.stored => Answer::State(job.state()),
             // It may be stored already; the caller can ask again.
             Some(_) => Answer::Undecided,
@@ -115,9 +118,13 @@
 
     fn cancel(&mut self, to: ReplyTo, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.reply(to, Answer::Unknown);
+            self.cancel_unknown(to, id);
             return;
         };
+        if job.awaited && job.cancel_stored {
+            self.reply(to, Answer::Unknown);
+            return;
+        }
         if job.cancel_stored || job.shown.is_some() {
             self.reply(to, Answer::Cancelled);
             return;
@@ -132,6 +139,43 @@
         self.finish(id, JobState::Cancelled);
     }
 
+    /// Remembers the cancel of a job that has not come: its submission may still be on the way, held by a node
+    /// that waits for a holder. The answer waits until the store has it, so that no later holder runs the job.
+    fn cancel_unknown(&mut self, to: ReplyTo, id: JobId) {
+        if self.awaited >= self.limits.awaited_jobs {
+            self.reply(to, Answer::Unknown);
+            return;
+        }
+        let mut job = Job::new(id, JobRow::default(), self.now);
+        job.stored = true;
+        job.cancelled = true;
+        job.awaited = true;
+        job.outcome = Some(JobState::Cancelled);
+        job.finished_ms = Some(self.now);
+        job.cancellers.push(to);
+        self.jobs.insert(id, job);
+        self.awaited += 1;
+        self.finished.push_back((self.now, id));
+        self.unsaved.progress.insert(id);
+        log::info!(job:% = id; "cancel requested, no such job yet");
+    }
+
+    /// Takes in a job that was cancelled before it came: it is accepted and never runs.
+    fn take_awaited(&mut self, to: ReplyTo, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.awaited = false;
+        self.awaited -= 1;
+        self.unsaved.progress.insert(id);
+        log::info!(job:% = id; "submitted after its cancel, never runs");
+        if job.cancel_stored {
+            self.reply(to, Answer::Accepted);
+        } else {
+            job.submitters.push(to);
+        }
+    }
+
     /// Ends a job: nothing of it starts any more, and what runs is stopped.
     pub(super) fn finish(&mut self, id: JobId, outcome: JobState) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -79,6 +79,9 @@
 pub struct ProgressRow {
     /// The caller has cancelled it.
     pub cancelled: bool,
+    /// It was cancelled before it came: the row keeps it from running if it still does.
+    #[serde(default)]
+    pub awaited: bool,
     /// Set once nothing more can come.
     pub outcome: Option<JobState>,
     /// A task has started.
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -98,6 +98,8 @@
     /// It was read from rows: an earlier holder may have started tasks of it.
     pub(crate) inherited: bool,
     pub(crate) cancelled: bool,
+    /// It was cancelled before it came, and has not come yet.
+    pub(crate) awaited: bool,
     /// A task of it has surely begun.
     pub(crate) started: bool,
     pub(crate) outcome: Option<JobState>,
@@ -129,6 +131,7 @@
             stored: false,
             inherited: false,
             cancelled: false,
+            awaited: false,
             started: false,
             outcome: None,
             shown: None,
@@ -207,6 +210,7 @@
         });
         ProgressRow {
             cancelled: self.cancelled,
+            awaited: self.awaited,
             outcome: self.outcome,
             started: self.started,
             steps: steps.collect(),
@@ -217,6 +221,7 @@
     pub(crate) fn restore(&mut self, row: &ProgressRow) {
         self.cancelled = row.cancelled;
         self.cancel_stored = row.cancelled;
+        self.awaited = row.awaited;
         self.outcome = row.outcome;
         self.shown = row.outcome;
         self.started = row.started;
--- /dev/null
+++ b/crates/chervilfall_planner/tests/cancels.rs
@@ -0,0 +1,89 @@
+//! Cancels that overtake the submission of their job.
+//!
+//! A caller that gives up cancels its job while the submission is still on its way: held by a node that waits
+//! for a holder, or sent again by the network. The cancel finds no job. What is submitted later under that name
+//! must not run, also if another holder takes it in.
+
+mod world;
+
+use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request};
+use world::{step, World};
+
+fn job() -> JobSpec {
+    JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![step(2, 500)],
+        ..JobSpec::default()
+    }
+}
+
+fn starts(world: &World) -> usize {
+    let endpoints = world.endpoints.values();
+    endpoints.map(|endpoint| endpoint.starts.len()).sum()
+}
+
+#[test]
+fn a_job_that_was_cancelled_before_it_came_never_runs() {
+    struct Case {
+        name: &'static str,
+        takeover: bool,
+    }
+    let cases = [
+        Case {
+            name: "the same holder takes it in",
+            takeover: false,
+        },
+        Case {
+            name: "a later holder takes it in",
+            takeover: true,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(3, 4, 7);
+        world.run(1_500);
+        let id = JobId(1);
+        let state = Request::State { id };
+        assert_eq!(world.ask(Request::Cancel { id }), Answer::Unknown);
+        assert_eq!(world.ask(state.clone()), Answer::Unknown, "{}", case.name);
+        if case.takeover {
+            let holder = world.holder().expect("a holder");
+            world.nodes[holder].frozen_until_ms = u64::MAX;
+            world.run_until(10_000, |world| world.holder() != Some(holder));
+            assert_eq!(world.ask(state.clone()), Answer::Unknown, "{}", case.name);
+        }
+        assert_eq!(world.submit(1, job()), Answer::Accepted, "{}", case.name);
+        world.run(15_000);
+        assert_eq!(starts(&world), 0, "{}", case.name);
+        let told = world.ask(state);
+        assert_eq!(told, Answer::State(JobState::Cancelled), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_refused_job_that_was_cancelled_never_runs_when_it_comes_again() {
+    let mut world = World::new(3, 4, 7);
+    world.run(1_500);
+    let id = JobId(1);
+    // A commit on its way keeps the next submission out of every batch until it is refused.
+    world.store.down_until_ms = world.now + 2_000;
+    world.run(200);
+    let queue = world.queue.clone();
+    let submission = Request::Submit {
+        queue,
+        id,
+        spec: job(),
+        wait_ms: 300,
+    };
+    let (holder, submitted) = world.request(submission).expect("a holder");
+    let (_, cancelled) = world.request(Request::Cancel { id }).expect("a holder");
+    world.run(4_000);
+    let replies = &world.nodes[holder].replies;
+    assert!(matches!(
+        replies.get(&submitted),
+        Some(Answer::Refused { .. })
+    ));
+    assert_eq!(replies.get(&cancelled), Some(&Answer::Unknown));
+    assert_eq!(world.submit(1, job()), Answer::Accepted);
+    world.run(5_000);
+    assert_eq!(starts(&world), 0);
+}
