Keep holes by service, and not from work that lasts

Found by reading: work that runs until it is cancelled counted as patient, so that it waited for holes that are kept for hurried work; it has to be at work within seconds. And one count of hurried work stood for all services. Test: a lasting task beside kept holes begins within 0.25 s; not at all without (seen).

--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -19,7 +19,7 @@
 use slotmap::SlotMap;
 
 use crate::action::{Action, Answer, StepDownReason};
-use crate::config::Configuration;
+use crate::config::{Configuration, ServiceName};
 use crate::election::{HolderRow, Takeover};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::event::{Event, NodeId};
@@ -70,7 +70,8 @@
     covered_from_ms: Millis,
     last_batch_ms: Millis,
     commit_gaps: CommitGaps,
-    headroom: Headroom,
+    /// What hurried work has used, by service.
+    headrooms: BTreeMap<ServiceName, Headroom>,
     /// What recent commits took from the sending of the copy that was answered: rises at once,
     /// falls slowly.
     commit_took_ms: Millis,
@@ -119,7 +120,7 @@
             covered_from_ms: now,
             last_batch_ms: now,
             commit_gaps: CommitGaps::new(now),
-            headroom: Headroom::default(),
+            headrooms: BTreeMap::new(),
             commit_took_ms: 0,
             store_clock: None,
             store_ahead: None,
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -39,7 +39,8 @@
         let room = Room::of_step(step);
         let hurried = Haste::of(job) == Haste::Hurried;
         if hurried {
-            self.headroom.note_start(room);
+            let headroom = self.headrooms.entry(job.queue.service.clone());
+            headroom.or_default().note_start(room);
         }
         let Some(progress) = job.step_progress_mut(task.step_key()) else {
             return false;
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -1,8 +1,8 @@
 //! Offers room to steps that wait, best rank first.
 //!
-//! A pass visits every open step, and there can be hundreds of them beside hundreds of endpoints. So
-//! whatever does not depend on the step is worked out once a pass, and a step that can neither be
-//! placed nor asked about is left at once.
+//! A whole pass visits every open step, and there can be hundreds of them beside hundreds of endpoints. So
+//! whatever does not depend on the step is worked out once a pass, a step that can neither be placed nor asked
+//! about is left at once, and the passes between whole ones visit the steps of best rank only.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -97,15 +97,16 @@
 
     /// Returns the holes that patient work is to leave in each pool.
     fn holes(&mut self, pools: &BTreeMap<String, Vec<EndpointKey>>) -> BTreeMap<String, Holes> {
-        let endpoints = &self.endpoints;
-        let hurried = endpoints.values().map(|endpoint| endpoint.hurried_runs);
-        self.headroom.note_running(self.now, hurried.sum());
         if !self.limits.policies.headroom {
             return BTreeMap::new();
         }
-        let holes = pools.iter().filter_map(|(service, pool)| {
+        let (now, endpoints) = (self.now, &self.endpoints);
+        let holes = self.headrooms.iter_mut().filter_map(|(service, headroom)| {
+            let pool = pools.get(service)?;
+            let hurried = pool.iter().map(|key| endpoints[*key].hurried_runs);
+            headroom.note_running(now, hurried.sum());
             let free = pool.iter().map(|key| endpoints[*key].free());
-            Some((service.clone(), self.headroom.holes(free)?))
+            Some((service.clone(), headroom.holes(free)?))
         });
         holes.collect()
     }
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -23,9 +23,13 @@
 }
 
 impl Haste {
-    /// Returns the haste of a job by how its objective compares with its work.
+    /// Returns the haste of a job by how its objective compares with its work. Work without an estimate, and work
+    /// that lasts until it is cancelled, is neither hurried nor patient.
     pub(crate) fn of(job: &Job) -> Self {
-        let percent = job.objective_ms * 100 / job.chain_ms.max(1);
+        if job.chain_ms == 0 || job.lasts {
+            return Self::Usual;
+        }
+        let percent = job.objective_ms * 100 / job.chain_ms;
         if percent <= HURRIED_PERCENT {
             Self::Hurried
         } else if percent >= PATIENT_PERCENT {
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -88,6 +88,8 @@
     pub(crate) chain_ms: Millis,
     /// Time from its submission in which it should complete.
     pub(crate) objective_ms: Millis,
+    /// Some of its tasks run until it is cancelled.
+    pub(crate) lasts: bool,
     pub(crate) text: Arc<str>,
     pub(crate) accepted_ms: Millis,
     pub(crate) accepted_unix_ms: u64,
@@ -122,6 +124,7 @@
             id,
             chain_ms: row.spec.chain_ms(),
             objective_ms: row.spec.objective_ms(&row.queue),
+            lasts: row.spec.steps.iter().any(|step| step.long_running),
             queue: row.queue,
             spec: Arc::new(row.spec),
             text,
--- a/crates/chervilfall_planner/tests/haste.rs
+++ b/crates/chervilfall_planner/tests/haste.rs
@@ -184,3 +184,33 @@
         assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
     }
 }
+
+#[test]
+fn work_that_lasts_does_not_wait_for_holes_that_are_kept_for_others() {
+    let mut world = World::new(3, ENDPOINTS, 3);
+    world.run(1_500);
+    let usual = world.queue.clone();
+    let wide = Step {
+        cpu_milli: 3_000,
+        ..step(1, SHORT_MS)
+    };
+    world.queue = short(&usual);
+    for id in 1..=10 {
+        assert_eq!(world.submit(id, job(wide.clone())), Answer::Accepted);
+        world.run(120);
+    }
+    world.queue = patient(&usual);
+    for id in 101..=112 {
+        assert_eq!(world.submit(id, job(step(40, 3_000))), Answer::Accepted);
+    }
+    world.run(1_000);
+    let lasting = Step {
+        long_running: true,
+        ..wide
+    };
+    let handed_in = vec![(FIRST_SHORT, world.now)];
+    assert_eq!(world.submit(FIRST_SHORT, job(lasting)), Answer::Accepted);
+    world.run(1_000);
+    let waits = waits_ms(&world, &handed_in);
+    assert!(waits[0] <= 250, "{waits:?}");
+}
