--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -80,7 +80,8 @@
 }
 
 /// Picks endpoints for up to `count` tasks: those where the step has not failed and near ones first, of these
-/// those whose speed suits the work, and of these the one that is left with the least processor, so that large holes stay for wide tasks.
+/// those whose speed suits the work, and of these the one that is left with the least processor, so that large
+/// holes stay for wide tasks.
 pub(crate) fn pick(offers: &mut [Offer], need: Room, count: u32, haste: Haste) -> Vec<EndpointKey> {
     let mut picks = Vec::new();
     for _ in 0..count {
