--- a/crates/chervilfall_planner/tests/haste.rs
+++ b/crates/chervilfall_planner/tests/haste.rs
@@ -130,6 +130,35 @@
     }
 }
 
+/// Returns a step whose task takes most of an endpoint.
+fn wide() -> Step {
+    Step {
+        cpu_milli: 3_000,
+        ..step(1, SHORT_MS)
+    }
+}
+
+/// Returns a world whose holder knows what short work uses, with batch work wherever it may be; short work is
+/// handed in next.
+fn backlog(headroom: bool) -> World {
+    let mut world = World::new(3, ENDPOINTS, 3);
+    world.limits.policies.headroom = headroom;
+    world.run(1_500);
+    let usual = world.queue.clone();
+    world.queue = short(&usual);
+    for id in 1..=10 {
+        assert_eq!(world.submit(id, job(wide())), Answer::Accepted);
+        world.run(120);
+    }
+    world.queue = patient(&usual);
+    for id in 101..=112 {
+        assert_eq!(world.submit(id, job(step(40, 3_000))), Answer::Accepted);
+    }
+    world.run(500);
+    world.queue = short(&usual);
+    world
+}
+
 #[test]
 fn short_work_finds_room_beside_a_backlog() {
     struct Case {
@@ -150,27 +179,8 @@
         },
     ];
     for case in cases {
-        let mut world = World::new(3, ENDPOINTS, 3);
-        world.limits.policies.headroom = case.headroom;
-        world.run(1_500);
-        let usual = world.queue.clone();
-        let wide = Step {
-            cpu_milli: 3_000,
-            ..step(1, SHORT_MS)
-        };
-        // The holder learns what short work uses.
-        world.queue = short(&usual);
-        for id in 1..=10 {
-            assert_eq!(world.submit(id, job(wide.clone())), Answer::Accepted);
-            world.run(120);
-        }
-        world.queue = patient(&usual);
-        for id in 101..=112 {
-            assert_eq!(world.submit(id, job(step(40, 3_000))), Answer::Accepted);
-        }
-        world.run(500);
-        world.queue = short(&usual);
-        let handed_in = submit_short_jobs(&mut world, &wide);
+        let mut world = backlog(case.headroom);
+        let handed_in = submit_short_jobs(&mut world, &wide());
         let waits = waits_ms(&world, &handed_in);
         let soon = waits.iter().filter(|wait_ms| **wait_ms <= 250).count();
         let enough = soon * 10 >= waits.len() * 8;
@@ -187,26 +197,11 @@
 
 #[test]
 fn work_that_lasts_does_not_wait_for_holes_that_are_kept_for_others() {
-    let mut world = World::new(3, ENDPOINTS, 3);
-    world.run(1_500);
-    let usual = world.queue.clone();
-    let wide = Step {
-        cpu_milli: 3_000,
-        ..step(1, SHORT_MS)
-    };
-    world.queue = short(&usual);
-    for id in 1..=10 {
-        assert_eq!(world.submit(id, job(wide.clone())), Answer::Accepted);
-        world.run(120);
-    }
-    world.queue = patient(&usual);
-    for id in 101..=112 {
-        assert_eq!(world.submit(id, job(step(40, 3_000))), Answer::Accepted);
-    }
-    world.run(1_000);
+    let mut world = backlog(true);
+    world.queue = patient(&world.queue);
     let lasting = Step {
         long_running: true,
-        ..wide
+        ..wide()
     };
     let handed_in = vec![(FIRST_SHORT, world.now)];
     assert_eq!(world.submit(FIRST_SHORT, job(lasting)), Answer::Accepted);
