--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -43,8 +43,8 @@
     /// Pause between a report and the next hold of its endpoint, so that a hold brings several ends: a busy
     /// endpoint of 32 cores has one each 0.2 s.
     pub hold_gap_ms: Millis,
-    /// The same while hurried work runs there: a short request of which every other is late by less than 0.1 s
-    /// can't wait for others' ends.
+    /// The same while hurried work runs there: on 350 endpoints a short request spends 0.1 s beside its run at the
+    /// median, and a wait for others' ends can double that.
     pub hurried_hold_gap_ms: Millis,
     /// Pause before a hold that follows an unanswered one.
     pub hold_retry_ms: Millis,
@@ -67,8 +67,8 @@
     pub status_ms: Millis,
     /// Longest time between passes over the open steps when nothing has changed.
     pub pass_ms: Millis,
-    /// Most jobs that are remembered because they were cancelled before they came: some times what leaves within
-    /// the time that finished jobs are kept.
+    /// Most jobs that are remembered because they were cancelled before they came, so that strangers cannot fill
+    /// the store: 2,000 small rows, an estimate of far more than come in a wave of cancels.
     pub awaited_jobs: usize,
     /// Most bytes of a row.
     pub row_bytes: usize,
