--- a/crates/chervilfall_planner/src/config.rs
+++ b/crates/chervilfall_planner/src/config.rs
@@ -86,3 +86,10 @@
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
 }
+
+impl Configuration {
+    /// Returns whether a service stands in the configuration; all do while none is known.
+    pub(crate) fn names(&self, service: &str) -> bool {
+        self.services.is_empty() || self.services.contains_key(service)
+    }
+}
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -61,6 +61,9 @@
 
     fn update_endpoint(&mut self, entry: EndpointEntry) {
         let Some(key) = self.endpoint_keys.get(&entry.id).copied() else {
+            if !self.config.names(&entry.service) {
+                return;
+            }
             log::info!(endpoint:% = entry.id, address = entry.address.as_str(), domain = entry.domain.as_str(); "endpoint joined");
             self.unsaved.roster.insert(RosterBucket::of(&entry.id));
             self.add_endpoint(entry, true);
