Tell of each run lost with its endpoint how long it was heard from with it

Change: reason, draining, phase, answered and heard_with_ms in the line 'run given up with its endpoint'; draining and over in 'endpoint left the list'; chervilfall_runs_lost_total by reason. No decision reads them.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -138,7 +138,7 @@
     pub(crate) unsized_run: bool,
     /// Copies of the start that were not answered; each may be carried out until its bound.
     pub(crate) unanswered: u32,
-    /// When the start was answered; lists asked for later must show it.
+    /// When the start was answered, or the run was first listed; lists asked for later must show it.
     pub(crate) confirmed_ms: Option<Millis>,
     /// It resumed from a checkpoint, so that its time says little of the task's work.
     pub(crate) resumed: bool,
@@ -146,6 +146,25 @@
     pub(crate) hurried: bool,
 }
 
+/// How an endpoint was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LossReason {
+    /// It stayed silent until its leases had lapsed: it has crashed, left, or is cut off.
+    Silent,
+    /// Another incarnation answers at its address.
+    Replaced,
+}
+
+impl LossReason {
+    /// Returns a word for logs and metrics.
+    pub(crate) const fn word(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
 /// A reading of an endpoint's clock.
 #[derive(Debug, Clone, Copy)]
 struct Reading {
@@ -281,6 +300,14 @@
             .map_or(Millis::MAX, |heard| now.saturating_sub(heard))
     }
 
+    /// Returns for how long it was heard from while a run was known to be there; none if it never answered
+    /// about the run.
+    pub(crate) fn heard_with_ms(&self, placed: &Placed) -> Option<Millis> {
+        let confirmed_ms = placed.confirmed_ms?;
+        let heard_ms = self.heard_ms.unwrap_or(confirmed_ms);
+        Some(heard_ms.saturating_sub(confirmed_ms))
+    }
+
     /// Returns when the next hold is due that may wait for ends to gather: at once if a stop's end is
     /// awaited, because that is what its room waits for.
     pub(crate) fn gathered_ms(&self, now: Millis, limits: &Limits) -> Millis {
--- a/crates/chervilfall_planner/src/meters.rs
+++ b/crates/chervilfall_planner/src/meters.rs
@@ -2,6 +2,7 @@
 
 use metrics::{counter, gauge, histogram};
 
+use crate::endpoint::LossReason;
 use crate::event::{How, Refusal};
 use crate::ids::Millis;
 
@@ -80,6 +81,11 @@
     counter!("chervilfall_endpoints_lapsed_total").increment(1);
 }
 
+/// Counts a run that was lost with its endpoint.
+pub(crate) fn run_lost(reason: LossReason) {
+    counter!("chervilfall_runs_lost_total", "reason" => reason.word()).increment(1);
+}
+
 /// Counts a takeover.
 pub(crate) fn takeover() {
     counter!("chervilfall_takeovers_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 
 use crate::action::StepDownReason;
-use crate::endpoint::{Endpoint, EndpointEntry, EndpointKey, Placed, Room, RunPhase};
+use crate::endpoint::{Endpoint, EndpointEntry, EndpointKey, LossReason, Placed, Room, RunPhase};
 use crate::event::{HoldAnswer, HoldReport, RunningRun};
 use crate::ids::{EndpointId, Millis, Run, TaskKey};
+use crate::meters;
 use crate::planner::Planner;
 use crate::record::{RosterBucket, RosterEntry};
 use crate::tasks::TaskState;
@@ -52,7 +53,11 @@
         for endpoint in self.endpoints.values_mut() {
             let now_listed = listed.contains(&endpoint.entry.id);
             if endpoint.listed && !now_listed {
-                log::info!(endpoint:% = endpoint.entry.id, tasks = endpoint.placed.len(); "endpoint left the list");
+                log::info!(
+                    endpoint:% = endpoint.entry.id, tasks = endpoint.placed.len(),
+                    draining = endpoint.entry.draining, over = endpoint.over;
+                    "endpoint left the list"
+                );
             }
             endpoint.listed = now_listed;
         }
@@ -288,11 +293,12 @@
             log::warn!(endpoint:% = endpoint.entry.id, tasks = endpoint.placed.len(); "another incarnation is at the address");
         }
         endpoint.contacted = true;
-        self.clear_endpoint(key);
+        self.clear_endpoint(key, LossReason::Replaced);
         self.pass_barrier(key);
     }
 
-    pub(super) fn clear_endpoint(&mut self, key: EndpointKey) {
+    /// Gives up what was on an endpoint.
+    pub(super) fn clear_endpoint(&mut self, key: EndpointKey, reason: LossReason) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
@@ -302,10 +308,9 @@
             .iter()
             .map(|(task, placed)| (*task, placed.run))
             .collect();
-        let silent_ms = endpoint.silent_for(self.now);
-        let id = endpoint.entry.id.clone();
+        log_lost_runs(endpoint, reason, self.now);
         for (task, run) in placed {
-            log::info!(task:% = task, run = run, endpoint:% = id, silent_ms = silent_ms; "run given up with its endpoint");
+            meters::run_lost(reason);
             self.free(key, task);
             self.requeue(task, key, run);
         }
@@ -320,3 +325,17 @@
         }
     }
 }
+
+/// Writes a line for each run that is lost with its endpoint: whether the endpoint ever answered about it, and for how
+/// long it was heard from since, tell a run that may have brought it down from those that were there before.
+fn log_lost_runs(endpoint: &Endpoint, reason: LossReason, now: Millis) {
+    for (task, placed) in &endpoint.placed {
+        log::info!(
+            task:% = task, run = placed.run, endpoint:% = endpoint.entry.id, reason = reason.word(),
+            draining = endpoint.entry.draining, phase:? = placed.phase,
+            answered = placed.confirmed_ms.is_some(), heard_with_ms = endpoint.heard_with_ms(placed).unwrap_or(0),
+            silent_ms = endpoint.silent_for(now);
+            "run given up with its endpoint"
+        );
+    }
+}
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -1,7 +1,7 @@
 //! Leases: granted by holds, lapsed, and what the roster says of silent endpoints.
 
 use crate::action::{Action, HoldOrder};
-use crate::endpoint::RunPhase;
+use crate::endpoint::{LossReason, RunPhase};
 use crate::ids::Millis;
 use crate::meters;
 use crate::planner::Planner;
@@ -86,7 +86,7 @@
                 "leases lapsed, endpoint is silent"
             );
             meters::lapsed();
-            self.clear_endpoint(key);
+            self.clear_endpoint(key, LossReason::Silent);
         }
         // An endpoint that has never answered runs nothing of ours.
         for endpoint in self.endpoints.values_mut() {
