Give up tasks that bring down their endpoints

Cause: only ends that an endpoint reports as failed counted against a task. An endpoint that has crashed reports nothing, so that its runs went back to the queue uncounted and were started anew without end; each took an endpoint and all that ran there with it. The class: what is known of a run only by its absence was taken for nothing having happened. Ruled out: a count that a takeover forgets (runs rose within one term), and a start that is sent again (no such line, and its number rises). Change: each run lost with its endpoint is noted with its job: whether it had just begun, and whether anything of other jobs was there. What an endpoint that answers again says takes the note back; one that is gone without having been asked to leave makes it a crash.

--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -6,8 +6,8 @@
 
 use chervilfall_planner::{
     Batch, Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, JobId, JobRow,
-    ProgressRow, RosterEntry, RowVersion, Stall, Stored, Takeover, CLAIMS, HOLDER, JOBS, PROGRESS,
-    ROSTER,
+    ProgressRow, RosterEntry, RowVersion, Stall, StartsRow, Stored, Takeover, CLAIMS, HOLDER, JOBS,
+    PROGRESS, ROSTER, STARTS,
 };
 use rand::Rng;
 use tokio::sync::{mpsc, oneshot};
@@ -348,11 +348,13 @@
         let jobs = store.read_table(&self.group, JOBS);
         let progress = store.read_table(&self.group, PROGRESS);
         let roster = store.read_table(&self.group, ROSTER);
-        let (jobs, progress, roster) = tokio::try_join!(jobs, progress, roster)?;
+        let starts = store.read_table(&self.group, STARTS);
+        let (jobs, progress, roster, starts) = tokio::try_join!(jobs, progress, roster, starts)?;
         Ok(Stored {
             jobs: decode_rows(jobs, JobRow::decode)?,
             progress: decode_rows(progress, ProgressRow::decode)?,
             roster: decode_roster(roster)?,
+            starts: decode_starts(starts)?,
         })
     }
 }
@@ -368,6 +370,18 @@
     Ok(roster)
 }
 
+/// Decodes the rows of the latest starts.
+fn decode_starts(rows: Vec<Row>) -> Result<Vec<(u64, StartsRow)>, StoreError> {
+    let decoded = rows.into_iter().map(|row| {
+        let malformed = |error: String| StoreError::Malformed(format!("row {}: {error}", row.key));
+        let slot = row.key.parse();
+        let slot = slot.map_err(|error: std::num::ParseIntError| malformed(error.to_string()))?;
+        let value = StartsRow::decode(&row.value).map_err(|error| malformed(error.to_string()))?;
+        Ok((slot, value))
+    });
+    decoded.collect()
+}
+
 /// Decodes rows named by job; a row that cannot be read stops the takeover, because to take it for
 /// absent would forget an accepted job.
 fn decode_rows<T, E: std::fmt::Display>(
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -75,6 +75,8 @@
     /// When the predecessor's last commit was first seen here; no lease of its reaches further
     /// than the claim's cover from there. None if there was no predecessor.
     pub predecessor_seen_ms: Option<Millis>,
+    /// The store's steady clock at the predecessor's last commit, as it said itself; 0 if it did not.
+    pub predecessor_written_store_ms: Millis,
     /// Set if the predecessor was an earlier process on this very machine, which has granted nothing
     /// since this process began, and if no lease of still earlier holders was left.
     pub predecessor_gone_ms: Option<Millis>,
@@ -340,6 +342,9 @@
             fence: version,
             version,
             predecessor_seen_ms: predecessor.map(|seen| seen.first_ms),
+            predecessor_written_store_ms: predecessor
+                .and_then(|seen| seen.row.as_ref())
+                .map_or(0, |holder| holder.written_store_ms),
             predecessor_gone_ms: predecessor
                 .and_then(|seen| seen.row.as_ref())
                 .filter(|holder| {
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -8,8 +8,10 @@
 use crate::ids::{EndpointId, Millis, Run, TaskKey};
 use crate::job::Step;
 use crate::limits::Limits;
+use crate::policy::crashes::NEW_MS;
 use crate::policy::quarantine::{Quarantine, Standing};
 use crate::policy::speed::Speed;
+use crate::tasks::StepKey;
 
 new_key_type! {
     /// Key of an endpoint's incarnation in the planner's arena.
@@ -115,6 +117,8 @@
 /// How far a run on an endpoint has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
+    /// It has its place; the start is sent once the store has a note of it.
+    Announced,
     /// The start was sent and not answered yet.
     Starting,
     /// The endpoint has it.
@@ -144,6 +148,8 @@
     pub(crate) resumed: bool,
     /// Its job's objective is short.
     pub(crate) hurried: bool,
+    /// It may bring the endpoint down: nothing is started beside it.
+    pub(crate) apart: bool,
 }
 
 /// How an endpoint was lost.
@@ -194,6 +200,10 @@
     unsized_runs: usize,
     /// Runs of jobs whose objective is short.
     pub(crate) hurried_runs: u32,
+    /// Runs beside which nothing is started.
+    apart_runs: u32,
+    /// Step for which it is kept free of other starts, and until when.
+    reserved: Option<(StepKey, Millis)>,
     /// Highest end that was taken in.
     pub(crate) taken_in: u64,
     /// Highest end that is stored.
@@ -225,6 +235,8 @@
             used: Room::default(),
             unsized_runs: 0,
             hurried_runs: 0,
+            apart_runs: 0,
+            reserved: None,
             taken_in: 0,
             acknowledged: 0,
             heard_ms: None,
@@ -330,7 +342,13 @@
 
     /// Returns whether it can be given new work.
     pub(crate) fn takes_work(&self, now: Millis, limits: &Limits) -> bool {
-        self.listed
+        self.reserved_for(now).is_none() && self.takes_reserved_work(now, limits)
+    }
+
+    /// Returns whether it can be given new work of the step that it is kept for.
+    pub(crate) fn takes_reserved_work(&self, now: Millis, limits: &Limits) -> bool {
+        self.apart_runs == 0
+            && self.listed
             && self.rostered
             && self.contacted
             && !self.over
@@ -367,6 +385,7 @@
         self.used = self.used.add(placed.room);
         self.unsized_runs += usize::from(placed.unsized_run);
         self.hurried_runs += u32::from(placed.hurried);
+        self.apart_runs += u32::from(placed.apart);
         self.placed.insert(task, placed);
     }
 
@@ -375,6 +394,24 @@
         self.used = self.used.minus(placed.room);
         self.unsized_runs -= usize::from(placed.unsized_run);
         self.hurried_runs -= u32::from(placed.hurried);
+        self.apart_runs -= u32::from(placed.apart);
         Some(placed)
     }
+
+    /// Returns whether a run has just begun, as far as the endpoint was heard from.
+    pub(crate) fn is_new(&self, placed: &Placed) -> bool {
+        self.heard_with_ms(placed)
+            .is_none_or(|heard_ms| heard_ms < NEW_MS)
+    }
+
+    /// Keeps other starts away until then.
+    pub(crate) fn reserve(&mut self, step: StepKey, until_ms: Millis) {
+        self.reserved = Some((step, until_ms));
+    }
+
+    /// Returns the step that it is kept for.
+    pub(crate) fn reserved_for(&self, now: Millis) -> Option<StepKey> {
+        let (step, until_ms) = self.reserved?;
+        (now < until_ms).then_some(step)
+    }
 }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -18,6 +18,7 @@
 mod planner;
 mod policy;
 mod record;
+mod starts;
 mod tasks;
 
 pub use action::{
@@ -40,3 +41,4 @@
 pub use record::{
     JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER,
 };
+pub use starts::{StartsRow, STARTS};
--- a/crates/chervilfall_planner/src/meters.rs
+++ b/crates/chervilfall_planner/src/meters.rs
@@ -86,6 +86,11 @@
     counter!("chervilfall_runs_lost_total", "reason" => reason.word()).increment(1);
 }
 
+/// Counts a job that is given up.
+pub(crate) fn given_up(reason: &'static str) {
+    counter!("chervilfall_jobs_given_up_total", "reason" => reason).increment(1);
+}
+
 /// Counts a takeover.
 pub(crate) fn takeover() {
     counter!("chervilfall_takeovers_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -6,10 +6,11 @@
 use crate::commit::{Batch, CommitOutcome, RowChange, RowKey};
 use crate::election::HolderRow;
 use crate::endpoint::EndpointKey;
-use crate::ids::{EndpointId, JobId, Millis, RowVersion};
+use crate::ids::{EndpointId, JobId, Millis, RowVersion, Run, TaskKey};
 use crate::meters;
 use crate::planner::Planner;
 use crate::record::{encode, RosterBucket, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
+use crate::starts::STARTS;
 
 /// Factor on what recent commits took.
 const COMMIT_COPY_FACTOR: u64 = 2;
@@ -57,6 +58,8 @@
     new_jobs: BTreeSet<JobId>,
     progress: Vec<(JobId, Option<JobState>, bool)>,
     acknowledgements: BTreeMap<EndpointKey, u64>,
+    /// Starts that may be ordered once it is stored.
+    announced: Vec<(TaskKey, EndpointKey, Run)>,
     /// Endpoints that may be granted leases once it is stored.
     grantable: BTreeSet<EndpointId>,
     releases: bool,
@@ -84,7 +87,7 @@
             return;
         }
         let since_ms = self.now.saturating_sub(self.last_batch_ms);
-        let wanted = !self.unsaved.is_empty() || self.releasing;
+        let wanted = !self.unsaved.is_empty() || !self.start_ring.is_saved() || self.releasing;
         let due = wanted && since_ms >= self.limits.commit_gap_ms;
         if due || since_ms >= self.limits.renew_ms {
             self.send_batch();
@@ -96,6 +99,7 @@
         let mut builder = Builder::new(self.limits.commit_rows, self.limits.commit_bytes);
         // Endpoints can be used only once they stand in the roster, so it comes before jobs.
         self.add_roster(&mut builder);
+        self.add_starts(&mut builder);
         self.add_new_jobs(&mut builder);
         self.add_progress(&mut builder);
         self.add_removed(&mut builder);
@@ -132,6 +136,7 @@
             new_jobs: builder.new_jobs,
             progress: builder.progress,
             acknowledgements,
+            announced: builder.announced,
             grantable: builder.grantable,
             releases,
         });
@@ -173,6 +178,9 @@
                     builder.remove(JOBS, id);
                 }
                 builder.progress.push((id, job.outcome, job.cancelled));
+                let announced = self.announced.iter().filter(|(task, _)| task.job == id);
+                let announced = announced.map(|(task, (endpoint, run))| (*task, *endpoint, *run));
+                builder.announced.extend(announced);
             }
         }
     }
@@ -210,6 +218,16 @@
         }
     }
 
+    fn add_starts(&mut self, builder: &mut Builder) {
+        let store_ms = self.store_now_ms();
+        while builder.has_room() {
+            let Some((key, value)) = self.start_ring.take_row(store_ms) else {
+                return;
+            };
+            builder.put(STARTS, key, value);
+        }
+    }
+
     fn add_removed(&mut self, builder: &mut Builder) {
         while builder.has_room() {
             let Some(id) = self.unsaved.removed.pop() else {
@@ -287,6 +305,9 @@
         for (id, outcome, cancelled) in flight.progress {
             self.progress_stored(id, outcome, cancelled);
         }
+        for (task, endpoint, run) in flight.announced {
+            self.start_announced(endpoint, task, run);
+        }
         for (key, number) in flight.acknowledgements {
             if let Some(endpoint) = self.endpoints.get_mut(key) {
                 endpoint.acknowledged = endpoint.acknowledged.max(number);
@@ -358,6 +379,7 @@
     changes: Vec<RowChange>,
     new_jobs: BTreeSet<JobId>,
     progress: Vec<(JobId, Option<JobState>, bool)>,
+    announced: Vec<(TaskKey, EndpointKey, Run)>,
     grantable: BTreeSet<EndpointId>,
 }
 
@@ -369,6 +391,7 @@
             changes: Vec::new(),
             new_jobs: BTreeSet::new(),
             progress: Vec::new(),
+            announced: Vec::new(),
             grantable: BTreeSet::new(),
         }
     }
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/crashes.rs
@@ -0,0 +1,321 @@
+//! Tasks that may have brought down their endpoints: what is noted, and what follows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::endpoint::{Endpoint, EndpointKey, LossReason, RunPhase};
+use crate::event::HoldReport;
+use crate::ids::{EndpointId, JobId, Millis, Run, TaskKey};
+use crate::meters;
+use crate::planner::Planner;
+use crate::policy::crashes::{verdict, Exposure, Fate, Verdict, LIVED_MS, NEW_MS};
+use crate::starts::StartNote;
+use crate::tasks::{Task, TaskState};
+
+/// How long an address is kept in mind at which an endpoint has crashed: some rounds of a machine that goes down and
+/// up by turns. Suspects are started elsewhere if they can, so that a bad machine speaks against no task.
+const CRASHED_ADDRESS_MS: Millis = 60_000;
+
+impl Planner {
+    /// Notes what a lost endpoint says of the runs that were there.
+    pub(super) fn note_lost_runs(&mut self, key: EndpointKey, reason: LossReason) {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return;
+        };
+        // An endpoint that was asked to leave ends what is still there.
+        if endpoint.entry.draining {
+            return;
+        }
+        let id = endpoint.entry.id.clone();
+        for (task, exposure) in lost_runs(endpoint) {
+            self.expose(task, exposure);
+        }
+        if reason == LossReason::Replaced {
+            self.endpoint_gone(&id, false);
+        }
+    }
+
+    /// Notes a run of a task that is not over yet; an earlier note of the run is replaced.
+    fn expose(&mut self, task: TaskKey, exposure: Exposure) {
+        let id = exposure.endpoint.clone();
+        let Some(entry) = self.exposed_task(task) else {
+            return;
+        };
+        entry.exposures.retain(|seen| seen.run != exposure.run);
+        entry.exposures.push(exposure);
+        self.exposed.entry(id).or_default().insert(task);
+        self.unsaved.progress.insert(task.job);
+    }
+
+    /// Takes the latest starts of earlier holders for lost until their endpoints answer. That is not stored before an
+    /// endpoint turns out to be gone: nearly all answer at once.
+    pub(super) fn expose_latest_starts(&mut self, starts: BTreeMap<EndpointId, Vec<StartNote>>) {
+        for (id, notes) in starts {
+            for note in notes {
+                let (task, run) = (note.task(), note.run);
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    // Its row tells of steps only of which something is known.
+                    job.occurrence(task.occurrence);
+                }
+                let Some(entry) = self.exposed_task(task) else {
+                    continue;
+                };
+                if entry.failed.contains(&run) || entry.exposures.iter().any(|seen| seen.run == run)
+                {
+                    continue;
+                }
+                entry.exposures.push(Exposure {
+                    run,
+                    endpoint: id.clone(),
+                    fate: Fate::Lost,
+                    new: true,
+                    // What else was there is not known.
+                    alone: false,
+                });
+                self.exposed.entry(id.clone()).or_default().insert(task);
+            }
+        }
+    }
+
+    /// Notes, ahead of its start, that a run of a suspect may be at work.
+    pub(super) fn expose_start(&mut self, task: TaskKey, run: Run, endpoint: &EndpointId) {
+        let at_work = Exposure {
+            run,
+            endpoint: endpoint.clone(),
+            fate: Fate::AtWork,
+            new: true,
+            alone: self.is_apart(task.job, endpoint),
+        };
+        self.expose(task, at_work);
+    }
+
+    /// Returns whether nothing of other jobs has a place on an endpoint.
+    fn is_apart(&self, job: JobId, endpoint: &EndpointId) -> bool {
+        let key = self.endpoint_keys.get(endpoint);
+        let endpoint = key.and_then(|key| self.endpoints.get(*key));
+        endpoint.is_some_and(|endpoint| endpoint.placed.keys().all(|there| there.job == job))
+    }
+
+    /// Returns a task, unless it is done or its job is over.
+    fn exposed_task(&mut self, task: TaskKey) -> Option<&mut Task> {
+        let job = self.jobs.get_mut(&task.job)?;
+        if job.outcome.is_some() {
+            return None;
+        }
+        let progress = job.step_progress_mut(task.step_key())?;
+        let entry = progress.tasks.get_mut(task.index as usize)?;
+        (entry.state != TaskState::Done).then_some(entry)
+    }
+
+    /// Returns what is known of a task.
+    pub(super) fn verdict(&self, task: TaskKey) -> Verdict {
+        let job = self.jobs.get(&task.job);
+        let entry = job.and_then(|job| job.task(task));
+        entry.map_or(Verdict::Clear, |entry| verdict(&entry.exposures))
+    }
+
+    /// Keeps in mind the exposures of a job that was read from rows: what was at work may be lost.
+    pub(super) fn restore_exposures(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        for (task, entry) in job.tasks_mut() {
+            for exposure in &mut entry.exposures {
+                if exposure.fate == Fate::AtWork {
+                    exposure.fate = Fate::Lost;
+                }
+                let tasks = self.exposed.entry(exposure.endpoint.clone()).or_default();
+                tasks.insert(task);
+            }
+        }
+    }
+
+    /// Stores what the latest starts say of an endpoint that does not answer either: the next holder may come too late
+    /// to read them.
+    pub(super) fn store_exposures(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return;
+        };
+        if let Some(tasks) = self.exposed.get(&endpoint.entry.id) {
+            let jobs = tasks.iter().map(|task| task.job);
+            self.unsaved.progress.extend(jobs);
+        }
+    }
+
+    /// Takes back what was held against tasks because of an endpoint that answers: that incarnation has not crashed.
+    pub(super) fn note_alive(&mut self, key: EndpointKey, report: &HoldReport) {
+        if self.exposed.is_empty() {
+            return;
+        }
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return;
+        };
+        let id = endpoint.entry.id.clone();
+        let Some(tasks) = self.exposed.get(&id) else {
+            return;
+        };
+        for task in tasks.clone() {
+            let running = report.running.iter().filter(|run| run.task == task);
+            let running: BTreeSet<Run> = running.map(|run| run.run).collect();
+            let Some(entry) = self.exposed_task(task) else {
+                self.forget_exposed(&id, task);
+                continue;
+            };
+            let before = entry.exposures.len();
+            entry.exposures.retain_mut(|seen| {
+                if seen.endpoint != id || seen.fate == Fate::AtWork {
+                    return true;
+                }
+                seen.fate = Fate::AtWork;
+                running.contains(&seen.run)
+            });
+            let exposed = entry.exposures.iter().any(|seen| seen.endpoint == id);
+            if entry.exposures.len() < before {
+                log::info!(task:% = task, endpoint:% = id; "endpoint has not crashed, task is not held to account");
+                self.unsaved.progress.insert(task.job);
+            }
+            if !exposed {
+                self.forget_exposed(&id, task);
+            }
+        }
+    }
+
+    fn forget_exposed(&mut self, id: &EndpointId, task: TaskKey) {
+        if let Some(tasks) = self.exposed.get_mut(id) {
+            tasks.remove(&task);
+            if tasks.is_empty() {
+                self.exposed.remove(id);
+            }
+        }
+    }
+
+    /// Notes that an incarnation is gone: it has crashed, unless it was asked to leave.
+    pub(super) fn endpoint_gone(&mut self, id: &EndpointId, draining: bool) {
+        let key = self.endpoint_keys.get(id);
+        if let Some(endpoint) = key.and_then(|key| self.endpoints.get(*key)) {
+            if !draining {
+                let address = endpoint.entry.address.clone();
+                self.crashed_addresses.insert(address, self.now);
+            }
+        }
+        let Some(tasks) = self.exposed.get(id).cloned() else {
+            return;
+        };
+        for task in tasks {
+            let Some(entry) = self.exposed_task(task) else {
+                self.forget_exposed(id, task);
+                continue;
+            };
+            let mut changed = false;
+            for seen in &mut entry.exposures {
+                if seen.endpoint == *id && seen.fate == Fate::Lost && !draining {
+                    seen.fate = Fate::Crashed;
+                    changed = true;
+                }
+            }
+            if draining {
+                let before = entry.exposures.len();
+                entry.exposures.retain(|seen| seen.endpoint != *id);
+                changed = entry.exposures.len() < before;
+                self.forget_exposed(id, task);
+            }
+            if changed {
+                self.unsaved.progress.insert(task.job);
+                self.judge(task, id);
+            }
+        }
+    }
+
+    /// Settles exposures to incarnations that are neither listed nor known any more.
+    pub(super) fn settle_unknown_endpoints(&mut self) {
+        let unknown = self.exposed.keys();
+        let unknown = unknown.filter(|id| !self.endpoint_keys.contains_key(*id));
+        let unknown: Vec<EndpointId> = unknown.cloned().collect();
+        for id in unknown {
+            self.endpoint_gone(&id, false);
+        }
+        let now = self.now;
+        self.crashed_addresses
+            .retain(|_, at_ms| now.saturating_sub(*at_ms) < CRASHED_ADDRESS_MS);
+    }
+
+    fn judge(&mut self, task: TaskKey, endpoint: &EndpointId) {
+        let found = self.verdict(task);
+        log::info!(task:% = task, endpoint:% = endpoint, verdict:? = found; "endpoint crashed with a task");
+        if found == Verdict::Culprit {
+            log::warn!(task:% = task; "task brings its endpoints down, given up");
+            meters::given_up("crashes");
+            self.fail(task.job);
+        }
+    }
+
+    /// Takes off the note of a run that is over while its endpoint answers.
+    pub(super) fn run_survived(&mut self, task: TaskKey, run: Run) {
+        let Some(entry) = self.exposed_task(task) else {
+            return;
+        };
+        let at_work = |seen: &Exposure| seen.run == run && seen.fate == Fate::AtWork;
+        let position = entry.exposures.iter().position(at_work);
+        if let Some(position) = position {
+            let seen = entry.exposures.remove(position);
+            self.forget_exposed(&seen.endpoint, task);
+            self.unsaved.progress.insert(task.job);
+        }
+    }
+
+    /// Notes of a run that its endpoint lists whether it is new there.
+    pub(super) fn note_heard(&mut self, key: EndpointKey, task: TaskKey) {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return;
+        };
+        let Some(placed) = endpoint.placed.get(&task) else {
+            return;
+        };
+        let heard_ms = endpoint.heard_with_ms(placed).unwrap_or(0);
+        let run = placed.run;
+        if heard_ms < NEW_MS {
+            return;
+        }
+        let lasts = self.jobs.get(&task.job).is_some_and(|job| job.lasts);
+        let Some(entry) = self.exposed_task(task) else {
+            return;
+        };
+        if entry.exposures.is_empty() {
+            return;
+        }
+        if lasts && heard_ms >= LIVED_MS {
+            entry.exposures.clear();
+            self.unsaved.progress.insert(task.job);
+            return;
+        }
+        let mut seen = entry.exposures.iter_mut();
+        if let Some(seen) = seen.find(|seen| seen.run == run && seen.new) {
+            seen.new = false;
+            self.unsaved.progress.insert(task.job);
+        }
+    }
+
+    /// Returns whether an endpoint has crashed at this address of late.
+    pub(super) fn crashed_at(&self, address: &str) -> bool {
+        self.crashed_addresses.contains_key(address)
+    }
+}
+
+/// Returns the runs that were ordered on an endpoint, with what its loss says of each.
+fn lost_runs(endpoint: &Endpoint) -> Vec<(TaskKey, Exposure)> {
+    let ordered = endpoint.placed.iter();
+    let ordered = ordered.filter(|(_, placed)| placed.phase != RunPhase::Announced);
+    let mut jobs = ordered.clone().map(|(task, _)| task.job);
+    let first = jobs.next();
+    let alone = jobs.all(|job| Some(job) == first);
+    let exposures = ordered.map(|(task, placed)| {
+        let exposure = Exposure {
+            run: placed.run,
+            endpoint: endpoint.entry.id.clone(),
+            fate: Fate::Lost,
+            new: endpoint.is_new(placed),
+            alone,
+        };
+        (*task, exposure)
+    });
+    exposures.collect()
+}
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -90,6 +90,10 @@
         });
         let gone: Vec<EndpointKey> = gone.map(|(key, _)| key).collect();
         for key in gone {
+            if let Some(endpoint) = self.endpoints.get(key) {
+                let (id, draining) = (endpoint.entry.id.clone(), endpoint.entry.draining);
+                self.endpoint_gone(&id, draining);
+            }
             if let Some(endpoint) = self.endpoints.remove(key) {
                 log::info!(endpoint:% = endpoint.entry.id; "endpoint dropped");
                 self.endpoint_keys.remove(&endpoint.entry.id);
@@ -97,6 +101,7 @@
                 self.unsaved.roster.insert(bucket);
             }
         }
+        self.settle_unknown_endpoints();
     }
 
     pub(super) fn held(&mut self, key: EndpointKey, sent_ms: Millis, answer: HoldAnswer) {
@@ -111,8 +116,11 @@
             HoldAnswer::Fenced => self.step_down(StepDownReason::Fenced),
             HoldAnswer::OtherIncarnation => self.incarnation_over(key),
             HoldAnswer::Refused | HoldAnswer::Unanswered => {
-                endpoint.missed = true;
+                let first = !std::mem::replace(&mut endpoint.missed, true);
                 endpoint.next_hold_ms = now + retry_ms;
+                if first {
+                    self.store_exposures(key);
+                }
             }
         }
     }
@@ -158,6 +166,7 @@
         } else {
             endpoint.gathered_ms(now, &self.limits)
         };
+        self.note_alive(key, report);
         for running in &report.running {
             self.take_running(key, running);
         }
@@ -179,6 +188,7 @@
                 }
                 self.confirm_start(task);
                 self.keep_checkpoint(task, &running.checkpoint);
+                self.note_heard(key, task);
                 return;
             }
             // The lists order runs of a task on one endpoint; an older one is on its way out.
@@ -210,6 +220,7 @@
                 confirmed_ms: Some(self.now),
                 resumed: true,
                 hurried: false,
+                apart: false,
             },
         );
         let id = endpoint.entry.id.clone();
@@ -268,7 +279,7 @@
             .collect();
         let absent = endpoint.placed.iter().filter(|(task, placed)| {
             let since_ms = match placed.phase {
-                RunPhase::Starting => None,
+                RunPhase::Announced | RunPhase::Starting => None,
                 RunPhase::Running => placed.confirmed_ms,
                 RunPhase::Stopping { taken_ms, .. } => taken_ms,
             };
@@ -309,6 +320,7 @@
             .map(|(task, placed)| (*task, placed.run))
             .collect();
         log_lost_runs(endpoint, reason, self.now);
+        self.note_lost_runs(key, reason);
         for (task, run) in placed {
             meters::run_lost(reason);
             self.free(key, task);
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -4,6 +4,7 @@
 mod ask;
 mod barrier;
 mod commits;
+mod crashes;
 mod endpoints;
 mod ends;
 mod leases;
@@ -11,6 +12,7 @@
 mod orders;
 mod requests;
 mod schedule;
+mod suspects;
 mod turns;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -23,12 +25,13 @@
 use crate::election::{HolderRow, Takeover};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::event::{Event, NodeId};
-use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, TaskKey};
+use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, Run, TaskKey};
 use crate::limits::Limits;
 use crate::meters;
 use crate::policy::headroom::Headroom;
 use crate::policy::standstill::CommitGaps;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
+use crate::starts::{latest, StartRing, StartsRow};
 use crate::tasks::Job;
 use advise::AdviceCall;
 use barrier::Barrier;
@@ -44,6 +47,8 @@
     pub progress: Vec<(JobId, ProgressRow)>,
     /// Endpoints that may hold leases.
     pub roster: Vec<RosterEntry>,
+    /// The latest starts, by slot.
+    pub starts: Vec<(u64, StartsRow)>,
 }
 
 /// What waits in a planner.
@@ -75,6 +80,13 @@
     /// Occurrences that are not due yet, by due time.
     due: BTreeSet<(u64, JobId, u32)>,
     stopping: BTreeSet<(EndpointKey, TaskKey)>,
+    /// Tasks with a run that may have brought down an endpoint, by that endpoint.
+    exposed: BTreeMap<EndpointId, BTreeSet<TaskKey>>,
+    /// Addresses at which an endpoint has crashed of late, and when.
+    crashed_addresses: BTreeMap<String, Millis>,
+    start_ring: StartRing,
+    /// Starts that wait until the store has a note of them.
+    announced: BTreeMap<TaskKey, (EndpointKey, Run)>,
     unsaved: Unsaved,
     flight: Option<Flight>,
     /// When the last stored commit was first sent, which is what leases and successors count from.
@@ -112,6 +124,7 @@
     #[must_use]
     pub fn new(limits: Limits, takeover: Takeover, stored: Stored, now: Millis) -> Self {
         let barrier = Barrier::after(&takeover, &limits);
+        let last_commit_store_ms = takeover.predecessor_written_store_ms;
         let mut planner = Self {
             limits,
             fence: takeover.fence,
@@ -126,6 +139,10 @@
             open: OpenSteps::default(),
             due: BTreeSet::new(),
             stopping: BTreeSet::new(),
+            exposed: BTreeMap::new(),
+            crashed_addresses: BTreeMap::new(),
+            start_ring: StartRing::after(&stored.starts),
+            announced: BTreeMap::new(),
             unsaved: Unsaved::default(),
             flight: None,
             covered_from_ms: now,
@@ -148,11 +165,11 @@
             stepped_down: false,
             actions: Vec::new(),
         };
-        planner.restore(stored);
+        planner.restore(stored, last_commit_store_ms);
         planner
     }
 
-    fn restore(&mut self, stored: Stored) {
+    fn restore(&mut self, stored: Stored, last_commit_store_ms: Millis) {
         let jobs = stored.jobs.len();
         for (id, row) in stored.jobs {
             let mut job = Job::new(id, row, self.now);
@@ -168,6 +185,10 @@
             }
         }
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in ids.iter().copied() {
+            self.restore_exposures(id);
+        }
+        self.expose_latest_starts(latest(stored.starts, last_commit_store_ms));
         for id in ids {
             self.activate(id);
         }
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -17,7 +17,7 @@
         first.max(last_run + 1)
     }
 
-    /// Orders a start. Returns false if no lease can be granted.
+    /// Places a run and orders its start. Returns false if that can't be done.
     pub(super) fn start(
         &mut self,
         key: EndpointKey,
@@ -28,6 +28,22 @@
         let Some(order) = self.start_order(key, task, run, ticket) else {
             return false;
         };
+        if !self.place(key, task, run, RunPhase::Starting, false) {
+            return false;
+        }
+        self.send_start(order);
+        true
+    }
+
+    /// Puts a run in the books of its endpoint and its task. Returns false if one of them is not there.
+    pub(super) fn place(
+        &mut self,
+        key: EndpointKey,
+        task: TaskKey,
+        run: Run,
+        phase: RunPhase,
+        apart: bool,
+    ) -> bool {
         let (Some(job), Some(endpoint)) =
             (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key))
         else {
@@ -48,30 +64,49 @@
         let Some(entry) = progress.tasks.get_mut(task.index as usize) else {
             return false;
         };
+        let resumed = !entry.checkpoint.is_empty();
         entry.state = TaskState::Placed(key, run);
         entry.last_run = run;
         progress.placed += 1;
-        meters::start();
         endpoint.place(
             task,
             Placed {
                 run,
-                phase: RunPhase::Starting,
+                phase,
                 room,
                 unsized_run: false,
                 unanswered: 0,
                 confirmed_ms: None,
-                resumed: !order.checkpoint.is_empty(),
+                resumed,
                 hurried,
+                apart,
             },
         );
+        true
+    }
+
+    fn send_start(&mut self, order: StartOrder) {
+        meters::start();
+        self.start_ring
+            .note(order.task, order.run, order.id.clone());
+        let free_cpu_milli = self
+            .endpoints
+            .get(order.endpoint)
+            .map_or(0, |endpoint| endpoint.free().cpu_milli);
         log::info!(
-            task:% = task, run = run, endpoint:% = order.id, until_ms = order.until_ms,
-            fence = order.fence, free_cpu_milli = endpoint.free().cpu_milli,
-            resumed = !order.checkpoint.is_empty();
+            task:% = order.task, run = order.run, endpoint:% = order.id, until_ms = order.until_ms,
+            fence = order.fence, free_cpu_milli = free_cpu_milli, resumed = !order.checkpoint.is_empty();
             "start ordered"
         );
         self.actions.push(Action::Start(order));
+    }
+
+    /// Orders the start of a run that has its place already. Returns false if that can't be done.
+    pub(super) fn order_start(&mut self, key: EndpointKey, task: TaskKey, run: Run) -> bool {
+        let Some(order) = self.later_order(key, task, run) else {
+            return false;
+        };
+        self.send_start(order);
         true
     }
 
@@ -103,21 +138,23 @@
         })
     }
 
-    /// Sends a start that was not answered again: the same run, so that whichever copy comes first
-    /// starts it and the others find it there. Returns false if that can't be done.
-    fn send_start_again(&mut self, key: EndpointKey, task: TaskKey, run: Run) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
-        };
+    /// Returns the order that starts a run which has had its place for a while, if its endpoint still takes it.
+    fn later_order(&mut self, key: EndpointKey, task: TaskKey, run: Run) -> Option<StartOrder> {
+        let job = self.jobs.get(&task.job)?;
         let progress = job.step_progress(task.step_key());
         let ticket = progress.and_then(|progress| progress.advice.ticket(key, self.now).cloned());
-        let silent = self.endpoints.get(key).is_none_or(|endpoint| {
-            !endpoint.rostered || endpoint.is_silent(self.now, &self.limits)
-        });
+        let endpoint = self.endpoints.get(key)?;
+        let silent = !endpoint.rostered || endpoint.is_silent(self.now, &self.limits);
         if silent || (job.queue.advice.is_some() && ticket.is_none()) {
-            return false;
+            return None;
         }
-        let Some(order) = self.start_order(key, task, run, ticket) else {
+        self.start_order(key, task, run, ticket)
+    }
+
+    /// Sends a start that was not answered again: the same run, so that whichever copy comes first
+    /// starts it and the others find it there. Returns false if that can't be done.
+    fn send_start_again(&mut self, key: EndpointKey, task: TaskKey, run: Run) -> bool {
+        let Some(order) = self.later_order(key, task, run) else {
             return false;
         };
         log::info!(task:% = task, run = run, endpoint:% = order.id; "start sent again");
@@ -126,7 +163,12 @@
     }
 
     /// Returns a run on an endpoint, if it is the one that the books show there.
-    fn placed_mut(&mut self, key: EndpointKey, task: TaskKey, run: Run) -> Option<&mut Placed> {
+    pub(super) fn placed_mut(
+        &mut self,
+        key: EndpointKey,
+        task: TaskKey,
+        run: Run,
+    ) -> Option<&mut Placed> {
         let placed = self.endpoints.get_mut(key)?.placed.get_mut(&task)?;
         (placed.run == run).then_some(placed)
     }
@@ -235,8 +277,15 @@
         else {
             return;
         };
-        if matches!(placed.phase, RunPhase::Stopping { .. }) {
-            return;
+        match placed.phase {
+            RunPhase::Stopping { .. } => return,
+            RunPhase::Announced => {
+                // It was never sent.
+                self.free(key, task);
+                self.requeue(task, key, run);
+                return;
+            }
+            RunPhase::Starting | RunPhase::Running => {}
         }
         placed.phase = RunPhase::Stopping {
             sent_ms: None,
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -12,13 +12,15 @@
 use crate::event::Ticket;
 use crate::ids::{Millis, Run};
 use crate::job::{JobSpec, Step};
+use crate::limits::Limits;
 use crate::planner::ask::most_calls;
+use crate::planner::suspects::{WaitingTask, WaitingTasks};
 use crate::planner::Planner;
 use crate::policy::headroom::Holes;
 use crate::policy::order::has_time;
 use crate::policy::placement::{pick, pick_all, pick_beside, Haste, Offer};
 use crate::policy::speed::Pace;
-use crate::tasks::{StepKey, StepProgress, TaskState};
+use crate::tasks::{StepKey, StepProgress};
 
 /// Time between passes over all open steps. On 350 endpoints with a hundred of them a pass took 2 ms of a core,
 /// a fifth of the time at one each tick, and a holder has half a core or less.
@@ -52,6 +54,10 @@
     pub(super) fn step(&self) -> &Step {
         &self.spec.steps[self.position]
     }
+
+    pub(super) fn need(&self) -> Room {
+        Room::of_step(self.step())
+    }
 }
 
 impl Planner {
@@ -160,27 +166,56 @@
 
     /// Returns the endpoints that the step may use now.
     fn offers(&self, pass: &Pass, key: StepKey, wanted: &Wanted) -> Vec<Offer> {
-        let Some(progress) = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.step_progress(key))
-        else {
-            return Vec::new();
-        };
         let Some(pool) = pass.pools.get(&wanted.service) else {
             return Vec::new();
         };
-        let need = Room::of_step(wanted.step());
-        let candidates: Vec<EndpointKey> = if wanted.advice.is_some() {
-            progress.advice.ticketed(self.now).collect()
-        } else {
-            pool.clone()
+        let candidates = self.candidates(key, wanted, || pool.clone());
+        self.usable(candidates, key, wanted, Endpoint::takes_work)
+    }
+
+    /// Returns the endpoints that the step may use now if it keeps away from what has just begun.
+    pub(super) fn offers_apart(&self, key: StepKey, wanted: &Wanted) -> Vec<Offer> {
+        let candidates = self.candidates(key, wanted, || self.endpoints.keys().collect());
+        let takes = |endpoint: &Endpoint, now, limits: &Limits| {
+            let kept = endpoint.reserved_for(now);
+            kept.is_none_or(|step| step == key) && endpoint.takes_reserved_work(now, limits)
+        };
+        self.usable(candidates, key, wanted, takes)
+    }
+
+    /// Returns the endpoints for which the step has tickets, or all that there are if it needs none.
+    fn candidates(
+        &self,
+        key: StepKey,
+        wanted: &Wanted,
+        all: impl FnOnce() -> Vec<EndpointKey>,
+    ) -> Vec<EndpointKey> {
+        if wanted.advice.is_none() {
+            return all();
+        }
+        let job = self.jobs.get(&key.job);
+        let progress = job.and_then(|job| job.step_progress(key));
+        let ticketed = progress.map(|progress| progress.advice.ticketed(self.now).collect());
+        ticketed.unwrap_or_default()
+    }
+
+    fn usable(
+        &self,
+        candidates: Vec<EndpointKey>,
+        key: StepKey,
+        wanted: &Wanted,
+        takes: impl Fn(&Endpoint, Millis, &Limits) -> bool,
+    ) -> Vec<Offer> {
+        let job = self.jobs.get(&key.job);
+        let Some(progress) = job.and_then(|job| job.step_progress(key)) else {
+            return Vec::new();
         };
+        let need = wanted.need();
         let usable = candidates.into_iter().filter_map(|endpoint_key| {
             let endpoint = self.endpoints.get(endpoint_key)?;
             let fits = endpoint.free().holds(need)
                 && endpoint.entry.service == wanted.service
-                && endpoint.takes_work(self.now, &self.limits);
+                && takes(endpoint, self.now, &self.limits);
             fits.then_some((endpoint_key, endpoint))
         });
         let failed_on = &progress.failed_on;
@@ -238,55 +273,79 @@
     }
 
     fn place_step(&mut self, pass: &mut Pass, key: StepKey, wanted: &Wanted) {
-        let step = wanted.step();
-        let need = Room::of_step(step);
-        let mut offers = self.offers(pass, key, wanted);
-        let Some(progress) = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.step_progress(key))
-        else {
-            return;
-        };
-        let waiting = progress.waiting();
-        let picks = if step.gang {
-            self.pick_gang(wanted, &mut offers, need, waiting)
+        let waiting = self.waiting_tasks(key);
+        if wanted.step().gang {
+            if waiting.awaited == 0 {
+                self.place_gang(pass, key, wanted, &waiting);
+            }
         } else {
-            let holes = pass.holes.get_mut(&wanted.service);
-            match holes.filter(|_| self.leaves_headroom(key, wanted)) {
-                Some(holes) => pick_beside(&mut offers, need, waiting, holes),
-                None => pick(&mut offers, need, waiting, wanted.haste),
+            self.place_tasks(pass, key, wanted, &waiting.clear);
+            if !waiting.all_clear() {
+                self.place_suspects(key, wanted, &waiting);
             }
-        };
-        if picks.is_empty() {
+        }
+        let job = self.jobs.get(&key.job);
+        let progress = job.and_then(|job| job.step_progress(key));
+        if progress.map_or(0, StepProgress::waiting) == 0 {
+            self.close_step(key);
+        }
+    }
+
+    fn place_tasks(
+        &mut self,
+        pass: &mut Pass,
+        key: StepKey,
+        wanted: &Wanted,
+        waiting: &[WaitingTask],
+    ) {
+        let count = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
+        if count == 0 {
             return;
         }
-        let tasks = (0_u32..).zip(&progress.tasks);
-        let waiting: Vec<(u32, Run)> = tasks
-            .filter(|(_, task)| task.state == TaskState::Waiting)
-            .map(|(index, task)| (index, task.last_run))
-            .collect();
-        let gang_run = waiting.iter().map(|(_, last)| *last).max().unwrap_or(0);
-        let mut starts: Vec<(EndpointKey, u32, Run, Option<Ticket>)> = Vec::new();
-        for ((index, last), endpoint) in waiting.into_iter().zip(picks) {
-            let last = if step.gang { gang_run } else { last };
-            let ticket = progress.advice.ticket(endpoint, self.now).cloned();
-            starts.push((endpoint, index, self.next_run(last), ticket));
+        let mut offers = self.offers(pass, key, wanted);
+        let need = wanted.need();
+        let holes = pass.holes.get_mut(&wanted.service);
+        let picks = match holes.filter(|_| self.leaves_headroom(key, wanted)) {
+            Some(holes) => pick_beside(&mut offers, need, count, holes),
+            None => pick(&mut offers, need, count, wanted.haste),
+        };
+        let starts = waiting.iter().zip(picks);
+        let starts =
+            starts.map(|((index, last), endpoint)| (endpoint, *index, self.next_run(*last)));
+        self.start_all(key, starts.collect());
+    }
+
+    /// Starts all members of a gang, or none.
+    fn place_gang(&mut self, pass: &Pass, key: StepKey, wanted: &Wanted, waiting: &WaitingTasks) {
+        let last = waiting.members().map(|(_, last)| *last).max();
+        let run = self.next_run(last.unwrap_or(0));
+        if !waiting.all_clear() {
+            self.place_gang_with_suspects(key, wanted, waiting, run);
+            return;
         }
-        if step.gang {
-            self.share_checkpoint(key);
+        let mut offers = self.offers(pass, key, wanted);
+        let picks = self.pick_gang(
+            wanted,
+            &mut offers,
+            u32::try_from(waiting.clear.len()).unwrap_or(u32::MAX),
+        );
+        if picks.is_empty() {
+            return;
         }
-        for (endpoint, index, run, ticket) in starts {
+        self.share_checkpoint(key);
+        let starts = waiting.clear.iter().zip(picks);
+        let starts = starts.map(|((index, _), endpoint)| (endpoint, *index, run));
+        self.start_all(key, starts.collect());
+    }
+
+    fn start_all(&mut self, key: StepKey, starts: Vec<(EndpointKey, u32, Run)>) {
+        for (endpoint, index, run) in starts {
+            let job = self.jobs.get(&key.job);
+            let progress = job.and_then(|job| job.step_progress(key));
+            let ticket = progress.and_then(|progress| progress.advice.ticket(endpoint, self.now));
+            let ticket: Option<Ticket> = ticket.cloned();
             self.start(endpoint, key.task(index), run, ticket);
         }
-        let left = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.step_progress(key))
-            .map_or(0, StepProgress::waiting);
-        if left == 0 {
-            self.close_step(key);
-        }
     }
 
     /// Returns whether a step leaves room for hurried work: while its job has time to spare.
@@ -296,13 +355,13 @@
     }
 
     /// Picks endpoints for a gang: on one rack if that matters and is possible.
-    fn pick_gang(
+    pub(super) fn pick_gang(
         &self,
         wanted: &Wanted,
         offers: &mut [Offer],
-        need: Room,
         count: u32,
     ) -> Vec<EndpointKey> {
+        let need = wanted.need();
         if wanted.step().same_rack {
             let mut racks: BTreeMap<Option<&String>, Vec<Offer>> = BTreeMap::new();
             for offer in offers.iter() {
@@ -320,7 +379,7 @@
     }
 
     /// All members of a gang resume from the same checkpoint.
-    fn share_checkpoint(&mut self, key: StepKey) {
+    pub(super) fn share_checkpoint(&mut self, key: StepKey) {
         let Some(progress) = self
             .jobs
             .get_mut(&key.job)
--- /dev/null
+++ b/crates/chervilfall_planner/src/policy/crashes.rs
@@ -0,0 +1,108 @@
+//! Which task brings down the endpoints that run it.
+//!
+//! An endpoint that has crashed reports nothing, so that its runs leave no end that could count as a failed attempt.
+//! Started anew without a bound, one such task costs its group an endpoint each three seconds, and all that runs there
+//! begins anew. But a job that can be done is never shown as failed, and most runs that are lost in a crash have not
+//! caused it. So a task that has lost some endpoints is given one that runs nothing of other jobs, and only crashes of
+//! such convict it. Which of its own tasks is at fault does not matter: the job can't be done.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{EndpointId, Millis, Run};
+
+/// A run that its endpoint has been heard from for this long is not new there any more: it began well. Five times a
+/// hold's usual way and gap.
+pub(crate) const NEW_MS: Millis = 500;
+/// Lost endpoints from which on a task is given one of its own. One is what a bad day costs anybody.
+const GRAVE: usize = 2;
+/// Crashes without company after which a task is the culprit. One may be chance.
+const CRASHES_ALONE: usize = 2;
+/// Crashes in all that a culprit has caused at least. Callers lose four endpoints to such a task, and five if a holder
+/// was lost that could not store the first.
+const CRASHES: usize = 4;
+/// Crashes in any company after which a task is given up: it had no endpoint of its own in all that time, and whoever
+/// is at fault, no further endpoint is put at risk.
+const CRASHES_AT_MOST: usize = 10;
+/// A task that lasts and has been heard at work for this long is free of what was seen before: over days many of its
+/// endpoints crash.
+pub(crate) const LIVED_MS: Millis = 10_000;
+
+/// What is known of the endpoint of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Fate {
+    /// The run may be at work there.
+    AtWork,
+    /// It was lost; whether it crashed or was cut off is not known.
+    Lost,
+    /// That incarnation is gone without having been asked to leave.
+    Crashed,
+}
+
+/// A run that may have brought down its endpoint, or may yet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Exposure {
+    pub(crate) run: Run,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) fate: Fate,
+    /// It had just begun when the endpoint was last heard from.
+    pub(crate) new: bool,
+    /// Nothing of other jobs was there.
+    pub(crate) alone: bool,
+}
+
+/// What the exposures of a task say about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// It may be at fault: it is started where least else is lost with it, and only once that is stored.
+    Suspect,
+    /// Much speaks against it: it is started on an endpoint that runs nothing of other jobs.
+    Grave,
+    /// It is at fault if the endpoints that were lost have crashed: it waits until that is known.
+    Awaited,
+    /// It brings its endpoints down.
+    Culprit,
+}
+
+/// Judges a task by its exposures.
+pub(crate) fn verdict(exposures: &[Exposure]) -> Verdict {
+    let lost = Tally::of(exposures.iter().filter(|seen| seen.fate != Fate::AtWork));
+    if lost.all == 0 {
+        return Verdict::Clear;
+    }
+    let crashed = Tally::of(exposures.iter().filter(|seen| seen.fate == Fate::Crashed));
+    if crashed.convicts() {
+        Verdict::Culprit
+    } else if lost.convicts() {
+        Verdict::Awaited
+    } else if lost.all >= GRAVE {
+        Verdict::Grave
+    } else if lost.new > 0 {
+        Verdict::Suspect
+    } else {
+        Verdict::Clear
+    }
+}
+
+/// Counts of exposures.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    all: usize,
+    new: usize,
+    alone: usize,
+}
+
+impl Tally {
+    fn of<'a>(exposures: impl Iterator<Item = &'a Exposure>) -> Self {
+        exposures.fold(Self::default(), |sum, seen| Self {
+            all: sum.all + 1,
+            new: sum.new + usize::from(seen.new),
+            alone: sum.alone + usize::from(seen.alone),
+        })
+    }
+
+    const fn convicts(self) -> bool {
+        (self.alone >= CRASHES_ALONE && self.all >= CRASHES) || self.all >= CRASHES_AT_MOST
+    }
+}
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Rules that decide, one a file.
 
+pub(crate) mod crashes;
 pub(crate) mod headroom;
 pub(crate) mod order;
 pub(crate) mod placement;
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -7,6 +7,7 @@
 use crate::config::Queue;
 use crate::ids::{EndpointId, Millis, Run};
 use crate::job::JobSpec;
+use crate::policy::crashes::Exposure;
 
 /// Table of accepted jobs, by name.
 pub const JOBS: &str = "jobs";
@@ -72,6 +73,9 @@
     pub done: Vec<(u32, u32)>,
     /// Failed runs by task; of a gang they stand under index 0.
     pub failed: Vec<(u32, Vec<Run>)>,
+    /// Runs by task that may have brought down their endpoints.
+    #[serde(default)]
+    pub(crate) exposures: Vec<(u32, Vec<Exposure>)>,
 }
 
 /// What became of a job.
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -9,6 +9,7 @@
 use crate::endpoint::EndpointKey;
 use crate::ids::{JobId, Millis, Run, TaskKey};
 use crate::job::{JobSpec, Step};
+use crate::policy::crashes::Exposure;
 use crate::policy::speed::Took;
 use crate::record::{ranges, JobRow, ProgressRow, StepRow};
 
@@ -33,6 +34,8 @@
     pub(crate) last_run: Run,
     pub(crate) checkpoint: String,
     pub(crate) failed: Vec<Run>,
+    /// Runs that may have brought down their endpoints.
+    pub(crate) exposures: Vec<Exposure>,
 }
 
 /// Progress of a step in one occurrence.
@@ -48,6 +51,8 @@
     pub(crate) failed_on: Vec<EndpointKey>,
     /// Runs that are done and began at the beginning.
     pub(crate) took: Vec<Took>,
+    /// Since when it looks for endpoints where nothing has just begun.
+    pub(crate) apart_since_ms: Option<Millis>,
 }
 
 impl StepProgress {
@@ -57,6 +62,7 @@
             last_run: 0,
             checkpoint: String::new(),
             failed: Vec::new(),
+            exposures: Vec::new(),
         };
         Self {
             tasks: vec![task; step.count as usize],
@@ -66,6 +72,7 @@
             aborting: false,
             failed_on: Vec::new(),
             took: Vec::new(),
+            apart_since_ms: None,
         }
     }
 
@@ -188,6 +195,26 @@
             .get(key.index as usize)
     }
 
+    /// Returns the tasks of all occurrences that exist.
+    pub(crate) fn tasks_mut(&mut self) -> impl Iterator<Item = (TaskKey, &mut Task)> {
+        let id = self.id;
+        let steps = self
+            .occurrences
+            .iter_mut()
+            .flat_map(move |(occurrence, steps)| {
+                let keys = (0_u16..).map(move |step| StepKey {
+                    job: id,
+                    occurrence: *occurrence,
+                    step,
+                });
+                keys.zip(steps)
+            });
+        steps.flat_map(|(key, progress)| {
+            let tasks = (0_u32..).zip(&mut progress.tasks);
+            tasks.map(move |(index, task)| (key.task(index), task))
+        })
+    }
+
     /// Returns the state that callers may see: what the store holds.
     pub(crate) fn state(&self) -> JobState {
         if let Some(shown) = self.shown {
@@ -256,6 +283,11 @@
                 task.failed.clone_from(runs);
             }
         }
+        for (index, exposures) in &row.exposures {
+            if let Some(task) = progress.tasks.get_mut(*index as usize) {
+                task.exposures.clone_from(exposures);
+            }
+        }
     }
 }
 
@@ -267,13 +299,18 @@
     let failed = indexed()
         .filter(|(task, _)| !task.failed.is_empty())
         .map(|(task, index)| (index, task.failed.clone()));
+    let exposures = indexed()
+        .filter(|(task, _)| !task.exposures.is_empty() && task.state != TaskState::Done)
+        .map(|(task, index)| (index, task.exposures.clone()));
     let row = StepRow {
         occurrence,
         step: u16::try_from(position).ok()?,
         done: ranges(done),
         failed: failed.collect(),
+        exposures: exposures.collect(),
     };
-    (!row.done.is_empty() || !row.failed.is_empty()).then_some(row)
+    let told = !row.done.is_empty() || !row.failed.is_empty() || !row.exposures.is_empty();
+    told.then_some(row)
 }
 
 /// Names a step in one occurrence of a job.
