--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -6,7 +6,7 @@
 use crate::ids::{Millis, Run, TaskKey};
 use crate::planner::schedule::Wanted;
 use crate::planner::Planner;
-use crate::policy::crashes::Verdict;
+use crate::policy::crashes::{verdict, Verdict};
 use crate::policy::placement::{pick, pick_all, Offer};
 use crate::tasks::{StepKey, TaskState};
 
@@ -53,7 +53,7 @@
                 continue;
             }
             let entry = (index, task.last_run);
-            match self.verdict(key.task(index)) {
+            match verdict(&task.exposures) {
                 Verdict::Clear => waiting.clear.push(entry),
                 Verdict::Suspect => waiting.suspects.push(entry),
                 Verdict::Grave => waiting.graves.push(entry),
