Count time while the machine is suspended

Change: the process's time is CLOCK_BOOTTIME, by the nix library, so that claim, leases, endpoints' clocks and the age of what a holder knows count a suspension as they count a freeze; waits of callers' requests look at it each 0.2 s, because the runtime's timers stand meanwhile. Ruled out: the time of day, which jumps; a watchdog that compares two clocks, since every reading would have to ask it.

--- a/crates/chervilfall_node/src/clock.rs
+++ b/crates/chervilfall_node/src/clock.rs
@@ -1,6 +1,7 @@
 //! Time since the process began, deadlines, and time of day.
 
 use std::future::Future;
+use std::pin::pin;
 use std::sync::OnceLock;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -39,7 +40,12 @@
     Duration::from(time)
 }
 
-/// Time since a process began.
+/// Longest wait at a time: timers of the runtime stand while the machine is suspended, so that a deadline that has passed
+/// meanwhile is noticed this long after.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Time since a process began, suspensions included: others count on while this machine is suspended, so that its leases
+/// lapse, its claim is taken over and its callers go away.
 #[derive(Debug)]
 pub struct ProcessClock<C> {
     clocks: C,
@@ -58,12 +64,13 @@
 impl<C: Clocks> ProcessClock<C> {
     /// Begins to count.
     pub fn start(clocks: C) -> Self {
-        let start = clocks.steady();
+        let start = clocks.boot();
         Self { clocks, start }
     }
 
-    fn elapsed(&self) -> Duration {
-        self.clocks.steady().saturating_sub(self.start)
+    /// Returns the time since the start.
+    pub fn elapsed(&self) -> Duration {
+        self.clocks.boot().saturating_sub(self.start)
     }
 
     /// Returns the milliseconds since the start.
@@ -91,8 +98,16 @@
         deadline: Deadline,
         future: F,
     ) -> Result<F::Output, DeadlinePassed> {
-        let left = self.left(deadline);
-        timeout(left, future).await.map_err(|_| DeadlinePassed)
+        let mut future = pin!(future);
+        loop {
+            let left = self.left(deadline);
+            if let Ok(output) = timeout(left.min(LOOK), &mut future).await {
+                return Ok(output);
+            }
+            if self.left(deadline).is_zero() {
+                return Err(DeadlinePassed);
+            }
+        }
     }
 }
 
--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -6,9 +6,9 @@
 
 use chervilfall_planner::{Answer, JobId, Request};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
-use crate::clock::now_ms;
+use crate::clock::{clock, now_ms, Deadline};
 use crate::control::ControlEvent;
 use crate::leadership::{Ask, Leadership, LeadershipState};
 use crate::patience::WaitBounds;
@@ -106,13 +106,13 @@
     }
 
     /// Returns until when a request may wait on a node that is isolated, if this one is.
-    fn isolated_until(&self) -> Option<Instant> {
+    fn isolated_until(&self) -> Option<Deadline> {
         let since_ms = self.isolated_since_ms.load(Ordering::Relaxed);
         if since_ms == u64::MAX {
             return None;
         }
         let until_ms = since_ms + self.timings.isolated_wait_ms;
-        Some(Instant::now() + Duration::from_millis(until_ms.saturating_sub(now_ms())))
+        Some(clock().deadline(Duration::from_millis(until_ms.saturating_sub(now_ms()))))
     }
 
     pub(crate) fn begin_stop(&self) {
@@ -148,30 +148,30 @@
 
     /// Asks the holder and waits for its answer, at most `patience` if that is given.
     pub async fn ask(&self, request: Request, patience: Option<Duration>) -> Answer {
-        let began = Instant::now();
+        let began = clock().elapsed();
         let kind = kind(&request);
         let job = job(&request);
         let answer = self.ask_in_time(request, patience).await;
-        let took_s = began.elapsed().as_secs_f64();
+        let took = clock().elapsed().saturating_sub(began);
         if let (Some(job), true) = (job, is_failure(answer)) {
             let patience_ms = patience.map_or(0, millis);
             log::info!(
-                job:% = job, kind = kind, answer = word(answer), took_ms = millis(began.elapsed()),
+                job:% = job, kind = kind, answer = word(answer), took_ms = millis(took),
                 patience_ms = patience_ms, claim_age_ms = self.claim_age_ms();
                 "request not carried out"
             );
         }
-        metrics::histogram!("chervilfall_request_seconds", "kind" => kind).record(took_s);
+        metrics::histogram!("chervilfall_request_seconds", "kind" => kind)
+            .record(took.as_secs_f64());
         metrics::counter!("chervilfall_requests_total", "kind" => kind, "answer" => word(answer))
             .increment(1);
         answer
     }
 
     async fn ask_in_time(&self, mut request: Request, patience: Option<Duration>) -> Answer {
-        let began = Instant::now();
         let bounds = WaitBounds::new(patience, &self.timings);
-        let answer_by = began + bounds.answer;
-        let settle_by = began + bounds.holder(&request);
+        let answer_by = clock().deadline(bounds.answer);
+        let settle_by = clock().deadline(bounds.holder(&request));
         let mut sent = false;
         loop {
             // What was sent to a holder may be stored: only the next holder can tell.
@@ -180,7 +180,7 @@
                 return not_answered(sent, &request);
             };
             if let Request::Submit { wait_ms, .. } = &mut request {
-                *wait_ms = millis(settle_by.saturating_duration_since(Instant::now()));
+                *wait_ms = millis(clock().left(settle_by));
             }
             let (answer, receiver) = oneshot::channel();
             let ask = Ask {
@@ -192,15 +192,14 @@
             drop(leadership);
             if passed_on {
                 sent = true;
-                let left = answer_by.saturating_duration_since(Instant::now());
-                match timeout(left, receiver).await {
+                match clock().until(answer_by, receiver).await {
                     Ok(Ok(answer)) => return answer,
                     // The holder went away; a new one answers for what the old one stored.
                     Ok(Err(_)) => {}
                     Err(_) => return not_answered(sent, &request),
                 }
             }
-            if Instant::now() >= holder_by {
+            if clock().left(holder_by).is_zero() {
                 return not_answered(sent, &request);
             }
             tokio::time::sleep(ASK_AGAIN).await;
@@ -209,7 +208,7 @@
 
     /// Waits for a holder. If the node is isolated, one that `gives_up` then does not: callers are served sooner
     /// by nodes that are not cut off.
-    async fn holder_until(&self, deadline: Instant, gives_up: bool) -> Option<Leadership> {
+    async fn holder_until(&self, deadline: Deadline, gives_up: bool) -> Option<Leadership> {
         loop {
             let current = self.leadership.current();
             if is_somebody(&current) {
@@ -217,7 +216,7 @@
             }
             let isolated_until = self.isolated_until().filter(|_| gives_up);
             let until = isolated_until.map_or(deadline, |until| until.min(deadline));
-            let left = until.saturating_duration_since(Instant::now());
+            let left = clock().left(until);
             if left.is_zero() {
                 return None;
             }
