Test of a holder that denies what its successor accepted, red

Cause: after a suspension or a freeze the first thing that a holder handles may be a caller's question. It answers 'no such job' by what it knew before, although a successor has accepted the job meanwhile.

--- a/crates/chervilfall_planner/tests/takeover.rs
+++ b/crates/chervilfall_planner/tests/takeover.rs
@@ -2,7 +2,8 @@
 
 mod world;
 
-use world::World;
+use chervilfall_planner::{Answer, JobId, JobSpec, Request};
+use world::{step, World};
 
 /// Followers of this world look at the claim row this often.
 const LOOK_MS: u64 = 200;
@@ -49,3 +50,24 @@
         assert!(took_ms <= case.within_ms, "{}: {took_ms} ms", case.name);
     }
 }
+
+#[test]
+fn a_holder_that_stood_still_denies_no_job_that_its_successor_accepted() {
+    let mut world = World::new(3, 4, 5);
+    world.run(SETTLED_MS);
+    let old = world.holder().expect("a holder");
+    world.nodes[old].frozen_until_ms = world.now + 5_000;
+    world.run_until(3_000, |world| world.holder() != Some(old));
+    let spec = JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![step(1, 300)],
+        ..JobSpec::default()
+    };
+    assert_eq!(world.submit(7, spec), Answer::Accepted);
+    let wakes_ms = world.nodes[old].frozen_until_ms;
+    world.run(wakes_ms - world.now - 5);
+    world.now = wakes_ms;
+    // The question is the first thing that it hears.
+    let answer = world.ask_node(old, Request::State { id: JobId(7) });
+    assert_ne!(answer, Some(Answer::Unknown));
+}
--- a/crates/chervilfall_planner/tests/world/callers.rs
+++ b/crates/chervilfall_planner/tests/world/callers.rs
@@ -15,6 +15,15 @@
         Some((node, number))
     }
 
+    /// Sends a request to a node and returns what it answers at once, if it does.
+    pub fn ask_node(&mut self, node: usize, request: Request) -> Option<Answer> {
+        self.next_request += 1;
+        let number = self.next_request;
+        let to = ReplyTo { node: 0, number };
+        self.feed(node, Event::Request { to, request });
+        self.nodes[node].replies.get(&number).copied()
+    }
+
     /// Hands a job in and waits for the answer.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> Answer {
         let id = JobId(id);
