Deny no job while another node may hold the group

Change: a job that is not known is denied only while the claim is fresher than others wait before they take the group over; else the answer is that nobody knows yet, and the same question may be asked again. Before: 'unknown' for a job that the successor had accepted.

--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -112,11 +112,18 @@
             Some(job) if job.stored => Answer::State(job.state()),
             // It may be stored already; the caller can ask again.
             Some(_) => Answer::Undecided,
+            None if self.may_be_deposed() => Answer::Undecided,
             None => Answer::Unknown,
         };
         self.reply(to, answer);
     }
 
+    /// Returns whether another node may hold the group by now, and know more: the claim was not confirmed for as long as
+    /// others wait. So it is after the process or its machine stood still.
+    fn may_be_deposed(&self) -> bool {
+        self.claim_age_ms(self.now) >= self.commit_gaps.standstill_ms()
+    }
+
     fn cancel(&mut self, to: ReplyTo, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             self.cancel_unknown(to, id);
