One clock for both programs: the daemon counts suspensions too

Cause: the same as in the node, found by looking for it elsewhere: the daemon's claims and leases were counted by the steady clock. Change: the process's clock and its test move to the kernel, which both use. The daemon had no test of it before; the test is of the clock, not of the daemon.

--- a/crates/chervilfall_control/src/mono.rs
+++ b/crates/chervilfall_control/src/mono.rs
@@ -1,27 +1,26 @@
-//! The monotonic clock of this process.
-
-use std::time;
+//! The clock of this process.
 
+use chervilfall_kernel::{MachineClocks, ProcessClock};
 use chervilfall_link::Clock;
 use chervilfall_types::Instant;
 
-/// Milliseconds since the process opened its clock.
+/// Milliseconds since the process opened its clock, suspensions of the machine included: leases and claims that this
+/// instance has granted lapse elsewhere meanwhile.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct MonoClock {
-    opened: time::Instant,
+    opened: ProcessClock<MachineClocks>,
 }
 
 impl MonoClock {
     pub(crate) fn open() -> Self {
         Self {
-            opened: time::Instant::now(),
+            opened: ProcessClock::start(MachineClocks),
         }
     }
 }
 
 impl Clock for MonoClock {
     fn now(&self) -> Instant {
-        let passed_ms = self.opened.elapsed().as_millis();
-        Instant(u64::try_from(passed_ms).unwrap_or(u64::MAX))
+        Instant(self.opened.now_ms())
     }
 }
--- a/crates/chervilfall_node/tests/clock.rs
+++ b/crates/chervilfall_kernel/tests/clock.rs
@@ -8,7 +8,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use chervilfall_node::{Clocks, DeadlinePassed, MachineClocks, ProcessClock};
+use chervilfall_kernel::{Clocks, DeadlinePassed, MachineClocks, ProcessClock};
 use tokio::time::Instant;
 
 /// Clocks of a machine that can be suspended; the steady one is that of the test's runtime.
--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -4,11 +4,12 @@
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
+use chervilfall_kernel::Deadline;
 use chervilfall_planner::{Answer, JobId, Request};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-use crate::clock::{clock, now_ms, Deadline};
+use crate::clock::{clock, now_ms};
 use crate::control::ControlEvent;
 use crate::leadership::{Ask, Leadership, LeadershipState};
 use crate::patience::WaitBounds;
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -17,7 +17,6 @@
 mod settings;
 mod watch;
 
-pub use clock::{Clocks, Deadline, DeadlinePassed, MachineClocks, ProcessClock};
 pub use front::{Front, FrontAnswer};
 pub use load::{ControlLoad, LoadStatus};
 pub use node::{Node, NodeError};
