--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -1,15 +1,16 @@
 //! The control thread: feeds the planner while this node holds the group, and carries out what it
 //! wants done.
 
+mod actions;
+
 use std::collections::{BTreeMap, HashMap};
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Instant;
 
 use chervilfall_kernel::{ControlLoop, Work};
 use chervilfall_planner::{
-    Action, AdviceAnswer, AdviceOrder, Answer, Batch, EndpointEntry, Event, Limits, NodeId,
-    Planner, ReplyTo, Request, StepDownReason, Stored, Takeover,
+    AdviceAnswer, Answer, EndpointEntry, Event, Limits, NodeId, Planner, ReplyTo, Request,
+    StepDownReason, Stored, Takeover,
 };
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -19,7 +20,7 @@
 use crate::leadership::{Ask, Leadership, LeadershipState};
 use crate::link::{FollowerLink, ToFollower};
 use crate::load::ControlLoad;
-use crate::ports::{Advisor, Endpoints, Platform, Store};
+use crate::ports::Platform;
 use crate::routes::RouteTable;
 
 /// Number of this node among those that can call for advice.
@@ -128,129 +129,6 @@
         }
     }
 
-    fn carry_out(&mut self, term: u64, action: Action) {
-        match action {
-            Action::Reply { to, answer } => self.reply(to, answer),
-            Action::Commit(batch) => self.commit(term, batch),
-            Action::Start(order) => {
-                let (endpoints, key, task, run) = (
-                    self.platform.endpoints().clone(),
-                    order.endpoint,
-                    order.task,
-                    order.run,
-                );
-                self.run(term, async move {
-                    let answer = endpoints.start(order).await;
-                    Event::Started {
-                        endpoint: key,
-                        task,
-                        run,
-                        answer,
-                    }
-                });
-            }
-            Action::Stop(order) => {
-                let (endpoints, key, task, run) = (
-                    self.platform.endpoints().clone(),
-                    order.endpoint,
-                    order.task,
-                    order.run,
-                );
-                self.run(term, async move {
-                    let answer = endpoints.stop(order).await;
-                    Event::Stopped {
-                        endpoint: key,
-                        task,
-                        run,
-                        answer,
-                    }
-                });
-            }
-            Action::Hold(order) => {
-                let (endpoints, key) = (self.platform.endpoints().clone(), order.endpoint);
-                let sent_ms = now_ms();
-                self.run(term, async move {
-                    let answer = endpoints.hold(order).await;
-                    Event::Held {
-                        endpoint: key,
-                        sent_ms,
-                        answer,
-                    }
-                });
-            }
-            Action::Advise { node, order } => self.advise(node, order),
-            Action::StepDown(reason) => self.step_down(reason),
-        }
-    }
-
-    /// Runs an order on the traffic thread and feeds what came of it to the planner of the term.
-    fn run<F>(&self, term: u64, order: F)
-    where
-        F: Future<Output = Event> + Send + 'static,
-    {
-        let sender = self.sender.clone();
-        self.traffic.spawn(async move {
-            let event = order.await;
-            // The control thread ends with the process only.
-            drop(sender.send(ControlEvent::Done { term, event }).await);
-        });
-    }
-
-    fn commit(&self, term: u64, batch: Batch) {
-        let (store, group) = (self.platform.store().clone(), self.group.clone());
-        let (number, copy) = (batch.number, batch.copy);
-        self.run(term, async move {
-            let outcome = store.commit(&group, batch).await;
-            Event::Committed {
-                number,
-                copy,
-                outcome,
-            }
-        });
-    }
-
-    fn advise(&mut self, node: NodeId, order: AdviceOrder) {
-        if node == SELF {
-            let (advisor, sender) = (self.platform.advisor().clone(), self.sender.clone());
-            self.traffic.spawn(async move {
-                let number = order.number;
-                let answer = advisor.advise(order).await;
-                // The control thread ends with the process only.
-                drop(sender.send(ControlEvent::Advised { number, answer }).await);
-            });
-            return;
-        }
-        let number = order.number;
-        let link = self.links.get(&node);
-        let sent = link.is_some_and(|link| link.queue.try_send(ToFollower::Advise(order)).is_ok());
-        if !sent {
-            let answer = AdviceAnswer::Failed;
-            // A full queue only delays the retry until the call's deadline.
-            drop(
-                self.sender
-                    .try_send(ControlEvent::Advised { number, answer }),
-            );
-        }
-    }
-
-    fn reply(&mut self, to: ReplyTo, answer: Answer) {
-        if to.node == SELF {
-            if let Some(waiter) = self.waiting.remove(&to.number) {
-                // A caller that is gone needs no answer.
-                let _ = waiter.send(answer);
-            }
-            return;
-        }
-        let reply = ToFollower::Reply {
-            number: to.number,
-            answer,
-        };
-        let link = self.links.get(&to.node);
-        if link.is_some_and(|link| link.queue.try_send(reply).is_err()) {
-            log::warn!(follower = to.node, number = to.number; "reply lost, the follower does not read");
-        }
-    }
-
     fn step_down(&mut self, reason: StepDownReason) {
         log::info!(reason:? = reason; "following again");
         self.planner = None;
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -5,12 +5,13 @@
 use slotmap::new_key_type;
 
 use crate::config::ServiceName;
-use crate::ids::{EndpointId, Millis, Run, TaskKey};
-use crate::job::Step;
+use crate::ids::{EndpointId, Millis, TaskKey};
 use crate::limits::Limits;
+use crate::placed::{Placed, RunPhase};
 use crate::policy::crashes::NEW_MS;
 use crate::policy::quarantine::{Quarantine, Standing};
 use crate::policy::speed::Speed;
+use crate::room::Room;
 use crate::tasks::StepKey;
 
 new_key_type! {
@@ -45,134 +46,6 @@
     pub report: u64,
 }
 
-/// Room of an endpoint, or what a task takes of it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) struct Room {
-    pub(crate) cpu_milli: u32,
-    pub(crate) memory_mb: u32,
-    pub(crate) gpus: u32,
-}
-
-impl Room {
-    pub(crate) fn of_entry(entry: &EndpointEntry) -> Self {
-        Self {
-            cpu_milli: entry.cpu_milli,
-            memory_mb: entry.memory_mb,
-            gpus: entry.gpus,
-        }
-    }
-
-    pub(crate) fn of_step(step: &Step) -> Self {
-        Self {
-            cpu_milli: if step.fills { 0 } else { step.cpu_milli },
-            memory_mb: step.memory_mb,
-            gpus: step.gpus,
-        }
-    }
-
-    pub(crate) const fn holds(self, need: Self) -> bool {
-        self.cpu_milli >= need.cpu_milli
-            && self.memory_mb >= need.memory_mb
-            && self.gpus >= need.gpus
-    }
-
-    pub(crate) const fn add(self, other: Self) -> Self {
-        Self {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mb: self.memory_mb + other.memory_mb,
-            gpus: self.gpus + other.gpus,
-        }
-    }
-
-    pub(crate) const fn minus(self, other: Self) -> Self {
-        Self {
-            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
-            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
-            gpus: self.gpus.saturating_sub(other.gpus),
-        }
-    }
-
-    /// Returns what `count` tasks take that take this each.
-    pub(crate) const fn times(self, count: u32) -> Self {
-        Self {
-            cpu_milli: self.cpu_milli.saturating_mul(count),
-            memory_mb: self.memory_mb.saturating_mul(count),
-            gpus: self.gpus.saturating_mul(count),
-        }
-    }
-
-    /// Returns how many of `need` fit.
-    pub(crate) fn fits(self, need: Self) -> u32 {
-        let parts = [
-            (self.cpu_milli, need.cpu_milli),
-            (self.memory_mb, need.memory_mb),
-            (self.gpus, need.gpus),
-        ];
-        let counts = parts.into_iter().filter(|(_, need)| *need > 0);
-        counts
-            .map(|(have, need)| have / need)
-            .min()
-            .unwrap_or(u32::MAX)
-    }
-}
-
-/// How far a run on an endpoint has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RunPhase {
-    /// It has its place; the start is sent once the store has a note of it.
-    Announced,
-    /// The start was sent and not answered yet.
-    Starting,
-    /// The endpoint has it.
-    Running,
-    /// A stop is due or on its way.
-    Stopping {
-        /// When the last stop was sent.
-        sent_ms: Option<Millis>,
-        /// When the endpoint took a stop; a list asked for later is the truth.
-        taken_ms: Option<Millis>,
-    },
-}
-
-/// A run that may be on an endpoint; its room is taken until its end is known.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Placed {
-    pub(crate) run: Run,
-    pub(crate) phase: RunPhase,
-    pub(crate) room: Room,
-    /// What it takes is not known, because its job's row is gone: nothing is started beside it.
-    pub(crate) unsized_run: bool,
-    /// Copies of the start that were not answered; each may be carried out until its bound.
-    pub(crate) unanswered: u32,
-    /// When the start was answered, or the run was first listed; lists asked for later must show it.
-    pub(crate) confirmed_ms: Option<Millis>,
-    /// It resumed from a checkpoint, so that its time says little of the task's work.
-    pub(crate) resumed: bool,
-    /// Its job's objective is short.
-    pub(crate) hurried: bool,
-    /// It may bring the endpoint down: nothing is started beside it.
-    pub(crate) apart: bool,
-}
-
-/// How an endpoint was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum LossReason {
-    /// It stayed silent until its leases had lapsed: it has crashed, left, or is cut off.
-    Silent,
-    /// Another incarnation answers at its address.
-    Replaced,
-}
-
-impl LossReason {
-    /// Returns a word for logs and metrics.
-    pub(crate) const fn word(self) -> &'static str {
-        match self {
-            Self::Silent => "silent",
-            Self::Replaced => "replaced",
-        }
-    }
-}
-
 /// A reading of an endpoint's clock.
 #[derive(Debug, Clone, Copy)]
 struct Reading {
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -15,9 +15,11 @@
 mod job;
 mod limits;
 mod meters;
+mod placed;
 mod planner;
 mod policy;
 mod record;
+mod room;
 mod starts;
 mod tasks;
 
--- a/crates/chervilfall_planner/src/meters.rs
+++ b/crates/chervilfall_planner/src/meters.rs
@@ -2,9 +2,9 @@
 
 use metrics::{counter, gauge, histogram};
 
-use crate::endpoint::LossReason;
 use crate::event::{How, Refusal};
 use crate::ids::Millis;
+use crate::placed::LossReason;
 
 fn seconds(ms: Millis) -> f64 {
     ms as f64 / 1_000.0
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -3,10 +3,11 @@
 use std::cmp::Reverse;
 
 use crate::advice::Advice;
-use crate::endpoint::{EndpointKey, Room};
+use crate::endpoint::EndpointKey;
 use crate::job::Step;
 use crate::planner::schedule::{Pass, Wanted};
 use crate::planner::Planner;
+use crate::room::Room;
 use crate::tasks::StepKey;
 
 /// Fewest endpoints that a first call for advice names, if there are as many.
--- a/crates/chervilfall_planner/src/planner/crashes.rs
+++ b/crates/chervilfall_planner/src/planner/crashes.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::endpoint::{Endpoint, EndpointKey, LossReason, RunPhase};
+use crate::endpoint::{Endpoint, EndpointKey};
 use crate::event::HoldReport;
 use crate::ids::{EndpointId, JobId, Millis, Run, TaskKey};
 use crate::meters;
+use crate::placed::{LossReason, RunPhase};
 use crate::planner::Planner;
 use crate::policy::crashes::{verdict, Exposure, Fate, Verdict, LIVED_MS, NEW_MS};
 use crate::starts::StartNote;
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeSet;
 
 use crate::action::StepDownReason;
-use crate::endpoint::{Endpoint, EndpointEntry, EndpointKey, LossReason, Placed, Room, RunPhase};
+use crate::endpoint::{Endpoint, EndpointEntry, EndpointKey};
 use crate::event::{HoldAnswer, HoldReport, RunningRun};
 use crate::ids::{EndpointId, Millis, Run, TaskKey};
 use crate::meters;
+use crate::placed::{LossReason, Placed, RunPhase};
 use crate::planner::Planner;
 use crate::record::{RosterBucket, RosterEntry};
+use crate::room::Room;
 use crate::tasks::TaskState;
 
 impl Planner {
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -1,9 +1,9 @@
 //! Leases: granted by holds, lapsed, and what the roster says of silent endpoints.
 
 use crate::action::{Action, HoldOrder};
-use crate::endpoint::{LossReason, RunPhase};
 use crate::ids::Millis;
 use crate::meters;
+use crate::placed::{LossReason, RunPhase};
 use crate::planner::Planner;
 use crate::record::RosterBucket;
 
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -1,12 +1,14 @@
 //! Starts and stops, and what their answers mean.
 
 use crate::action::{Action, StartOrder, StepDownReason, StopOrder};
-use crate::endpoint::{EndpointKey, Placed, Room, RunPhase};
+use crate::endpoint::EndpointKey;
 use crate::event::{Refusal, StartAnswer, StopAnswer, Ticket};
 use crate::ids::{Run, TaskKey};
 use crate::meters;
+use crate::placed::{Placed, RunPhase};
 use crate::planner::Planner;
 use crate::policy::placement::Haste;
+use crate::room::Room;
 use crate::tasks::{TaskState, RUNS_PER_TERM};
 
 impl Planner {
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use crate::config::AdviceTerms;
-use crate::endpoint::{Endpoint, EndpointKey, Room};
+use crate::endpoint::{Endpoint, EndpointKey};
 use crate::event::Ticket;
 use crate::ids::{Millis, Run};
 use crate::job::{JobSpec, Step};
@@ -20,6 +20,7 @@
 use crate::policy::order::has_time;
 use crate::policy::placement::{pick, pick_all, pick_beside, Haste, Offer};
 use crate::policy::speed::Pace;
+use crate::room::Room;
 use crate::tasks::{StepKey, StepProgress};
 
 /// Time between passes over all open steps. On 350 endpoints with a hundred of them a pass took 2 ms of a core,
--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -2,12 +2,14 @@
 
 use std::cmp::Reverse;
 
-use crate::endpoint::{EndpointKey, RunPhase};
+use crate::endpoint::EndpointKey;
 use crate::ids::{Millis, Run, TaskKey};
+use crate::placed::RunPhase;
 use crate::planner::schedule::Wanted;
 use crate::planner::Planner;
 use crate::policy::crashes::{verdict, Verdict};
 use crate::policy::placement::{pick, pick_all, Offer};
+use crate::room::Room;
 use crate::tasks::{StepKey, TaskState};
 
 /// How long a step waits for an endpoint that runs nothing before it takes others: as long as most work takes that has
@@ -169,7 +171,7 @@
             }
             let endpoint = &mut self.endpoints[offer.endpoint];
             endpoint.reserve(key, now + RESERVED_MS);
-            let whole = crate::endpoint::Room::of_entry(&endpoint.entry);
+            let whole = Room::of_entry(&endpoint.entry);
             missing = missing.saturating_sub(whole.fits(need));
         }
     }
--- a/crates/chervilfall_planner/src/policy/headroom.rs
+++ b/crates/chervilfall_planner/src/policy/headroom.rs
@@ -4,8 +4,8 @@
 //! one opens. So patient work goes into holes that are too small for hurried tasks, and into larger ones only
 //! while enough of these are left. Work that has waited for half of its objective is patient no longer.
 
-use crate::endpoint::Room;
 use crate::ids::Millis;
+use crate::room::Room;
 
 /// Holes for hurried work, used and open, for each hurried task of the most that were at work lately: they
 /// come in bursts of twice the usual rate.
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -1,8 +1,9 @@
 //! Which endpoint a task goes to.
 
-use crate::endpoint::{EndpointKey, Room};
+use crate::endpoint::EndpointKey;
 use crate::policy::headroom::Holes;
 use crate::policy::speed::Pace;
+use crate::room::Room;
 use crate::tasks::Job;
 
 /// Objective, in percent of the longest chain of work, up to which work is hurried: a slow endpoint takes half
