--- a/crates/chervilfall_planner/src/meters.rs
+++ b/crates/chervilfall_planner/src/meters.rs
@@ -91,6 +91,11 @@
     counter!("chervilfall_jobs_given_up_total", "reason" => reason).increment(1);
 }
 
+/// Times how long callers were without a holder, until what was seen first.
+pub(crate) fn resumed(seen: &'static str, gap_ms: Millis) {
+    histogram!("chervilfall_takeover_seconds", "until" => seen).record(seconds(gap_ms));
+}
+
 /// Counts a takeover.
 pub(crate) fn takeover() {
     counter!("chervilfall_takeovers_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -8,6 +8,7 @@
 use crate::endpoint::EndpointKey;
 use crate::ids::{EndpointId, JobId, Millis, RowVersion, Run, TaskKey};
 use crate::meters;
+use crate::planner::gap::Resumed;
 use crate::planner::Planner;
 use crate::record::{encode, RosterBucket, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
 use crate::starts::STARTS;
@@ -149,7 +150,7 @@
     }
 
     /// Returns the store's clock as far as it is known, else 0.
-    fn store_now_ms(&self) -> Millis {
+    pub(super) fn store_now_ms(&self) -> Millis {
         self.store_clock.map_or(0, |(theirs_ms, at_ms)| {
             theirs_ms + self.now.saturating_sub(at_ms)
         })
@@ -344,6 +345,7 @@
         for to in submitters {
             self.reply(to, Answer::Accepted);
         }
+        self.resumed(Resumed::Accepted);
         self.activate(id);
     }
 
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod endpoints;
 mod ends;
+mod gap;
 mod leases;
 mod open;
 mod orders;
@@ -36,6 +37,7 @@
 use advise::AdviceCall;
 use barrier::Barrier;
 use commits::{Flight, Unsaved};
+use gap::Gap;
 use open::OpenSteps;
 
 /// What the rows of a group say.
@@ -85,6 +87,8 @@
     /// Addresses at which an endpoint has crashed of late, and when.
     crashed_addresses: BTreeMap<String, Millis>,
     start_ring: StartRing,
+    /// What has not been seen yet since the takeover.
+    gap: Gap,
     /// Starts that wait until the store has a note of them.
     announced: BTreeMap<TaskKey, (EndpointKey, Run)>,
     unsaved: Unsaved,
@@ -142,6 +146,7 @@
             exposed: BTreeMap::new(),
             crashed_addresses: BTreeMap::new(),
             start_ring: StartRing::after(&stored.starts),
+            gap: Gap::after(last_commit_store_ms),
             announced: BTreeMap::new(),
             unsaved: Unsaved::default(),
             flight: None,
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -6,6 +6,7 @@
 use crate::ids::{Run, TaskKey};
 use crate::meters;
 use crate::placed::{Placed, RunPhase};
+use crate::planner::gap::Resumed;
 use crate::planner::Planner;
 use crate::policy::placement::Haste;
 use crate::room::Room;
@@ -101,6 +102,7 @@
             "start ordered"
         );
         self.actions.push(Action::Start(order));
+        self.resumed(Resumed::Started);
     }
 
     /// Orders the start of a run that has its place already. Returns false if that can't be done.
