Let the age of an endpoint's report follow the platform's bounds

Cause: 3.8 s hold where starts must follow a report within 3 s; the larger deployments allow 4 and 5 s, and lose starts while the store is away. Change: settings report_ms and capacity_notice_ms, filled from the platform's fields; the defaults give 3.8 s as before.

--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -6,6 +6,9 @@
 use chervilfall_planner::Policies;
 use serde::Deserialize;
 
+/// Time that a start takes to its endpoint at most, if it is not held up.
+const START_WAY_MS: u64 = 200;
+
 /// Why settings are refused.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -99,6 +102,14 @@
     1.0
 }
 
+const fn capacity_notice_ms() -> u64 {
+    3_000
+}
+
+const fn report_ms() -> u64 {
+    1_500
+}
+
 /// Settings of a node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -126,6 +137,12 @@
     pub cpu_cores: f64,
     /// Longest lease that endpoints grant.
     pub lease_max_ms: u64,
+    /// Time between an endpoint's reports of itself.
+    #[serde(default = "report_ms")]
+    pub report_ms: u64,
+    /// Time in which starts must follow an endpoint's report that its capacity has shrunk.
+    #[serde(default = "capacity_notice_ms")]
+    pub capacity_notice_ms: u64,
     /// How long a finished job can be asked for, in seconds.
     pub status_s: u64,
     /// Most bytes of a row.
@@ -139,6 +156,14 @@
 }
 
 impl Settings {
+    /// Returns how long an endpoint that does not report anew may be given starts: the time in which these must follow
+    /// a report, and one report's, less a reading of the list and the way of a start.
+    #[must_use]
+    pub const fn report_age_ms(&self) -> u64 {
+        let followed_ms = self.capacity_notice_ms + self.report_ms;
+        followed_ms.saturating_sub(self.timings.endpoints_poll_ms + START_WAY_MS)
+    }
+
     /// Returns the processor that the node may use, in thousandths of a core.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -184,6 +209,12 @@
                 "must be between 0.001 and 1000".to_owned(),
             ));
         }
+        let least_ms = 2 * settings.timings.endpoints_poll_ms;
+        if settings.capacity_notice_ms < least_ms {
+            let cause =
+                format!("must be at least {least_ms}, two readings of the list of endpoints");
+            return Err(field("capacity_notice_ms".to_owned(), cause));
+        }
         let timings = &settings.timings;
         if timings.silence_ms <= 2 * timings.heartbeat_ms {
             let cause = format!(
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -45,6 +45,12 @@
             without: "",
             says: "timings.tick_ms",
         },
+        Case {
+            name: "notice of capacity shorter than two readings of the list",
+            more: "capacity_notice_ms: 900\n",
+            without: "",
+            says: "capacity_notice_ms",
+        },
         Case {
             name: "no processor",
             more: "cpu_cores: 0\n",
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -52,8 +52,7 @@
     /// left a hold unanswered.
     pub silent_ms: Millis,
     /// An endpoint that does not guard its capacity gets no starts if it has not been seen to say anew what it is for
-    /// this long: the time in which a holder must follow, 3 s, and one report's, 1.5 s, less a reading of the list and
-    /// the way of a start.
+    /// this long. A node works it out from its settings; the default is what their defaults give.
     pub report_age_ms: Millis,
     /// A stop is repeated after this.
     pub stop_retry_ms: Millis,
