--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -330,33 +330,13 @@
 
     /// Returns how many endpoints have crashed under one task of a job, whoever caused it.
     pub fn most_crashes_under(&self, job: JobId) -> usize {
-        let mut crashes: BTreeMap<TaskKey, usize> = BTreeMap::new();
-        let there = self
-            .endpoints
-            .values()
-            .flat_map(|endpoint| &endpoint.crashed_with);
-        for task in there.filter(|task| task.job == job) {
-            *crashes.entry(*task).or_default() += 1;
-        }
-        crashes.into_values().max().unwrap_or(0)
+        oracle::most_crashes_under(&self.endpoints, job)
     }
 
     /// Returns whether a task of the job has failed as often as its queue allows, by what endpoints have reported.
     pub fn has_used_attempts(&self, job: JobId) -> bool {
-        let mut failed: BTreeMap<TaskKey, BTreeSet<u64>> = BTreeMap::new();
-        let reported = self
-            .endpoints
-            .values()
-            .flat_map(|endpoint| &endpoint.failed);
-        for (task, run) in reported.filter(|(task, _)| task.job == job) {
-            // A gang fails as a whole, whichever members do.
-            let step = TaskKey { index: 0, ..*task };
-            let gang = self.jobs[&job].steps[usize::from(task.step)].gang;
-            let counted = if gang { step } else { *task };
-            failed.entry(counted).or_default().insert(*run);
-        }
         let attempts = self.queue.attempts as usize;
-        failed.values().any(|runs| runs.len() >= attempts)
+        oracle::has_used_attempts(&self.endpoints, &self.jobs, job, attempts)
     }
 
     fn check(&mut self) {
--- a/crates/chervilfall_planner/tests/world/oracle.rs
+++ b/crates/chervilfall_planner/tests/world/oracle.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use chervilfall_planner::{EndpointId, How, JobId, Run, TaskKey};
+use chervilfall_planner::{EndpointId, How, JobId, JobSpec, Run, TaskKey};
 
 use super::endpoint::FakeEndpoint;
 
@@ -103,3 +103,34 @@
         }
     }
 }
+
+/// Returns how many endpoints have crashed under one task of a job, whoever caused it.
+pub fn most_crashes_under(endpoints: &BTreeMap<EndpointId, FakeEndpoint>, job: JobId) -> usize {
+    let mut crashes: BTreeMap<TaskKey, usize> = BTreeMap::new();
+    let there = endpoints
+        .values()
+        .flat_map(|endpoint| &endpoint.crashed_with);
+    for task in there.filter(|task| task.job == job) {
+        *crashes.entry(*task).or_default() += 1;
+    }
+    crashes.into_values().max().unwrap_or(0)
+}
+
+/// Returns whether a task of a job has failed as often as allowed, by what endpoints have reported.
+pub fn has_used_attempts(
+    endpoints: &BTreeMap<EndpointId, FakeEndpoint>,
+    jobs: &BTreeMap<JobId, JobSpec>,
+    job: JobId,
+    attempts: usize,
+) -> bool {
+    let mut failed: BTreeMap<TaskKey, BTreeSet<Run>> = BTreeMap::new();
+    let reported = endpoints.values().flat_map(|endpoint| &endpoint.failed);
+    for (task, run) in reported.filter(|(task, _)| task.job == job) {
+        // A gang fails as a whole, whichever members do.
+        let step = TaskKey { index: 0, ..*task };
+        let gang = jobs[&job].steps[usize::from(task.step)].gang;
+        let counted = if gang { step } else { *task };
+        failed.entry(counted).or_default().insert(*run);
+    }
+    failed.values().any(|runs| runs.len() >= attempts)
+}
