--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -26,7 +26,7 @@
 pub(super) struct WaitingTasks {
     pub(super) clear: Vec<WaitingTask>,
     pub(super) suspects: Vec<WaitingTask>,
-    pub(super) graves: Vec<WaitingTask>,
+    pub(super) isolated: Vec<WaitingTask>,
     /// Tasks that wait until it is known whether they are at fault.
     pub(super) awaited: u32,
 }
@@ -34,12 +34,15 @@
 impl WaitingTasks {
     /// Returns whether all that can be started now can be started anywhere.
     pub(super) fn all_clear(&self) -> bool {
-        self.suspects.is_empty() && self.graves.is_empty()
+        self.suspects.is_empty() && self.isolated.is_empty()
     }
 
     /// Returns those that can be started now.
     pub(super) fn members(&self) -> impl Iterator<Item = &WaitingTask> {
-        self.graves.iter().chain(&self.suspects).chain(&self.clear)
+        self.isolated
+            .iter()
+            .chain(&self.suspects)
+            .chain(&self.clear)
     }
 }
 
@@ -58,7 +61,7 @@
             match verdict(&task.exposures) {
                 Verdict::Clear => waiting.clear.push(entry),
                 Verdict::Suspect => waiting.suspects.push(entry),
-                Verdict::Grave => waiting.graves.push(entry),
+                Verdict::Isolate => waiting.isolated.push(entry),
                 Verdict::Awaited | Verdict::Culprit => waiting.awaited += 1,
             }
         }
@@ -67,7 +70,7 @@
 
     /// Starts suspects where the fewest runs are, and those against which much speaks where nothing runs.
     pub(super) fn place_suspects(&mut self, key: StepKey, wanted: &Wanted, waiting: &WaitingTasks) {
-        for (tasks, apart) in [(&waiting.suspects, false), (&waiting.graves, true)] {
+        for (tasks, apart) in [(&waiting.suspects, false), (&waiting.isolated, true)] {
             if tasks.is_empty() {
                 continue;
             }
@@ -93,7 +96,7 @@
         waiting: &WaitingTasks,
         run: Run,
     ) {
-        let apart = !waiting.graves.is_empty();
+        let apart = !waiting.isolated.is_empty();
         let mut offers = self.sparse_offers(key, wanted, apart);
         let members: Vec<WaitingTask> = waiting.members().copied().collect();
         let count = count(&members);
--- a/crates/chervilfall_planner/src/policy/crashes.rs
+++ b/crates/chervilfall_planner/src/policy/crashes.rs
@@ -14,7 +14,7 @@
 /// hold's usual way and gap.
 pub(crate) const NEW_MS: Millis = 500;
 /// Lost endpoints from which on a task is given one of its own. One is what a bad day costs anybody.
-const GRAVE: usize = 2;
+const ISOLATED_FROM: usize = 2;
 /// Crashes without company after which a task is the culprit, and how many it has caused in all then. One alone may be
 /// chance. Callers lose four endpoints to such a task, and five if a holder was lost that could not store the first.
 const CRASHES_ALONE: usize = 2;
@@ -62,7 +62,7 @@
     /// It may be at fault: it is started where least else is lost with it, and only once that is stored.
     Suspect,
     /// Much speaks against it: it is started on an endpoint that runs nothing of other jobs.
-    Grave,
+    Isolate,
     /// It is at fault if the endpoints that were lost have crashed: it waits until that is known.
     Awaited,
     /// It brings its endpoints down.
@@ -80,8 +80,8 @@
         Verdict::Culprit
     } else if lost.convicts() {
         Verdict::Awaited
-    } else if lost.all >= GRAVE {
-        Verdict::Grave
+    } else if lost.all >= ISOLATED_FROM {
+        Verdict::Isolate
     } else if lost.new > 0 {
         Verdict::Suspect
     } else {
