Read when an endpoint was started, and tell when it starts again

Now it is decoded, `endpoint has started again` is written and counted where a list comes from another incarnation, and `run is not there` says up to which number ends were taken in.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -5,7 +5,7 @@
 use slotmap::new_key_type;
 
 use crate::config::ServiceName;
-use crate::ids::{EndpointId, Millis, TaskKey};
+use crate::ids::{EndpointId, Millis, TaskKey, UnixMillis};
 use crate::limits::Limits;
 use crate::placed::{Placed, RunPhase};
 use crate::policy::crashes::NEW_MS;
@@ -44,6 +44,8 @@
     pub labels: BTreeSet<String>,
     /// Number of its report of itself; it grows with each.
     pub report: u64,
+    /// When the incarnation that says so was started, by its own clock of the day; none where endpoints do not say.
+    pub born_ms: Option<UnixMillis>,
 }
 
 /// A reading of an endpoint's clock.
@@ -57,6 +59,8 @@
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     pub(crate) entry: EndpointEntry,
+    /// When the incarnation that answers was started, as far as it has said so.
+    pub(crate) born_ms: Option<UnixMillis>,
     /// The platform lists it now.
     pub(crate) listed: bool,
     /// It stands in the stored roster as one that may be granted leases, so that a successor knows.
@@ -103,6 +107,7 @@
 impl Endpoint {
     pub(crate) fn new(entry: EndpointEntry, listed: bool) -> Self {
         Self {
+            born_ms: entry.born_ms,
             entry,
             listed,
             rostered: false,
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -8,7 +8,7 @@
 use crate::commit::CommitOutcome;
 use crate::config::{Configuration, Queue, QueueName};
 use crate::endpoint::{EndpointEntry, EndpointKey};
-use crate::ids::{EndpointId, JobId, Millis, Run, TaskKey};
+use crate::ids::{EndpointId, JobId, Millis, Run, TaskKey, UnixMillis};
 use crate::job::JobSpec;
 use crate::starts::StartNote;
 
@@ -142,6 +142,8 @@
 /// What runs on an endpoint and what ended.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HoldReport {
+    /// When the incarnation that answers was started, by its own clock of the day; none where endpoints do not say.
+    pub born_ms: Option<UnixMillis>,
     /// The endpoint's clock when it answered.
     pub clock_ms: Millis,
     /// Runs at work, those that are being stopped too.
--- a/crates/chervilfall_planner/src/ids.rs
+++ b/crates/chervilfall_planner/src/ids.rs
@@ -5,6 +5,9 @@
 /// Milliseconds on a steady clock; whose clock, the field that holds it says.
 pub type Millis = u64;
 
+/// Time of day, in milliseconds since 1970. It may step back.
+pub type UnixMillis = u64;
+
 /// Version of a row in the store; it grows with every transaction.
 pub type RowVersion = u64;
 
@@ -75,7 +78,8 @@
     }
 }
 
-/// Name of one incarnation of an endpoint.
+/// Name of an endpoint. It may start again under the same name; [`HoldReport::born_ms`](crate::HoldReport::born_ms)
+/// tells the incarnations apart.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub String);
 
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -35,7 +35,9 @@
     AdviceAnswer, EndedRun, Event, HoldAnswer, HoldReport, How, NodeId, Refusal, Request,
     RunningRun, StartAnswer, StopAnswer, Ticket,
 };
-pub use ids::{EndpointId, Fence, InvalidJobId, JobId, Millis, RowVersion, Run, TaskKey};
+pub use ids::{
+    EndpointId, Fence, InvalidJobId, JobId, Millis, RowVersion, Run, TaskKey, UnixMillis,
+};
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
 pub use planner::{Backlog, Planner, Stored};
--- a/crates/chervilfall_planner/src/meters.rs
+++ b/crates/chervilfall_planner/src/meters.rs
@@ -81,6 +81,16 @@
     counter!("chervilfall_endpoints_lapsed_total").increment(1);
 }
 
+/// Counts endpoints that have started again under their name.
+pub(crate) fn started_again() {
+    counter!("chervilfall_endpoints_started_again_total").increment(1);
+}
+
+/// Counts a run that an endpoint lists neither at work nor among its ends.
+pub(crate) fn not_there() {
+    counter!("chervilfall_runs_not_there_total").increment(1);
+}
+
 /// Counts a run that was lost with its endpoint.
 pub(crate) fn run_lost(reason: LossReason) {
     counter!("chervilfall_runs_lost_total", "reason" => reason.word()).increment(1);
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -29,6 +29,7 @@
             rack: None,
             labels: BTreeSet::new(),
             report: 0,
+            born_ms: None,
         };
         let key = self.add_endpoint(entry, false);
         if let Some(endpoint) = self.endpoints.get_mut(key) {
@@ -139,6 +140,18 @@
         if endpoint.silent_for(now) > self.limits.silent_ms && endpoint.contacted {
             log::info!(endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now); "endpoint answers again");
         }
+        if let (Some(before_ms), Some(born_ms)) = (endpoint.born_ms, report.born_ms) {
+            if before_ms != born_ms {
+                meters::started_again();
+                log::warn!(
+                    endpoint:% = endpoint.entry.id, born_ms = born_ms, before_ms = before_ms,
+                    tasks = endpoint.placed.len(), taken_in = endpoint.taken_in,
+                    silent_ms = endpoint.silent_for(now);
+                    "endpoint has started again"
+                );
+            }
+        }
+        endpoint.born_ms = report.born_ms.or(endpoint.born_ms);
         endpoint.read_clock(now, report.clock_ms);
         endpoint.heard_ms = Some(now);
         endpoint.over = false;
@@ -295,7 +308,13 @@
         let absent: Vec<(TaskKey, Run)> =
             absent.map(|(task, placed)| (*task, placed.run)).collect();
         for (task, run) in absent {
-            log::info!(task:% = task, run = run, endpoint:% = self.endpoints[key].entry.id; "run is not there");
+            let endpoint = &self.endpoints[key];
+            log::info!(
+                task:% = task, run = run, endpoint:% = endpoint.entry.id, born_ms:? = endpoint.born_ms,
+                taken_in = endpoint.taken_in;
+                "run is not there"
+            );
+            meters::not_there();
             self.free(key, task);
             self.requeue(task, key, run);
         }
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -184,6 +184,7 @@
             rack: self.rack.clone(),
             labels: self.labels.clone(),
             report: self.reports,
+            born_ms: None,
         }
     }
 
@@ -451,6 +452,7 @@
         self.holds = waiting;
         let cut = self.cut_until_ms > now;
         let report = HoldReport {
+            born_ms: None,
             clock_ms: self.clock(now),
             running: self
                 .running
