Tests of endpoints that start again under their name, red

In the same world orders that reached an endpoint while it crashed were never answered, which no node does; they are now left unanswered after their timeout, and waiting holds break with the crash. What an endpoint had received and not carried out is gone with it.

--- /dev/null
+++ b/crates/chervilfall_planner/tests/restarts.rs
@@ -0,0 +1,164 @@
+//! Endpoints that start again under the name that they had.
+//!
+//! What was seen: 17 of 48 endpoints started again within half a second. From then on runs on them were found to be `not
+//! there` although they had ended, as done or failed, and their tasks were started again, after an end as done and
+//! beyond their attempts; on the 31 others none was. How it came about: the next incarnation numbers its ends from 1, so
+//! that they passed for those that had been taken in before, and the acknowledgement for the incarnation before, which
+//! was higher, deleted them. The cause: what is known of one life of an endpoint was kept under the name alone, and
+//! nothing read when it was started. What proved it: the lines of both records, and the first case below, which does the
+//! same.
+//!
+//! The same cause elsewhere: leases on a clock that has begun anew, orders that reach the next life, tokens for
+//! which it has no permission, capacity and draining that an entry says of another life, notes of starts and of crashes.
+
+mod world;
+
+use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request};
+use world::{step, World};
+
+/// Time for all jobs to end after the last crash.
+const SETTLE_MS: u64 = 40_000;
+/// Time between crashes: an endpoint has some ends by then.
+const BETWEEN_MS: u64 = 2_500;
+/// Endpoints of a cell.
+const ENDPOINTS: usize = 6;
+
+/// What happens beside the crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Beside {
+    Nothing,
+    /// The holder's process is killed just after each crash.
+    HolderKilled,
+    /// The holder stands still for 4 s from each crash on.
+    HolderFrozen,
+    /// Orders come late.
+    LateOrders,
+    /// Answers of the store are lost.
+    StoreLosesAnswers,
+    /// The store is away for 2 s from each crash on.
+    StoreAway,
+    /// The endpoints are cut off for a while just after they have started again.
+    Cut,
+}
+
+fn job(count: u32, work_ms: u64, gang: bool) -> JobSpec {
+    let mut step = step(count, work_ms);
+    step.gang = gang;
+    JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![step],
+        ..JobSpec::default()
+    }
+}
+
+fn strike(world: &mut World, round: u64, beside: Beside) {
+    let now = world.now;
+    let position = usize::try_from(round).expect("small");
+    for number in [position % ENDPOINTS, (position + 1) % ENDPOINTS] {
+        let endpoint = world.endpoints.values_mut().nth(number).expect("in range");
+        endpoint.crash(now, None);
+        if beside == Beside::Cut {
+            endpoint.cut_until_ms = now + world.reborn_ms + 1_500;
+        }
+    }
+    let Some(holder) = world.holder() else {
+        return;
+    };
+    match beside {
+        Beside::HolderKilled => world.kill(holder),
+        Beside::HolderFrozen => world.nodes[holder].frozen_until_ms = now + 4_000,
+        Beside::StoreAway => world.store.down_until_ms = now + 2_000,
+        Beside::LateOrders => world.late_percent = 20,
+        Beside::StoreLosesAnswers => world.store.lost_percent = 30,
+        Beside::Nothing | Beside::Cut => {}
+    }
+}
+
+/// Plays crashes of two endpoints at a time, and returns what was broken.
+fn play(reborn_ms: u64, beside: Beside, seed: u64) -> Vec<String> {
+    let mut world = World::new(3, ENDPOINTS, seed);
+    world.keep_names();
+    world.reborn_ms = reborn_ms;
+    world.run(1_500);
+    let mut next = 1;
+    for round in 0..6 {
+        let until_ms = world.now + BETWEEN_MS;
+        while world.now < until_ms {
+            let work_ms = 100 + world.random.below(900);
+            let gang = world.random.percent(20);
+            let spec = job(1 + u32::try_from(next % 3).expect("small"), work_ms, gang);
+            world.submit(next, spec);
+            next += 1;
+            world.run(100);
+        }
+        strike(&mut world, round, beside);
+    }
+    world.late_percent = 0;
+    world.store.lost_percent = 0;
+    world.run(SETTLE_MS);
+    world.check_history();
+    let accepted: Vec<JobId> = world.accepted.iter().copied().collect();
+    for id in accepted {
+        let answer = world.ask(Request::State { id });
+        let failed = answer == Answer::State(JobState::Failed) && world.has_used_attempts(id);
+        if answer != Answer::State(JobState::Completed) && !failed {
+            world.violations.push(format!("job {id} is {answer:?}"));
+        }
+    }
+    if std::env::var("CHERVILFALL_TRACE").is_ok() {
+        println!("{}", world.story());
+    }
+    world.violations
+}
+
+#[test]
+fn endpoints_that_start_again_under_their_name_run_nothing_twice() {
+    struct Case {
+        name: &'static str,
+        reborn_ms: u64,
+        beside: Beside,
+    }
+    let case = |name, reborn_ms, beside| Case {
+        name,
+        reborn_ms,
+        beside,
+    };
+    let cases = [
+        case("back at once", 100, Beside::Nothing),
+        case("back while orders are on their way", 300, Beside::Nothing),
+        case("back before it is missed", 800, Beside::Nothing),
+        case("back before leases lapse", 2_000, Beside::Nothing),
+        case("back after leases have lapsed", 4_000, Beside::Nothing),
+        case("the holder is lost too", 300, Beside::HolderKilled),
+        case("the holder is lost too, late", 2_000, Beside::HolderKilled),
+        case(
+            "the holder stands still meanwhile",
+            1_000,
+            Beside::HolderFrozen,
+        ),
+        case("orders come late", 500, Beside::LateOrders),
+        case(
+            "orders come late to a missed one",
+            2_000,
+            Beside::LateOrders,
+        ),
+        case("the store loses answers", 400, Beside::StoreLosesAnswers),
+        case("the store is away", 600, Beside::StoreAway),
+        case("cut off as it comes back", 300, Beside::Cut),
+        case("cut off as it comes back, later", 2_000, Beside::Cut),
+    ];
+    let mut broken = Vec::new();
+    for case in cases {
+        for seed in 1..=4 {
+            let found = play(case.reborn_ms, case.beside, seed);
+            if let Some(first) = found.first() {
+                let count = found.len();
+                broken.push(format!(
+                    "{}, seed {seed}: {count}, first {first}",
+                    case.name
+                ));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -53,6 +53,7 @@
     pub term: u64,
     pub endpoint: EndpointKey,
     pub sent_ms: u64,
+    arrived_ms: u64,
     answer_by_ms: u64,
 }
 
@@ -85,6 +86,12 @@
     pub dead: bool,
     /// When it crashed, and the task that brought it down, if one did.
     pub crashed: Option<(u64, Option<TaskKey>)>,
+    /// The same of the incarnations before that had its name.
+    past_crashes: Vec<(u64, Option<TaskKey>)>,
+    /// When this incarnation was started, by its own clock of the day; none if each has a name of its own.
+    pub born_ms: Option<u64>,
+    /// When this incarnation was started.
+    pub started_ms: u64,
     /// Processor that it has had before, and until when.
     past_rooms: Vec<(u64, u32)>,
     /// What it last said of itself, where that is not read at once.
@@ -98,8 +105,8 @@
     overfilled: Vec<String>,
     /// Runs that a crash ended, until the members of their gangs know.
     pub lost: Vec<(TaskKey, Run)>,
-    /// Tasks that were there when it crashed.
-    pub crashed_with: BTreeSet<TaskKey>,
+    /// Tasks that were there when it crashed, for each crash.
+    pub crashed_with: Vec<TaskKey>,
     /// It has crashed and a new incarnation stands at its address.
     pub replaced: bool,
     pub cut_until_ms: u64,
@@ -139,6 +146,9 @@
             draining: false,
             dead: false,
             crashed: None,
+            past_crashes: Vec::new(),
+            born_ms: None,
+            started_ms: 0,
             past_rooms: Vec::new(),
             reported: None,
             next_report_ms: 0,
@@ -147,7 +157,7 @@
             store_cut_until_ms: 0,
             overfilled: Vec::new(),
             lost: Vec::new(),
-            crashed_with: BTreeSet::new(),
+            crashed_with: Vec::new(),
             replaced: false,
             cut_until_ms: 0,
             domain: 0,
@@ -184,7 +194,7 @@
             rack: self.rack.clone(),
             labels: self.labels.clone(),
             report: self.reports,
-            born_ms: None,
+            born_ms: self.born_ms,
         }
     }
 
@@ -227,20 +237,44 @@
         }
     }
 
+    /// Starts again under its name after a crash: it knows nothing of before, and counts from the beginning.
+    pub fn start_again(&mut self, now: u64, born_ms: u64, clock_offset_ms: u64) {
+        self.dead = false;
+        self.past_crashes.extend(self.crashed.take());
+        self.past_rooms.clear();
+        self.born_ms = Some(born_ms);
+        self.started_ms = now;
+        self.clock_offset_ms = clock_offset_ms;
+        self.next_report_ms = now;
+        self.reports = 0;
+        self.ended.clear();
+        self.valid.clear();
+        self.next_end = 1;
+        self.fence = 0;
+        self.until_ms = 0;
+        self.barred.clear();
+    }
+
+    /// Returns when it crashed in all its lives, and which task brought it down.
+    pub fn crashes(&self) -> impl Iterator<Item = (u64, Option<TaskKey>)> + '_ {
+        self.past_crashes.iter().copied().chain(self.crashed)
+    }
+
     /// Crashes: nothing that ran there is left, and nobody is told.
     pub fn crash(&mut self, now: u64, culprit: Option<TaskKey>) {
         if !self.dead {
             self.dead = true;
             self.crashed = Some((now, culprit));
-            self.crashed_with = self.running.keys().copied().collect();
+            self.crashed_with.extend(self.running.keys().copied());
             let lost = std::mem::take(&mut self.running).into_iter();
             self.lost = lost.map(|(task, run)| (task, run.run)).collect();
         }
     }
 
-    /// Its clock is two percent slow.
+    /// Its clock is two percent slow, and counts from its start.
     fn clock(&self, now: u64) -> u64 {
-        now - now / 50 + self.clock_offset_ms
+        let age_ms = now - self.started_ms;
+        age_ms - age_ms / 50 + self.clock_offset_ms
     }
 
     fn end(&mut self, now: u64, task: TaskKey, run: Run, how: How, checkpoint: String) {
@@ -410,6 +444,7 @@
                 term,
                 endpoint,
                 sent_ms,
+                arrived_ms: now,
                 answer_by_ms: 0,
             });
             return;
@@ -435,14 +470,20 @@
             term,
             endpoint,
             sent_ms,
+            arrived_ms: now,
             answer_by_ms: now + order.wait_ms.max(1),
         });
     }
 
     pub fn ready_holds(&mut self, now: u64) -> Vec<AnsweredHold> {
-        if self.dead {
-            self.holds.clear();
-            return Vec::new();
+        // A crash breaks the connections of the holds that wait.
+        if self.dead
+            || self
+                .holds
+                .iter()
+                .any(|hold| hold.arrived_ms < self.started_ms)
+        {
+            return self.broken_holds();
         }
         let any_end = !self.ended.is_empty();
         let (ready, waiting): (Vec<_>, Vec<_>) = self
@@ -452,7 +493,7 @@
         self.holds = waiting;
         let cut = self.cut_until_ms > now;
         let report = HoldReport {
-            born_ms: None,
+            born_ms: self.born_ms,
             clock_ms: self.clock(now),
             running: self
                 .running
@@ -481,4 +522,17 @@
         });
         answers.collect()
     }
+
+    fn broken_holds(&mut self) -> Vec<AnsweredHold> {
+        let broken = std::mem::take(&mut self.holds).into_iter();
+        let answers = broken.map(|hold| AnsweredHold {
+            node: hold.node,
+            term: hold.term,
+            id: self.id.clone(),
+            endpoint: hold.endpoint,
+            sent_ms: hold.sent_ms,
+            answer: HoldAnswer::Unanswered,
+        });
+        answers.collect()
+    }
 }
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -26,6 +26,8 @@
 
 /// Milliseconds that an order or a transaction takes each way.
 const HOP_MS: u64 = 2;
+/// Time of day when the world begins, in milliseconds since 1970.
+const UNIX_MS: u64 = 1_700_000_000_000;
 /// Milliseconds after which a caller of an endpoint or the store gives up.
 const TIMEOUT_MS: u64 = 500;
 
@@ -97,6 +99,8 @@
     pub beats: bool,
     /// Crashed endpoints come back after this time.
     pub reborn_ms: u64,
+    /// They start again under the name that they had.
+    keeps_names: bool,
     next_request: u64,
 }
 
@@ -174,6 +178,7 @@
             crashing: BTreeMap::new(),
             beats: false,
             reborn_ms: 4_000,
+            keeps_names: false,
             next_request: 0,
         }
     }
@@ -283,6 +288,15 @@
         });
         let mut back = Vec::new();
         for endpoint in due {
+            if self.keeps_names {
+                // The time of day may have stepped back since the last start.
+                let stepped_ms = self.random.below(2) * self.random.below(20_000);
+                let born_ms = UNIX_MS + now - stepped_ms;
+                endpoint.start_again(now, born_ms, self.random.below(200_000));
+                self.faults
+                    .push((now, format!("fault {} has started again", endpoint.id)));
+                continue;
+            }
             endpoint.replaced = true;
             endpoint.listed = false;
             back.push(endpoint.reborn(0));
@@ -294,6 +308,14 @@
         }
     }
 
+    /// Lets endpoints keep their names when they start again, and say when they were started.
+    pub fn keep_names(&mut self) {
+        self.keeps_names = true;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.born_ms = Some(UNIX_MS);
+        }
+    }
+
     /// Returns the starts of a task, and the crashes that it caused, in order of time.
     pub fn starts_and_crashes(&self, task: TaskKey) -> (Vec<u64>, Vec<u64>) {
         let starts = self
@@ -302,10 +324,7 @@
             .flat_map(|endpoint| &endpoint.starts);
         let starts = starts.filter(|(_, started, _)| *started == task);
         let mut starts: Vec<u64> = starts.map(|(at_ms, ..)| *at_ms).collect();
-        let crashes = self
-            .endpoints
-            .values()
-            .filter_map(|endpoint| endpoint.crashed);
+        let crashes = self.endpoints.values().flat_map(FakeEndpoint::crashes);
         let crashes = crashes.filter(|(_, culprit)| *culprit == Some(task));
         let mut crashes: Vec<u64> = crashes.map(|(at_ms, _)| at_ms).collect();
         starts.sort_unstable();
@@ -320,10 +339,7 @@
             .values()
             .flat_map(|endpoint| &endpoint.starts);
         let starts = starts.filter(|(_, task, _)| task.job == job).count();
-        let crashes = self
-            .endpoints
-            .values()
-            .filter_map(|endpoint| endpoint.crashed);
+        let crashes = self.endpoints.values().flat_map(FakeEndpoint::crashes);
         let culprits = crashes.filter_map(|(_, culprit)| culprit);
         (starts, culprits.filter(|task| task.job == job).count())
     }
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -10,7 +10,7 @@
 };
 
 use super::endpoint::FakeEndpoint;
-use super::{Later, World, HOP_MS, TIMEOUT_MS};
+use super::{Later, World, HOP_MS, TIMEOUT_MS, UNIX_MS};
 
 impl World {
     pub(super) fn tell(&mut self, node: usize, term: u64, event: Event) {
@@ -52,7 +52,7 @@
                 self.feed(node, Event::Endpoints { read_ms, entries });
             }
             if self.now % 10 == 0 {
-                let unix_ms = 1_700_000_000_000 + self.now;
+                let unix_ms = UNIX_MS + self.now;
                 self.feed(node, Event::Tick { unix_ms });
             }
             return;
--- a/crates/chervilfall_planner/tests/world/oracle.rs
+++ b/crates/chervilfall_planner/tests/world/oracle.rs
@@ -75,7 +75,7 @@
 /// Looks at the tasks that bring endpoints down: few starts after the third crash.
 pub fn crashes(endpoints: &BTreeMap<EndpointId, FakeEndpoint>, violations: &mut Vec<String>) {
     let mut crashes: BTreeMap<TaskKey, Vec<u64>> = BTreeMap::new();
-    for (at_ms, culprit) in endpoints.values().filter_map(|endpoint| endpoint.crashed) {
+    for (at_ms, culprit) in endpoints.values().flat_map(FakeEndpoint::crashes) {
         if let Some(task) = culprit {
             crashes.entry(task).or_default().push(at_ms);
         }
--- a/crates/chervilfall_planner/tests/world/orders.rs
+++ b/crates/chervilfall_planner/tests/world/orders.rs
@@ -30,6 +30,15 @@
             self.after(2 * HOP_MS, Later::Tell(node, term, event));
             return;
         }
+        if let Some(delay_ms) = self.meets_next_life(&id, wait_ms) {
+            // The connection is tried again until the next incarnation takes it.
+            let sent_ms = self.now;
+            self.after(
+                delay_ms,
+                Later::Arrive(node, term, Box::new(action), sent_ms),
+            );
+            return;
+        }
         if cut {
             self.after(wait_ms, Later::Tell(node, term, Box::new(unanswered)));
             return;
@@ -48,6 +57,15 @@
         self.after(HOP_MS, Later::Arrive(node, term, Box::new(action), sent_ms));
     }
 
+    /// Returns after how long an order to a crashed endpoint is taken by the incarnation that follows under its name, if
+    /// its caller waits for so long.
+    fn meets_next_life(&self, id: &EndpointId, wait_ms: u64) -> Option<u64> {
+        let endpoint = self.endpoints.get(id)?;
+        let (crashed_ms, _) = endpoint.crashed.filter(|_| self.keeps_names)?;
+        let delay_ms = (crashed_ms + self.reborn_ms + HOP_MS).saturating_sub(self.now);
+        (delay_ms < wait_ms).then_some(delay_ms)
+    }
+
     /// Returns whether a node has been undisturbed for a while, and so has the store for it.
     fn is_in_touch(&self, node: usize) -> bool {
         let Some(node) = self.nodes.get(node) else {
@@ -78,7 +96,16 @@
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return;
         };
+        let late = node == usize::MAX;
+        // What an endpoint has received and not carried out is gone with it.
+        if late && endpoint.started_ms > sent_ms {
+            return;
+        }
         if endpoint.dead {
+            if !late {
+                let event = Box::new(unanswered(&action, sent_ms));
+                self.after(TIMEOUT_MS, Later::Tell(node, term, event));
+            }
             return;
         }
         let event = match action {
@@ -111,7 +138,7 @@
             }
             _ => None,
         };
-        if let (Some(event), true) = (event, node != usize::MAX) {
+        if let (Some(event), false) = (event, late) {
             self.after(HOP_MS, Later::Tell(node, term, Box::new(event)));
         }
     }
