--- a/crates/chervilfall_planner/tests/crashes.rs
+++ b/crates/chervilfall_planner/tests/crashes.rs
@@ -33,8 +33,28 @@
     }
 }
 
-fn ready_world(seed: u64) -> World {
+/// How crashed endpoints come back.
+#[derive(Debug, Clone, Copy)]
+enum Back {
+    /// Under a new name.
+    Renamed,
+    /// Under the name that they had, after some milliseconds.
+    SameName(u64),
+}
+
+const BACK: [Back; 4] = [
+    Back::Renamed,
+    Back::SameName(300),
+    Back::SameName(1_500),
+    Back::SameName(4_000),
+];
+
+fn ready_world(seed: u64, back: Back) -> World {
     let mut world = World::new(3, 12, seed);
+    if let Back::SameName(after_ms) = back {
+        world.keep_names();
+        world.reborn_ms = after_ms;
+    }
     world.run(1_500);
     world
 }
@@ -217,31 +237,38 @@
 #[test]
 fn a_task_that_crashes_its_endpoints_is_given_up() {
     for case in culprits() {
-        let mut world = ready_world(11);
-        world.crashing.insert(JobId(CULPRIT), case.crashing);
-        let accepted = world.submit(CULPRIT, job(vec![case.step.clone()]));
-        assert_eq!(accepted, Answer::Accepted, "{}", case.name);
-        let end = world.now + GIVEN_UP_MS;
-        let (mut sound, mut before) = (SOUND, (0, 0));
-        while state(&mut world, CULPRIT) != Answer::State(JobState::Failed) {
-            assert!(world.now < end, "{}: not given up", case.name);
-            if world.random.percent(30) {
-                sound = submit_sound(&mut world, sound);
-            }
-            let seen = world.starts_and_crashes_of(JobId(CULPRIT));
-            strike(&mut world, case.beside, before, seen);
-            before = seen;
-            world.run(50);
+        for back in BACK {
+            assert_given_up(&case, back);
         }
-        world.store.lost_percent = 0;
-        world.late_percent = 0;
-        assert_sound_jobs_done(&mut world, case.name);
     }
 }
 
+fn assert_given_up(case: &Culprit, back: Back) {
+    let name = format!("{}, {back:?}", case.name);
+    let mut world = ready_world(11, back);
+    world.crashing.insert(JobId(CULPRIT), case.crashing);
+    let accepted = world.submit(CULPRIT, job(vec![case.step.clone()]));
+    assert_eq!(accepted, Answer::Accepted, "{name}");
+    let end = world.now + GIVEN_UP_MS;
+    let (mut sound, mut before) = (SOUND, (0, 0));
+    while state(&mut world, CULPRIT) != Answer::State(JobState::Failed) {
+        assert!(world.now < end, "{name}: not given up");
+        if world.random.percent(30) {
+            sound = submit_sound(&mut world, sound);
+        }
+        let seen = world.starts_and_crashes_of(JobId(CULPRIT));
+        strike(&mut world, case.beside, before, seen);
+        before = seen;
+        world.run(50);
+    }
+    world.store.lost_percent = 0;
+    world.late_percent = 0;
+    assert_sound_jobs_done(&mut world, &name);
+}
+
 #[test]
 fn a_given_up_job_stays_so_and_starts_no_more() {
-    let mut world = ready_world(5);
+    let mut world = ready_world(5, Back::Renamed);
     let crashing = Crashing {
         after_ms: 10,
         index: None,
@@ -379,8 +406,8 @@
 #[test]
 fn a_job_that_can_be_done_is_done_whatever_its_endpoints_do() {
     for case in troubles() {
-        for seed in 0..8 {
-            let mut world = ready_world(seed);
+        for (seed, back) in (0..8).zip(BACK.into_iter().cycle()) {
+            let mut world = ready_world(seed, back);
             let lasts = case.spec.steps[0].long_running;
             assert_eq!(world.submit(SOUND, case.spec.clone()), Answer::Accepted);
             let mut sound = SOUND + 1;
@@ -408,8 +435,8 @@
 
 #[test]
 fn others_beside_a_task_that_crashes_endpoints_are_done() {
-    for seed in 0..6 {
-        let mut world = ready_world(seed);
+    for (seed, back) in (0..12).zip(BACK.into_iter().cycle()) {
+        let mut world = ready_world(seed, back);
         let mut sound = SOUND;
         for culprit in 1..=4 {
             let crashing = Crashing {
