--- a/crates/chervilfall_planner/src/action.rs
+++ b/crates/chervilfall_planner/src/action.rs
@@ -119,6 +119,8 @@
     pub acknowledged: u64,
     /// How long the answer may wait for an end.
     pub wait_ms: Millis,
+    /// How long the answer is awaited.
+    pub timeout_ms: Millis,
 }
 
 /// Asks which endpoints may run a step.
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -40,7 +40,7 @@
     pub accept_queue: usize,
     /// How long a hold may wait for an end.
     pub hold_wait_ms: Millis,
-    /// How long a hold's answer takes at most beyond that, before its caller gives up.
+    /// How long the answer of a hold is awaited beyond that: many times what a sound endpoint takes.
     pub hold_answer_ms: Millis,
     /// Pause between a report and the next hold of its endpoint, so that a hold brings several ends: a busy
     /// endpoint of 32 cores has one each 0.2 s.
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -61,6 +61,7 @@
                 fence,
                 acknowledged: endpoint.acknowledgeable(),
                 wait_ms,
+                timeout_ms: wait_ms + self.limits.hold_answer_ms,
             }));
         }
     }
--- a/crates/chervilfall_planner/tests/restarts.rs
+++ b/crates/chervilfall_planner/tests/restarts.rs
@@ -13,6 +13,8 @@
 
 mod world;
 
+use ciborium::Value;
+
 use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request};
 use world::{step, World};
 
@@ -78,25 +80,22 @@
     }
 }
 
-/// Plays crashes of two endpoints at a time, and returns what was broken.
-fn play(reborn_ms: u64, beside: Beside, seed: u64) -> Vec<String> {
-    let mut world = World::new(3, ENDPOINTS, seed);
-    world.keep_names();
-    world.reborn_ms = reborn_ms;
-    world.run(1_500);
-    let mut next = 1;
-    for round in 0..6 {
-        let until_ms = world.now + BETWEEN_MS;
-        while world.now < until_ms {
-            let work_ms = 100 + world.random.below(900);
-            let gang = world.random.percent(20);
-            let spec = job(1 + u32::try_from(next % 3).expect("small"), work_ms, gang);
-            world.submit(next, spec);
-            next += 1;
-            world.run(100);
-        }
-        strike(&mut world, round, beside);
+/// Hands in short jobs until then, and returns the number of the next one.
+fn submit_until(world: &mut World, until_ms: u64, first: u64) -> u64 {
+    let mut next = first;
+    while world.now < until_ms {
+        let work_ms = 100 + world.random.below(900);
+        let gang = world.random.percent(20);
+        let spec = job(1 + u32::try_from(next % 3).expect("small"), work_ms, gang);
+        world.submit(next, spec);
+        next += 1;
+        world.run(100);
     }
+    next
+}
+
+/// Lets all end, and looks at what became of it.
+fn settle(world: &mut World) {
     world.late_percent = 0;
     world.store.lost_percent = 0;
     world.run(SETTLE_MS);
@@ -111,6 +110,21 @@
             world.violations.push(format!("job {id} is {answer:?}"));
         }
     }
+}
+
+/// Plays crashes of two endpoints at a time, and returns what was broken.
+fn play(reborn_ms: u64, beside: Beside, seed: u64) -> Vec<String> {
+    let mut world = World::new(3, ENDPOINTS, seed);
+    world.keep_names();
+    world.reborn_ms = reborn_ms;
+    world.run(1_500);
+    let mut next = 1;
+    for round in 0..6 {
+        let until_ms = world.now + BETWEEN_MS;
+        next = submit_until(&mut world, until_ms, next);
+        strike(&mut world, round, beside);
+    }
+    settle(&mut world);
     if std::env::var("CHERVILFALL_TRACE").is_ok() {
         println!("{}", world.story());
     }
@@ -168,3 +182,91 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Takes the starts of endpoints out of a row, as the version before wrote it.
+fn without_starts(bytes: &[u8]) -> Vec<u8> {
+    fn strip(value: &mut Value) {
+        match value {
+            Value::Map(entries) => {
+                entries.retain(|(key, _)| key.as_text() != Some("born_ms"));
+                entries.iter_mut().for_each(|(_, value)| strip(value));
+            }
+            Value::Array(values) => values.iter_mut().for_each(strip),
+            _ => {}
+        }
+    }
+    let mut value: Value = ciborium::from_reader(bytes).expect("a row");
+    strip(&mut value);
+    let mut stripped = Vec::new();
+    ciborium::into_writer(&value, &mut stripped).expect("a row");
+    stripped
+}
+
+#[test]
+fn rows_of_the_version_before_are_taken_over() {
+    for seed in 1..=8 {
+        let mut world = World::new(3, ENDPOINTS, seed);
+        world.keep_names();
+        world.reborn_ms = 600;
+        world.run(1_500);
+        let mut next = 1;
+        for round in 0..3 {
+            let until_ms = world.now + BETWEEN_MS;
+            next = submit_until(&mut world, until_ms, next);
+            strike(&mut world, round, Beside::HolderKilled);
+            world.store.rewrite(without_starts);
+        }
+        settle(&mut world);
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn nothing_new_is_started_where_an_entry_speaks_of_another_life() {
+    struct Case {
+        name: &'static str,
+        /// Time for which a restarted endpoint does not reach the store, so that its old entry stands.
+        store_cut_ms: u64,
+        used: bool,
+    }
+    let cases = [
+        Case {
+            name: "the entry is its own",
+            store_cut_ms: 0,
+            used: true,
+        },
+        Case {
+            name: "the entry is of before",
+            store_cut_ms: 3_500,
+            used: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(3, 1, 7);
+        world.keep_names();
+        world.beats = true;
+        world.reborn_ms = 300;
+        world.run(4_000);
+        let now = world.now;
+        let endpoint = world.endpoints.values_mut().next().expect("one");
+        endpoint.crash(now, None);
+        endpoint.store_cut_until_ms = now + case.store_cut_ms;
+        // It comes back smaller than its old entry says.
+        endpoint.cpu_milli = 1_000;
+        world.run(500);
+        world.submit(1, job(4, 5_000, false));
+        world.run(2_400);
+        let endpoint = world.endpoints.values().next().expect("one");
+        assert_eq!(!endpoint.starts.is_empty(), case.used, "{}", case.name);
+        world.run(40_000);
+        let answer = world.ask(Request::State { id: JobId(1) });
+        let done = answer == Answer::State(JobState::Completed);
+        let failed = answer == Answer::State(JobState::Failed);
+        assert!(
+            done || failed && world.has_used_attempts(JobId(1)),
+            "{}",
+            case.name
+        );
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
--- a/crates/chervilfall_planner/tests/world/store.rs
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -50,6 +50,15 @@
         }
     }
 
+    /// Replaces what all rows say but the claim.
+    pub fn rewrite(&mut self, change: impl Fn(&[u8]) -> Vec<u8>) {
+        for ((table, _), (_, value)) in &mut self.rows {
+            if table != "claims" {
+                *value = change(value);
+            }
+        }
+    }
+
     pub fn row(&self, table: &str, key: &str) -> (u64, Option<Vec<u8>>) {
         let row = self.rows.get(&(table.to_owned(), key.to_owned()));
         row.map_or((0, None), |(version, value)| {
