--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -6,6 +6,7 @@
 
 use crate::config::ServiceName;
 use crate::ids::{EndpointId, Fence, Millis, RowVersion, TaskKey, UnixMillis};
+use crate::leases::Leases;
 use crate::limits::Limits;
 use crate::placed::{Placed, RunPhase};
 use crate::policy::crashes::NEW_MS;
@@ -48,13 +49,6 @@
     pub born_ms: Option<UnixMillis>,
 }
 
-/// A reading of an endpoint's clock.
-#[derive(Debug, Clone, Copy)]
-struct Reading {
-    theirs_ms: Millis,
-    received_ms: Millis,
-}
-
 /// What is known of one incarnation of an endpoint; the next one has a record of its own.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -105,9 +99,8 @@
     pub(crate) paused_until_ms: Millis,
     pub(crate) quarantine: Quarantine,
     pub(crate) speed: Speed,
-    reading: Option<Reading>,
-    /// Latest lease that may have been granted, on the endpoint's clock.
-    granted_ms: Millis,
+    /// Its clock, and the leases that it was granted.
+    pub(crate) leases: Leases,
 }
 
 impl Endpoint {
@@ -141,8 +134,7 @@
             paused_until_ms: 0,
             quarantine: Quarantine::default(),
             speed: Speed::default(),
-            reading: None,
-            granted_ms: 0,
+            leases: Leases::default(),
         }
     }
 
@@ -203,34 +195,6 @@
         self.guards_capacity || now.saturating_sub(self.reported_ms) <= limits.report_age_ms
     }
 
-    /// Takes a reading of its clock.
-    pub(crate) fn read_clock(&mut self, now: Millis, theirs_ms: Millis) {
-        let newer = self
-            .reading
-            .is_none_or(|reading| theirs_ms >= reading.theirs_ms);
-        if newer {
-            self.reading = Some(Reading {
-                theirs_ms,
-                received_ms: now,
-            });
-        }
-    }
-
-    /// Returns the lease to ask for: `lease_ms` from now, but no further than `bound_ms` on our
-    /// clock. None while its clock is unknown or the bound has passed.
-    pub(crate) fn lease(
-        &mut self,
-        now: Millis,
-        lease_ms: Millis,
-        bound_ms: Millis,
-    ) -> Option<Millis> {
-        let reading = self.reading?;
-        let left_ms = bound_ms.checked_sub(now)?.min(lease_ms);
-        let until_ms = reading.theirs_ms + now.saturating_sub(reading.received_ms) + left_ms;
-        self.granted_ms = self.granted_ms.max(until_ms);
-        Some(until_ms)
-    }
-
     /// Notes what others may have granted: an earlier holder, or a hold that was meant for the incarnation before and
     /// named a time on its clock.
     pub(crate) fn assume_granted(&mut self, limits: &Limits) {
@@ -239,30 +203,7 @@
         } else {
             limits.lease_ms
         };
-        if let Some(reading) = self.reading {
-            let granted_ms = reading.theirs_ms + lease_ms + limits.clock_slack_ms;
-            self.granted_ms = self.granted_ms.max(granted_ms);
-        }
-    }
-
-    /// Returns when, on our clock, every lease that it was granted has surely lapsed. None while its clock
-    /// is unknown.
-    pub(crate) fn lapse_ms(&self, limits: &Limits) -> Option<Millis> {
-        let reading = self.reading?;
-        let left_ms = self.granted_ms.saturating_sub(reading.theirs_ms) + limits.clock_slack_ms;
-        let slow_ms = left_ms * limits.drift_permille / (1_000 - limits.drift_permille) + 1;
-        Some(reading.received_ms + left_ms + slow_ms)
-    }
-
-    /// Returns whether every lease that it was granted has surely lapsed.
-    pub(crate) fn surely_lapsed(&self, now: Millis, limits: &Limits) -> bool {
-        let Some(reading) = self.reading else {
-            return false;
-        };
-        let passed_ms = now.saturating_sub(reading.received_ms);
-        let slow_ms = passed_ms * limits.drift_permille / 1_000 + 1;
-        reading.theirs_ms + passed_ms - slow_ms.min(passed_ms)
-            > self.granted_ms + limits.clock_slack_ms / 3
+        self.leases.assume_granted(lease_ms, limits);
     }
 
     /// Returns the end up to which a hold may acknowledge. One that follows a miss, or an entry of another incarnation,
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod ids;
 mod job;
+mod leases;
 mod limits;
 mod meters;
 mod placed;
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -0,0 +1,53 @@
+//! Changes of a commit, within the store's limits.
+
+use std::collections::BTreeSet;
+
+use crate::action::JobState;
+use crate::commit::{RowChange, RowKey};
+use crate::endpoint::EndpointKey;
+use crate::ids::{JobId, Run, TaskKey};
+
+/// Collects the changes of a batch within the store's limits.
+pub(super) struct Builder {
+    rows: usize,
+    bytes: usize,
+    pub(super) changes: Vec<RowChange>,
+    pub(super) new_jobs: BTreeSet<JobId>,
+    pub(super) progress: Vec<(JobId, Option<JobState>, bool)>,
+    pub(super) announced: Vec<(TaskKey, EndpointKey, Run)>,
+    pub(super) grantable: BTreeSet<EndpointKey>,
+}
+
+impl Builder {
+    pub(super) const fn new(rows: usize, bytes: usize) -> Self {
+        Self {
+            rows,
+            bytes,
+            changes: Vec::new(),
+            new_jobs: BTreeSet::new(),
+            progress: Vec::new(),
+            announced: Vec::new(),
+            grantable: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        self.has_room_for(0)
+    }
+
+    /// Returns whether there is room for another row beside `more` that are still to be put.
+    pub(super) fn has_room_for(&self, more: usize) -> bool {
+        self.changes.len() + more + 1 < self.rows && self.bytes > 0
+    }
+
+    pub(super) fn put(&mut self, table: &'static str, key: String, value: Vec<u8>) {
+        self.bytes = self.bytes.saturating_sub(value.len());
+        self.changes
+            .push(RowChange::Put(RowKey { table, key }, value));
+    }
+
+    pub(super) fn remove(&mut self, table: &'static str, id: JobId) {
+        let key = id.to_string();
+        self.changes.push(RowChange::Remove(RowKey { table, key }));
+    }
+}
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::action::{Action, Answer, JobState, StepDownReason};
-use crate::commit::{Batch, CommitOutcome, RowChange, RowKey};
+use crate::commit::{Batch, CommitOutcome};
 use crate::election::HolderRow;
 use crate::endpoint::EndpointKey;
 use crate::ids::{JobId, Millis, RowVersion, Run, TaskKey};
 use crate::meters;
+use crate::planner::batch::Builder;
 use crate::planner::gap::Resumed;
 use crate::planner::Planner;
 use crate::record::{encode, RosterBucket, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
@@ -374,48 +375,3 @@
         }
     }
 }
-
-/// Collects the changes of a batch within the store's limits.
-struct Builder {
-    rows: usize,
-    bytes: usize,
-    changes: Vec<RowChange>,
-    new_jobs: BTreeSet<JobId>,
-    progress: Vec<(JobId, Option<JobState>, bool)>,
-    announced: Vec<(TaskKey, EndpointKey, Run)>,
-    grantable: BTreeSet<EndpointKey>,
-}
-
-impl Builder {
-    const fn new(rows: usize, bytes: usize) -> Self {
-        Self {
-            rows,
-            bytes,
-            changes: Vec::new(),
-            new_jobs: BTreeSet::new(),
-            progress: Vec::new(),
-            announced: Vec::new(),
-            grantable: BTreeSet::new(),
-        }
-    }
-
-    fn has_room(&self) -> bool {
-        self.has_room_for(0)
-    }
-
-    /// Returns whether there is room for another row beside `more` that are still to be put.
-    fn has_room_for(&self, more: usize) -> bool {
-        self.changes.len() + more + 1 < self.rows && self.bytes > 0
-    }
-
-    fn put(&mut self, table: &'static str, key: String, value: Vec<u8>) {
-        self.bytes = self.bytes.saturating_sub(value.len());
-        self.changes
-            .push(RowChange::Put(RowKey { table, key }, value));
-    }
-
-    fn remove(&mut self, table: &'static str, id: JobId) {
-        let key = id.to_string();
-        self.changes.push(RowChange::Remove(RowKey { table, key }));
-    }
-}
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -164,7 +164,7 @@
             log::info!(endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now); "endpoint answers again");
         }
         endpoint.born_ms = report.born_ms.or(endpoint.born_ms);
-        endpoint.read_clock(now, report.clock_ms);
+        endpoint.leases.read_clock(now, report.clock_ms);
         let heard_ms = self.limits.heard_ms(now, sent_ms);
         endpoint.heard_ms = endpoint.heard_ms.max(Some(heard_ms));
         endpoint.over = false;
--- a/crates/chervilfall_planner/src/planner/incarnations.rs
+++ b/crates/chervilfall_planner/src/planner/incarnations.rs
@@ -37,7 +37,7 @@
             "endpoint has started again"
         );
         let mut next = Endpoint::next_incarnation(endpoint, report.born_ms);
-        next.read_clock(self.now, report.clock_ms);
+        next.leases.read_clock(self.now, report.clock_ms);
         next.heard_ms = Some(self.limits.heard_ms(self.now, sent_ms));
         next.assume_granted(&self.limits);
         let id = endpoint.entry.id.clone();
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -38,7 +38,7 @@
             let until_ms = if silent || !endpoint.rostered {
                 None
             } else {
-                endpoint.lease(now, lease_ms, bound_ms)
+                endpoint.leases.grant(now, lease_ms, bound_ms)
             };
             let settling = endpoint
                 .placed
@@ -77,7 +77,7 @@
             // Orders to the incarnation before may reach an endpoint until it has answered with a higher token.
             let settled = endpoint.contacted || (endpoint.has_started_again() && !endpoint.listed);
             let silent = settled && endpoint.silent_for(now) > LAPSE_CHECK_MS;
-            if endpoint.over || !silent || !endpoint.surely_lapsed(now, &self.limits) {
+            if endpoint.over || !silent || !endpoint.leases.surely_lapsed(now, &self.limits) {
                 continue;
             }
             let lapsed_ms = *endpoint.lapsed_ms.get_or_insert(now);
@@ -121,7 +121,7 @@
             if !silent || !endpoint.contacted || endpoint.lapses_store_ms.is_some() {
                 continue;
             }
-            let Some(lapse_ms) = endpoint.lapse_ms(&self.limits) else {
+            let Some(lapse_ms) = endpoint.leases.lapse_ms(&self.limits) else {
                 continue;
             };
             let after_ms = lapse_ms.saturating_sub(sent_ms);
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -3,6 +3,7 @@
 mod advise;
 mod ask;
 mod barrier;
+mod batch;
 mod commits;
 mod crashes;
 mod endpoints;
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -128,7 +128,7 @@
         let checkpoint = job.task(task)?.checkpoint.clone();
         let endpoint = self.endpoints.get_mut(key)?;
         let fence = endpoint.fence(self.version)?;
-        let until_ms = endpoint.lease(self.now, lease_ms, bound_ms)?;
+        let until_ms = endpoint.leases.grant(self.now, lease_ms, bound_ms)?;
         Some(StartOrder {
             endpoint: key,
             id: endpoint.entry.id.clone(),
--- a/crates/chervilfall_planner/tests/restarts.rs
+++ b/crates/chervilfall_planner/tests/restarts.rs
@@ -189,7 +189,9 @@
         match value {
             Value::Map(entries) => {
                 entries.retain(|(key, _)| key.as_text() != Some("born_ms"));
-                entries.iter_mut().for_each(|(_, value)| strip(value));
+                for (_, value) in entries {
+                    strip(value);
+                }
             }
             Value::Array(values) => values.iter_mut().for_each(strip),
             _ => {}
