--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -20,8 +20,8 @@
 /// Table of endpoints that may hold leases, by bucket.
 pub const ROSTER: &str = "roster";
 
-/// Buckets of the roster. An entry takes 60 bytes, so that a row holds 1,000 of the 65,536 bytes that the
-/// store takes: enough for 70,000 endpoints, and one endpoint's change rewrites 2 KB of 2,500 endpoints.
+/// Buckets of the roster. An entry takes 80 bytes, so that a row holds 800 of the 65,536 bytes that the
+/// store takes: enough for 50,000 endpoints, and one endpoint's change rewrites 3 KB of 2,500 endpoints.
 const ROSTER_BUCKETS: u64 = 64;
 /// First value and factor of the FNV-1a hash, which is the same in all versions of this program.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
