Tell by which configuration a request was denied, a job taken and a task started

The hypotheses of the incident could not be told apart: a 404, an accepted job and a start did not say by which version they were decided, nothing said how long ago that version was known to be the newest, and of a chain of failed readings only the first showed.

No decision is changed.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -287,6 +287,8 @@
                 self.feed(Event::Endpoints { read_ms, entries });
             }
             ControlEvent::Routes(routes) => {
+                metrics::gauge!("chervilfall_configuration_version", "at" => "planner")
+                    .set(routes.version as f64);
                 let config = Arc::new(routes.configuration());
                 self.routes = Some(routes);
                 self.feed(Event::Configured(config));
--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: finds the queue, asks the holder, waits for it a little if there is none.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilfall_kernel::Deadline;
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::clock::{clock, now_ms};
+use crate::configuration::ConfigurationState;
 use crate::control::ControlEvent;
 use crate::leadership::{Ask, Leadership, LeadershipState};
 use crate::patience::WaitBounds;
@@ -18,6 +19,8 @@
 
 /// When a caller that found no holder should come back.
 const RETRY_MS: u64 = 1_000;
+/// Time between lines about denied requests, which callers can send in any number.
+const DENIED_LINE_MS: u64 = 100;
 /// Time between looks at whether the node is isolated.
 const ISOLATION_LOOK: Duration = Duration::from_millis(100);
 /// Pause before a request is passed on again that a lost holder had: some round trips of a link.
@@ -37,7 +40,7 @@
 /// Takes callers' requests.
 #[derive(Debug)]
 pub struct Front {
-    routes: RwLock<Option<Arc<RouteTable>>>,
+    configuration: Arc<ConfigurationState>,
     leadership: Arc<LeadershipState>,
     control: mpsc::Sender<ControlEvent>,
     timings: Timings,
@@ -48,16 +51,19 @@
     claim_heard_ms: AtomicU64,
     /// Since when neither a holder nor the store can be reached, in milliseconds; `u64::MAX` while one can.
     isolated_since_ms: AtomicU64,
+    /// When a denied request was last logged, in milliseconds.
+    denied_line_ms: AtomicU64,
 }
 
 impl Front {
     pub(crate) fn new(
+        configuration: Arc<ConfigurationState>,
         leadership: Arc<LeadershipState>,
         control: mpsc::Sender<ControlEvent>,
         timings: Timings,
     ) -> Self {
         Self {
-            routes: RwLock::new(None),
+            configuration,
             leadership,
             control,
             timings,
@@ -65,23 +71,14 @@
             claim_age_ms: AtomicU64::new(u64::MAX),
             claim_heard_ms: AtomicU64::new(0),
             isolated_since_ms: AtomicU64::new(u64::MAX),
-        }
-    }
-
-    pub(crate) fn set_routes(&self, routes: Arc<RouteTable>) {
-        match self.routes.write() {
-            Ok(mut current) => *current = Some(routes),
-            Err(poisoned) => *poisoned.into_inner() = Some(routes),
+            denied_line_ms: AtomicU64::new(0),
         }
     }
 
     /// Returns the configuration in force, if one is known.
     #[must_use]
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
-        match self.routes.read() {
-            Ok(current) => current.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        }
+        self.configuration.current()
     }
 
     pub(crate) fn set_claim_age(&self, age_ms: u64) {
@@ -143,8 +140,28 @@
     ///
     /// Returns the answer if there is none.
     pub fn route(&self, host: &str, path: &str) -> Result<Route, FrontAnswer> {
-        let routes = self.routes().ok_or(FrontAnswer::NoConfiguration)?;
-        routes.find(host, path).cloned().ok_or(FrontAnswer::NoQueue)
+        let Some(routes) = self.routes() else {
+            self.note_denied("no configuration", host, path);
+            return Err(FrontAnswer::NoConfiguration);
+        };
+        routes.find(host, path).cloned().ok_or_else(|| {
+            self.note_denied("no queue", host, path);
+            FrontAnswer::NoQueue
+        })
+    }
+
+    /// Notes a request for which there is no queue, with what that was decided by.
+    fn note_denied(&self, why: &'static str, host: &str, path: &str) {
+        metrics::counter!("chervilfall_requests_denied_total", "why" => why).increment(1);
+        let now_ms = now_ms();
+        let line_ms = self.denied_line_ms.load(Ordering::Relaxed);
+        if now_ms < line_ms + DENIED_LINE_MS {
+            return;
+        }
+        self.denied_line_ms.store(now_ms, Ordering::Relaxed);
+        let version = self.routes().map(|routes| routes.version);
+        let age_ms = self.configuration.age_ms();
+        log::info!(why = why, host = host, path = path, version = version, age_ms = age_ms; "request denied");
     }
 
     /// Asks the holder and waits for its answer, at most `patience` if that is given.
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -5,6 +5,7 @@
 //! The platform's side is reached through the traits of [`ports`].
 
 mod clock;
+mod configuration;
 mod control;
 mod front;
 mod leadership;
@@ -17,6 +18,7 @@
 mod settings;
 mod watch;
 
+pub use configuration::ConfigurationState;
 pub use front::{Front, FrontAnswer};
 pub use load::{ControlLoad, LoadStatus};
 pub use node::{Node, NodeError};
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 
+use crate::configuration::ConfigurationState;
 use crate::control::{Control, ControlEvent};
 use crate::front::Front;
 use crate::leadership::LeadershipState;
@@ -66,7 +67,9 @@
         let timings = settings.timings.clone();
         let (control, receiver) = mpsc::channel(CONTROL_QUEUE);
         let leadership = Arc::new(LeadershipState::new());
+        let configuration = Arc::new(ConfigurationState::default());
         let front = Arc::new(Front::new(
+            Arc::clone(&configuration),
             Arc::clone(&leadership),
             control.clone(),
             timings.clone(),
@@ -93,7 +96,7 @@
         tokio::spawn(accept_links(listener, timings.clone(), control.clone()));
         tokio::spawn(watch::configuration::watch(
             platform.store().clone(),
-            Arc::clone(&front),
+            configuration,
             control.clone(),
             timings.config_poll_ms,
         ));
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -339,8 +339,8 @@
         let submitters = std::mem::take(&mut job.submitters);
         meters::accepted(self.now.saturating_sub(job.accepted_ms));
         log::info!(
-            job:% = id, queue = job.queue.name.as_str(), steps = job.spec.steps.len(),
-            waited_ms = self.now.saturating_sub(job.accepted_ms);
+            job:% = id, queue = job.queue.name.as_str(), service = job.queue.service.as_str(),
+            configuration = self.config.version, steps = job.spec.steps.len(), waited_ms = self.now.saturating_sub(job.accepted_ms);
             "accepted"
         );
         for to in submitters {
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -98,7 +98,8 @@
         let free_cpu_milli = endpoint.map_or(0, |endpoint| endpoint.free().cpu_milli);
         log::info!(
             task:% = order.task, run = order.run, endpoint:% = order.id, until_ms = order.until_ms,
-            fence = order.fence, free_cpu_milli = free_cpu_milli, resumed = !order.checkpoint.is_empty();
+            fence = order.fence, free_cpu_milli = free_cpu_milli, resumed = !order.checkpoint.is_empty(),
+            configuration = self.config.version;
             "start ordered"
         );
         self.actions.push(Action::Start(order));
