Read the configuration again when an answer does not come, by times that follow from its bound

Callers saw: changes that were not in force in time at one node. Cause: a reading was awaited for 1.2 s before the next one began, 0.15 s later, often over the next connection of the same pool that had gone silent for good. Two such readings take 2.9 s. None of the times came from `config_apply_ms`, which is 2 s on some deployments and 3 s on others.

Change: a reading that is not answered is joined by the next one after 3/20 of the bound, or up to a quarter of it where answers take long, at most four at the same time; the bound stands in the settings. Calm polls come each 3/10 of the bound: 0.6 s at 2 s as before, 0.9 s at 3 s. An answer that is overtaken counts by the row's version and by when its reading began.

Ruled out: shorter timeouts alone (a slow store would never be read).

--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -18,6 +18,7 @@
 use crate::ports::Platform;
 use crate::settings::Settings;
 use crate::watch;
+use crate::watch::configuration::ReadingTimes;
 
 /// Events that may wait for the control thread.
 const CONTROL_QUEUE: usize = 16_384;
@@ -98,7 +99,7 @@
             platform.store().clone(),
             configuration,
             control.clone(),
-            timings.config_poll_ms,
+            ReadingTimes::within(settings.config_apply_ms),
         ));
         tokio::spawn(watch::endpoints::watch(
             platform.store().clone(),
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -55,8 +55,6 @@
     pub ready_age_ms: u64,
     /// Time between readings of the claim row while no holder works.
     pub claim_poll_ms: u64,
-    /// Time between readings of the configuration; a third of the time that it has to be in force.
-    pub config_poll_ms: u64,
     /// Time between readings of the list of endpoints by the holder.
     pub endpoints_poll_ms: u64,
     /// How long a request that submits nothing waits for a holder before it is refused.
@@ -86,7 +84,6 @@
             refused_stall_ms: 80,
             ready_age_ms: 700,
             claim_poll_ms: 150,
-            config_poll_ms: 600,
             endpoints_poll_ms: 500,
             holder_wait_ms: 1_200,
             isolated_wait_ms: 600,
@@ -106,6 +103,13 @@
     3_000
 }
 
+const fn config_apply_ms() -> u64 {
+    2_000
+}
+
+/// Shortest time in which a configuration can be in force: readings that come so often burden the store.
+const LEAST_APPLY_MS: u64 = 500;
+
 const fn report_ms() -> u64 {
     1_500
 }
@@ -143,6 +147,9 @@
     /// Time in which starts must follow an endpoint's report that its capacity has shrunk.
     #[serde(default = "capacity_notice_ms")]
     pub capacity_notice_ms: u64,
+    /// Time from a configuration's acknowledgement in which it must be in force at every node.
+    #[serde(default = "config_apply_ms")]
+    pub config_apply_ms: u64,
     /// How long a finished job can be asked for, in seconds.
     pub status_s: u64,
     /// Most bytes of a row.
@@ -209,6 +216,10 @@
                 "must be between 0.001 and 1000".to_owned(),
             ));
         }
+        if settings.config_apply_ms < LEAST_APPLY_MS {
+            let cause = format!("must be at least {LEAST_APPLY_MS}");
+            return Err(field("config_apply_ms".to_owned(), cause));
+        }
         let least_ms = 2 * settings.timings.endpoints_poll_ms;
         if settings.capacity_notice_ms < least_ms {
             let cause =
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -1,63 +1,193 @@
-//! Reads the configuration.
+//! Reads the configuration, so that a change is in force in time although some readings are never answered.
+//!
+//! A reading that is not answered soon does not hold up the next one: it may wait on a connection that has gone silent
+//! for good, and whether it has can't be told from a store that is slow.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use chervilfall_planner::RowVersion;
 use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinError, JoinSet};
 
 use crate::clock::now_ms;
 use crate::configuration::ConfigurationState;
 use crate::control::ControlEvent;
-use crate::ports::Store;
+use crate::ports::{Store, StoreError};
+use crate::routes::RouteTable;
 use crate::watch::Dependency;
 
-/// Shortest pause after a failed reading.
+/// Readings that may be on their way at the same time.
+const MOST_READINGS: usize = 4;
+/// Pause after a reading that was refused.
 const RETRY_MS: u64 = 150;
 
+/// When the next reading begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ReadingTimes {
+    /// From the begin of one that was answered.
+    poll_ms: u64,
+    /// From the begin of one that is not answered, at least.
+    least_hedge_ms: u64,
+    /// From the begin of one that is not answered, at most.
+    most_hedge_ms: u64,
+}
+
+impl ReadingTimes {
+    /// Returns times by which a change is in force within a bound, although three readings in a row are not answered,
+    /// or each takes half of the bound.
+    pub(crate) const fn within(apply_ms: u64) -> Self {
+        Self {
+            poll_ms: apply_ms * 3 / 10,
+            least_hedge_ms: apply_ms * 3 / 20,
+            most_hedge_ms: apply_ms / 4,
+        }
+    }
+
+    /// Returns when a reading that is not answered is joined by another one: later if answers take long, so that a thin
+    /// link is not filled with documents.
+    fn hedge_ms(&self, last_took_ms: u64) -> u64 {
+        (2 * last_took_ms).clamp(self.least_hedge_ms, self.most_hedge_ms)
+    }
+}
+
+/// What came of a reading.
+struct Reading {
+    began_ms: u64,
+    read: Result<Option<(RowVersion, RouteTable)>, StoreError>,
+}
+
 /// Keeps the configuration in force up to date.
 pub(crate) async fn watch<S: Store>(
     store: S,
     configuration: Arc<ConfigurationState>,
     control: mpsc::Sender<ControlEvent>,
-    poll_ms: u64,
+    times: ReadingTimes,
 ) {
-    let mut dependency = Dependency::new("configuration");
-    let mut known: Option<RowVersion> = None;
-    let mut failed_in_a_row: u64 = 0;
+    let mut reader = Reader {
+        store,
+        configuration,
+        control,
+        times,
+        dependency: Dependency::new("configuration"),
+        readings: JoinSet::new(),
+        pending: Vec::new(),
+        known: None,
+        due_ms: now_ms(),
+        last_took_ms: 0,
+        failed_in_a_row: 0,
+    };
     loop {
+        reader.step().await;
+    }
+}
+
+struct Reader<S> {
+    store: S,
+    configuration: Arc<ConfigurationState>,
+    control: mpsc::Sender<ControlEvent>,
+    times: ReadingTimes,
+    dependency: Dependency,
+    readings: JoinSet<Reading>,
+    /// Readings that are on their way, and when they began.
+    pending: Vec<(u64, AbortHandle)>,
+    /// Row that the configuration in force was read from.
+    known: Option<RowVersion>,
+    /// When the next reading begins.
+    due_ms: u64,
+    last_took_ms: u64,
+    failed_in_a_row: u64,
+}
+
+impl<S: Store> Reader<S> {
+    /// Waits until a reading is answered or the next one is due.
+    async fn step(&mut self) {
+        let may_begin = self.readings.len() < MOST_READINGS;
+        let wait = Duration::from_millis(self.due_ms.saturating_sub(now_ms()));
+        tokio::select! {
+            Some(reading) = self.readings.join_next() => self.joined(reading).await,
+            () = tokio::time::sleep(wait), if may_begin => self.begin(),
+        }
+    }
+
+    fn begin(&mut self) {
         let began_ms = now_ms();
-        let read = store.read_configuration(known).await;
-        dependency.note(&read);
-        failed_in_a_row = if read.is_err() {
-            failed_in_a_row + 1
-        } else {
-            0
-        };
+        let (store, known) = (self.store.clone(), self.known);
+        let handle = self.readings.spawn(async move {
+            let read = store.read_configuration(known).await;
+            Reading { began_ms, read }
+        });
+        self.pending.push((began_ms, handle));
+        self.due_ms = began_ms + self.times.hedge_ms(self.last_took_ms);
+    }
+
+    async fn joined(&mut self, reading: Result<Reading, JoinError>) {
+        match reading {
+            Ok(reading) => self.ended(reading).await,
+            Err(error) if error.is_cancelled() => {}
+            Err(error) => log::error!(error:% = error; "reading of the configuration ended badly"),
+        }
+    }
+
+    async fn ended(&mut self, reading: Reading) {
+        let Reading { began_ms, read } = reading;
+        self.dependency.note(&read);
+        match read {
+            Ok(found) => {
+                let any = found.is_some() || self.known.is_some();
+                if let Some((version, table)) = found {
+                    self.put(version, Arc::new(table), began_ms).await;
+                } else if any {
+                    self.configuration.confirm(began_ms);
+                }
+                self.succeeded(began_ms, any);
+            }
+            Err(error) => self.failed(began_ms, &error),
+        }
         metrics::gauge!("chervilfall_configuration_readings_failed_in_a_row")
-            .set(failed_in_a_row as f64);
-        if failed_in_a_row > 1 {
+            .set(self.failed_in_a_row as f64);
+    }
+
+    async fn put(&mut self, version: RowVersion, table: Arc<RouteTable>, began_ms: u64) {
+        if self.known.is_some_and(|known| known >= version) {
+            // A later reading was answered sooner.
+            return;
+        }
+        self.known = Some(version);
+        if self.configuration.put(Arc::clone(&table), began_ms) {
+            // The control thread ends with the process only.
+            drop(self.control.send(ControlEvent::Routes(table)).await);
+        }
+    }
+
+    /// Gives up readings that could tell only what is known, and plans the next one.
+    fn succeeded(&mut self, began_ms: u64, any: bool) {
+        self.failed_in_a_row = 0;
+        self.last_took_ms = now_ms() - began_ms;
+        self.pending.retain(|(other_ms, handle)| {
+            let newer = *other_ms > began_ms;
+            if !newer {
+                handle.abort();
+            }
+            newer
+        });
+        if self.pending.is_empty() {
+            let pause_ms = if any { self.times.poll_ms } else { RETRY_MS };
+            self.due_ms = began_ms + pause_ms;
+        }
+    }
+
+    fn failed(&mut self, began_ms: u64, error: &StoreError) {
+        self.pending.retain(|(other_ms, _)| *other_ms != began_ms);
+        self.failed_in_a_row += 1;
+        let now_ms = now_ms();
+        if self.failed_in_a_row > 1 {
             log::warn!(
-                in_a_row = failed_in_a_row, took_ms = now_ms() - began_ms, age_ms = configuration.age_ms();
+                in_a_row = self.failed_in_a_row, took_ms = now_ms - began_ms, error:% = error,
+                age_ms = self.configuration.age_ms();
                 "configuration cannot be read"
             );
         }
-        let pause_ms = match read {
-            Ok(Some((version, table))) => {
-                known = Some(version);
-                let table = Arc::new(table);
-                if configuration.put(Arc::clone(&table), began_ms) {
-                    // The control thread ends with the process only.
-                    drop(control.send(ControlEvent::Routes(table)).await);
-                }
-                poll_ms
-            }
-            Ok(None) if known.is_some() => {
-                configuration.confirm(began_ms);
-                poll_ms
-            }
-            Ok(None) | Err(_) => RETRY_MS.min(poll_ms),
-        };
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        self.due_ms = self.due_ms.min(now_ms + RETRY_MS);
     }
 }
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -51,6 +51,12 @@
             without: "",
             says: "capacity_notice_ms",
         },
+        Case {
+            name: "configurations in force at once",
+            more: "config_apply_ms: 100\n",
+            without: "",
+            says: "config_apply_ms",
+        },
         Case {
             name: "no processor",
             more: "cpu_cores: 0\n",
