Put a configuration in force whole or not at all

Callers saw: a route of which one member could not be read was answered with 404, also if it had been served before, while the rest of the document was in force: a configuration that nobody wrote. Cause: a record that could not be read was logged and skipped.

Change: the document is decoded whole, with the path of the field that cannot be read. If it cannot, the one before stays in force, one error line and a gauge say so, and the next document is taken as usual.

Ruled out: judging whether services and names fit together, which is the store's to accept.

--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -34,6 +34,29 @@
     Malformed(String),
 }
 
+/// What a reading of the configuration shows.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ConfigurationReading {
+    /// There is none.
+    Absent,
+    /// The row is the one that is known.
+    Unchanged,
+    /// Another row.
+    Changed {
+        /// Version of the row.
+        version: RowVersion,
+        /// What it says.
+        table: RouteTable,
+    },
+    /// Another row, which cannot be read whole.
+    Unreadable {
+        /// Version of the row.
+        version: RowVersion,
+        /// What cannot be read, with the field's path.
+        error: String,
+    },
+}
+
 /// The platform's store.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Writes a batch in a group's part, if the claim row has the version expected.
@@ -58,11 +81,11 @@
     fn read_endpoints(&self)
         -> impl Future<Output = Result<Vec<EndpointEntry>, StoreError>> + Send;
 
-    /// Reads the configuration in force if it is newer than `known`.
+    /// Reads the operator's configuration, unless its row has the version `known`.
     fn read_configuration(
         &self,
         known: Option<RowVersion>,
-    ) -> impl Future<Output = Result<Option<(RowVersion, RouteTable)>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<ConfigurationReading, StoreError>> + Send;
 }
 
 /// Orders to endpoints.
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -13,7 +13,7 @@
 use crate::clock::now_ms;
 use crate::configuration::ConfigurationState;
 use crate::control::ControlEvent;
-use crate::ports::{Store, StoreError};
+use crate::ports::{ConfigurationReading, Store, StoreError};
 use crate::routes::RouteTable;
 use crate::watch::Dependency;
 
@@ -54,7 +54,7 @@
 /// What came of a reading.
 struct Reading {
     began_ms: u64,
-    read: Result<Option<(RowVersion, RouteTable)>, StoreError>,
+    read: Result<ConfigurationReading, StoreError>,
 }
 
 /// Keeps the configuration in force up to date.
@@ -73,6 +73,7 @@
         readings: JoinSet::new(),
         pending: Vec::new(),
         known: None,
+        unreadable: false,
         due_ms: now_ms(),
         last_took_ms: 0,
         failed_in_a_row: 0,
@@ -91,8 +92,10 @@
     readings: JoinSet<Reading>,
     /// Readings that are on their way, and when they began.
     pending: Vec<(u64, AbortHandle)>,
-    /// Row that the configuration in force was read from.
+    /// The newest row that was seen.
     known: Option<RowVersion>,
+    /// That row cannot be read, so that an older configuration is in force.
+    unreadable: bool,
     /// When the next reading begins.
     due_ms: u64,
     last_took_ms: u64,
@@ -134,13 +137,12 @@
         self.dependency.note(&read);
         match read {
             Ok(found) => {
-                let any = found.is_some() || self.known.is_some();
-                if let Some((version, table)) = found {
-                    self.put(version, Arc::new(table), began_ms).await;
-                } else if any {
-                    self.configuration.confirm(began_ms);
-                }
-                self.succeeded(began_ms, any);
+                let pause_ms = match &found {
+                    ConfigurationReading::Absent => RETRY_MS,
+                    _ => self.times.poll_ms,
+                };
+                self.take(found, began_ms).await;
+                self.succeeded(began_ms, pause_ms);
             }
             Err(error) => self.failed(began_ms, &error),
         }
@@ -148,12 +150,38 @@
             .set(self.failed_in_a_row as f64);
     }
 
-    async fn put(&mut self, version: RowVersion, table: Arc<RouteTable>, began_ms: u64) {
+    async fn take(&mut self, found: ConfigurationReading, began_ms: u64) {
+        match found {
+            ConfigurationReading::Absent => {}
+            ConfigurationReading::Unchanged if self.unreadable => {}
+            ConfigurationReading::Unchanged => self.configuration.confirm(began_ms),
+            ConfigurationReading::Changed { version, table } => {
+                if self.is_news(version, false) {
+                    self.put(Arc::new(table), began_ms).await;
+                }
+            }
+            ConfigurationReading::Unreadable { version, error } => {
+                if self.is_news(version, true) {
+                    let in_force = self.configuration.current().map(|table| table.version);
+                    log::error!(row = version, in_force = in_force, error:% = error; "configuration cannot be read, the one before stays in force");
+                }
+            }
+        }
+    }
+
+    /// Notes a row; returns false if a later reading was answered sooner.
+    fn is_news(&mut self, version: RowVersion, unreadable: bool) -> bool {
         if self.known.is_some_and(|known| known >= version) {
-            // A later reading was answered sooner.
-            return;
+            return false;
         }
         self.known = Some(version);
+        self.unreadable = unreadable;
+        metrics::gauge!("chervilfall_configuration_unreadable")
+            .set(f64::from(u8::from(unreadable)));
+        true
+    }
+
+    async fn put(&mut self, table: Arc<RouteTable>, began_ms: u64) {
         if self.configuration.put(Arc::clone(&table), began_ms) {
             // The control thread ends with the process only.
             drop(self.control.send(ControlEvent::Routes(table)).await);
@@ -161,7 +189,7 @@
     }
 
     /// Gives up readings that could tell only what is known, and plans the next one.
-    fn succeeded(&mut self, began_ms: u64, any: bool) {
+    fn succeeded(&mut self, began_ms: u64, pause_ms: u64) {
         self.failed_in_a_row = 0;
         self.last_took_ms = now_ms() - began_ms;
         self.pending.retain(|(other_ms, handle)| {
@@ -172,7 +200,6 @@
             newer
         });
         if self.pending.is_empty() {
-            let pause_ms = if any { self.times.poll_ms } else { RETRY_MS };
             self.due_ms = began_ms + pause_ms;
         }
     }
@@ -188,6 +215,11 @@
                 "configuration cannot be read"
             );
         }
-        self.due_ms = self.due_ms.min(now_ms + RETRY_MS);
+        // What is malformed now is malformed again a moment later.
+        let pause_ms = match error {
+            StoreError::Malformed(_) => self.times.poll_ms,
+            StoreError::Refused(_) | StoreError::Unanswered(_) => RETRY_MS,
+        };
+        self.due_ms = self.due_ms.min(now_ms + pause_ms);
     }
 }
