Deny a queue only by a configuration that is known to be recent

Callers saw: 404 for a route that had been added, from a node whose readings of the configuration had been refused for seconds, and which said that it was ready. Cause: a table was used without its age; nothing noted when it was last known to be the newest.

Change: each answered reading confirms the configuration in force as of the time when it began. A queue that is not in it is denied if it was confirmed within `config_apply_ms`; else a reading is asked for and awaited for 300 ms, and after that the caller is told to come back (503): "not run" is true, "no such queue" may not be. A node that was not answered for `config_apply_ms` says that it is not ready. A document that cannot be read does not make nodes unready: they were answered.

Ruled out: a reading before every 404, because unknown queues can be asked for in any number.

Test: all three nodes denied the route before; none does now, and none is ready.

--- a/crates/chervilfall_node/src/configuration.rs
+++ b/crates/chervilfall_node/src/configuration.rs
@@ -2,12 +2,17 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
 
-use crate::clock::now_ms;
+use tokio::sync::Notify;
+
+use crate::clock::{clock, now_ms};
 use crate::routes::RouteTable;
 
 /// Stands for a time that is not known.
 const NEVER: u64 = u64::MAX;
+/// Time between looks at whether the configuration was confirmed meanwhile.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// The configuration in force; shared by the node's tasks.
 #[derive(Debug)]
@@ -15,18 +20,25 @@
     table: RwLock<Option<Arc<RouteTable>>>,
     /// When the last reading began that showed nothing newer, in milliseconds.
     confirmed_ms: AtomicU64,
+    /// When the last reading began that the store answered, whatever it showed, in milliseconds.
+    heard_ms: AtomicU64,
+    /// Asks the reader for a reading.
+    wanted: Notify,
+    /// Time in which a configuration must be in force.
+    apply_ms: u64,
 }
 
-impl Default for ConfigurationState {
-    fn default() -> Self {
+impl ConfigurationState {
+    pub(crate) fn new(apply_ms: u64) -> Self {
         Self {
             table: RwLock::default(),
             confirmed_ms: AtomicU64::new(NEVER),
+            heard_ms: AtomicU64::new(NEVER),
+            wanted: Notify::new(),
+            apply_ms,
         }
     }
-}
 
-impl ConfigurationState {
     /// Returns the configuration in force, if one is known.
     #[must_use]
     pub fn current(&self) -> Option<Arc<RouteTable>> {
@@ -37,16 +49,54 @@
     /// Returns how long ago the configuration was known to be the newest, if it ever was.
     #[must_use]
     pub fn age_ms(&self) -> Option<u64> {
-        let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
-        (confirmed_ms != NEVER).then(|| now_ms().saturating_sub(confirmed_ms))
+        age_ms(&self.confirmed_ms)
+    }
+
+    /// Returns whether a configuration is known, and the store was heard of it lately enough that one that can be read
+    /// would be in force.
+    #[must_use]
+    pub fn is_followed(&self) -> bool {
+        let heard = age_ms(&self.heard_ms).is_some_and(|age_ms| age_ms <= self.apply_ms);
+        self.current().is_some() && (heard || self.is_current())
+    }
+
+    /// Returns whether everything is in force that was acknowledged so long ago that it must be.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.age_ms().is_some_and(|age_ms| age_ms <= self.apply_ms)
+    }
+
+    /// Waits until the configuration is confirmed, if it was not for too long; returns whether it is.
+    pub(crate) async fn until_current(&self, patience: Duration) -> bool {
+        let deadline = clock().deadline(patience);
+        while !self.is_current() {
+            self.want();
+            if clock().left(deadline).is_zero() {
+                return false;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        true
+    }
+
+    /// Asks for a reading now.
+    pub(crate) fn want(&self) {
+        self.wanted.notify_one();
+    }
+
+    /// Waits until a reading is asked for.
+    pub(crate) async fn wanted(&self) {
+        self.wanted.notified().await;
     }
 
     /// Notes that the configuration in force was the newest at a time.
     pub(crate) fn confirm(&self, at_ms: u64) {
-        let earlier_ms = self.confirmed_ms.load(Ordering::Relaxed);
-        if earlier_ms == NEVER || earlier_ms < at_ms {
-            self.confirmed_ms.store(at_ms, Ordering::Relaxed);
-        }
+        advance(&self.confirmed_ms, at_ms);
+    }
+
+    /// Notes that the store has answered a reading that began at a time.
+    pub(crate) fn hear(&self, at_ms: u64) {
+        advance(&self.heard_ms, at_ms);
     }
 
     /// Puts a configuration in force that was the newest at a time, unless a newer one is. Returns whether it is in
@@ -76,3 +126,16 @@
         true
     }
 }
+
+/// Returns how long ago a time was, if it is known.
+fn age_ms(at_ms: &AtomicU64) -> Option<u64> {
+    let at_ms = at_ms.load(Ordering::Relaxed);
+    (at_ms != NEVER).then(|| now_ms().saturating_sub(at_ms))
+}
+
+/// Sets a time, unless a later one is set.
+fn advance(time_ms: &AtomicU64, at_ms: u64) {
+    let later = |known_ms: u64| (known_ms == NEVER || known_ms < at_ms).then_some(at_ms);
+    // It fails if a later time is set, which is what is wanted.
+    let _ = time_ms.fetch_update(Ordering::Relaxed, Ordering::Relaxed, later);
+}
--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -35,6 +35,8 @@
     NoQueue,
     /// This node has no configuration yet.
     NoConfiguration,
+    /// There is no such queue in the configuration in force, but this node can't know whether there is one by now.
+    Unconfirmed,
 }
 
 /// Takes callers' requests.
@@ -123,31 +125,43 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns whether callers should be sent here: the configuration is known and a holder whose
-    /// claim is fresh can be reached.
+    /// Returns whether callers should be sent here: the configuration is known and followed, and a holder whose claim is
+    /// fresh can be reached.
     #[must_use]
     pub fn ready(&self) -> bool {
-        if self.stopping() || self.routes().is_none() {
+        if self.stopping() || !self.configuration.is_followed() {
             return false;
         }
         let linked = !matches!(self.leadership.current(), Leadership::Nobody);
         linked && self.claim_age_ms() < self.timings.ready_age_ms
     }
 
-    /// Finds the route of a request.
+    /// Finds the route of a request. That there is none is said only by a configuration in which everything is in force
+    /// that must be; else it is awaited for a little.
     ///
     /// # Errors
     ///
     /// Returns the answer if there is none.
-    pub fn route(&self, host: &str, path: &str) -> Result<Route, FrontAnswer> {
-        let Some(routes) = self.routes() else {
-            self.note_denied("no configuration", host, path);
-            return Err(FrontAnswer::NoConfiguration);
+    pub async fn route(&self, host: &str, path: &str) -> Result<Route, FrontAnswer> {
+        if let Some(route) = self.find(host, path) {
+            return Ok(route);
+        }
+        let patience = Duration::from_millis(self.timings.configuration_wait_ms);
+        let current = self.configuration.until_current(patience).await;
+        if let Some(route) = self.find(host, path) {
+            return Ok(route);
+        }
+        let (why, answer) = match self.routes() {
+            None => ("no configuration", FrontAnswer::NoConfiguration),
+            Some(_) if !current => ("unconfirmed", FrontAnswer::Unconfirmed),
+            Some(_) => ("no queue", FrontAnswer::NoQueue),
         };
-        routes.find(host, path).cloned().ok_or_else(|| {
-            self.note_denied("no queue", host, path);
-            FrontAnswer::NoQueue
-        })
+        self.note_denied(why, host, path);
+        Err(answer)
+    }
+
+    fn find(&self, host: &str, path: &str) -> Option<Route> {
+        self.routes()?.find(host, path).cloned()
     }
 
     /// Notes a request for which there is no queue, with what that was decided by.
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -68,7 +68,7 @@
         let timings = settings.timings.clone();
         let (control, receiver) = mpsc::channel(CONTROL_QUEUE);
         let leadership = Arc::new(LeadershipState::new());
-        let configuration = Arc::new(ConfigurationState::default());
+        let configuration = Arc::new(ConfigurationState::new(settings.config_apply_ms));
         let front = Arc::new(Front::new(
             Arc::clone(&configuration),
             Arc::clone(&leadership),
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -62,6 +62,8 @@
     /// How long a node that reaches neither a holder nor the store lets requests wait before it refuses them at
     /// once: as long as a takeover takes.
     pub isolated_wait_ms: u64,
+    /// How long a request for an unknown queue waits for the configuration to be confirmed, if it was not for too long.
+    pub configuration_wait_ms: u64,
     /// How long a request waits for the holder's answer.
     pub answer_wait_ms: u64,
     /// Time between ticks of the planner.
@@ -87,6 +89,7 @@
             endpoints_poll_ms: 500,
             holder_wait_ms: 1_200,
             isolated_wait_ms: 600,
+            configuration_wait_ms: 300,
             answer_wait_ms: 2_000,
             tick_ms: 10,
             linger_ms: 2_500,
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -110,9 +110,17 @@
         tokio::select! {
             Some(reading) = self.readings.join_next() => self.joined(reading).await,
             () = tokio::time::sleep(wait), if may_begin => self.begin(),
+            () = self.configuration.wanted() => self.hasten(),
         }
     }
 
+    /// Lets the next reading begin now, unless one has begun just now.
+    fn hasten(&mut self) {
+        let last_ms = self.pending.iter().map(|(began_ms, _)| *began_ms).max();
+        let soonest_ms = last_ms.map_or(0, |last_ms| last_ms + self.times.least_hedge_ms);
+        self.due_ms = self.due_ms.min(now_ms().max(soonest_ms));
+    }
+
     fn begin(&mut self) {
         let began_ms = now_ms();
         let (store, known) = (self.store.clone(), self.known);
@@ -151,6 +159,7 @@
     }
 
     async fn take(&mut self, found: ConfigurationReading, began_ms: u64) {
+        self.configuration.hear(began_ms);
         match found {
             ConfigurationReading::Absent => {}
             ConfigurationReading::Unchanged if self.unreadable => {}
