Let the planner look up the configuration in force instead of being sent it

Suspected, not seen: the reader sent each new configuration into the control thread's bounded queue and waited for room there, so that behind a full queue the next reading was not begun and tasks were scheduled by older terms for as long as events waited. Not reproduced: the queue takes 16,384 events.

Change: the control thread compares a version before each event and each tick and takes the configuration from the node's shared state. Nothing is sent, nothing waits. Cost: an atomic load an event.

--- a/crates/chervilfall_node/src/configuration.rs
+++ b/crates/chervilfall_node/src/configuration.rs
@@ -18,6 +18,8 @@
 #[derive(Debug)]
 pub struct ConfigurationState {
     table: RwLock<Option<Arc<RouteTable>>>,
+    /// Version in force, if one is known.
+    version: AtomicU64,
     /// When the last reading began that showed nothing newer, in milliseconds.
     confirmed_ms: AtomicU64,
     /// When the last reading began that the store answered, whatever it showed, in milliseconds.
@@ -32,6 +34,7 @@
     pub(crate) fn new(apply_ms: u64) -> Self {
         Self {
             table: RwLock::default(),
+            version: AtomicU64::new(NEVER),
             confirmed_ms: AtomicU64::new(NEVER),
             heard_ms: AtomicU64::new(NEVER),
             wanted: Notify::new(),
@@ -46,6 +49,12 @@
         table.clone()
     }
 
+    /// Returns the version in force, if one is known.
+    pub(crate) fn version(&self) -> Option<u64> {
+        let version = self.version.load(Ordering::Acquire);
+        (version != NEVER).then_some(version)
+    }
+
     /// Returns how long ago the configuration was known to be the newest, if it ever was.
     #[must_use]
     pub fn age_ms(&self) -> Option<u64> {
@@ -99,20 +108,15 @@
         advance(&self.heard_ms, at_ms);
     }
 
-    /// Puts a configuration in force that was the newest at a time, unless a newer one is. Returns whether it is in
-    /// force now.
-    pub(crate) fn put(&self, table: Arc<RouteTable>, at_ms: u64) -> bool {
-        let (version, routes) = (table.version, table.routes.len());
+    /// Puts a configuration in force that the store had as the newest at a time, unless it or a newer one is.
+    pub(crate) fn put(&self, table: Arc<RouteTable>, at_ms: u64) {
         let unconfirmed_ms = self.age_ms();
-        {
-            let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
-            if let Some(newer) = current.as_ref().filter(|current| current.version > version) {
-                log::warn!(version = version, in_force = newer.version; "older configuration ignored");
-                return false;
-            }
-            *current = Some(table);
-        }
+        let (version, routes) = (table.version, table.routes.len());
+        let replaced = self.replace(table);
         self.confirm(at_ms);
+        if !replaced {
+            return;
+        }
         metrics::gauge!("chervilfall_configuration_version", "at" => "front").set(version as f64);
         if let Some(unconfirmed_ms) = unconfirmed_ms {
             // It was acknowledged since the last confirmation, so that this bounds how late it is.
@@ -123,6 +127,22 @@
             version = version, routes = routes, late_at_most_ms = unconfirmed_ms;
             "configuration in force"
         );
+    }
+
+    /// Returns whether the configuration is newer than the one that was in force.
+    fn replace(&self, table: Arc<RouteTable>) -> bool {
+        let version = table.version;
+        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(in_force) = current.as_ref().map(|current| current.version) {
+            if in_force > version {
+                log::warn!(version = version, in_force = in_force; "older configuration ignored");
+            }
+            if in_force >= version {
+                return false;
+            }
+        }
+        *current = Some(table);
+        self.version.store(version, Ordering::Release);
         true
     }
 }
--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -16,12 +16,12 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::{now_ms, unix_ms};
+use crate::configuration::ConfigurationState;
 use crate::front::Front;
 use crate::leadership::{Ask, Leadership, LeadershipState};
 use crate::link::{FollowerLink, ToFollower};
 use crate::load::ControlLoad;
 use crate::ports::Platform;
-use crate::routes::RouteTable;
 
 /// Number of this node among those that can call for advice.
 const SELF: NodeId = 0;
@@ -62,8 +62,6 @@
         read_ms: u64,
         entries: Vec<EndpointEntry>,
     },
-    /// A configuration is in force.
-    Routes(Arc<RouteTable>),
     /// A planned stop has begun.
     Release,
     /// Tells by its age how long events wait.
@@ -83,7 +81,9 @@
     planner: Option<Planner>,
     /// What this node has started as a holder and could not store, until the next holder knows.
     unstored: Vec<StartNote>,
-    routes: Option<Arc<RouteTable>>,
+    configuration: Arc<ConfigurationState>,
+    /// Version that the planner knows.
+    configured: Option<u64>,
     links: BTreeMap<NodeId, FollowerLink>,
     waiting: HashMap<u64, oneshot::Sender<Answer>>,
     next_ask: u64,
@@ -98,6 +98,7 @@
         group: String,
         limits: Limits,
         heartbeat_ms: u64,
+        configuration: Arc<ConfigurationState>,
         front: Arc<Front>,
         leadership: Arc<LeadershipState>,
         sender: mpsc::Sender<ControlEvent>,
@@ -114,7 +115,8 @@
             traffic,
             planner: None,
             unstored: Vec::new(),
-            routes: None,
+            configuration,
+            configured: None,
             links: BTreeMap::new(),
             waiting: HashMap::new(),
             next_ask: 0,
@@ -155,13 +157,26 @@
         let planner = Planner::new(self.limits.clone(), takeover, stored, claimed_ms);
         self.planner = Some(planner);
         self.leadership.set(Leadership::Local);
-        if let Some(routes) = &self.routes {
-            let config = Arc::new(routes.configuration());
-            self.feed(Event::Configured(config));
-        }
+        self.configured = None;
+        self.configure();
         self.feed_nodes();
     }
 
+    /// Tells the planner of a configuration that has come into force. It is looked up before each event, so that nothing
+    /// is decided by an older one, however many events wait.
+    fn configure(&mut self) {
+        if self.planner.is_none() || self.configuration.version() == self.configured {
+            return;
+        }
+        let Some(table) = self.configuration.current() else {
+            return;
+        };
+        self.configured = Some(table.version);
+        metrics::gauge!("chervilfall_configuration_version", "at" => "planner")
+            .set(table.version as f64);
+        self.feed(Event::Configured(Arc::new(table.configuration())));
+    }
+
     fn feed_nodes(&mut self) {
         let nodes = std::iter::once(SELF).chain(self.links.keys().copied());
         self.feed(Event::Nodes(nodes.collect()));
@@ -253,6 +268,7 @@
     type Event = ControlEvent;
 
     fn handle(&mut self, event: ControlEvent) {
+        self.configure();
         match event {
             ControlEvent::Ask(ask) => self.ask(ask),
             ControlEvent::LinkUp { id, node, link } => self.link_up(id, &node, link),
@@ -286,13 +302,6 @@
             ControlEvent::Endpoints { read_ms, entries } => {
                 self.feed(Event::Endpoints { read_ms, entries });
             }
-            ControlEvent::Routes(routes) => {
-                metrics::gauge!("chervilfall_configuration_version", "at" => "planner")
-                    .set(routes.version as f64);
-                let config = Arc::new(routes.configuration());
-                self.routes = Some(routes);
-                self.feed(Event::Configured(config));
-            }
             ControlEvent::Release => {
                 if let Some(planner) = &mut self.planner {
                     planner.release();
@@ -303,6 +312,7 @@
     }
 
     fn tick(&mut self) {
+        self.configure();
         self.feed(Event::Tick { unix_ms: unix_ms() });
         self.tell_unstored();
         self.beat();
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -88,6 +88,7 @@
             GROUP.to_owned(),
             limits,
             timings.heartbeat_ms,
+            Arc::clone(&configuration),
             Arc::clone(&front),
             Arc::clone(&leadership),
             control.clone(),
@@ -98,7 +99,6 @@
         tokio::spawn(watch::configuration::watch(
             platform.store().clone(),
             configuration,
-            control.clone(),
             ReadingTimes::within(settings.config_apply_ms),
         ));
         tokio::spawn(watch::endpoints::watch(
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -7,14 +7,11 @@
 use std::time::Duration;
 
 use chervilfall_planner::RowVersion;
-use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinError, JoinSet};
 
 use crate::clock::now_ms;
 use crate::configuration::ConfigurationState;
-use crate::control::ControlEvent;
 use crate::ports::{ConfigurationReading, Store, StoreError};
-use crate::routes::RouteTable;
 use crate::watch::Dependency;
 
 /// Readings that may be on their way at the same time.
@@ -61,13 +58,11 @@
 pub(crate) async fn watch<S: Store>(
     store: S,
     configuration: Arc<ConfigurationState>,
-    control: mpsc::Sender<ControlEvent>,
     times: ReadingTimes,
 ) {
     let mut reader = Reader {
         store,
         configuration,
-        control,
         times,
         dependency: Dependency::new("configuration"),
         readings: JoinSet::new(),
@@ -86,7 +81,6 @@
 struct Reader<S> {
     store: S,
     configuration: Arc<ConfigurationState>,
-    control: mpsc::Sender<ControlEvent>,
     times: ReadingTimes,
     dependency: Dependency,
     readings: JoinSet<Reading>,
@@ -108,7 +102,7 @@
         let may_begin = self.readings.len() < MOST_READINGS;
         let wait = Duration::from_millis(self.due_ms.saturating_sub(now_ms()));
         tokio::select! {
-            Some(reading) = self.readings.join_next() => self.joined(reading).await,
+            Some(reading) = self.readings.join_next() => self.joined(reading),
             () = tokio::time::sleep(wait), if may_begin => self.begin(),
             () = self.configuration.wanted() => self.hasten(),
         }
@@ -132,15 +126,15 @@
         self.due_ms = began_ms + self.times.hedge_ms(self.last_took_ms);
     }
 
-    async fn joined(&mut self, reading: Result<Reading, JoinError>) {
+    fn joined(&mut self, reading: Result<Reading, JoinError>) {
         match reading {
-            Ok(reading) => self.ended(reading).await,
+            Ok(reading) => self.ended(reading),
             Err(error) if error.is_cancelled() => {}
             Err(error) => log::error!(error:% = error; "reading of the configuration ended badly"),
         }
     }
 
-    async fn ended(&mut self, reading: Reading) {
+    fn ended(&mut self, reading: Reading) {
         let Reading { began_ms, read } = reading;
         self.dependency.note(&read);
         match read {
@@ -149,7 +143,7 @@
                     ConfigurationReading::Absent => RETRY_MS,
                     _ => self.times.poll_ms,
                 };
-                self.take(found, began_ms).await;
+                self.take(found, began_ms);
                 self.succeeded(began_ms, pause_ms);
             }
             Err(error) => self.failed(began_ms, &error),
@@ -158,7 +152,7 @@
             .set(self.failed_in_a_row as f64);
     }
 
-    async fn take(&mut self, found: ConfigurationReading, began_ms: u64) {
+    fn take(&mut self, found: ConfigurationReading, began_ms: u64) {
         self.configuration.hear(began_ms);
         match found {
             ConfigurationReading::Absent => {}
@@ -166,7 +160,7 @@
             ConfigurationReading::Unchanged => self.configuration.confirm(began_ms),
             ConfigurationReading::Changed { version, table } => {
                 if self.is_news(version, false) {
-                    self.put(Arc::new(table), began_ms).await;
+                    self.configuration.put(Arc::new(table), began_ms);
                 }
             }
             ConfigurationReading::Unreadable { version, error } => {
@@ -190,13 +184,6 @@
         true
     }
 
-    async fn put(&mut self, table: Arc<RouteTable>, began_ms: u64) {
-        if self.configuration.put(Arc::clone(&table), began_ms) {
-            // The control thread ends with the process only.
-            drop(self.control.send(ControlEvent::Routes(table)).await);
-        }
-    }
-
     /// Gives up readings that could tell only what is known, and plans the next one.
     fn succeeded(&mut self, began_ms: u64, pause_ms: u64) {
         self.failed_in_a_row = 0;
