Let the newer of two nodes' configurations say what becomes of a request

Callers saw: a job of a queue that had moved was run by the old service, because the holder could not read the configuration that the node which took the request had in force; a job of a dropped queue was accepted and run, because that node could not. Cause: the version was known to neither side of a link.

Change: a queue carries the version in which it stands so, in requests, rows and the planner. A job keeps the newest terms that it had. A version that is heard of, in a request or in a heartbeat, has the configuration read at once. A node whose readings fail or are not answered asks the holder, whose answer counts as known to be the newest as of when it was asked for, less its age; documents of over 500 routes are not told, as they would keep heartbeats from a thin link. Requests, rows and heartbeats without a version are taken as before.

Ruled out: refusing while versions differ, which would refuse during each change.

--- a/crates/chervilfall_node/src/configuration.rs
+++ b/crates/chervilfall_node/src/configuration.rs
@@ -88,6 +88,23 @@
         true
     }
 
+    /// Takes note of a version that another node has in force.
+    pub(crate) fn heard_of(&self, version: Option<u64>) {
+        if version > self.version() {
+            self.want();
+        }
+    }
+
+    /// Takes in what the holder has in force, known to be the newest `age_ms` before it answered, which was after it was
+    /// asked at `asked_ms`.
+    pub(crate) fn told(&self, asked_ms: u64, age_ms: u64, table: Option<Arc<RouteTable>>) {
+        let at_ms = asked_ms.saturating_sub(age_ms);
+        match table {
+            Some(table) => self.put(table, at_ms),
+            None => self.confirm(at_ms),
+        }
+    }
+
     /// Asks for a reading now.
     pub(crate) fn want(&self) {
         self.wanted.notify_one();
--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -26,6 +26,10 @@
 /// Number of this node among those that can call for advice.
 const SELF: NodeId = 0;
 
+/// Most routes of a configuration that is told over a link: more would keep heartbeats from a thin link for so long that
+/// it counts as broken.
+const MOST_ROUTES_TOLD: usize = 500;
+
 /// What the control thread is told.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
@@ -45,6 +49,12 @@
         number: u64,
         request: Request,
     },
+    /// A follower asks for the configuration in force.
+    ConfigurationWanted {
+        id: NodeId,
+        known: Option<u64>,
+        asked_ms: u64,
+    },
     /// A node that held the group before tells what it has started and could not store.
     UnstoredStarts(Vec<StartNote>),
     /// A call for advice was answered.
@@ -177,6 +187,34 @@
         self.feed(Event::Configured(Arc::new(table.configuration())));
     }
 
+    /// Has the configuration read if the node that took a request knows a newer one.
+    fn look_for_newer(&self, request: &Request) {
+        if let Request::Submit { queue, .. } = request {
+            self.configuration.heard_of(Some(queue.configuration));
+        }
+    }
+
+    /// Tells a follower, which may not reach the store, what is in force here.
+    fn tell_configuration(&self, id: NodeId, known: Option<u64>, asked_ms: u64) {
+        let current = (self.configuration.age_ms(), self.configuration.current());
+        let (Some(link), (Some(age_ms), Some(table))) = (self.links.get(&id), current) else {
+            return;
+        };
+        let table = (Some(table.version) > known).then_some(table);
+        if table
+            .as_ref()
+            .is_some_and(|table| table.routes.len() > MOST_ROUTES_TOLD)
+        {
+            return;
+        }
+        // A follower that misses it asks again.
+        drop(link.queue.try_send(ToFollower::Configuration {
+            asked_ms,
+            age_ms,
+            table,
+        }));
+    }
+
     fn feed_nodes(&mut self) {
         let nodes = std::iter::once(SELF).chain(self.links.keys().copied());
         self.feed(Event::Nodes(nodes.collect()));
@@ -189,7 +227,7 @@
             return;
         };
         log::info!(link = id, follower = node; "follower linked");
-        let heartbeat = heartbeat(planner);
+        let heartbeat = heartbeat(planner, &self.configuration);
         // The queue is new and empty.
         drop(link.queue.try_send(heartbeat));
         self.links.insert(id, link);
@@ -252,15 +290,16 @@
         self.waiting.retain(|_, waiter| !waiter.is_closed());
         for link in self.links.values() {
             // A follower that misses heartbeats gives the link up.
-            drop(link.queue.try_send(heartbeat(planner)));
+            drop(link.queue.try_send(heartbeat(planner, &self.configuration)));
         }
     }
 }
 
-fn heartbeat(planner: &Planner) -> ToFollower {
+fn heartbeat(planner: &Planner, configuration: &ConfigurationState) -> ToFollower {
     ToFollower::Heartbeat {
         term: planner.term(),
         claim_age_ms: planner.claim_age_ms(now_ms()),
+        configuration: configuration.version(),
     }
 }
 
@@ -270,17 +309,28 @@
     fn handle(&mut self, event: ControlEvent) {
         self.configure();
         match event {
-            ControlEvent::Ask(ask) => self.ask(ask),
+            ControlEvent::Ask(ask) => {
+                self.look_for_newer(&ask.request);
+                self.ask(ask);
+            }
             ControlEvent::LinkUp { id, node, link } => self.link_up(id, &node, link),
             ControlEvent::LinkDown { id } => self.link_down(id),
             ControlEvent::LinkRequest {
                 id,
                 number,
                 request,
-            } => self.feed(Event::Request {
-                to: ReplyTo { node: id, number },
-                request,
-            }),
+            } => {
+                self.look_for_newer(&request);
+                self.feed(Event::Request {
+                    to: ReplyTo { node: id, number },
+                    request,
+                });
+            }
+            ControlEvent::ConfigurationWanted {
+                id,
+                known,
+                asked_ms,
+            } => self.tell_configuration(id, known, asked_ms),
             ControlEvent::UnstoredStarts(starts) => self.feed(Event::UnstoredStarts(starts)),
             ControlEvent::Advised { number, answer } => {
                 self.feed(Event::Advised { number, answer });
--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -77,6 +77,10 @@
         }
     }
 
+    pub(crate) const fn configuration(&self) -> &Arc<ConfigurationState> {
+        &self.configuration
+    }
+
     /// Returns the configuration in force, if one is known.
     #[must_use]
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
@@ -284,7 +288,11 @@
 const fn is_failure(answer: Answer) -> bool {
     matches!(
         answer,
-        Answer::Refused { .. } | Answer::NotCancelled { .. } | Answer::TooLarge | Answer::Undecided
+        Answer::Refused { .. }
+            | Answer::NotCancelled { .. }
+            | Answer::TooLarge
+            | Answer::NoQueue
+            | Answer::Undecided
     )
 }
 
@@ -307,6 +315,7 @@
         Answer::Unknown => "unknown",
         Answer::Waiting(_) => "waiting",
         Answer::TooLarge => "too_large",
+        Answer::NoQueue => "no_queue",
         Answer::Undecided => "undecided",
     }
 }
--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
+use crate::clock::now_ms;
 use crate::front::Front;
 use crate::leadership::{Ask, HolderHealth, Leadership, LeadershipState};
 use crate::link::frames::{read, write, LinkEnd, QUEUE};
@@ -52,6 +53,15 @@
         self.queue.try_send(message).is_ok()
     }
 
+    /// Asks for the configuration that the holder has in force; a link that cannot take that is given up anyway.
+    pub(crate) fn ask_configuration(&self, known: Option<u64>) {
+        let asked_ms = now_ms();
+        drop(
+            self.queue
+                .try_send(ToHolder::ConfigurationWanted { known, asked_ms }),
+        );
+    }
+
     fn answer(&self, number: u64, answer: Answer) {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(waiter) = waiting.remove(&number) {
@@ -173,11 +183,21 @@
     advisor: &A,
 ) -> bool {
     match message {
-        ToFollower::Heartbeat { term, claim_age_ms } => {
+        ToFollower::Heartbeat {
+            term,
+            claim_age_ms,
+            configuration,
+        } => {
             front.set_claim_age(claim_age_ms);
+            front.configuration().heard_of(configuration);
             let health = HolderHealth { term, claim_age_ms };
             follow(link, leadership, health);
         }
+        ToFollower::Configuration {
+            asked_ms,
+            age_ms,
+            table,
+        } => front.configuration().told(asked_ms, age_ms, table),
         ToFollower::Reply { number, answer } => link.answer(number, answer),
         ToFollower::Advise(order) => {
             let (advisor, link) = (advisor.clone(), Arc::clone(link));
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -86,6 +86,13 @@
                     request: *request,
                 },
                 ToHolder::Advised { number, answer } => ControlEvent::Advised { number, answer },
+                ToHolder::ConfigurationWanted { known, asked_ms } => {
+                    ControlEvent::ConfigurationWanted {
+                        id,
+                        known,
+                        asked_ms,
+                    }
+                }
                 ToHolder::UnstoredStarts(starts) => ControlEvent::UnstoredStarts(starts),
             };
             if control.send(event).await.is_err() {
--- a/crates/chervilfall_node/src/link/message.rs
+++ b/crates/chervilfall_node/src/link/message.rs
@@ -1,8 +1,12 @@
 //! Messages between nodes.
 
+use std::sync::Arc;
+
 use chervilfall_planner::{AdviceAnswer, AdviceOrder, Answer, Millis, Request, StartNote};
 use serde::{Deserialize, Serialize};
 
+use crate::routes::RouteTable;
+
 /// From a follower to the holder.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum ToHolder {
@@ -29,6 +33,13 @@
     UnstoredStarts(Vec<StartNote>),
     /// The link is alive.
     Heartbeat,
+    /// Asks for the configuration that the holder has in force.
+    ConfigurationWanted {
+        /// Version that the follower has in force, if it has one.
+        known: Option<u64>,
+        /// When this was asked, by the follower's clock; the answer repeats it.
+        asked_ms: Millis,
+    },
 }
 
 /// From the holder to a follower.
@@ -40,6 +51,18 @@
         term: u64,
         /// How long ago the claim was confirmed.
         claim_age_ms: Millis,
+        /// Version of the configuration that it has in force, if it has one.
+        #[serde(default)]
+        configuration: Option<u64>,
+    },
+    /// Configuration that the holder has in force.
+    Configuration {
+        /// When it was asked for, by the follower's clock.
+        asked_ms: Millis,
+        /// How long ago it was known to be the newest.
+        age_ms: Millis,
+        /// The configuration, if it is newer than the follower's.
+        table: Option<Arc<RouteTable>>,
     },
     /// Answer to a request.
     Reply {
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -99,6 +99,7 @@
         tokio::spawn(watch::configuration::watch(
             platform.store().clone(),
             configuration,
+            Arc::clone(&leadership),
             ReadingTimes::within(settings.config_apply_ms),
         ));
         tokio::spawn(watch::endpoints::watch(
--- a/crates/chervilfall_node/src/routes.rs
+++ b/crates/chervilfall_node/src/routes.rs
@@ -1,9 +1,10 @@
 //! Which queue a request is for.
 
 use chervilfall_planner::{Configuration, Queue, Service};
+use serde::{Deserialize, Serialize};
 
 /// A queue and the requests that are for it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Host that callers name, in lower case and without a port.
     pub host: String,
@@ -14,7 +15,7 @@
 }
 
 /// The configuration in force, as a node needs it.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
     /// Version that the operator gave it.
     pub version: u64,
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -1,7 +1,8 @@
 //! Reads the configuration, so that a change is in force in time although some readings are never answered.
 //!
 //! A reading that is not answered soon does not hold up the next one: it may wait on a connection that has gone silent
-//! for good, and whether it has can't be told from a store that is slow.
+//! for good, and whether it has can't be told from a store that is slow. A node whose readings are not answered asks the
+//! holder too.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,11 +12,14 @@
 
 use crate::clock::now_ms;
 use crate::configuration::ConfigurationState;
+use crate::leadership::{Leadership, LeadershipState};
 use crate::ports::{ConfigurationReading, Store, StoreError};
 use crate::watch::Dependency;
 
 /// Readings that may be on their way at the same time.
 const MOST_READINGS: usize = 4;
+/// Readings without an answer after which the holder is asked too.
+const UNANSWERED: usize = 2;
 /// Pause after a reading that was refused.
 const RETRY_MS: u64 = 150;
 
@@ -58,11 +62,13 @@
 pub(crate) async fn watch<S: Store>(
     store: S,
     configuration: Arc<ConfigurationState>,
+    leadership: Arc<LeadershipState>,
     times: ReadingTimes,
 ) {
     let mut reader = Reader {
         store,
         configuration,
+        leadership,
         times,
         dependency: Dependency::new("configuration"),
         readings: JoinSet::new(),
@@ -70,6 +76,7 @@
         known: None,
         unreadable: false,
         due_ms: now_ms(),
+        last_began_ms: 0,
         last_took_ms: 0,
         failed_in_a_row: 0,
     };
@@ -81,6 +88,7 @@
 struct Reader<S> {
     store: S,
     configuration: Arc<ConfigurationState>,
+    leadership: Arc<LeadershipState>,
     times: ReadingTimes,
     dependency: Dependency,
     readings: JoinSet<Reading>,
@@ -92,6 +100,7 @@
     unreadable: bool,
     /// When the next reading begins.
     due_ms: u64,
+    last_began_ms: u64,
     last_took_ms: u64,
     failed_in_a_row: u64,
 }
@@ -108,14 +117,23 @@
         }
     }
 
+    /// Asks the holder for its configuration, which the store may tell to it and not to this node.
+    fn ask_holder(&self) {
+        if let Leadership::Remote(link) = self.leadership.current() {
+            link.ask_configuration(self.configuration.version());
+        }
+    }
+
     /// Lets the next reading begin now, unless one has begun just now.
     fn hasten(&mut self) {
-        let last_ms = self.pending.iter().map(|(began_ms, _)| *began_ms).max();
-        let soonest_ms = last_ms.map_or(0, |last_ms| last_ms + self.times.least_hedge_ms);
+        let soonest_ms = self.last_began_ms + RETRY_MS;
         self.due_ms = self.due_ms.min(now_ms().max(soonest_ms));
     }
 
     fn begin(&mut self) {
+        if self.pending.len() >= UNANSWERED || self.failed_in_a_row > 0 {
+            self.ask_holder();
+        }
         let began_ms = now_ms();
         let (store, known) = (self.store.clone(), self.known);
         let handle = self.readings.spawn(async move {
@@ -123,6 +141,7 @@
             Reading { began_ms, read }
         });
         self.pending.push((began_ms, handle));
+        self.last_began_ms = began_ms;
         self.due_ms = began_ms + self.times.hedge_ms(self.last_took_ms);
     }
 
--- a/crates/chervilfall_planner/src/action.rs
+++ b/crates/chervilfall_planner/src/action.rs
@@ -56,6 +56,8 @@
     Waiting(u64),
     /// The job could not be stored, because a row cannot hold it.
     TooLarge,
+    /// There is no such queue any more, and the job was not taken.
+    NoQueue,
     /// Nobody knows yet whether the request was carried out; the same request may be sent again.
     Undecided,
 }
--- a/crates/chervilfall_planner/src/config.rs
+++ b/crates/chervilfall_planner/src/config.rs
@@ -65,10 +65,13 @@
     pub target_latency_ms: u64,
     /// Set if a start needs a ticket of the advice service.
     pub advice: Option<AdviceTerms>,
+    /// Version of the configuration in which the queue stands so; 0 in rows and requests that do not tell.
+    #[serde(default)]
+    pub configuration: u64,
 }
 
 /// A service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -51,13 +51,12 @@
             self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
             return;
         }
+        let Some(queue) = self.newest_terms(queue) else {
+            self.reply(to, Answer::NoQueue);
+            return;
+        };
         let row = JobRow {
-            queue: self
-                .config
-                .queues
-                .get(&queue.name)
-                .cloned()
-                .unwrap_or(queue),
+            queue,
             spec,
             accepted_unix_ms: self.unix_ms,
         };
@@ -74,6 +73,24 @@
         self.unsaved.new_jobs.push_back(id);
     }
 
+    /// Returns a queue by the newer one of two configurations: that of the node that took the request, and the planner's.
+    /// Returns nothing if the newer one has no such queue.
+    fn newest_terms(&self, named: Queue) -> Option<Queue> {
+        let config = &self.config;
+        if named.configuration > config.version {
+            return Some(named);
+        }
+        let known = config.queues.get(&named.name).cloned();
+        if known.is_none() && named.configuration < config.version {
+            log::info!(
+                queue = named.name.as_str(), named = named.configuration, configuration = config.version;
+                "refused, the queue has been dropped"
+            );
+            return None;
+        }
+        Some(known.unwrap_or(named))
+    }
+
     /// Refuses submissions whose commit did not begin in time; they are in no batch.
     pub(super) fn refuse_overdue(&mut self) {
         let now = self.now;
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -154,8 +154,11 @@
         }
     }
 
-    /// Takes over the queue's settings of a new configuration.
+    /// Takes over the queue's settings of a configuration, unless the job has those of a newer one.
     pub(crate) fn set_queue(&mut self, queue: &Queue) {
+        if queue.configuration < self.queue.configuration {
+            return;
+        }
         self.queue.clone_from(queue);
         self.objective_ms = self.spec.objective_ms(queue);
     }
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -129,6 +129,7 @@
                 each_ms: 0.1,
                 valid_ms: 1_500,
             }),
+            configuration: 1,
         };
         let config = Configuration {
             version: 1,
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    pub(super) fn feed(&mut self, node: usize, event: Event) {
+    pub fn feed(&mut self, node: usize, event: Event) {
         let now = self.now;
         let Some(planner) = &mut self.nodes[node].planner else {
             return;
