Read the configuration after a claim is won, before the group is taken over

Callers saw: a job that had been taken by newer terms went on by older ones after its holder was lost: its successor had read the configuration before the change, and put that in force for all jobs that it read.

Change: the rows of a group and the configuration are read side by side after the claim; the reading is awaited for half of `config_apply_ms` and a line says if the group is taken over without it. It is at least as new as any that an earlier holder went by, because the store's answers are in order. Usually it is answered with the rows, so that a takeover takes no longer.

--- a/crates/chervilfall_node/src/configuration.rs
+++ b/crates/chervilfall_node/src/configuration.rs
@@ -88,6 +88,23 @@
         true
     }
 
+    /// Waits until the store has answered a reading that began after a time; returns whether it has.
+    pub(crate) async fn until_heard_since(&self, since_ms: u64, patience: Duration) -> bool {
+        let deadline = clock().deadline(patience);
+        let heard = || match self.heard_ms.load(Ordering::Relaxed) {
+            NEVER => false,
+            heard_ms => heard_ms >= since_ms,
+        };
+        while !heard() {
+            self.want();
+            if clock().left(deadline).is_zero() {
+                return false;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        true
+    }
+
     /// Takes note of a version that another node has in force.
     pub(crate) fn heard_of(&self, version: Option<u64>) {
         if version > self.version() {
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -18,7 +18,7 @@
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState};
 use crate::link::{dial, DialError};
-use crate::ports::{Platform, Row, Store, StoreError};
+use crate::ports::{ConfigurationReading, Platform, Row, Store, StoreError};
 use crate::settings::Settings;
 use crate::watch::Dependency;
 
@@ -271,7 +271,11 @@
     /// Reads the rows of the group that was claimed, and keeps the claim alive meanwhile: a machine
     /// with a slow link can take longer than the claim may stand still.
     async fn load(&self, mut takeover: Takeover, claimed_ms: u64) {
-        let reading = self.read_group_patiently();
+        let reading = async {
+            let rows = self.read_group_patiently();
+            let (stored, ()) = tokio::join!(rows, self.read_configuration());
+            stored
+        };
         tokio::pin!(reading);
         let renew = Duration::from_millis(RENEW_MS);
         let mut confirmed_ms = claimed_ms;
@@ -332,6 +336,34 @@
         Ok(true)
     }
 
+    /// Reads the configuration after the claim was won: it is at least as new then as any that an earlier holder went by,
+    /// so that no job goes back to older terms.
+    async fn read_configuration(&self) {
+        let configuration = self.front.configuration();
+        let since_ms = now_ms();
+        let patience = Duration::from_millis(self.settings.config_apply_ms / 2);
+        let own = async {
+            let read = self.platform.store().read_configuration(None).await;
+            match read {
+                Ok(ConfigurationReading::Changed { table, .. }) => {
+                    configuration.put(Arc::new(table), since_ms);
+                }
+                // The reader says why, and tries again.
+                Ok(_) | Err(_) => std::future::pending().await,
+            }
+        };
+        let read = tokio::select! {
+            () = own => true,
+            read = configuration.until_heard_since(since_ms, patience) => read,
+        };
+        if !read {
+            log::warn!(
+                version = configuration.version(), age_ms = configuration.age_ms();
+                "configuration not read, group taken over by the one in force"
+            );
+        }
+    }
+
     async fn read_group_patiently(&self) -> Option<Stored> {
         for _ in 0..LOAD_TRIES {
             match self.read_group().await {
