Name the settings that have changed when a node is told that they may have

A node that got SIGHUP said that settings may have changed and not which, so that nobody could tell whether a node ran by settings that no longer hold, its store's address among them. It now compares the file with what it was started with and names the fields; they are in force at the next start, as before.

--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -24,4 +24,4 @@
 pub use node::{Node, NodeError};
 pub use patience::WaitBounds;
 pub use routes::{Route, RouteTable};
-pub use settings::{Settings, SettingsError, Timings};
+pub use settings::{changed_fields, read_text, Settings, SettingsError, Timings};
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -133,12 +133,12 @@
     }
 
     /// Waits for the signal that begins a planned stop, hands the group back, and goes on to serve
-    /// until callers had time to go elsewhere.
+    /// until callers had time to go elsewhere. `hung_up` is called when the settings may have changed.
     ///
     /// # Errors
     ///
     /// Returns an error if signals can't be taken.
-    pub async fn until_stopped(&self) -> Result<(), NodeError> {
+    pub async fn until_stopped(&self, hung_up: impl Fn()) -> Result<(), NodeError> {
         let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
         let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
@@ -146,7 +146,7 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hangup.recv() => log::info!("settings may have changed; they are read at the next start"),
+                _ = hangup.recv() => hung_up(),
             }
         }
         log::info!("planned stop begins");
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node, as YAML says them.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -182,20 +183,6 @@
         (self.cpu_cores * 1_000.0) as u64
     }
 
-    /// Reads settings from a file.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that names the file and the field.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
-            path: shown.clone(),
-            cause,
-        })?;
-        Self::parse(&shown, &text)
-    }
-
     /// Reads settings from a text; `name` stands in errors.
     ///
     /// # Errors
@@ -246,3 +233,38 @@
         Ok(settings)
     }
 }
+
+/// Returns the text of a file with settings.
+///
+/// # Errors
+///
+/// Returns an error that names the file.
+pub fn read_text(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+        path: path.display().to_string(),
+        cause,
+    })
+}
+
+/// Returns the names of the top-level fields that differ between two texts of settings.
+///
+/// # Errors
+///
+/// Returns an error if a text is not YAML; `name` stands in it.
+pub fn changed_fields(name: &str, before: &str, after: &str) -> Result<Vec<String>, SettingsError> {
+    let before = fields(name, before)?;
+    let after = fields(name, after)?;
+    let names: BTreeSet<&String> = before.keys().chain(after.keys()).collect();
+    let changed = names
+        .into_iter()
+        .filter(|field| before.get(*field) != after.get(*field));
+    Ok(changed.cloned().collect())
+}
+
+fn fields(name: &str, text: &str) -> Result<BTreeMap<String, serde_norway::Value>, SettingsError> {
+    serde_norway::from_str(text).map_err(|error| SettingsError::Field {
+        path: name.to_owned(),
+        field: String::new(),
+        cause: error.to_string(),
+    })
+}
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a node.
 
-use chervilfall_node::{Route, RouteTable, Settings};
+use chervilfall_node::{changed_fields, Route, RouteTable, Settings};
 use chervilfall_planner::Queue;
 
 const GOOD: &str = "node: n1\ndomain: a\nlisten: 127.0.0.1:1\nready_listen: 127.0.0.1:2\n\
@@ -128,3 +128,37 @@
         assert_eq!(found, case.queue, "{} {}", case.host, case.path);
     }
 }
+
+#[test]
+fn changed_settings_are_named() {
+    struct Case {
+        name: &'static str,
+        after: String,
+        changed: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "nothing",
+            after: format!("# a comment\n{GOOD}"),
+            changed: &[],
+        },
+        Case {
+            name: "a value",
+            after: GOOD.replace("status_s: 120", "status_s: 60"),
+            changed: &["status_s"],
+        },
+        Case {
+            name: "one more and one less",
+            after: format!(
+                "{}report_ms: 1000\n",
+                GOOD.replace("row_bytes: 65536\n", "")
+            ),
+            changed: &["report_ms", "row_bytes"],
+        },
+    ];
+    for case in cases {
+        let changed = changed_fields("file", GOOD, &case.after).expect("YAML");
+        assert_eq!(changed, case.changed, "{}", case.name);
+    }
+    assert!(changed_fields("file", GOOD, "a: [").is_err());
+}
