Read the list of endpoints again when an answer does not come

Callers saw: tasks were started on an endpoint over two seconds after it had said that it was leaving, and were cut off with it. Cause, the same as with the configuration: the holder awaited a reading for 1.2 s before the next one began, 0.5 s later, and no time followed from `drain_ms`.

--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -18,7 +18,6 @@
 use crate::ports::Platform;
 use crate::settings::Settings;
 use crate::watch;
-use crate::watch::configuration::ReadingTimes;
 
 /// Events that may wait for the control thread.
 const CONTROL_QUEUE: usize = 16_384;
@@ -100,13 +99,13 @@
             platform.store().clone(),
             configuration,
             Arc::clone(&leadership),
-            ReadingTimes::within(settings.config_apply_ms),
+            settings.config_apply_ms,
         ));
         tokio::spawn(watch::endpoints::watch(
             platform.store().clone(),
             Arc::clone(&leadership),
             control.clone(),
-            timings.endpoints_poll_ms,
+            watch::endpoints::times_within(timings.endpoints_poll_ms, settings.drain_ms),
         ));
         let claim = watch::claim::ClaimWatch {
             platform,
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -114,6 +114,10 @@
 /// Shortest time in which a configuration can be in force: readings that come so often burden the store.
 const LEAST_APPLY_MS: u64 = 500;
 
+const fn drain_ms() -> u64 {
+    2_000
+}
+
 const fn report_ms() -> u64 {
     1_500
 }
@@ -154,6 +158,9 @@
     /// Time from a configuration's acknowledgement in which it must be in force at every node.
     #[serde(default = "config_apply_ms")]
     pub config_apply_ms: u64,
+    /// Time from an endpoint's report that it is leaving after which it gets no starts.
+    #[serde(default = "drain_ms")]
+    pub drain_ms: u64,
     /// How long a finished job can be asked for, in seconds.
     pub status_s: u64,
     /// Most bytes of a row.
@@ -211,6 +218,11 @@
             return Err(field("config_apply_ms".to_owned(), cause));
         }
         let least_ms = 2 * settings.timings.endpoints_poll_ms;
+        if settings.drain_ms < least_ms {
+            let cause =
+                format!("must be at least {least_ms}, two readings of the list of endpoints");
+            return Err(field("drain_ms".to_owned(), cause));
+        }
         if settings.capacity_notice_ms < least_ms {
             let cause =
                 format!("must be at least {least_ms}, two readings of the list of endpoints");
--- a/crates/chervilfall_node/src/watch/endpoints.rs
+++ b/crates/chervilfall_node/src/watch/endpoints.rs
@@ -1,39 +1,51 @@
-//! Reads the list of endpoints while this node holds the group.
+//! Reads the list of endpoints while this node holds the group, so that an endpoint that leaves gets no starts in time
+//! although some readings are never answered.
 
 use std::sync::Arc;
-use std::time::Duration;
 
+use chervilfall_planner::EndpointEntry;
 use tokio::sync::mpsc;
 
-use crate::clock::now_ms;
 use crate::control::ControlEvent;
 use crate::leadership::{Leadership, LeadershipState};
 use crate::ports::Store;
-use crate::watch::Dependency;
+use crate::watch::readings::{ReadingTimes, Readings, Step};
+
+/// Returns times by which three readings in a row may be lost within a bound. Lists are long, so that another reading
+/// waits longer where answers take long.
+pub(crate) const fn times_within(poll_ms: u64, drain_ms: u64) -> ReadingTimes {
+    ReadingTimes {
+        poll_ms,
+        least_hedge_ms: drain_ms * 3 / 20,
+        most_hedge_ms: drain_ms * 3 / 5,
+    }
+}
 
 /// Keeps the planner's list of endpoints up to date.
 pub(crate) async fn watch<S: Store>(
     store: S,
     leadership: Arc<LeadershipState>,
     control: mpsc::Sender<ControlEvent>,
-    poll_ms: u64,
+    times: ReadingTimes,
 ) {
-    let mut dependency = Dependency::new("endpoint list");
-    loop {
-        let held = leadership
-            .wait_until(|leadership| matches!(leadership, Leadership::Local))
-            .await;
-        if held.is_none() {
-            return;
+    let holds = |leadership: &Leadership| matches!(leadership, Leadership::Local);
+    while leadership.wait_until(holds).await.is_some() {
+        let mut readings = Readings::new("endpoint list", times);
+        while holds(&leadership.current()) {
+            match readings.step().await {
+                Step::Due => {
+                    let store = store.clone();
+                    readings.begin(async move { store.read_endpoints().await });
+                }
+                Step::Answered { began_ms, value } => tell(&control, began_ms, value).await,
+                Step::None => {}
+            }
         }
-        let read_ms = now_ms();
-        let read = store.read_endpoints().await;
-        dependency.note(&read);
-        if let Ok(entries) = read {
-            // The control thread ends with the process only.
-            let event = ControlEvent::Endpoints { read_ms, entries };
-            drop(control.send(event).await);
-        }
-        tokio::time::sleep(Duration::from_millis(poll_ms)).await;
     }
 }
+
+async fn tell(control: &mpsc::Sender<ControlEvent>, read_ms: u64, entries: Vec<EndpointEntry>) {
+    // The control thread ends with the process only.
+    let event = ControlEvent::Endpoints { read_ms, entries };
+    drop(control.send(event).await);
+}
--- a/crates/chervilfall_node/src/watch/mod.rs
+++ b/crates/chervilfall_node/src/watch/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod claim;
 pub(crate) mod configuration;
 pub(crate) mod endpoints;
+pub(crate) mod readings;
 
 use crate::ports::StoreError;
 
@@ -21,6 +22,10 @@
         }
     }
 
+    pub(crate) const fn name(&self) -> &'static str {
+        self.name
+    }
+
     pub(crate) fn note<T>(&mut self, result: &Result<T, StoreError>) {
         let now = crate::clock::now_ms();
         match (result, self.lost_ms) {
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -57,6 +57,12 @@
             without: "",
             says: "config_apply_ms",
         },
+        Case {
+            name: "endpoints left sooner than two readings of the list",
+            more: "drain_ms: 900\n",
+            without: "",
+            says: "drain_ms",
+        },
         Case {
             name: "no processor",
             more: "cpu_cores: 0\n",
