Take no list of endpoints that is older than the last one

Readings of the list may overlap, so that one that was asked for later may have been read sooner: an endpoint that had left would be back for a moment. A list says by which version of the store it was read, and one that is behind is dropped.

--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -34,6 +34,15 @@
     Malformed(String),
 }
 
+/// The list of endpoints.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointList {
+    /// Version of the store when the list was read; a later list has the same or a higher one.
+    pub version: RowVersion,
+    /// The list.
+    pub entries: Vec<EndpointEntry>,
+}
+
 /// What a reading of the configuration shows.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ConfigurationReading {
@@ -78,8 +87,7 @@
     ) -> impl Future<Output = Result<(Option<Row>, Millis), StoreError>> + Send;
 
     /// Reads the list of endpoints.
-    fn read_endpoints(&self)
-        -> impl Future<Output = Result<Vec<EndpointEntry>, StoreError>> + Send;
+    fn read_endpoints(&self) -> impl Future<Output = Result<EndpointList, StoreError>> + Send;
 
     /// Reads the operator's configuration, unless its row has the version `known`.
     fn read_configuration(
--- a/crates/chervilfall_node/src/watch/endpoints.rs
+++ b/crates/chervilfall_node/src/watch/endpoints.rs
@@ -31,14 +31,19 @@
     let holds = |leadership: &Leadership| matches!(leadership, Leadership::Local);
     while leadership.wait_until(holds).await.is_some() {
         let mut readings = Readings::new("endpoint list", times);
+        let mut newest = 0;
         while holds(&leadership.current()) {
             match readings.step().await {
                 Step::Due => {
                     let store = store.clone();
                     readings.begin(async move { store.read_endpoints().await });
                 }
-                Step::Answered { began_ms, value } => tell(&control, began_ms, value).await,
-                Step::None => {}
+                // A list that was asked for later may have been read sooner: none goes back behind another.
+                Step::Answered { began_ms, value } if value.version >= newest => {
+                    newest = value.version;
+                    tell(&control, began_ms, value.entries).await;
+                }
+                Step::Answered { .. } | Step::None => {}
             }
         }
     }
