--- a/crates/chervilfall_node/src/configuration.rs
+++ b/crates/chervilfall_node/src/configuration.rs
@@ -77,32 +77,29 @@
 
     /// Waits until the configuration is confirmed, if it was not for too long; returns whether it is.
     pub(crate) async fn until_current(&self, patience: Duration) -> bool {
-        let deadline = clock().deadline(patience);
-        while !self.is_current() {
-            self.want();
-            if clock().left(deadline).is_zero() {
-                return false;
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-        true
+        self.until(Self::is_current, patience).await
     }
 
     /// Waits until the store has answered a reading that began after a time; returns whether it has.
     pub(crate) async fn until_heard_since(&self, since_ms: u64, patience: Duration) -> bool {
-        let deadline = clock().deadline(patience);
-        let heard = || match self.heard_ms.load(Ordering::Relaxed) {
+        let heard = |state: &Self| match state.heard_ms.load(Ordering::Relaxed) {
             NEVER => false,
             heard_ms => heard_ms >= since_ms,
         };
-        while !heard() {
-            self.want();
-            if clock().left(deadline).is_zero() {
-                return false;
-            }
+        self.until(heard, patience).await
+    }
+
+    /// Waits for what a reading brings about; returns whether it holds.
+    async fn until(&self, holds: impl Fn(&Self) -> bool, patience: Duration) -> bool {
+        if holds(self) {
+            return true;
+        }
+        self.want();
+        let deadline = clock().deadline(patience);
+        while !holds(self) && !clock().left(deadline).is_zero() {
             tokio::time::sleep(LOOK).await;
         }
-        true
+        holds(self)
     }
 
     /// Takes note of a version that another node has in force.
