Take figures and their stories out of four comments

Comments of the planner and the settings told how a value had been found. They say what it protects now; the figures stand in the messages of the commits that brought them. No code changes.

--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Timings {
-    /// Time between messages that show a link to be alive: a holder with 43 links sends 430 a second.
+    /// Time between messages that show a link to be alive.
     pub heartbeat_ms: u64,
     /// Silence after which a link counts as broken: four heartbeats and a pause of the process. Connections
     /// can go silent for good while new ones work.
--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -26,8 +26,8 @@
 
 /// What is known for a step. Which endpoints may run it never changes; tickets lapse.
 ///
-/// Each pass looks every endpoint up for each step that may ask, so entries are found by index. With ordered maps,
-/// and all endpoints sorted for each call, a second of 540 endpoints' load took the planner 100 ms instead of 27.
+/// Each pass looks every endpoint up for each step that may ask, so entries are found by index: the holder's one thread
+/// has little time for a pass.
 #[derive(Debug, Default)]
 pub(crate) struct Advice {
     entries: SecondaryMap<EndpointKey, Entry>,
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -225,7 +225,7 @@
     }
 
     /// Drops what the advice service has said about a job's steps. A finished job is kept for its callers'
-    /// questions, and needs no tickets for that: on 540 endpoints a holder's memory peaked at 146 MB instead of 174.
+    /// questions, and needs no tickets for that, which take a large part of a holder's memory.
     fn forget_advice(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/chervilfall_planner/src/policy/crashes.rs
+++ b/crates/chervilfall_planner/src/policy/crashes.rs
@@ -13,9 +13,8 @@
 /// A run that its endpoint has been heard from for this long is not new there any more: it began well. Five times a
 /// hold's usual way and gap.
 pub(crate) const NEW_MS: Millis = 500;
-/// Lost endpoints from which on a task is given one of its own. One is what a bad day costs anybody. With three for runs
-/// that had been at work for a while, a task that does harm late was started six times, one more than allowed, when a
-/// holder was lost with one of the notes.
+/// Lost endpoints from which on a task is given one of its own. One is what a bad day costs anybody; from three on, a task
+/// that does harm late could be started once more than allowed if a holder is lost with one of the notes.
 const ISOLATED_FROM: usize = 2;
 /// Crashes without company after which a task is the culprit, and how many it has caused in all then. One alone may be
 /// chance. Callers lose four endpoints to such a task, and five if a holder was lost that could not store the first.
