--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -30,6 +30,11 @@
 /// it counts as broken.
 const MOST_ROUTES_TOLD: usize = 500;
 
+/// A node makes way for one with so many times its processor.
+const MAKE_WAY_FACTOR: u64 = 2;
+/// How long that one must have been linked: a node that comes and goes would hold the group for a moment only.
+const MAKE_WAY_MS: u64 = 1_000;
+
 /// What the control thread is told.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
@@ -67,6 +72,10 @@
         stored: Stored,
         claimed_ms: u64,
     },
+    /// This node reads the rows of a group that it has claimed, or does not any more.
+    Recovering(bool),
+    /// Rows that the holder of a term needs cannot be decoded.
+    Unreadable { term: u64 },
     /// The list of endpoints was read.
     Endpoints {
         read_ms: u64,
@@ -84,6 +93,8 @@
     pub(crate) group: String,
     pub(crate) limits: Limits,
     pub(crate) heartbeat_ms: u64,
+    /// Processor that this node may use, in thousandths of a core.
+    pub(crate) cpu_permille: u64,
     pub(crate) front: Arc<Front>,
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) sender: mpsc::Sender<ControlEvent>,
@@ -94,6 +105,8 @@
     configuration: Arc<ConfigurationState>,
     /// Version that the planner knows.
     configured: Option<u64>,
+    /// This node reads the rows of a group that it has claimed.
+    recovering: bool,
     links: BTreeMap<NodeId, FollowerLink>,
     waiting: HashMap<u64, oneshot::Sender<Answer>>,
     next_ask: u64,
@@ -108,6 +121,7 @@
         group: String,
         limits: Limits,
         heartbeat_ms: u64,
+        cpu_permille: u64,
         configuration: Arc<ConfigurationState>,
         front: Arc<Front>,
         leadership: Arc<LeadershipState>,
@@ -119,6 +133,7 @@
             group,
             limits,
             heartbeat_ms,
+            cpu_permille,
             front,
             leadership,
             sender,
@@ -127,6 +142,7 @@
             unstored: Vec::new(),
             configuration,
             configured: None,
+            recovering: false,
             links: BTreeMap::new(),
             waiting: HashMap::new(),
             next_ask: 0,
@@ -152,11 +168,7 @@
             self.unstored = planner.unstored_starts();
         }
         self.waiting.clear();
-        for link in self.links.values() {
-            // A follower that misses this sees the link end.
-            drop(link.queue.try_send(ToFollower::NotHolder));
-        }
-        self.links.clear();
+        self.drop_links();
         if matches!(self.leadership.current(), Leadership::Local) {
             self.leadership.set(Leadership::Nobody);
             self.front.set_claim_age(u64::MAX);
@@ -170,6 +182,9 @@
         self.configured = None;
         self.configure();
         self.feed_nodes();
+        // Links that were kept while rows were read hear of it at once.
+        self.heartbeat_due_ms = 0;
+        self.beat();
     }
 
     /// Tells the planner of a configuration that has come into force. It is looked up before each event, so that nothing
@@ -221,19 +236,64 @@
     }
 
     fn link_up(&mut self, id: NodeId, node: &str, link: FollowerLink) {
-        let Some(planner) = &self.planner else {
+        let Some(first) = self.heartbeat() else {
             // The link ends when its queue is dropped.
             drop(link.queue.try_send(ToFollower::NotHolder));
             return;
         };
-        log::info!(link = id, follower = node; "follower linked");
-        let heartbeat = heartbeat(planner, &self.configuration);
+        log::info!(link = id, follower = node, serves = self.planner.is_some(); "follower linked");
         // The queue is new and empty.
-        drop(link.queue.try_send(heartbeat));
+        drop(link.queue.try_send(first));
         self.links.insert(id, link);
         self.feed_nodes();
     }
 
+    /// Returns what followers are told, if this node holds the group or is about to.
+    fn heartbeat(&self) -> Option<ToFollower> {
+        let Some(planner) = &self.planner else {
+            return self.recovering.then_some(ToFollower::Recovering);
+        };
+        Some(ToFollower::Heartbeat {
+            term: planner.term(),
+            claim_age_ms: planner.claim_age_ms(now_ms()),
+            configuration: self.configuration.version(),
+        })
+    }
+
+    /// Keeps links while rows are read: followers would dial again and again. They end if the group is not taken over.
+    fn set_recovering(&mut self, recovering: bool) {
+        self.recovering = recovering;
+        if !recovering && self.planner.is_none() {
+            self.drop_links();
+        }
+    }
+
+    fn drop_links(&mut self) {
+        for link in self.links.values() {
+            // A follower that misses this sees the link end.
+            drop(link.queue.try_send(ToFollower::NotHolder));
+        }
+        self.links.clear();
+    }
+
+    /// Hands the group to a machine with far more processor that is back: this one could hardly serve all callers.
+    fn make_way(&mut self) {
+        let Some(planner) = &mut self.planner else {
+            return;
+        };
+        let linked_by_ms = now_ms().saturating_sub(MAKE_WAY_MS);
+        let steady = self
+            .links
+            .values()
+            .filter(|link| link.since_ms <= linked_by_ms);
+        let largest = steady.map(|link| link.cpu_permille).max().unwrap_or(0);
+        planner.set_wanted_permille(largest);
+        if largest >= MAKE_WAY_FACTOR * self.cpu_permille && !planner.is_releasing() {
+            log::info!(term = planner.term(), wanted_permille = largest; "group is handed to a larger node");
+            planner.release();
+        }
+    }
+
     fn link_down(&mut self, id: NodeId) {
         if self.links.remove(&id).is_some() {
             self.feed_nodes();
@@ -277,32 +337,27 @@
 
     fn beat(&mut self) {
         let now = now_ms();
-        let Some(planner) = &self.planner else {
+        let Some(heartbeat) = self.heartbeat() else {
             return;
         };
-        self.front.set_claim_age(planner.claim_age_ms(now));
+        if let Some(planner) = &self.planner {
+            self.front.set_claim_age(planner.claim_age_ms(now));
+        }
         if now < self.heartbeat_due_ms {
             return;
         }
         self.heartbeat_due_ms = now + self.heartbeat_ms;
+        self.make_way();
         // A full queue shows in the status without a probe.
         drop(self.sender.try_send(ControlEvent::Probe(Instant::now())));
         self.waiting.retain(|_, waiter| !waiter.is_closed());
         for link in self.links.values() {
             // A follower that misses heartbeats gives the link up.
-            drop(link.queue.try_send(heartbeat(planner, &self.configuration)));
+            drop(link.queue.try_send(heartbeat.clone()));
         }
     }
 }
 
-fn heartbeat(planner: &Planner, configuration: &ConfigurationState) -> ToFollower {
-    ToFollower::Heartbeat {
-        term: planner.term(),
-        claim_age_ms: planner.claim_age_ms(now_ms()),
-        configuration: configuration.version(),
-    }
-}
-
 impl<P: Platform> ControlLoop for Control<P> {
     type Event = ControlEvent;
 
@@ -349,6 +404,13 @@
                 stored,
                 claimed_ms,
             } => self.claimed(takeover, stored, claimed_ms),
+            ControlEvent::Recovering(recovering) => self.set_recovering(recovering),
+            ControlEvent::Unreadable { term } => {
+                let planner = self.planner.as_mut();
+                if let Some(planner) = planner.filter(|planner| planner.term() == term) {
+                    planner.release();
+                }
+            }
             ControlEvent::Endpoints { read_ms, entries } => {
                 self.feed(Event::Endpoints { read_ms, entries });
             }
--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -1,9 +1,11 @@
 //! Carries out what the planner wants done: orders and commits on the traffic thread, replies over links.
 
 use std::future::Future;
+use std::sync::Arc;
 
 use chervilfall_planner::{
-    Action, AdviceAnswer, AdviceOrder, Answer, Batch, Event, NodeId, ReplyTo,
+    decode_text, Action, AdviceAnswer, AdviceOrder, Answer, Batch, Event, JobId, Look, NodeId,
+    ProgressRow, ReplyTo, ENDED, TEXTS,
 };
 
 use super::{Control, ControlEvent, SELF};
@@ -62,6 +64,8 @@
                     }
                 });
             }
+            Action::LookUp(id) => self.look_up(term, id),
+            Action::ReadText(id) => self.read_text(term, id),
             Action::Advise { node, order } => self.advise(node, order),
             Action::StepDown(reason) => self.step_down(reason),
         }
@@ -93,6 +97,40 @@
         });
     }
 
+    fn look_up(&self, term: u64, id: JobId) {
+        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        self.run(term, async move {
+            let read = store.read_row(&group, ENDED, &id.to_string()).await;
+            let look = match read.map(|(row, _)| row.map(|row| ProgressRow::decode(&row.value))) {
+                Ok(Some(Ok(row))) => Look::Ended(row),
+                Ok(None) => Look::Absent,
+                Ok(Some(Err(error))) => {
+                    log::error!(job:% = id, error:% = error; "row of an ended job cannot be read");
+                    Look::Failed
+                }
+                Err(error) => {
+                    log::info!(job:% = id, error:% = error; "ended job not looked up");
+                    Look::Failed
+                }
+            };
+            Event::LookedUp { id, look }
+        });
+    }
+
+    fn read_text(&self, term: u64, id: JobId) {
+        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        self.run(term, async move {
+            let read = store.read_row(&group, TEXTS, &id.to_string()).await;
+            let text = read.ok().and_then(|(row, _)| row);
+            let text = text.and_then(|row| decode_text(&row.value).ok());
+            let text = text.map(Arc::from);
+            if text.is_none() {
+                log::info!(job:% = id; "text not read");
+            }
+            Event::TextRead { id, text }
+        });
+    }
+
     fn advise(&mut self, node: NodeId, order: AdviceOrder) {
         if node == SELF {
             let (advisor, sender) = (self.platform.advisor().clone(), self.sender.clone());
--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -116,6 +116,7 @@
     });
     let hello = ToHolder::Hello {
         node: settings.node.clone(),
+        cpu_permille: settings.cpu_permille(),
     };
     // The queue is new and empty.
     drop(link.queue.try_send(hello));
@@ -193,6 +194,7 @@
             let health = HolderHealth { term, claim_age_ms };
             follow(link, leadership, health);
         }
+        ToFollower::Recovering => {}
         ToFollower::Configuration {
             asked_ms,
             age_ms,
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::clock::now_ms;
 use crate::control::ControlEvent;
 use crate::link::frames::{read, write, LinkEnd, QUEUE};
 use crate::link::message::{ToFollower, ToHolder};
@@ -18,6 +19,10 @@
 #[derive(Debug)]
 pub(crate) struct FollowerLink {
     pub(crate) queue: mpsc::Sender<ToFollower>,
+    /// Processor that the follower may use, in thousandths of a core.
+    pub(crate) cpu_permille: u64,
+    /// When the link came about.
+    pub(crate) since_ms: u64,
 }
 
 /// Numbers of links; 0 is the node itself.
@@ -62,14 +67,18 @@
         .map_err(|_| LinkEnd::Silent)?
         .map_err(|error| broken(error.to_string()))?;
     let (sink, mut stream) = socket.split();
-    let ToHolder::Hello { node } = read(&mut stream, silence).await? else {
+    let ToHolder::Hello { node, cpu_permille } = read(&mut stream, silence).await? else {
         return Err(LinkEnd::Malformed(
             "the first message names no node".to_owned(),
         ));
     };
     let id: NodeId = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let (queue, receiver) = mpsc::channel(QUEUE);
-    let link = FollowerLink { queue };
+    let link = FollowerLink {
+        queue,
+        cpu_permille,
+        since_ms: now_ms(),
+    };
     let up = ControlEvent::LinkUp { id, node, link };
     control.send(up).await.map_err(|_| LinkEnd::Closed)?;
     let reader = async {
--- a/crates/chervilfall_node/src/link/message.rs
+++ b/crates/chervilfall_node/src/link/message.rs
@@ -14,6 +14,9 @@
     Hello {
         /// Name of the node.
         node: String,
+        /// Processor that it may use, in thousandths of a core.
+        #[serde(default)]
+        cpu_permille: u64,
     },
     /// A caller's request.
     Request {
@@ -55,6 +58,8 @@
         #[serde(default)]
         configuration: Option<u64>,
     },
+    /// The sender reads the rows of the group that it has claimed; the link waits until it holds it.
+    Recovering,
     /// Configuration that the holder has in force.
     Configuration {
         /// When it was asked for, by the follower's clock.
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -87,6 +87,7 @@
             GROUP.to_owned(),
             limits,
             timings.heartbeat_ms,
+            settings.cpu_permille(),
             Arc::clone(&configuration),
             Arc::clone(&front),
             Arc::clone(&leadership),
@@ -115,6 +116,7 @@
             front: Arc::clone(&front),
             leadership,
             control: control.clone(),
+            kept: std::sync::Mutex::default(),
         };
         tokio::spawn(claim.run());
         Ok(Self {
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -20,6 +20,15 @@
     pub version: RowVersion,
 }
 
+/// Some rows of a table, in the order of their keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// There are more behind them.
+    pub more: bool,
+}
+
 /// The store, the list of endpoints and the configuration cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -71,12 +80,14 @@
     /// Writes a batch in a group's part, if the claim row has the version expected.
     fn commit(&self, group: &str, batch: Batch) -> impl Future<Output = CommitOutcome> + Send;
 
-    /// Reads all rows of a table in a group's part.
-    fn read_table(
+    /// Reads rows of a table in a group's part: those behind a key, or the first, at most `most`.
+    fn read_page(
         &self,
         group: &str,
         table: &str,
-    ) -> impl Future<Output = Result<Vec<Row>, StoreError>> + Send;
+        after: Option<&str>,
+        most: usize,
+    ) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
     /// Reads one row, and the store's steady clock.
     fn read_row(
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -1,13 +1,12 @@
 //! Finds the holder, links to it, and claims the group when nobody holds it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use chervilfall_planner::{
-    Batch, Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, JobId, JobRow,
-    ProgressRow, RosterEntry, RowVersion, Stall, StartsRow, Stored, Takeover, CLAIMS, HOLDER, JOBS,
-    PROGRESS, ROSTER, STARTS,
+    Batch, Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, RowVersion, Stall,
+    Takeover, CLAIMS, HOLDER,
 };
 use rand::Rng;
 use tokio::sync::{mpsc, oneshot};
@@ -18,8 +17,10 @@
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState};
 use crate::link::{dial, DialError};
-use crate::ports::{ConfigurationReading, Platform, Row, Store, StoreError};
+use crate::ports::{ConfigurationReading, Platform, Store, StoreError};
 use crate::settings::Settings;
+use crate::watch::pages::Progress;
+use crate::watch::recovery::{read_history, GroupReader};
 use crate::watch::Dependency;
 
 /// Spread of the looks at the claim row.
@@ -29,10 +30,14 @@
 /// Time between renewals of a claim whose rows are being read: a third of the standstill
 /// that holds meanwhile.
 const RENEW_MS: u64 = 400;
-/// Attempts to read the group's rows after a claim.
-const LOAD_TRIES: u32 = 8;
-/// Pause between these, with the time for the store to come back.
-const LOAD_PAUSE_MS: u64 = 100;
+/// A claim is handed back if no page of the rows has come for this long: some times the bound of a page.
+const STUCK_MS: u64 = 3_000;
+/// Time between lines that say how far a reading of the rows has come.
+const PROGRESS_LINE_MS: u64 = 1_000;
+/// Shortest pause before a holder is dialled again that does not serve yet.
+const DIAL_AGAIN_MS: u64 = 20;
+/// Longest such pause.
+const DIAL_AGAIN_MOST_MS: u64 = 400;
 
 /// Somebody else has claimed the group.
 struct ClaimLost;
@@ -44,6 +49,32 @@
     end: oneshot::Receiver<DialError>,
 }
 
+/// Links to one holder that have failed in a row.
+#[derive(Debug, Default)]
+struct LinkFailures {
+    /// Term of the holder.
+    term: u64,
+    error: Option<DialError>,
+    pause_ms: u64,
+}
+
+impl LinkFailures {
+    /// Notes a failure, and says so if it is another one than the last; returns the pause before the next try.
+    fn note(&mut self, holder: &HolderRow, error: &DialError) -> u64 {
+        if self.term != holder.term || self.error.as_ref() != Some(error) {
+            log::info!(holder = holder.node.as_str(), term = holder.term, error:% = error; "no link to the holder");
+        }
+        self.pause_ms = if self.term == holder.term {
+            (self.pause_ms * 2).min(DIAL_AGAIN_MOST_MS)
+        } else {
+            DIAL_AGAIN_MS
+        };
+        self.term = holder.term;
+        self.error = Some(error.clone());
+        self.pause_ms
+    }
+}
+
 /// A reading of the claim row and of the store's clock.
 struct ClaimReading {
     version: RowVersion,
@@ -51,6 +82,12 @@
     row: Option<HolderRow>,
 }
 
+/// Rows that were read under a claim which was handed back.
+pub(crate) struct KeptRows {
+    term: u64,
+    rows: GroupReader,
+}
+
 /// Watches the claim row.
 pub(crate) struct ClaimWatch<P> {
     pub(crate) platform: P,
@@ -60,6 +97,7 @@
     pub(crate) front: Arc<Front>,
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) control: mpsc::Sender<ControlEvent>,
+    pub(crate) kept: Mutex<Option<KeptRows>>,
 }
 
 impl<P: Platform> ClaimWatch<P> {
@@ -75,6 +113,7 @@
         });
         let mut dependency = Dependency::new("claim row");
         let mut dialing: Option<Dialing> = None;
+        let mut failures = LinkFailures::default();
         let poll_ms = self.settings.timings.claim_poll_ms;
         loop {
             let pause_ms = if self.holder_works() {
@@ -88,7 +127,10 @@
             // Candidates that look at the same moment would all claim; one wins, the others did it in vain.
             let jitter_ms = rand::rng().random_range(0..=LOOK_JITTER_MS);
             let pause = Duration::from_millis(pause_ms + jitter_ms);
-            if let Some(holder) = self.wait_for_trouble(pause, &mut dialing).await {
+            if let Some(holder) = self
+                .wait_for_trouble(pause, &mut dialing, &mut failures)
+                .await
+            {
                 candidate.refused_by(now_ms(), &holder);
             }
         }
@@ -130,6 +172,7 @@
         &self,
         pause: Duration,
         dialing: &mut Option<Dialing>,
+        failures: &mut LinkFailures,
     ) -> Option<HolderRow> {
         let mut changes = self.leadership.subscribe();
         let followed = !matches!(*changes.borrow_and_update(), Leadership::Nobody);
@@ -146,8 +189,15 @@
         };
         let ended = dialing.take()?;
         let error = end?;
-        log::info!(holder = ended.row.node.as_str(), term = ended.row.term, error:% = error; "no link to the holder");
-        (error == DialError::Refused).then_some(ended.row)
+        metrics::counter!("chervilfall_links_failed_total").increment(1);
+        let pause_ms = failures.note(&ended.row, &error);
+        if error == DialError::Refused {
+            return Some(ended.row);
+        }
+        // Many nodes that dial at once would keep a holder busy that is about to serve.
+        let jitter_ms = rand::rng().random_range(0..=pause_ms / 2);
+        tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
+        None
     }
 
     async fn read_claim(&self) -> Result<ClaimReading, StoreError> {
@@ -212,7 +262,7 @@
 
     async fn claim(
         &self,
-        candidate: &Candidate,
+        candidate: &mut Candidate,
         dialing: &mut Option<Dialing>,
         batch: Batch,
         row: HolderRow,
@@ -223,7 +273,7 @@
             self.abandon(dialing);
             let takeover = candidate.won(row, version);
             log::info!(term = takeover.row.term, fence = takeover.fence; "group claimed");
-            self.load(takeover, claimed_ms).await;
+            self.load(candidate, takeover, claimed_ms).await;
         } else {
             log::info!(outcome = outcome.word(); "claim not won");
         }
@@ -268,40 +318,96 @@
         }
     }
 
-    /// Reads the rows of the group that was claimed, and keeps the claim alive meanwhile: a machine
-    /// with a slow link can take longer than the claim may stand still.
-    async fn load(&self, mut takeover: Takeover, claimed_ms: u64) {
-        let reading = async {
-            let rows = self.read_group_patiently();
-            let (stored, ()) = tokio::join!(rows, self.read_configuration());
-            stored
-        };
-        tokio::pin!(reading);
-        let renew = Duration::from_millis(RENEW_MS);
+    /// Reads the rows of the group that was claimed, and keeps the claim alive meanwhile: a machine with a slow link can
+    /// take longer than the claim may stand still. The claim is handed back if nothing comes, so that nodes which can read
+    /// the rows are not kept from them.
+    async fn load(&self, candidate: &mut Candidate, mut takeover: Takeover, claimed_ms: u64) {
+        let began_ms = now_ms();
+        let progress = Progress::new();
+        let mut rows = self.kept_rows(&takeover);
         let mut confirmed_ms = claimed_ms;
-        let stored = loop {
-            tokio::select! {
-                stored = &mut reading => break stored,
-                () = tokio::time::sleep(renew) => {
-                    let sent_ms = now_ms();
-                    match self.renew(&mut takeover).await {
-                        Ok(true) => confirmed_ms = sent_ms,
-                        Ok(false) => {}
-                        Err(ClaimLost) => {
-                            log::info!(term = takeover.row.term; "claim lost while rows were read");
-                            return;
+        self.set_recovering(true).await;
+        let read = {
+            let reading = async {
+                let group = rows.read(self.platform.store(), &self.group, &progress);
+                let (read, ()) = tokio::join!(group, self.read_configuration());
+                read
+            };
+            tokio::pin!(reading);
+            let mut next_line_ms = began_ms + PROGRESS_LINE_MS;
+            loop {
+                tokio::select! {
+                    read = &mut reading => break Some(read),
+                    () = tokio::time::sleep(Duration::from_millis(RENEW_MS)) => {
+                        if progress.still_ms() >= STUCK_MS {
+                            break None;
+                        }
+                        let sent_ms = now_ms();
+                        match self.renew(&mut takeover).await {
+                            Ok(true) => confirmed_ms = sent_ms,
+                            Ok(false) => {}
+                            Err(ClaimLost) => {
+                                log::info!(term = takeover.row.term; "claim lost while rows were read");
+                                self.set_recovering(false).await;
+                                return;
+                            }
+                        }
+                        if now_ms() >= next_line_ms {
+                            next_line_ms += PROGRESS_LINE_MS;
+                            say_progress(&takeover, &progress, began_ms);
                         }
                     }
                 }
             }
         };
-        let Some(stored) = stored else {
-            return;
-        };
+        say_progress(&takeover, &progress, began_ms);
+        match read {
+            Some(Ok(())) => self.take_over(takeover, rows, confirmed_ms).await,
+            Some(Err(error)) => {
+                log::error!(term = takeover.row.term, error:% = error; "group's rows cannot be read, claim handed back");
+                self.hand_back(candidate, &mut takeover).await;
+            }
+            None => {
+                log::warn!(term = takeover.row.term, still_ms = progress.still_ms(); "group's rows do not come, claim handed back");
+                self.hand_back(candidate, &mut takeover).await;
+                self.keep_rows(&takeover, rows);
+            }
+        }
+        self.set_recovering(false).await;
+    }
+
+    /// Returns what was read under an earlier claim of this process, if nobody has held the group since.
+    fn kept_rows(&self, takeover: &Takeover) -> GroupReader {
+        let kept = self.lock_kept().take();
+        let kept = kept.filter(|kept| kept.term + 1 == takeover.row.term);
+        kept.map_or_else(GroupReader::new, |kept| kept.rows)
+    }
+
+    fn keep_rows(&self, takeover: &Takeover, rows: GroupReader) {
+        let term = takeover.row.term;
+        *self.lock_kept() = Some(KeptRows { term, rows });
+    }
+
+    fn lock_kept(&self) -> std::sync::MutexGuard<'_, Option<KeptRows>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the control thread whether rows are being read, so that links to this node last until it serves.
+    async fn set_recovering(&self, recovering: bool) {
+        // The control thread ends with the process only.
+        drop(
+            self.control
+                .send(ControlEvent::Recovering(recovering))
+                .await,
+        );
+    }
+
+    async fn take_over(&self, takeover: Takeover, rows: GroupReader, claimed_ms: u64) {
+        let term = takeover.row.term;
         let event = ControlEvent::Claimed {
             takeover,
-            stored,
-            claimed_ms: confirmed_ms,
+            stored: rows.into_stored(),
+            claimed_ms,
         };
         // The control thread ends with the process only.
         drop(self.control.send(event).await);
@@ -310,6 +416,36 @@
             .leadership
             .wait_until(|leadership| matches!(leadership, Leadership::Local));
         drop(tokio::time::timeout(Duration::from_secs(1), held).await);
+        self.read_history(term);
+    }
+
+    /// Reads in the background what the new holder can serve without.
+    fn read_history(&self, term: u64) {
+        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        let (control, leadership) = (self.control.clone(), Arc::clone(&self.leadership));
+        tokio::spawn(async move {
+            let tell = |event| {
+                let (control, leadership) = (control.clone(), Arc::clone(&leadership));
+                async move {
+                    let holds = matches!(leadership.current(), Leadership::Local);
+                    let event = ControlEvent::Done { term, event };
+                    holds && control.send(event).await.is_ok()
+                }
+            };
+            if let Err(error) = read_history(&store, &group, tell).await {
+                log::error!(term = term, error:% = error; "texts and ended jobs cannot be read, group handed back");
+                // The control thread ends with the process only.
+                drop(control.send(ControlEvent::Unreadable { term }).await);
+            }
+        });
+    }
+
+    async fn hand_back(&self, candidate: &mut Candidate, takeover: &mut Takeover) {
+        candidate.abstain(now_ms());
+        let batch = Candidate::hand_back(takeover);
+        let outcome = self.platform.store().commit(&self.group, batch).await;
+        // Without an answer the claim lapses by its standstill.
+        log::info!(term = takeover.row.term, outcome = outcome.word(); "claim handed back");
     }
 
     /// Renews a claim; returns whether that is confirmed.
@@ -363,71 +499,17 @@
             );
         }
     }
-
-    async fn read_group_patiently(&self) -> Option<Stored> {
-        for _ in 0..LOAD_TRIES {
-            match self.read_group().await {
-                Ok(stored) => return Some(stored),
-                Err(error) => log::warn!(error:% = error; "can't read the group's rows"),
-            }
-            tokio::time::sleep(Duration::from_millis(LOAD_PAUSE_MS)).await;
-        }
-        None
-    }
-
-    async fn read_group(&self) -> Result<Stored, StoreError> {
-        let store = self.platform.store();
-        let jobs = store.read_table(&self.group, JOBS);
-        let progress = store.read_table(&self.group, PROGRESS);
-        let roster = store.read_table(&self.group, ROSTER);
-        let starts = store.read_table(&self.group, STARTS);
-        let (jobs, progress, roster, starts) = tokio::try_join!(jobs, progress, roster, starts)?;
-        Ok(Stored {
-            jobs: decode_rows(jobs, JobRow::decode)?,
-            progress: decode_rows(progress, ProgressRow::decode)?,
-            roster: decode_roster(roster)?,
-            starts: decode_starts(starts)?,
-        })
-    }
-}
-
-/// Decodes the rows of the roster; to take one that cannot be read for absent would forget leases.
-fn decode_roster(rows: Vec<Row>) -> Result<Vec<RosterEntry>, StoreError> {
-    let mut roster = Vec::new();
-    for row in rows {
-        let entries = RosterEntry::decode_all(&row.value)
-            .map_err(|error| StoreError::Malformed(format!("row {}: {error}", row.key)))?;
-        roster.extend(entries);
-    }
-    Ok(roster)
-}
-
-/// Decodes the rows of the latest starts.
-fn decode_starts(rows: Vec<Row>) -> Result<Vec<(u64, StartsRow)>, StoreError> {
-    let decoded = rows.into_iter().map(|row| {
-        let malformed = |error: String| StoreError::Malformed(format!("row {}: {error}", row.key));
-        let slot = row.key.parse();
-        let slot = slot.map_err(|error: std::num::ParseIntError| malformed(error.to_string()))?;
-        let value = StartsRow::decode(&row.value).map_err(|error| malformed(error.to_string()))?;
-        Ok((slot, value))
-    });
-    decoded.collect()
 }
 
-/// Decodes rows named by job; a row that cannot be read stops the takeover, because to take it for
-/// absent would forget an accepted job.
-fn decode_rows<T, E: std::fmt::Display>(
-    rows: Vec<Row>,
-    decode: impl Fn(&[u8]) -> Result<T, E>,
-) -> Result<Vec<(JobId, T)>, StoreError> {
-    let decoded = rows.into_iter().map(|row| {
-        let malformed = |error: String| StoreError::Malformed(format!("row {}: {error}", row.key));
-        let id: JobId = row
-            .key
-            .parse()
-            .map_err(|error: chervilfall_planner::InvalidJobId| malformed(error.to_string()))?;
-        let value = decode(&row.value).map_err(|error| malformed(error.to_string()))?;
-        Ok((id, value))
-    });
-    decoded.collect()
+/// Says how far a reading of the rows has come.
+fn say_progress(takeover: &Takeover, progress: &Progress, began_ms: u64) {
+    let (rows, bytes, missed) = progress.counts();
+    let took_ms = now_ms().saturating_sub(began_ms);
+    metrics::gauge!("chervilfall_recovery_rows").set(rows as f64);
+    metrics::gauge!("chervilfall_recovery_bytes").set(bytes as f64);
+    metrics::gauge!("chervilfall_recovery_seconds").set(took_ms as f64 / 1_000.0);
+    log::info!(
+        term = takeover.row.term, rows = rows, bytes = bytes, missed = missed, took_ms = took_ms;
+        "group's rows are read"
+    );
 }
--- a/crates/chervilfall_node/src/watch/mod.rs
+++ b/crates/chervilfall_node/src/watch/mod.rs
@@ -3,7 +3,9 @@
 pub(crate) mod claim;
 pub(crate) mod configuration;
 pub(crate) mod endpoints;
+pub(crate) mod pages;
 pub(crate) mod readings;
+pub(crate) mod recovery;
 
 use crate::ports::StoreError;
 
--- /dev/null
+++ b/crates/chervilfall_node/src/watch/pages.rs
@@ -0,0 +1,150 @@
+//! Reads a table page by page, in pages that the way to the store can carry.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::clock::now_ms;
+use crate::ports::{Row, Store, StoreError};
+
+/// Rows of the first page.
+const FIRST_ROWS: usize = 100;
+/// Most rows of a page.
+const MOST_ROWS: usize = 500;
+/// A page that came within this is followed by one of twice its rows.
+const SHORT_MS: u64 = 200;
+/// Pages without an answer are followed by ones with so many times fewer rows.
+const SHRINK: usize = 4;
+/// Pause after a page that did not come.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// How many rows the next page has: on a thin link a large one would never come within its bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PageSize {
+    rows: usize,
+}
+
+impl Default for PageSize {
+    fn default() -> Self {
+        Self { rows: FIRST_ROWS }
+    }
+}
+
+impl PageSize {
+    /// Returns the rows of the next page.
+    #[must_use]
+    pub const fn rows(self) -> usize {
+        self.rows
+    }
+
+    /// Takes note of a page that came after some time.
+    pub fn came(&mut self, took_ms: u64) {
+        if took_ms <= SHORT_MS {
+            self.rows = (self.rows * 2).min(MOST_ROWS);
+        }
+    }
+
+    /// Takes note of a page that did not come.
+    pub fn missed(&mut self) {
+        self.rows = (self.rows / SHRINK).max(1);
+    }
+}
+
+/// What all readings of a group have brought.
+#[derive(Debug)]
+pub(super) struct Progress {
+    rows: AtomicU64,
+    bytes: AtomicU64,
+    missed: AtomicU64,
+    /// When a page came last, in milliseconds.
+    last_ms: AtomicU64,
+}
+
+impl Progress {
+    pub(super) fn new() -> Self {
+        Self {
+            rows: AtomicU64::new(0),
+            bytes: AtomicU64::new(0),
+            missed: AtomicU64::new(0),
+            last_ms: AtomicU64::new(now_ms()),
+        }
+    }
+
+    fn came(&self, rows: &[Row]) {
+        let bytes: usize = rows.iter().map(|row| row.value.len()).sum();
+        self.rows.fetch_add(rows.len() as u64, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.last_ms.store(now_ms(), Ordering::Relaxed);
+    }
+
+    fn missed(&self) {
+        self.missed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how long ago a page came last.
+    pub(super) fn still_ms(&self) -> u64 {
+        now_ms().saturating_sub(self.last_ms.load(Ordering::Relaxed))
+    }
+
+    /// Returns rows, bytes of their values, and pages that did not come.
+    pub(super) fn counts(&self) -> (u64, u64, u64) {
+        let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        (count(&self.rows), count(&self.bytes), count(&self.missed))
+    }
+}
+
+/// A table that is being read. What has come stays when a page does not come.
+#[derive(Debug)]
+pub(super) struct TableReader {
+    table: &'static str,
+    size: PageSize,
+    last_key: Option<String>,
+    done: bool,
+}
+
+impl TableReader {
+    pub(super) fn new(table: &'static str) -> Self {
+        Self {
+            table,
+            size: PageSize::default(),
+            last_key: None,
+            done: false,
+        }
+    }
+
+    /// Reads the next page; returns nothing once there are no more.
+    pub(super) async fn next<S: Store>(
+        &mut self,
+        store: &S,
+        group: &str,
+        progress: &Progress,
+    ) -> Option<Vec<Row>> {
+        while !self.done {
+            let began_ms = now_ms();
+            let after = self.last_key.as_deref();
+            let read = store.read_page(group, self.table, after, self.size.rows());
+            match read.await {
+                Ok(page) => {
+                    progress.came(&page.rows);
+                    self.size.came(now_ms().saturating_sub(began_ms));
+                    self.done = !page.more || page.rows.is_empty();
+                    if let Some(last) = page.rows.last() {
+                        self.last_key = Some(last.key.clone());
+                    }
+                    return Some(page.rows);
+                }
+                Err(error) => self.missed(&error, progress),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        None
+    }
+
+    fn missed(&mut self, error: &StoreError, progress: &Progress) {
+        log::warn!(
+            table = self.table, rows = self.size.rows(), error:% = error;
+            "page of the group's rows did not come"
+        );
+        progress.missed();
+        self.size.missed();
+    }
+}
--- /dev/null
+++ b/crates/chervilfall_node/src/watch/recovery.rs
@@ -0,0 +1,166 @@
+//! Reads what earlier holders have left.
+//!
+//! A new holder serves as soon as it knows the open jobs, the endpoints and the latest starts. Texts of jobs and jobs that
+//! have ended are most of the bytes; it reads them while it serves.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use chervilfall_planner::{
+    decode_text, Event, JobId, JobRow, ProgressRow, RosterEntry, StartsRow, Stored, ENDED, JOBS,
+    PROGRESS, ROSTER, STARTS, TEXTS,
+};
+
+use crate::ports::{Row, Store, StoreError};
+use crate::watch::pages::{Progress, TableReader};
+
+/// The rows that a holder needs before it serves. Nothing but the claim changes them, so that what has come stays good for
+/// as long as nobody else has claimed the group.
+pub(super) struct GroupReader {
+    jobs: Table<(JobId, JobRow)>,
+    progress: Table<(JobId, ProgressRow)>,
+    roster: Table<RosterEntry>,
+    starts: Table<(u64, StartsRow)>,
+}
+
+impl GroupReader {
+    pub(super) fn new() -> Self {
+        Self {
+            jobs: Table::new(JOBS),
+            progress: Table::new(PROGRESS),
+            roster: Table::new(ROSTER),
+            starts: Table::new(STARTS),
+        }
+    }
+
+    /// Reads what has not come yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a row cannot be decoded, which stops the takeover: to take it for absent would forget a job or a
+    /// lease.
+    pub(super) async fn read<S: Store>(
+        &mut self,
+        store: &S,
+        group: &str,
+        progress: &Progress,
+    ) -> Result<(), StoreError> {
+        tokio::try_join!(
+            self.jobs.read(store, group, progress, decode_job),
+            self.progress.read(store, group, progress, decode_progress),
+            self.roster.read(store, group, progress, decode_roster),
+            self.starts.read(store, group, progress, decode_starts),
+        )?;
+        Ok(())
+    }
+
+    pub(super) fn into_stored(self) -> Stored {
+        Stored {
+            jobs: self.jobs.values,
+            progress: self.progress.values,
+            roster: self.roster.values,
+            starts: self.starts.values,
+        }
+    }
+}
+
+/// A table with what has been read of it.
+struct Table<T> {
+    reader: TableReader,
+    values: Vec<T>,
+}
+
+impl<T> Table<T> {
+    fn new(table: &'static str) -> Self {
+        Self {
+            reader: TableReader::new(table),
+            values: Vec::new(),
+        }
+    }
+
+    async fn read<S: Store>(
+        &mut self,
+        store: &S,
+        group: &str,
+        progress: &Progress,
+        decode: fn(&Row) -> Result<Vec<T>, StoreError>,
+    ) -> Result<(), StoreError> {
+        while let Some(rows) = self.reader.next(store, group, progress).await {
+            for row in rows {
+                self.values.extend(decode(&row)?);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads texts, then ended jobs, and passes them on until `tell` says that nobody wants them any more.
+///
+/// # Errors
+///
+/// Returns an error if a row cannot be decoded.
+pub(super) async fn read_history<S: Store, F: Future<Output = bool>>(
+    store: &S,
+    group: &str,
+    tell: impl Fn(Event) -> F,
+) -> Result<(), StoreError> {
+    let progress = Progress::new();
+    let mut texts = TableReader::new(TEXTS);
+    while let Some(rows) = texts.next(store, group, &progress).await {
+        let texts: Result<Vec<_>, StoreError> = rows.iter().map(decode_row_text).collect();
+        if !tell(Event::Texts(texts?)).await {
+            return Ok(());
+        }
+    }
+    if !tell(Event::TextsRead).await {
+        return Ok(());
+    }
+    let mut ended = TableReader::new(ENDED);
+    while let Some(rows) = ended.next(store, group, &progress).await {
+        let mut ends = Vec::with_capacity(rows.len());
+        for row in &rows {
+            ends.extend(decode_progress(row)?);
+        }
+        if !tell(Event::Ended(ends)).await {
+            return Ok(());
+        }
+    }
+    tell(Event::HistoryRead).await;
+    let (rows, bytes, missed) = progress.counts();
+    log::info!(rows = rows, bytes = bytes, missed = missed; "texts and ended jobs read");
+    Ok(())
+}
+
+fn malformed(row: &Row, error: &dyn std::fmt::Display) -> StoreError {
+    StoreError::Malformed(format!("row {}: {error}", row.key))
+}
+
+fn name(row: &Row) -> Result<JobId, StoreError> {
+    row.key.parse().map_err(|error| malformed(row, &error))
+}
+
+fn decode_job(row: &Row) -> Result<Vec<(JobId, JobRow)>, StoreError> {
+    let value = JobRow::decode(&row.value).map_err(|error| malformed(row, &error))?;
+    Ok(vec![(name(row)?, value)])
+}
+
+pub(crate) fn decode_progress(row: &Row) -> Result<Vec<(JobId, ProgressRow)>, StoreError> {
+    let value = ProgressRow::decode(&row.value).map_err(|error| malformed(row, &error))?;
+    Ok(vec![(name(row)?, value)])
+}
+
+fn decode_roster(row: &Row) -> Result<Vec<RosterEntry>, StoreError> {
+    RosterEntry::decode_all(&row.value).map_err(|error| malformed(row, &error))
+}
+
+fn decode_starts(row: &Row) -> Result<Vec<(u64, StartsRow)>, StoreError> {
+    let slot: Result<u64, _> = row.key.parse();
+    let slot = slot.map_err(|error| malformed(row, &error))?;
+    let value = StartsRow::decode(&row.value).map_err(|error| malformed(row, &error))?;
+    Ok(vec![(slot, value)])
+}
+
+fn decode_row_text(row: &Row) -> Result<(JobId, Arc<str>), StoreError> {
+    let text = decode_text(&row.value).map_err(|error| malformed(row, &error))?;
+    Ok((name(row)?, Arc::from(text)))
+}
--- a/crates/chervilfall_planner/src/action.rs
+++ b/crates/chervilfall_planner/src/action.rs
@@ -5,7 +5,7 @@
 use crate::commit::Batch;
 use crate::endpoint::EndpointKey;
 use crate::event::{NodeId, Ticket};
-use crate::ids::{EndpointId, Fence, Millis, Run, TaskKey};
+use crate::ids::{EndpointId, Fence, JobId, Millis, Run, TaskKey};
 
 /// Where an answer goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -174,6 +174,10 @@
         /// The call.
         order: AdviceOrder,
     },
+    /// Looks for the row of an ended job.
+    LookUp(JobId),
+    /// Reads the text of an open job.
+    ReadText(JobId),
     /// Ends the planner: it must not be fed any more.
     StepDown(StepDownReason),
 }
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -15,6 +15,13 @@
 /// How long machines with little processor leave a claim to others: the time that those need to
 /// notice and to claim.
 const DEFERENCE_MS: Millis = 1_200;
+/// How long a holder that still reads its rows is left alone by machines with twice its processor, which read them sooner:
+/// longer than such a machine takes for all of it.
+const OUTRANKED_MS: Millis = 1_000;
+/// How long a larger holder is remembered that may come back.
+pub(crate) const REMEMBERED_MS: Millis = 30_000;
+/// How long a node leaves the claim to others after it has handed it back because it could not read the rows.
+const ABSTENTION_MS: Millis = 2_000;
 /// A machine with this share defers to nobody while there is no holder yet; below half of it, it does.
 const LARGE_PERMILLE: u64 = 500;
 
@@ -38,6 +45,12 @@
     pub settled: bool,
     /// Processor share of the holder's machine, in thousandths of a core.
     pub cpu_permille: u64,
+    /// The holder still reads the group's rows and serves nobody.
+    #[serde(default)]
+    pub recovering: bool,
+    /// Processor share of the largest machine that could hold the group: linked to the holder, or a holder of late.
+    #[serde(default)]
+    pub wanted_permille: u64,
     /// How long the row may stand still before the holder is taken for lost, as the holder asks for by the
     /// gaps between its commits; 0 if it does not know yet.
     #[serde(default)]
@@ -158,6 +171,12 @@
     unreadable: bool,
     /// The last holder that refused a connection.
     refused: Option<RefusedHolder>,
+    /// The newest term that was seen, and when first.
+    term: Option<(u64, Millis)>,
+    /// Processor share of the largest holder that was seen, in thousandths of a core, and when last.
+    largest: Option<(u64, Millis)>,
+    /// Until when the claim is left to others.
+    abstains_until_ms: Millis,
 }
 
 /// Who a candidate is.
@@ -185,6 +204,9 @@
             readable_ms: None,
             unreadable: false,
             refused: None,
+            term: None,
+            largest: None,
+            abstains_until_ms: 0,
         }
     }
 
@@ -205,6 +227,30 @@
         self.unreadable = false;
     }
 
+    /// Leaves the claim to others for a while: this node has handed it back.
+    pub fn abstain(&mut self, now: Millis) {
+        self.abstains_until_ms = now + ABSTENTION_MS;
+    }
+
+    /// Notes how large the holder's machine is and those that it is linked to; returns the largest of late.
+    fn largest_permille(&mut self, now: Millis, holder: &HolderRow) -> u64 {
+        let seen = holder.cpu_permille.max(holder.wanted_permille);
+        let known = self.largest.filter(|(permille, seen_ms)| {
+            *permille > seen && now.saturating_sub(*seen_ms) < REMEMBERED_MS
+        });
+        let largest = known.unwrap_or((seen, now));
+        self.largest = Some(largest);
+        largest.0
+    }
+
+    /// Returns whether a holder that still reads its rows can be replaced by this node, which reads them sooner. Machines
+    /// can follow each other so only while each has twice the processor of the one before.
+    fn outranks(&self, now: Millis, holder: &HolderRow) -> bool {
+        let since_ms = self.term.map_or(now, |(_, since_ms)| since_ms);
+        let larger = self.identity.cpu_permille >= 2 * holder.cpu_permille;
+        holder.recovering && larger && now.saturating_sub(since_ms) >= OUTRANKED_MS
+    }
+
     /// Notes that the address of a holder has refused a connection.
     pub fn refused_by(&mut self, now: Millis, holder: &HolderRow) {
         self.refused = Some(RefusedHolder {
@@ -235,6 +281,10 @@
         if std::mem::take(&mut self.unreadable) {
             self.readable_ms = Some(now);
         }
+        let term = row.as_ref().map_or(0, |row| row.term);
+        if self.term.is_none_or(|(known, _)| known != term) {
+            self.term = Some((term, now));
+        }
         let known = self.seen.as_ref().filter(|seen| seen.version == version);
         let first_ms = known.map_or(now, |seen| seen.first_ms);
         self.seen = Some(Seen {
@@ -242,20 +292,22 @@
             first_ms,
             row: row.clone(),
         });
+        let abstains = now < self.abstains_until_ms;
         match row {
             None => {
                 let deference_ms = self.deference_ms(LARGE_PERMILLE);
-                if now.saturating_sub(first_ms) < deference_ms {
+                if abstains || now.saturating_sub(first_ms) < deference_ms {
                     return CandidateMove::Wait;
                 }
                 self.claim(0, version)
             }
             Some(holder) => {
                 let own = self.is_own(&holder);
+                let largest_permille = self.largest_permille(now, &holder);
                 let deference_ms = if own {
                     0
                 } else {
-                    self.deference_ms(holder.cpu_permille)
+                    self.deference_ms(largest_permille)
                 };
                 let refused = self.refused.is_some_and(|refused| refused.is(&holder, now));
                 let stall_ms = stall.of(&holder, refused) + deference_ms;
@@ -272,7 +324,8 @@
                     .readable_ms
                     .map_or(Millis::MAX, |at_ms| now.saturating_sub(at_ms));
                 let age_ms = seen_still_ms.max(said_still_ms).min(readable_for_ms);
-                if free || (age_ms >= stall_ms && deferred) {
+                let stalled = age_ms >= stall_ms && deferred;
+                if !abstains && (free || stalled || self.outranks(now, &holder)) {
                     return self.claim(holder.term, version);
                 }
                 CandidateMove::Follow {
@@ -295,6 +348,8 @@
             incarnation: self.identity.incarnation,
             address: self.identity.address.clone(),
             cpu_permille: self.identity.cpu_permille,
+            recovering: true,
+            wanted_permille: self.largest.map_or(0, |(permille, _)| permille),
             number: 0,
             released: false,
             settled: false,
@@ -318,8 +373,19 @@
     /// Returns the batch that renews a claim while its holder does not plan yet.
     #[must_use]
     pub fn renewal(takeover: &Takeover) -> Batch {
+        Self::next_batch(takeover, false)
+    }
+
+    /// Returns the batch that hands such a claim back.
+    #[must_use]
+    pub fn hand_back(takeover: &Takeover) -> Batch {
+        Self::next_batch(takeover, true)
+    }
+
+    fn next_batch(takeover: &Takeover, released: bool) -> Batch {
         let mut row = takeover.row.clone();
         row.number += 1;
+        row.released = released;
         let key = RowKey {
             table: CLAIMS,
             key: HOLDER.to_owned(),
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -10,6 +10,8 @@
 use crate::endpoint::{EndpointEntry, EndpointKey};
 use crate::ids::{EndpointId, JobId, Millis, Run, TaskKey, UnixMillis};
 use crate::job::JobSpec;
+use crate::planner::Look;
+use crate::record::ProgressRow;
 use crate::starts::StartNote;
 
 /// Number of a linked node; 0 is the planner's own.
@@ -49,6 +51,16 @@
     },
 }
 
+impl Request {
+    /// Returns the job that it names.
+    pub(crate) const fn job(&self) -> Option<JobId> {
+        match self {
+            Self::Submit { id, .. } | Self::State { id } | Self::Cancel { id } => Some(*id),
+            Self::Waiting { .. } => None,
+        }
+    }
+}
+
 /// Why an endpoint refused an order that it has not carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
@@ -246,6 +258,28 @@
     },
     /// A node that held the group before tells what it has started and could not store.
     UnstoredStarts(Vec<StartNote>),
+    /// Texts of inherited jobs were read.
+    Texts(Vec<(JobId, Arc<str>)>),
+    /// The text of a job was read whose turn has come.
+    TextRead {
+        /// The job.
+        id: JobId,
+        /// The text; none if the store has not answered.
+        text: Option<Arc<str>>,
+    },
+    /// All texts were read.
+    TextsRead,
+    /// Rows of jobs that have ended were read.
+    Ended(Vec<(JobId, ProgressRow)>),
+    /// All rows of jobs that have ended were read.
+    HistoryRead,
+    /// The row of an ended job was looked for.
+    LookedUp {
+        /// The job.
+        id: JobId,
+        /// What was found.
+        look: Look,
+    },
     /// Time has passed.
     Tick {
         /// Time of day, in milliseconds since 1970.
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -41,9 +41,10 @@
 };
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
-pub use planner::{Backlog, Planner, Stored};
+pub use planner::{Backlog, Look, Planner, Stored};
 pub use policy::switches::Policies;
 pub use record::{
-    JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER,
+    decode_text, JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS,
+    PROGRESS, ROSTER, TEXTS,
 };
 pub use starts::{StartNote, StartsRow, STARTS};
--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -6,6 +6,11 @@
 use crate::commit::{RowChange, RowKey};
 use crate::endpoint::EndpointKey;
 use crate::ids::{JobId, Run, TaskKey};
+use crate::record::{JOBS, PROGRESS, TEXTS};
+use crate::tasks::JobRows;
+
+/// Most changes of one job beside a first one: its end is written, and its other rows are dropped.
+const JOB_CHANGES: usize = 3;
 
 /// Collects the changes of a batch within the store's limits.
 pub(super) struct Builder {
@@ -46,6 +51,22 @@
             .push(RowChange::Put(RowKey { table, key }, value));
     }
 
+    /// Returns whether there is room for one job's rows.
+    pub(super) fn has_room_for_job(&self) -> bool {
+        self.has_room_for(JOB_CHANGES)
+    }
+
+    /// Drops the rows that an open job has.
+    pub(super) fn remove_open(&mut self, id: JobId, rows: JobRows) {
+        if rows.open {
+            self.remove(JOBS, id);
+            self.remove(TEXTS, id);
+        }
+        if rows.progress {
+            self.remove(PROGRESS, id);
+        }
+    }
+
     pub(super) fn remove(&mut self, table: &'static str, id: JobId) {
         let key = id.to_string();
         self.changes.push(RowChange::Remove(RowKey { table, key }));
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -11,8 +11,11 @@
 use crate::planner::batch::Builder;
 use crate::planner::gap::Resumed;
 use crate::planner::Planner;
-use crate::record::{encode, RosterBucket, RosterEntry, CLAIMS, HOLDER, JOBS, PROGRESS, ROSTER};
+use crate::record::{
+    encode, RosterBucket, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS, PROGRESS, ROSTER, TEXTS,
+};
 use crate::starts::STARTS;
+use crate::tasks::JobRows;
 
 /// Factor on what recent commits took.
 const COMMIT_COPY_FACTOR: u64 = 2;
@@ -27,14 +30,14 @@
     pub(crate) new_jobs: VecDeque<JobId>,
     pub(crate) progress: BTreeSet<JobId>,
     pub(crate) acknowledgements: BTreeMap<EndpointKey, u64>,
-    removed: Vec<JobId>,
+    removed: Vec<(JobId, JobRows)>,
     pub(crate) roster: BTreeSet<RosterBucket>,
 }
 
 impl Unsaved {
-    pub(crate) fn remove(&mut self, id: JobId) {
+    pub(crate) fn remove(&mut self, id: JobId, rows: JobRows) {
         self.progress.remove(&id);
-        self.removed.push(id);
+        self.removed.push((id, rows));
     }
 
     fn is_empty(&self) -> bool {
@@ -158,26 +161,33 @@
     }
 
     fn add_new_jobs(&mut self, builder: &mut Builder) {
-        while builder.has_room() {
+        while builder.has_room_for_job() {
             let Some(id) = self.unsaved.new_jobs.pop_front() else {
                 return;
             };
-            if let Some(job) = self.jobs.get(&id) {
+            if let Some(job) = self.jobs.get_mut(&id) {
                 builder.put(JOBS, id.to_string(), encode(&job.row()));
+                let text = job.text.as_deref().unwrap_or("");
+                builder.put(TEXTS, id.to_string(), encode(&text));
+                job.rows.open = true;
                 builder.new_jobs.insert(id);
             }
         }
     }
 
     fn add_progress(&mut self, builder: &mut Builder) {
-        while builder.has_room() {
+        while builder.has_room_for_job() {
             let Some(id) = self.unsaved.progress.pop_first() else {
                 return;
             };
-            if let Some(job) = self.jobs.get(&id) {
-                builder.put(PROGRESS, id.to_string(), encode(&job.progress()));
-                if job.outcome.is_some() && !builder.new_jobs.contains(&id) {
-                    builder.remove(JOBS, id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                let row = encode(&job.progress());
+                if job.outcome.is_none() || builder.new_jobs.contains(&id) {
+                    builder.put(PROGRESS, id.to_string(), row);
+                    job.rows.progress = true;
+                } else {
+                    builder.put(ENDED, id.to_string(), row);
+                    builder.remove_open(id, std::mem::take(&mut job.rows));
                 }
                 builder.progress.push((id, job.outcome, job.cancelled));
                 let announced = self.announced.iter().filter(|(task, _)| task.job == id);
@@ -232,12 +242,12 @@
     }
 
     fn add_removed(&mut self, builder: &mut Builder) {
-        while builder.has_room() {
-            let Some(id) = self.unsaved.removed.pop() else {
+        while builder.has_room_for_job() {
+            let Some((id, rows)) = self.unsaved.removed.pop() else {
                 return;
             };
-            builder.remove(JOBS, id);
-            builder.remove(PROGRESS, id);
+            builder.remove(ENDED, id);
+            builder.remove_open(id, rows);
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod ends;
 mod gap;
+mod history;
 mod incarnations;
 mod leases;
 mod open;
@@ -25,7 +26,7 @@
 
 use crate::action::{Action, Answer, StepDownReason};
 use crate::config::{Configuration, ServiceName};
-use crate::election::{HolderRow, Takeover};
+use crate::election::{HolderRow, Takeover, REMEMBERED_MS};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::event::{Event, NodeId};
 use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, Run, TaskKey};
@@ -40,6 +41,8 @@
 use barrier::Barrier;
 use commits::{Flight, Unsaved};
 use gap::Gap;
+use history::History;
+pub use history::Look;
 use open::OpenSteps;
 
 /// What the rows of a group say.
@@ -47,7 +50,7 @@
 pub struct Stored {
     /// Accepted jobs.
     pub jobs: Vec<(JobId, JobRow)>,
-    /// What became of them.
+    /// What became of them so far.
     pub progress: Vec<(JobId, ProgressRow)>,
     /// Endpoints that may hold leases.
     pub roster: Vec<RosterEntry>,
@@ -71,6 +74,9 @@
 pub struct Planner {
     limits: Limits,
     holder: HolderRow,
+    claimed_ms: Millis,
+    /// Processor share of the largest holder of late when the group was claimed.
+    earlier_permille: u64,
     /// Version of the claim row, the condition of the next commit.
     version: RowVersion,
     fence: Fence,
@@ -81,6 +87,7 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     endpoint_keys: BTreeMap<EndpointId, EndpointKey>,
     open: OpenSteps,
+    history: History,
     /// Occurrences that are not due yet, by due time.
     due: BTreeSet<(u64, JobId, u32)>,
     stopping: BTreeSet<(EndpointKey, TaskKey)>,
@@ -135,7 +142,12 @@
             limits,
             fence: takeover.fence,
             version: takeover.version,
-            holder: takeover.row,
+            claimed_ms: now,
+            earlier_permille: takeover.row.wanted_permille,
+            holder: HolderRow {
+                recovering: false,
+                ..takeover.row
+            },
             now,
             unix_ms: 0,
             config: Arc::new(Configuration::default()),
@@ -143,6 +155,7 @@
             endpoints: SlotMap::with_key(),
             endpoint_keys: BTreeMap::new(),
             open: OpenSteps::default(),
+            history: History::default(),
             due: BTreeSet::new(),
             stopping: BTreeSet::new(),
             exposed: BTreeMap::new(),
@@ -182,14 +195,18 @@
             let mut job = Job::new(id, row, self.now);
             job.stored = true;
             job.inherited = true;
+            job.rows.open = true;
             self.jobs.insert(id, job);
         }
         for (id, row) in stored.progress {
             match self.jobs.get_mut(&id) {
                 Some(job) => job.restore(&row),
-                // A finished job's own row is dropped, so that takeovers read little.
+                // Earlier versions keep the ends of jobs here.
                 None => self.restore_finished(id, &row),
             }
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.rows.progress = true;
+            }
         }
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in ids.iter().copied() {
@@ -264,6 +281,12 @@
             } => self.held(endpoint, sent_ms, answer),
             Event::Advised { number, answer } => self.advised(number, answer),
             Event::UnstoredStarts(starts) => self.take_unstored_starts(starts),
+            Event::Texts(texts) => self.take_texts(texts),
+            Event::TextRead { id, text } => self.text_read(id, text),
+            Event::TextsRead => self.texts_read(),
+            Event::Ended(rows) => self.take_ended(rows),
+            Event::HistoryRead => self.history_read(),
+            Event::LookedUp { id, look } => self.looked_up(id, look),
             Event::Tick { unix_ms } => self.tick(unix_ms),
         }
     }
@@ -303,6 +326,19 @@
         self.releasing = true;
     }
 
+    /// Sets the processor share of the largest machine that could hold the group next, in thousandths of a core.
+    pub fn set_wanted_permille(&mut self, linked_permille: u64) {
+        let remembered = self.now.saturating_sub(self.claimed_ms) < REMEMBERED_MS;
+        let earlier = if remembered { self.earlier_permille } else { 0 };
+        self.holder.wanted_permille = linked_permille.max(earlier);
+    }
+
+    /// Returns whether the group is being handed back.
+    #[must_use]
+    pub const fn is_releasing(&self) -> bool {
+        self.releasing
+    }
+
     /// Returns how long ago the claim was last confirmed.
     #[must_use]
     pub const fn claim_age_ms(&self, now: Millis) -> Millis {
@@ -359,6 +395,10 @@
 
     /// Tells waiting callers what is known: a job that was in no batch never runs.
     fn answer_on_step_down(&mut self) {
+        for (to, request) in self.history.take_waiting() {
+            let answer = history::not_looked_up(&request);
+            self.actions.push(Action::Reply { to, answer });
+        }
         let sent = self.flight.as_ref();
         for job in self.jobs.values() {
             let in_flight = sent.is_some_and(|flight| flight.holds_new(job.id));
@@ -385,9 +425,10 @@
                 return;
             }
             self.finished.pop_front();
-            let dropped = self.jobs.remove(&id);
-            self.awaited -= usize::from(dropped.is_some_and(|job| job.awaited));
-            self.unsaved.remove(id);
+            if let Some(job) = self.jobs.remove(&id) {
+                self.awaited -= usize::from(job.awaited);
+                self.unsaved.remove(id, job.rows);
+            }
         }
     }
 }
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -136,7 +136,7 @@
             address: endpoint.entry.address.clone(),
             task,
             run,
-            spec: job.text.clone(),
+            spec: job.text.clone()?,
             until_ms,
             fence,
             checkpoint,
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -1,6 +1,7 @@
 //! Callers' requests.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use crate::action::{Action, Answer, JobState, ReplyTo};
 use crate::advice::Advice;
@@ -18,6 +19,9 @@
 
 impl Planner {
     pub(super) fn request(&mut self, to: ReplyTo, request: Request) {
+        if self.waits_for_history(to, &request) {
+            return;
+        }
         match request {
             Request::Submit {
                 queue,
@@ -35,7 +39,7 @@
         self.actions.push(Action::Reply { to, answer });
     }
 
-    fn submit(&mut self, to: ReplyTo, queue: Queue, id: JobId, spec: JobSpec, wait_ms: Millis) {
+    fn submit(&mut self, to: ReplyTo, queue: Queue, id: JobId, mut spec: JobSpec, wait_ms: Millis) {
         if let Some(job) = self.jobs.get_mut(&id) {
             if job.awaited {
                 self.take_awaited(to, id);
@@ -55,18 +59,20 @@
             self.reply(to, Answer::NoQueue);
             return;
         };
+        let text: Arc<str> = Arc::from(std::mem::take(&mut spec.spec));
         let row = JobRow {
             queue,
             spec,
             accepted_unix_ms: self.unix_ms,
         };
-        let bytes = encode(&row).len();
+        let bytes = encode(&row).len().max(encode(&text.as_ref()).len());
         if bytes > self.limits.row_bytes {
             log::info!(job:% = id, bytes = bytes; "refused, too large for a row");
             self.reply(to, Answer::TooLarge);
             return;
         }
         let mut job = Job::new(id, row, self.now);
+        job.text = Some(text);
         job.submitters.push(to);
         job.refuse_at_ms = self.now + wait_ms;
         self.jobs.insert(id, job);
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -136,6 +136,12 @@
         }
         let advice = job.queue.advice;
         let blocked = job.inherited && self.barrier.is_some();
+        if job.text.is_none() {
+            if !blocked {
+                self.want_text(key.job);
+            }
+            return;
+        }
         let placeable = !blocked && (advice.is_none() || progress.advice.any_ticket(self.now));
         let idle = advice.is_some_and(|terms| {
             if terms.is_slow() {
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -11,8 +11,13 @@
 
 /// Table of accepted jobs, by name.
 pub const JOBS: &str = "jobs";
-/// Table of what became of them, by name.
+/// Table of the texts that their starts carry, by name. They are long, and a new holder needs them only once it starts
+/// tasks.
+pub const TEXTS: &str = "texts";
+/// Table of what became of open jobs, by name.
 pub const PROGRESS: &str = "progress";
+/// Table of jobs that have ended, by name, kept for their callers' questions.
+pub const ENDED: &str = "ended";
 /// Table of the claim.
 pub const CLAIMS: &str = "claims";
 /// Key of the claim row.
@@ -51,7 +56,7 @@
 #[error("row is not what this version writes: {0}")]
 pub struct RecordError(String);
 
-/// An accepted job.
+/// An accepted job, without the text that its starts carry. Rows of earlier versions hold the text too.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobRow {
     /// Queue as it was when the job was accepted; it outlives the queue's removal.
@@ -146,6 +151,15 @@
     }
 }
 
+/// Reads the value of a row that holds a job's text.
+///
+/// # Errors
+///
+/// Returns an error if the value is no text.
+pub fn decode_text(bytes: &[u8]) -> Result<String, RecordError> {
+    decode(bytes)
+}
+
 impl ProgressRow {
     /// Reads the value of a row.
     ///
--- a/crates/chervilfall_planner/src/starts.rs
+++ b/crates/chervilfall_planner/src/starts.rs
@@ -22,6 +22,7 @@
 
 /// A run that was started.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StartNoteForm", into = "StartNoteForm")]
 pub struct StartNote {
     job: JobId,
     occurrence: u32,
@@ -30,10 +31,67 @@
     pub(crate) run: Run,
     pub(crate) endpoint: EndpointId,
     /// When the incarnation was started for which it was meant.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) born_ms: Option<UnixMillis>,
 }
 
+/// Forms of a note in rows. Hundreds of starts a second are noted, and a new holder reads them all before it serves
+/// anybody, so that names of fields would cost callers more than they tell.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum StartNoteForm {
+    /// Job, occurrence, step, index, run, endpoint and when that was started.
+    Short(JobId, u32, u16, u32, Run, EndpointId, Option<UnixMillis>),
+    /// As earlier versions write it.
+    Named {
+        job: JobId,
+        occurrence: u32,
+        step: u16,
+        index: u32,
+        run: Run,
+        endpoint: EndpointId,
+        #[serde(default)]
+        born_ms: Option<UnixMillis>,
+    },
+}
+
+impl From<StartNoteForm> for StartNote {
+    fn from(form: StartNoteForm) -> Self {
+        let (StartNoteForm::Short(job, occurrence, step, index, run, endpoint, born_ms)
+        | StartNoteForm::Named {
+            job,
+            occurrence,
+            step,
+            index,
+            run,
+            endpoint,
+            born_ms,
+        }) = form;
+        Self {
+            job,
+            occurrence,
+            step,
+            index,
+            run,
+            endpoint,
+            born_ms,
+        }
+    }
+}
+
+impl From<StartNote> for StartNoteForm {
+    fn from(note: StartNote) -> Self {
+        Self::Short(
+            note.job,
+            note.occurrence,
+            note.step,
+            note.index,
+            note.run,
+            note.endpoint,
+            note.born_ms,
+        )
+    }
+}
+
 impl StartNote {
     pub(crate) const fn task(&self) -> TaskKey {
         TaskKey {
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// Which rows of a job the store has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct JobRows {
+    /// The job itself and its text.
+    pub(crate) open: bool,
+    /// What became of it so far.
+    pub(crate) progress: bool,
+}
+
 /// A job.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -97,7 +106,10 @@
     pub(crate) objective_ms: Millis,
     /// Some of its tasks run until it is cancelled.
     pub(crate) lasts: bool,
-    pub(crate) text: Arc<str>,
+    /// What its starts carry; none while an inherited job's text has not been read.
+    pub(crate) text: Option<Arc<str>>,
+    /// Rows of it that the store has, or has on their way.
+    pub(crate) rows: JobRows,
     pub(crate) accepted_ms: Millis,
     pub(crate) accepted_unix_ms: u64,
     /// When its submission is refused if no commit with it has begun.
@@ -125,8 +137,8 @@
 }
 
 impl Job {
-    pub(crate) fn new(id: JobId, row: JobRow, now: Millis) -> Self {
-        let text = Arc::from(row.spec.spec.as_str());
+    pub(crate) fn new(id: JobId, mut row: JobRow, now: Millis) -> Self {
+        let text = std::mem::take(&mut row.spec.spec);
         Self {
             id,
             chain_ms: row.spec.chain_ms(),
@@ -134,7 +146,8 @@
             lasts: row.spec.steps.iter().any(|step| step.long_running),
             queue: row.queue,
             spec: Arc::new(row.spec),
-            text,
+            text: (!text.is_empty()).then(|| Arc::from(text)),
+            rows: JobRows::default(),
             accepted_ms: now,
             accepted_unix_ms: row.accepted_unix_ms,
             refuse_at_ms: now,
@@ -163,7 +176,7 @@
         self.objective_ms = self.spec.objective_ms(queue);
     }
 
-    /// Returns the row that holds the job.
+    /// Returns the row that holds the job but for its text.
     pub(crate) fn row(&self) -> JobRow {
         JobRow {
             queue: self.queue.clone(),
--- a/crates/chervilfall_planner/tests/election.rs
+++ b/crates/chervilfall_planner/tests/election.rs
@@ -26,6 +26,8 @@
         settled: true,
         standstill_ms: 0,
         cpu_permille: 500,
+        recovering: false,
+        wanted_permille: 0,
         written_store_ms,
     }
 }
@@ -272,3 +274,111 @@
         assert_eq!(claims, case.claims, "{}", case.name);
     }
 }
+
+struct Replacement {
+    name: &'static str,
+    cpu_permille: u64,
+    holder: HolderRow,
+    /// The node has handed the claim back at the first reading.
+    abstains: bool,
+    /// Times of readings of a row that moves; the last one is judged.
+    readings_ms: &'static [u64],
+    claims: bool,
+}
+
+impl Replacement {
+    fn of(name: &'static str, cpu_permille: u64, holder: HolderRow) -> Self {
+        Self {
+            name,
+            cpu_permille,
+            holder,
+            abstains: false,
+            readings_ms: &[10_000],
+            claims: true,
+        }
+    }
+
+    fn read_at(self, readings_ms: &'static [u64]) -> Self {
+        Self {
+            readings_ms,
+            ..self
+        }
+    }
+
+    fn abstains(self) -> Self {
+        Self {
+            abstains: true,
+            ..self
+        }
+    }
+
+    fn leaves_it(self) -> Self {
+        Self {
+            claims: false,
+            ..self
+        }
+    }
+}
+
+#[test]
+fn a_holder_that_cannot_read_its_rows_is_replaced() {
+    let row = |cpu_permille, recovering| HolderRow {
+        cpu_permille,
+        recovering,
+        ..holder(0, false)
+    };
+    let released = |cpu_permille, wanted_permille| HolderRow {
+        cpu_permille,
+        wanted_permille,
+        ..holder(0, true)
+    };
+    let cases = [
+        Replacement::of("a larger one reads sooner", 500, row(120, true))
+            .read_at(&[10_000, 11_100]),
+        Replacement::of("not at once", 500, row(120, true))
+            .read_at(&[10_000, 10_500])
+            .leaves_it(),
+        Replacement::of("an equal one takes as long", 120, row(120, true))
+            .read_at(&[10_000, 11_100])
+            .leaves_it(),
+        Replacement::of("a holder that serves stays", 500, row(120, false))
+            .read_at(&[10_000, 11_100])
+            .leaves_it(),
+        Replacement::of("one that has handed it back", 120, released(120, 0))
+            .abstains()
+            .read_at(&[10_000, 11_500])
+            .leaves_it(),
+        Replacement::of("takes it if nobody does", 120, released(120, 0))
+            .abstains()
+            .read_at(&[10_000, 12_100]),
+        Replacement::of("handed to a larger one", 500, released(120, 500)),
+        Replacement::of("a small one leaves it to that", 120, released(120, 500)).leaves_it(),
+        Replacement::of("among small ones", 120, released(120, 0)),
+    ];
+    for case in cases {
+        let mut candidate = candidate(case.cpu_permille);
+        let mut claims = false;
+        for (version, at_ms) in (5..).zip(case.readings_ms) {
+            let row = Some(case.holder.clone());
+            // A holder that reads renews its claim; one that was handed back stands still.
+            let version = if case.holder.released { 5 } else { version };
+            let moved = candidate.observe(*at_ms, 0, version, row, &SOUND);
+            claims = matches!(moved, CandidateMove::Claim(..));
+            if case.abstains && *at_ms == case.readings_ms[0] {
+                candidate.abstain(*at_ms);
+            }
+        }
+        assert_eq!(claims, case.claims, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_small_node_says_in_its_claim_that_a_larger_one_held_the_group() {
+    let mut small = candidate(120);
+    small.observe(1_000, 0, 4, Some(holder(0, false)), &SOUND);
+    let silent = small.observe(8_000, 0, 4, Some(holder(0, false)), &SOUND);
+    let CandidateMove::Claim(_, row) = silent else {
+        panic!("a lost holder is replaced: {silent:?}");
+    };
+    assert_eq!((row.cpu_permille, row.wanted_permille), (120, 500));
+}
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -5,13 +5,18 @@
 use std::time::Instant;
 
 use chervilfall_planner::{
-    Action, AdviceAnswer, Batch, CandidateMove, CommitOutcome, EndpointEntry, EndpointId, Event,
-    HolderRow, JobId, JobRow, Planner, ProgressRow, RosterEntry, Stall, StartsRow, Stored,
+    decode_text, Action, AdviceAnswer, Batch, CandidateMove, CommitOutcome, EndpointEntry,
+    EndpointId, Event, HolderRow, JobId, JobRow, Look, Planner, ProgressRow, RosterEntry, Stall,
+    StartsRow, Stored,
 };
 
 use super::endpoint::FakeEndpoint;
+use super::random::Random;
 use super::{Later, World, HOP_MS, TIMEOUT_MS, UNIX_MS};
 
+/// Time that a new holder takes at most to read what it can do without until then.
+const HISTORY_MS: u64 = 1_500;
+
 impl World {
     pub(super) fn tell(&mut self, node: usize, term: u64, event: Event) {
         if self.nodes[node].frozen_until_ms > self.now {
@@ -115,6 +120,59 @@
         planner.handle(self.now, Event::Configured(config));
         planner.handle(self.now, Event::Nodes((0..self.advisors).collect()));
         self.nodes[node].planner = Some(planner);
+        self.read_history(node);
+    }
+
+    /// Tells a new holder in several parts, and some time after its takeover, what it can do without until then.
+    fn read_history(&mut self, node: usize) {
+        let term = self.nodes[node].planner.as_ref().map_or(0, Planner::term);
+        let parse = |key: &String| key.parse::<JobId>().expect("job id");
+        let texts = self.store.table("texts");
+        let texts = texts.iter().map(|(key, value)| {
+            let text = decode_text(value).expect("text");
+            (parse(key), Arc::from(text))
+        });
+        let ended = self.store.table("ended");
+        let ended = ended.iter().map(|(key, value)| {
+            let row = ProgressRow::decode(value).expect("an end");
+            (parse(key), row)
+        });
+        let (texts, ended): (Vec<_>, Vec<_>) = (texts.collect(), ended.collect());
+        // A generator of its own, so that older seeds stand for the same plays.
+        let mut random = Random::new(self.now + term);
+        let mut at_ms = 0;
+        let mut events: Vec<Event> = Vec::new();
+        events.extend(texts.chunks(3).map(|part| Event::Texts(part.to_vec())));
+        events.push(Event::TextsRead);
+        events.extend(ended.chunks(3).map(|part| Event::Ended(part.to_vec())));
+        events.push(Event::HistoryRead);
+        let most_ms = HISTORY_MS / events.len() as u64 + 1;
+        for event in events {
+            at_ms += random.below(most_ms);
+            self.after(at_ms, Later::Tell(node, term, Box::new(event)));
+        }
+    }
+
+    fn read_text(&mut self, node: usize, term: u64, id: JobId) {
+        let row = self.store.row("texts", &id.to_string()).1;
+        let row = row.filter(|_| self.store_reachable(node));
+        let text = row.map(|value| Arc::from(decode_text(&value).expect("text")));
+        let event = Event::TextRead { id, text };
+        self.after(2 * HOP_MS, Later::Tell(node, term, Box::new(event)));
+    }
+
+    /// Answers a look at the row of an ended job.
+    fn look_up(&mut self, node: usize, term: u64, id: JobId) {
+        let look = if self.store_reachable(node) {
+            match self.store.row("ended", &id.to_string()) {
+                (_, Some(value)) => Look::Ended(ProgressRow::decode(&value).expect("an end")),
+                (_, None) => Look::Absent,
+            }
+        } else {
+            Look::Failed
+        };
+        let event = Event::LookedUp { id, look };
+        self.after(2 * HOP_MS, Later::Tell(node, term, Box::new(event)));
     }
 
     pub(super) fn stored(&self) -> Stored {
@@ -182,6 +240,8 @@
                 };
                 self.after(takes_ms, Later::Tell(node, term, Box::new(event)));
             }
+            Action::LookUp(id) => self.look_up(node, term, id),
+            Action::ReadText(id) => self.read_text(node, term, id),
             Action::StepDown(_) => {
                 let planner = self.nodes[node].planner.take();
                 let unstored = planner.map(|planner| planner.unstored_starts());
