Tests of two runs that a new holder finds of one task, red

Traced by reading, from the record of the play that broke once (three runs of one task, ended failed, stopped and done): the holder that the store turned away starts the next run after a failure on an endpoint that its successor has not reached yet; the successor has taken over the failed run by then, has the next one stopped as not wanted, hears of the failure and starts a third beside it.

--- /dev/null
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -0,0 +1,257 @@
+//! A new holder finds two runs of one task: the second began between its first looks at the two endpoints.
+//!
+//! Seen: 0.6 s after a takeover two runs of a task were at work. The earlier holder, which the store had turned away, had
+//! learned of a failed run and started the next one on an endpoint that its successor had not reached yet. The successor
+//! took over the run that had failed, had the next one stopped, heard of the failure, and started a third while the second
+//! was still being stopped.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use chervilfall_planner::{
+    Action, CommitOutcome, Configuration, EndedRun, EndpointEntry, EndpointId, EndpointKey, Event,
+    HoldAnswer, HoldReport, HolderRow, How, JobId, JobRow, JobSpec, Limits, Planner, Queue,
+    RosterEntry, Run, RunningRun, Step, Stored, Takeover, TaskKey,
+};
+
+const TASK: TaskKey = TaskKey {
+    job: JobId(7),
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
+/// The endpoint of the run that fails, and that of the next one.
+const FIRST: &str = "first";
+const SECOND: &str = "second";
+
+/// A holder that has just taken over, and what it has ordered.
+struct Successor {
+    planner: Planner,
+    now: u64,
+    keys: BTreeMap<String, EndpointKey>,
+    holds: BTreeSet<String>,
+    starts: Vec<Run>,
+    stops: Vec<Run>,
+}
+
+impl Successor {
+    fn open() -> Self {
+        let queue = Queue {
+            name: "batch".to_owned(),
+            service: "pool".to_owned(),
+            attempts: 3,
+            stretch: 2.0,
+            ..Queue::default()
+        };
+        let step = Step {
+            count: 1,
+            cpu_milli: 1_000,
+            estimate_ms: 1_000,
+            ..Step::default()
+        };
+        let spec = JobSpec {
+            spec: "text".to_owned(),
+            steps: vec![step],
+            ..JobSpec::default()
+        };
+        let row = JobRow {
+            queue: queue.clone(),
+            spec,
+            accepted_unix_ms: 1,
+        };
+        let roster = [FIRST, SECOND].map(|name| RosterEntry {
+            id: EndpointId(name.to_owned()),
+            born_ms: None,
+            address: format!("{name}:1"),
+            lapses_store_ms: None,
+        });
+        let stored = Stored {
+            jobs: vec![(TASK.job, row)],
+            roster: roster.to_vec(),
+            ..Stored::default()
+        };
+        let mut successor = Self {
+            planner: Planner::new(Limits::default(), takeover(), stored, 10_000),
+            now: 10_000,
+            keys: BTreeMap::new(),
+            holds: BTreeSet::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+        };
+        let configuration = Configuration {
+            version: 1,
+            queues: BTreeMap::from([(queue.name.clone(), queue)]),
+            services: BTreeMap::new(),
+        };
+        successor.tell(Event::Configured(Arc::new(configuration)));
+        let entries = [FIRST, SECOND].map(entry).to_vec();
+        let read_ms = successor.now;
+        successor.tell(Event::Endpoints { read_ms, entries });
+        successor.pass(10);
+        successor
+    }
+
+    fn tell(&mut self, event: Event) {
+        for action in self.planner.handle(self.now, event) {
+            match action {
+                Action::Commit(batch) => {
+                    let stored = Event::Committed {
+                        number: batch.number,
+                        copy: batch.copy,
+                        outcome: CommitOutcome::Stored {
+                            version: 100 + batch.number,
+                            store_ms: self.now,
+                        },
+                    };
+                    self.tell(stored);
+                }
+                Action::Hold(order) => {
+                    self.keys.insert(order.id.0.clone(), order.endpoint);
+                    self.holds.insert(order.id.0);
+                }
+                Action::Start(order) => self.starts.push(order.run),
+                Action::Stop(order) => self.stops.push(order.run),
+                _ => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / 10 {
+            self.now += 10;
+            let unix_ms = self.now;
+            self.tell(Event::Tick { unix_ms });
+        }
+    }
+
+    /// Answers the hold of an endpoint, once there is one.
+    fn lists(&mut self, name: &str, running: &[Run], ended: &[(u64, Run, How)]) {
+        let mut waited_ms = 0;
+        while !self.holds.remove(name) {
+            self.pass(10);
+            waited_ms += 10;
+            assert!(waited_ms < 2_000, "{name} is held");
+        }
+        let running = running.iter().map(|run| RunningRun {
+            task: TASK,
+            run: *run,
+            checkpoint: String::new(),
+        });
+        let ended = ended.iter().map(|(number, run, how)| EndedRun {
+            number: *number,
+            task: TASK,
+            run: *run,
+            how: *how,
+            checkpoint: String::new(),
+        });
+        let report = HoldReport {
+            born_ms: None,
+            clock_ms: self.now,
+            running: running.collect(),
+            ended: ended.collect(),
+        };
+        let answer = HoldAnswer::Report(report);
+        self.tell(Event::Held {
+            endpoint: self.keys[name],
+            sent_ms: self.now,
+            answer,
+        });
+    }
+}
+
+fn takeover() -> Takeover {
+    let row = HolderRow {
+        term: 2,
+        node: "successor".to_owned(),
+        incarnation: 2,
+        address: "127.0.0.1:1".to_owned(),
+        number: 0,
+        released: false,
+        settled: false,
+        cpu_permille: 500,
+        recovering: true,
+        wanted_permille: 0,
+        standstill_ms: 0,
+        written_store_ms: 0,
+    };
+    Takeover {
+        row,
+        fence: 100,
+        version: 100,
+        predecessor_seen_ms: Some(9_000),
+        predecessor_written_store_ms: 0,
+        predecessor_gone_ms: None,
+    }
+}
+
+fn entry(name: &str) -> EndpointEntry {
+    EndpointEntry {
+        id: EndpointId(name.to_owned()),
+        address: format!("{name}:1"),
+        service: "pool".to_owned(),
+        domain: "a".to_owned(),
+        draining: false,
+        cpu_milli: 4_000,
+        memory_mb: 4_000,
+        gpus: 0,
+        rack: None,
+        labels: BTreeSet::new(),
+        report: 1,
+        born_ms: None,
+    }
+}
+
+#[test]
+fn the_later_of_two_runs_goes_on_alone() {
+    struct Case {
+        name: &'static str,
+        /// Endpoints in the order of their first lists, and the run that each shows at work.
+        lists: [(&'static str, Run); 2],
+    }
+    let cases = [
+        Case {
+            name: "the failed run is seen first",
+            lists: [(FIRST, 1), (SECOND, 2)],
+        },
+        Case {
+            name: "the next run is seen first, and an older list of the other endpoint comes later",
+            lists: [(SECOND, 2), (FIRST, 1)],
+        },
+    ];
+    for case in cases {
+        let mut successor = Successor::open();
+        for (name, run) in case.lists {
+            successor.lists(name, &[run], &[]);
+        }
+        successor.lists(FIRST, &[], &[(1, 1, How::Failed)]);
+        for _ in 0..5 {
+            successor.lists(SECOND, &[2], &[]);
+            successor.pass(50);
+        }
+        assert_eq!(successor.starts, Vec::<Run>::new(), "{}", case.name);
+        assert!(!successor.stops.contains(&2), "{}: stopped", case.name);
+        // The run fails as well: now, and not before, the next one starts.
+        successor.lists(SECOND, &[], &[(1, 2, How::Failed)]);
+        successor.pass(100);
+        assert_eq!(successor.starts.len(), 1, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_task_is_not_started_while_a_run_of_it_is_being_stopped() {
+    let mut successor = Successor::open();
+    // The run with the higher number is seen first, and ends while the other one is stopped.
+    successor.lists(SECOND, &[2], &[]);
+    successor.lists(FIRST, &[1], &[]);
+    successor.pass(20);
+    assert_eq!(successor.stops, [1]);
+    successor.lists(SECOND, &[], &[(1, 2, How::Failed)]);
+    for _ in 0..5 {
+        successor.lists(FIRST, &[1], &[]);
+        successor.pass(50);
+    }
+    assert_eq!(successor.starts, Vec::<Run>::new());
+    successor.lists(FIRST, &[], &[(1, 1, How::Stopped)]);
+    successor.pass(100);
+    assert_eq!(successor.starts.len(), 1);
+}
