Start no task while a run of it is being stopped; let the later of two runs go on

A run that a new holder finds with a higher number than the one that it took over was started by an earlier holder that knew the other to be over: it is kept, and the lower one is stopped.

--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -241,8 +241,13 @@
         let task = running.task;
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task)).map(|task| task.state);
-        let wanted =
-            job.is_some_and(|job| job.outcome.is_none()) && state == Some(TaskState::Waiting);
+        let superseded = match state {
+            // An earlier holder started the later run only once it knew that the other one was over.
+            Some(TaskState::Placed(other, run)) if run < running.run => Some((other, run)),
+            _ => None,
+        };
+        let waits = state == Some(TaskState::Waiting) || superseded.is_some();
+        let wanted = job.is_some_and(|job| job.outcome.is_none()) && waits;
         let step = job.and_then(|job| job.spec.steps.get(task.step as usize));
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
@@ -266,6 +271,10 @@
         let id = endpoint.entry.id.clone();
         log::info!(task:% = task, run = running.run, endpoint:% = id, wanted = wanted; "found a run at work");
         if wanted {
+            if let Some((other, run)) = superseded {
+                self.unplace(task);
+                self.begin_stop(other, task, run);
+            }
             self.set_placed(task, key, running.run);
             self.keep_checkpoint(task, &running.checkpoint);
         } else {
@@ -273,6 +282,19 @@
         }
     }
 
+    /// Takes a task off its place, because a later run of it was found elsewhere.
+    fn unplace(&mut self, task: TaskKey) {
+        let job = self.jobs.get_mut(&task.job);
+        let progress = job.and_then(|job| job.step_progress_mut(task.step_key()));
+        let Some(progress) = progress else {
+            return;
+        };
+        if let Some(entry) = progress.tasks.get_mut(task.index as usize) {
+            entry.state = TaskState::Waiting;
+            progress.placed -= 1;
+        }
+    }
+
     fn set_placed(&mut self, task: TaskKey, endpoint: EndpointKey, run: Run) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -382,7 +404,7 @@
 
     /// Takes a run off an endpoint's books.
     pub(super) fn free(&mut self, key: EndpointKey, task: TaskKey) {
-        self.stopping.remove(&(key, task));
+        self.stopping.remove(key, task);
         self.schedule_due = true;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.release(task);
--- a/crates/chervilfall_planner/src/planner/incarnations.rs
+++ b/crates/chervilfall_planner/src/planner/incarnations.rs
@@ -82,7 +82,7 @@
                     sent_ms: None,
                     taken_ms: None,
                 };
-                self.stopping.insert((key, task));
+                self.stopping.insert(key, task);
             }
             self.replace_state(task, before, key, placed.run);
             self.endpoints[key].place(task, placed);
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod requests;
 mod schedule;
+mod stopping;
 mod suspects;
 mod turns;
 
@@ -44,6 +45,7 @@
 use history::History;
 pub use history::Look;
 use open::OpenSteps;
+use stopping::Stopping;
 
 /// What the rows of a group say.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -90,7 +92,7 @@
     history: History,
     /// Occurrences that are not due yet, by due time.
     due: BTreeSet<(u64, JobId, u32)>,
-    stopping: BTreeSet<(EndpointKey, TaskKey)>,
+    stopping: Stopping,
     /// Tasks with a run that may have brought down an endpoint, by that endpoint.
     exposed: BTreeMap<EndpointId, BTreeSet<TaskKey>>,
     /// Addresses at which an endpoint has crashed of late, and when.
@@ -157,7 +159,7 @@
             open: OpenSteps::default(),
             history: History::default(),
             due: BTreeSet::new(),
-            stopping: BTreeSet::new(),
+            stopping: Stopping::default(),
             exposed: BTreeMap::new(),
             crashed_addresses: BTreeMap::new(),
             start_ring: StartRing::after(&stored.starts),
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -302,19 +302,19 @@
             sent_ms: None,
             taken_ms: None,
         };
-        self.stopping.insert((key, task));
+        self.stopping.insert(key, task);
     }
 
     pub(super) fn send_stops(&mut self) {
         let retry_ms = self.limits.stop_retry_ms;
-        for (key, task) in &self.stopping {
-            let Some(endpoint) = self.endpoints.get_mut(*key) else {
+        for (key, task) in self.stopping.iter() {
+            let Some(endpoint) = self.endpoints.get_mut(key) else {
                 continue;
             };
             let Some(fence) = endpoint.fence(self.version) else {
                 continue;
             };
-            let Some(placed) = endpoint.placed.get_mut(task) else {
+            let Some(placed) = endpoint.placed.get_mut(&task) else {
                 continue;
             };
             let RunPhase::Stopping { sent_ms, taken_ms } = &mut placed.phase else {
@@ -326,10 +326,10 @@
             }
             *sent_ms = Some(self.now);
             self.actions.push(Action::Stop(StopOrder {
-                endpoint: *key,
+                endpoint: key,
                 id: endpoint.entry.id.clone(),
                 address: endpoint.entry.address.clone(),
-                task: *task,
+                task,
                 run: placed.run,
                 fence,
             }));
--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -27,7 +27,7 @@
     pub(super) clear: Vec<WaitingTask>,
     pub(super) suspects: Vec<WaitingTask>,
     pub(super) isolated: Vec<WaitingTask>,
-    /// Tasks that wait until it is known whether they are at fault.
+    /// Tasks that wait until it is known whether they are at fault, or until an earlier run is stopped.
     pub(super) awaited: u32,
 }
 
@@ -57,6 +57,10 @@
             if task.state != TaskState::Waiting {
                 continue;
             }
+            if self.stopping.has(key.task(index)) {
+                waiting.awaited += 1;
+                continue;
+            }
             let entry = (index, task.last_run);
             match verdict(&task.exposures) {
                 Verdict::Clear => waiting.clear.push(entry),
