Take runs in rows that cannot be read for runs that may be there

A row of an endpoint's lists of runs or ends that could not be read was passed over. A run at work counted as not there and was started again, and an end was forgotten by the acknowledgement of the next one. Now a list with such a row ends there and counts as partial: nothing is settled by it, no barrier is passed, no end behind it is acknowledged, and nothing new is started on that endpoint; its leases go on.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -73,6 +73,8 @@
     pub(crate) guards_capacity: bool,
     /// It has answered a hold of this planner, so that older holders are shut out there.
     pub(crate) contacted: bool,
+    /// Its last lists could not be read whole, so that runs may be there which nobody knows.
+    pub(crate) obscured: bool,
     /// All its leases have lapsed since it was last heard, or its incarnation is over.
     pub(crate) over: bool,
     /// When its leases were first found lapsed while it was silent.
@@ -117,6 +119,7 @@
             reported_ms: 0,
             guards_capacity: false,
             contacted: false,
+            obscured: false,
             over: false,
             lapsed_ms: None,
             placed: BTreeMap::new(),
@@ -260,6 +263,7 @@
             && self.listed
             && self.rostered
             && self.contacted
+            && !self.obscured
             && !self.over
             && self.unsized_runs == 0
             && self.entry_is_own()
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -160,8 +160,10 @@
     pub clock_ms: Millis,
     /// Runs at work, those that are being stopped too.
     pub running: Vec<RunningRun>,
-    /// Ends that were not acknowledged.
+    /// Ends that were not acknowledged, up to the first that could not be read.
     pub ended: Vec<EndedRun>,
+    /// Rows of the lists could not be read: what is not listed may be there, or may have ended.
+    pub partial: bool,
 }
 
 /// Answer to a hold.
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -138,14 +138,20 @@
         };
         endpoint.hold_sent_ms = None;
         match answer {
-            HoldAnswer::Report(report) if endpoint.is_other(report.born_ms) => {
+            // Which runs the next incarnation has been told to start must be known whole.
+            HoldAnswer::Report(report) if endpoint.is_other(report.born_ms) && !report.partial => {
                 self.started_again(key, sent_ms, &report);
             }
-            HoldAnswer::Report(report) => self.take_report(key, sent_ms, &report),
+            HoldAnswer::Report(report) if !endpoint.is_other(report.born_ms) => {
+                self.take_report(key, sent_ms, &report);
+            }
             HoldAnswer::Fenced => self.step_down(StepDownReason::Fenced),
             // Holds go to the address of the entry; that of another incarnation says nothing of this one.
             HoldAnswer::OtherIncarnation if endpoint.entry_is_own() => self.incarnation_over(key),
-            HoldAnswer::OtherIncarnation | HoldAnswer::Refused | HoldAnswer::Unanswered => {
+            HoldAnswer::Report(_)
+            | HoldAnswer::OtherIncarnation
+            | HoldAnswer::Refused
+            | HoldAnswer::Unanswered => {
                 let first = !std::mem::replace(&mut endpoint.missed, true);
                 endpoint.next_hold_ms = now + retry_ms;
                 if first {
@@ -179,9 +185,12 @@
             endpoint.assume_granted(&self.limits);
             endpoint.contacted = true;
         }
+        endpoint.obscured = report.partial;
         self.take_lists(key, report);
-        self.settle_absent(key, sent_ms, report);
-        self.pass_barrier(key);
+        if !report.partial {
+            self.settle_absent(key, sent_ms, report);
+            self.pass_barrier(key);
+        }
     }
 
     /// Takes in the ends and runs that an endpoint lists.
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -149,6 +149,7 @@
             clock_ms: self.now,
             running: running.collect(),
             ended: ended.collect(),
+            partial: false,
         };
         let answer = HoldAnswer::Report(report);
         self.tell(Event::Held {
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -512,6 +512,7 @@
                 })
                 .collect(),
             ended: self.ended.clone(),
+            partial: false,
         };
         let answers = ready.into_iter().map(|hold| AnsweredHold {
             node: hold.node,
