Read and write the claim over a second connection when an answer does not come

A node whose open connections to the store had gone silent read the claim row after 1.2 s, and sent its claim a second time after 1.0 s more.

--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -97,6 +97,13 @@
         key: &str,
     ) -> impl Future<Output = Result<(Option<Row>, Millis), StoreError>> + Send;
 
+    /// Reads the claim row of a group, and the store's steady clock. A reading beside one that is not answered goes over
+    /// another connection.
+    fn read_claim(
+        &self,
+        group: &str,
+    ) -> impl Future<Output = Result<(Option<Row>, Millis), StoreError>> + Send;
+
     /// Reads the list of endpoints.
     fn read_endpoints(&self) -> impl Future<Output = Result<EndpointList, StoreError>> + Send;
 
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -6,7 +6,7 @@
 
 use chervilfall_planner::{
     Batch, Candidate, CandidateMove, CommitOutcome, HolderRow, Identity, RowVersion, Stall,
-    Takeover, CLAIMS, HOLDER,
+    Takeover,
 };
 use rand::Rng;
 use tokio::sync::{mpsc, oneshot};
@@ -17,7 +17,7 @@
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState};
 use crate::link::{dial, DialError};
-use crate::ports::{ConfigurationReading, Platform, Store, StoreError};
+use crate::ports::{ConfigurationReading, Platform, Row, Store, StoreError};
 use crate::settings::Settings;
 use crate::watch::pages::Progress;
 use crate::watch::recovery::{read_history, GroupReader};
@@ -30,6 +30,8 @@
 /// Time between renewals of a claim whose rows are being read: a third of the standstill
 /// that holds meanwhile.
 const RENEW_MS: u64 = 400;
+/// A reading of the claim row, or a claim, that is not answered for this long is joined by another.
+const ASK_AGAIN_MS: u64 = 150;
 /// A claim is handed back if no page of the rows has come for this long: some times the bound of a page.
 const STUCK_MS: u64 = 3_000;
 /// Time between lines that say how far a reading of the rows has come.
@@ -200,12 +202,28 @@
         None
     }
 
+    /// Reads the claim row; a reading that is not answered soon is joined by another, as it may wait on a connection that has
+    /// gone silent for good.
+    async fn read_claim_row(&self) -> Result<(Option<Row>, u64), StoreError> {
+        let store = self.platform.store();
+        let first = store.read_claim(&self.group);
+        let second = async {
+            tokio::time::sleep(Duration::from_millis(ASK_AGAIN_MS)).await;
+            store.read_claim(&self.group).await
+        };
+        tokio::pin!(first);
+        tokio::pin!(second);
+        tokio::select! {
+            read = &mut first => read,
+            read = &mut second => match read {
+                Ok(read) => Ok(read),
+                Err(_) => first.await,
+            },
+        }
+    }
+
     async fn read_claim(&self) -> Result<ClaimReading, StoreError> {
-        let (row, store_ms) = self
-            .platform
-            .store()
-            .read_row(&self.group, CLAIMS, HOLDER)
-            .await?;
+        let (row, store_ms) = self.read_claim_row().await?;
         let Some(row) = row else {
             return Ok(ClaimReading {
                 version: 0,
@@ -268,8 +286,8 @@
         row: HolderRow,
     ) {
         let claimed_ms = now_ms();
-        let outcome = self.platform.store().commit(&self.group, batch).await;
-        if let CommitOutcome::Stored { version, .. } = outcome {
+        let outcome = self.commit_claim(batch).await;
+        if let Some(version) = won_version(&outcome, &row) {
             self.abandon(dialing);
             let takeover = candidate.won(row, version);
             log::info!(term = takeover.row.term, fence = takeover.fence; "group claimed");
@@ -279,6 +297,27 @@
         }
     }
 
+    /// Sends a claim; one that is not answered soon is sent again, as it may wait on a connection that has gone silent for
+    /// good. Whichever copy comes first, the other finds the claim moved.
+    async fn commit_claim(&self, batch: Batch) -> CommitOutcome {
+        let store = self.platform.store();
+        let again = batch.clone();
+        let first = store.commit(&self.group, batch);
+        let second = async {
+            tokio::time::sleep(Duration::from_millis(ASK_AGAIN_MS)).await;
+            store.commit(&self.group, again).await
+        };
+        tokio::pin!(first);
+        tokio::pin!(second);
+        tokio::select! {
+            outcome = &mut first => outcome,
+            outcome = &mut second => match outcome {
+                CommitOutcome::Stored { .. } | CommitOutcome::Conflict(_) => outcome,
+                CommitOutcome::NotDone | CommitOutcome::Unknown => first.await,
+            },
+        }
+    }
+
     fn follow(&self, dialing: &mut Option<Dialing>, holder: HolderRow) {
         let same = dialing.as_ref().is_some_and(|dialing| {
             dialing.row.incarnation == holder.incarnation && dialing.row.term == holder.term
@@ -501,6 +540,18 @@
     }
 }
 
+/// Returns the version of a claim that was won; a conflict may show the claim itself, carried out by another copy.
+fn won_version(outcome: &CommitOutcome, row: &HolderRow) -> Option<RowVersion> {
+    match outcome {
+        CommitOutcome::Stored { version, .. } => Some(*version),
+        CommitOutcome::Conflict(Some((version, bytes))) => {
+            let found = HolderRow::decode(bytes).ok()?;
+            (found == *row).then_some(*version)
+        }
+        _ => None,
+    }
+}
+
 /// Says how far a reading of the rows has come.
 fn say_progress(takeover: &Takeover, progress: &Progress, began_ms: u64) {
     let (rows, bytes, missed) = progress.counts();
