Know client accounts: keys, quotas and shares

Keys: digests in the configuration; a call is let through only while the last reading that shows its key was sent within revoke_ms, and is denied only by one sent within config_apply_ms; else 503. A job belongs to its key's account and is shown to no other. Quotas: each run that may be at work is charged to its account, stopping, unanswered and inherited ones too; while a takeover's barrier is up inherited tasks that have not been found count as at work. Work over its quota asks for no advice and holds up nobody. Shares: what an account hands in beyond its weight a second is offered room last, and refused (429) once two seconds of it wait.

--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use chervilfall_kernel::Deadline;
-use chervilfall_planner::{Answer, JobId, Request};
+use chervilfall_planner::{AccountName, Answer, JobId, Request};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use crate::clock::{clock, now_ms};
 use crate::configuration::ConfigurationState;
 use crate::control::ControlEvent;
+use crate::keys::KeyDigest;
 use crate::leadership::{Ask, Leadership, LeadershipState};
 use crate::patience::WaitBounds;
 use crate::routes::{Route, RouteTable};
@@ -35,10 +36,22 @@
     NoQueue,
     /// This node has no configuration yet.
     NoConfiguration,
-    /// There is no such queue in the configuration in force, but this node can't know whether there is one by now.
+    /// No account has this key.
+    UnknownKey,
+    /// There is no such queue or key in the configuration in force, or there is one, but this node can't know whether that
+    /// still holds.
     Unconfirmed,
 }
 
+/// Until when a key that was taken away may still be let through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Revocation {
+    /// Time from the acknowledgement of the configuration that took it away.
+    pub(crate) within_ms: u64,
+    /// This holds for a node that cannot read the configuration too.
+    pub(crate) strict: bool,
+}
+
 /// Takes callers' requests.
 #[derive(Debug)]
 pub struct Front {
@@ -46,6 +59,8 @@
     leadership: Arc<LeadershipState>,
     control: mpsc::Sender<ControlEvent>,
     timings: Timings,
+    /// How old a reading may be by which a call with a key is let through; none where calls need no key.
+    revocation: Option<Revocation>,
     stopping: AtomicBool,
     /// How old the holder's claim was when it was last heard of, in milliseconds; `u64::MAX` while unknown.
     claim_age_ms: AtomicU64,
@@ -63,12 +78,14 @@
         leadership: Arc<LeadershipState>,
         control: mpsc::Sender<ControlEvent>,
         timings: Timings,
+        revocation: Option<Revocation>,
     ) -> Self {
         Self {
             configuration,
             leadership,
             control,
             timings,
+            revocation,
             stopping: AtomicBool::new(false),
             claim_age_ms: AtomicU64::new(u64::MAX),
             claim_heard_ms: AtomicU64::new(0),
@@ -164,6 +181,52 @@
         Err(answer)
     }
 
+    /// Finds the account that a call's key belongs to; none if the call needs no key.
+    ///
+    /// A key may have been taken away right after the last reading of the configuration was sent. So a call is let through
+    /// only while that is no longer ago than a revoked key may live, by a clock that counts suspension too. A key that is not
+    /// known is denied as a queue is: only by a reading so new that every key in force must be in it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if the call must not run.
+    pub async fn authorise(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<AccountName>, FrontAnswer> {
+        let Some(revocation) = self.revocation.filter(|_| !route.public) else {
+            return Ok(None);
+        };
+        let digest = key.map(KeyDigest::of);
+        if let Some(account) = self.account(digest, revocation) {
+            return Ok(Some(account));
+        }
+        let patience = Duration::from_millis(self.timings.configuration_wait_ms);
+        let current = self.configuration.until_current(patience).await;
+        if let Some(account) = self.account(digest, revocation) {
+            return Ok(Some(account));
+        }
+        let (why, answer) = if current && self.configuration.is_current() {
+            ("unknown key", FrontAnswer::UnknownKey)
+        } else {
+            ("key not confirmed", FrontAnswer::Unconfirmed)
+        };
+        self.note_denied(why, &route.host, &route.path_prefix);
+        Err(answer)
+    }
+
+    /// Returns the account of a key, if that is known recently enough.
+    fn account(&self, digest: Option<KeyDigest>, revocation: Revocation) -> Option<AccountName> {
+        let table = self.routes()?;
+        let account = table.keys.account(digest?)?.clone();
+        // Looked at after the table: a reading that confirms a newer one speaks for no older.
+        let age_ms = self.configuration.age_ms()?;
+        let newest = self.configuration.version() == Some(table.version);
+        let recent = !revocation.strict || (newest && age_ms <= revocation.within_ms);
+        recent.then_some(account)
+    }
+
     fn find(&self, host: &str, path: &str) -> Option<Route> {
         self.routes()?.find(host, path).cloned()
     }
@@ -280,7 +343,9 @@
 
 const fn job(request: &Request) -> Option<JobId> {
     match request {
-        Request::Submit { id, .. } | Request::State { id } | Request::Cancel { id } => Some(*id),
+        Request::Submit { id, .. } | Request::State { id, .. } | Request::Cancel { id, .. } => {
+            Some(*id)
+        }
         Request::Waiting { .. } => None,
     }
 }
@@ -291,6 +356,8 @@
         Answer::Refused { .. }
             | Answer::NotCancelled { .. }
             | Answer::TooLarge
+            | Answer::NameTaken
+            | Answer::OverShare { .. }
             | Answer::NoQueue
             | Answer::Undecided
     )
@@ -315,6 +382,8 @@
         Answer::Unknown => "unknown",
         Answer::Waiting(_) => "waiting",
         Answer::TooLarge => "too_large",
+        Answer::NameTaken => "name_taken",
+        Answer::OverShare { .. } => "over_share",
         Answer::NoQueue => "no_queue",
         Answer::Undecided => "undecided",
     }
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod control;
 mod front;
+mod keys;
 mod leadership;
 mod link;
 mod load;
@@ -20,6 +21,7 @@
 
 pub use configuration::ConfigurationState;
 pub use front::{Front, FrontAnswer};
+pub use keys::{KeyDigest, KeyRing};
 pub use load::{ControlLoad, LoadStatus};
 pub use node::{Node, NodeError};
 pub use patience::WaitBounds;
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -12,7 +12,7 @@
 
 use crate::configuration::ConfigurationState;
 use crate::control::{Control, ControlEvent};
-use crate::front::Front;
+use crate::front::{Front, Revocation};
 use crate::leadership::LeadershipState;
 use crate::link::accept_links;
 use crate::ports::Platform;
@@ -73,6 +73,10 @@
             Arc::clone(&leadership),
             control.clone(),
             timings.clone(),
+            settings.revoke_ms.map(|within_ms| Revocation {
+                within_ms,
+                strict: settings.strict_revoke,
+            }),
         ));
         let limits = Limits {
             lease_max_ms: settings.lease_max_ms,
--- a/crates/chervilfall_node/src/routes.rs
+++ b/crates/chervilfall_node/src/routes.rs
@@ -1,8 +1,10 @@
 //! Which queue a request is for.
 
-use chervilfall_planner::{Configuration, Queue, Service};
+use chervilfall_planner::{Account, Configuration, Queue, Service};
 use serde::{Deserialize, Serialize};
 
+use crate::keys::KeyRing;
+
 /// A queue and the requests that are for it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
@@ -10,6 +12,9 @@
     pub host: String,
     /// Prefix of the path.
     pub path_prefix: String,
+    /// Calls need no key.
+    #[serde(default)]
+    pub public: bool,
     /// The queue.
     pub queue: Queue,
 }
@@ -23,6 +28,12 @@
     pub routes: Vec<Route>,
     /// All services.
     pub services: Vec<Service>,
+    /// Client accounts.
+    #[serde(default)]
+    pub accounts: Vec<Account>,
+    /// Their keys.
+    #[serde(default)]
+    pub keys: KeyRing,
     /// Most bytes of a request's body.
     pub max_body_bytes: u64,
 }
@@ -44,9 +55,13 @@
     pub fn configuration(&self) -> Configuration {
         let queues = self.routes.iter().map(|route| route.queue.clone());
         let services = self.services.iter().cloned();
+        let accounts = self.accounts.iter().cloned();
         Configuration {
             version: self.version,
             queues: queues.map(|queue| (queue.name.clone(), queue)).collect(),
+            accounts: accounts
+                .map(|account| (account.name.clone(), account))
+                .collect(),
             services: services
                 .map(|service| (service.name.clone(), service))
                 .collect(),
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -158,6 +158,13 @@
     /// Time from a configuration's acknowledgement in which it must be in force at every node.
     #[serde(default = "config_apply_ms")]
     pub config_apply_ms: u64,
+    /// Time from the acknowledgement of a configuration after which no call runs with a key that it has taken away. Set where
+    /// calls need keys of client accounts.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
+    /// This holds for nodes that cannot read the configuration too: they turn calls away then.
+    #[serde(default)]
+    pub strict_revoke: bool,
     /// Time from an endpoint's report that it is leaving after which it gets no starts.
     #[serde(default = "drain_ms")]
     pub drain_ms: u64,
@@ -217,6 +224,16 @@
             let cause = format!("must be at least {LEAST_APPLY_MS}");
             return Err(field("config_apply_ms".to_owned(), cause));
         }
+        if settings
+            .revoke_ms
+            .is_some_and(|ms| ms < settings.config_apply_ms)
+        {
+            let cause = format!(
+                "must be at least config_apply_ms, which is {}",
+                settings.config_apply_ms
+            );
+            return Err(field("revoke_ms".to_owned(), cause));
+        }
         let least_ms = 2 * settings.timings.endpoints_poll_ms;
         if settings.drain_ms < least_ms {
             let cause =
--- a/crates/chervilfall_node/tests/patience.rs
+++ b/crates/chervilfall_node/tests/patience.rs
@@ -77,7 +77,10 @@
         let ms = Duration::from_millis;
         assert_eq!(bounds.settle, ms(case.settle_ms), "{}", case.name);
         assert_eq!(bounds.answer, ms(case.answer_ms), "{}", case.name);
-        let state = Request::State { id: JobId(1) };
+        let state = Request::State {
+            id: JobId(1),
+            account: None,
+        };
         assert_eq!(bounds.holder(&state), ms(case.other_ms), "{}", case.name);
     }
 }
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -96,6 +96,7 @@
     let route = |name: &str, prefix: &str| Route {
         host: "jobs.example".to_owned(),
         path_prefix: prefix.to_owned(),
+        public: false,
         queue: Queue {
             name: name.to_owned(),
             ..Queue::default()
--- a/crates/chervilfall_planner/src/action.rs
+++ b/crates/chervilfall_planner/src/action.rs
@@ -56,6 +56,13 @@
     Waiting(u64),
     /// The job could not be stored, because a row cannot hold it.
     TooLarge,
+    /// The job was not stored and never runs: its account hands in more than its share.
+    OverShare {
+        /// When to come back.
+        retry_ms: Millis,
+    },
+    /// Another account has handed a job of this name in.
+    NameTaken,
     /// There is no such queue any more, and the job was not taken.
     NoQueue,
     /// Nobody knows yet whether the request was carried out; the same request may be sent again.
--- a/crates/chervilfall_planner/src/config.rs
+++ b/crates/chervilfall_planner/src/config.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::account::{Account, AccountName};
 use crate::ids::Millis;
 
 /// Name of a queue.
@@ -86,6 +87,8 @@
     pub version: u64,
     /// Queues by name.
     pub queues: BTreeMap<QueueName, Queue>,
+    /// Client accounts by name.
+    pub accounts: BTreeMap<AccountName, Account>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
 }
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -300,13 +300,15 @@
         Room::of_entry(&self.entry).holds(self.used)
     }
 
-    pub(crate) fn place(&mut self, task: TaskKey, placed: Placed) {
-        self.release(task);
+    /// Puts a run in its books; returns an earlier one of the task that it replaces.
+    pub(crate) fn place(&mut self, task: TaskKey, placed: Placed) -> Option<Placed> {
+        let replaced = self.release(task);
         self.used = self.used.add(placed.room);
         self.unsized_runs += usize::from(placed.unsized_run);
         self.hurried_runs += u32::from(placed.hurried);
         self.apart_runs += u32::from(placed.apart);
         self.placed.insert(task, placed);
+        replaced
     }
 
     pub(crate) fn release(&mut self, task: TaskKey) -> Option<Placed> {
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::account::AccountName;
 use crate::action::ReplyTo;
 use crate::commit::CommitOutcome;
 use crate::config::{Configuration, Queue, QueueName};
@@ -33,16 +34,25 @@
         spec: JobSpec,
         /// How long the submission may wait for the store before it is refused.
         wait_ms: Millis,
+        /// Client account that hands it in; none if none is needed.
+        #[serde(default)]
+        account: Option<AccountName>,
     },
     /// Asks for a job's state.
     State {
         /// The job.
         id: JobId,
+        /// Client account that asks; none if none is needed.
+        #[serde(default)]
+        account: Option<AccountName>,
     },
     /// Cancels a job.
     Cancel {
         /// The job.
         id: JobId,
+        /// Client account that asks; none if none is needed.
+        #[serde(default)]
+        account: Option<AccountName>,
     },
     /// Asks how many jobs of a queue have not started.
     Waiting {
@@ -55,7 +65,7 @@
     /// Returns the job that it names.
     pub(crate) const fn job(&self) -> Option<JobId> {
         match self {
-            Self::Submit { id, .. } | Self::State { id } | Self::Cancel { id } => Some(*id),
+            Self::Submit { id, .. } | Self::State { id, .. } | Self::Cancel { id, .. } => Some(*id),
             Self::Waiting { .. } => None,
         }
     }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -4,6 +4,7 @@
 //! what must last in rows of the platform's store. It does no I/O: each event and the time go in,
 //! actions come out, so that tests drive it in virtual time.
 
+mod account;
 mod action;
 mod advice;
 mod commit;
@@ -24,6 +25,7 @@
 mod starts;
 mod tasks;
 
+pub use account::{Account, AccountName, Usage};
 pub use action::{
     Action, AdviceOrder, Answer, HoldOrder, JobState, ReplyTo, StartOrder, StepDownReason,
     StopOrder,
--- a/crates/chervilfall_planner/src/meters.rs
+++ b/crates/chervilfall_planner/src/meters.rs
@@ -33,6 +33,17 @@
         .record(seconds(waited_ms));
 }
 
+/// Accounts that metrics show at most: each is a series of its own.
+pub(crate) const MOST_ACCOUNTS: usize = 256;
+
+/// Shows what an account uses of the endpoints, and may use.
+pub(crate) fn account(name: &str, used_cpu_milli: u64, quota_cpu_milli: u64) {
+    gauge!("chervilfall_account_cpu_milli", "account" => name.to_owned())
+        .set(used_cpu_milli as f64);
+    gauge!("chervilfall_account_quota_cpu_milli", "account" => name.to_owned())
+        .set(quota_cpu_milli as f64);
+}
+
 /// Counts a start.
 pub(crate) fn start() {
     counter!("chervilfall_starts_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -166,7 +166,8 @@
                 return;
             };
             if let Some(job) = self.jobs.get_mut(&id) {
-                builder.put(JOBS, id.to_string(), encode(&job.row()));
+                let account = job.account.map(|key| self.accounts.name(key).to_owned());
+                builder.put(JOBS, id.to_string(), encode(&job.row(account)));
                 let text = job.text.as_deref().unwrap_or("");
                 builder.put(TEXTS, id.to_string(), encode(&text));
                 job.rows.open = true;
@@ -181,7 +182,12 @@
                 return;
             };
             if let Some(job) = self.jobs.get_mut(&id) {
-                let row = encode(&job.progress());
+                let mut progress = job.progress();
+                if job.outcome.is_some() {
+                    let account = job.account.map(|key| self.accounts.name(key));
+                    progress.account = account.map(str::to_owned);
+                }
+                let row = encode(&progress);
                 if job.outcome.is_none() || builder.new_jobs.contains(&id) {
                     builder.put(PROGRESS, id.to_string(), row);
                     job.rows.progress = true;
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -258,16 +258,20 @@
         let waits = state == Some(TaskState::Waiting) || superseded.is_some();
         let wanted = job.is_some_and(|job| job.outcome.is_none()) && waits;
         let step = job.and_then(|job| job.spec.steps.get(task.step as usize));
-        let Some(endpoint) = self.endpoints.get_mut(key) else {
+        let Some(endpoint) = self.endpoints.get(key) else {
             return;
         };
         let room = step.map(Room::of_step);
-        endpoint.place(
+        let id = endpoint.entry.id.clone();
+        let charge = self.charge(task);
+        self.put(
+            key,
             task,
             Placed {
                 run: running.run,
                 phase: RunPhase::Running,
                 room: room.unwrap_or_default(),
+                charge,
                 unsized_run: room.is_none(),
                 unanswered: 0,
                 unseen: false,
@@ -277,7 +281,6 @@
                 apart: false,
             },
         );
-        let id = endpoint.entry.id.clone();
         log::info!(task:% = task, run = running.run, endpoint:% = id, wanted = wanted; "found a run at work");
         if wanted {
             if let Some((other, run)) = superseded {
@@ -415,9 +418,9 @@
     pub(super) fn free(&mut self, key: EndpointKey, task: TaskKey) {
         self.stopping.remove(key, task);
         self.schedule_due = true;
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.release(task);
-        }
+        let endpoint = self.endpoints.get_mut(key);
+        let freed = endpoint.and_then(|endpoint| endpoint.release(task));
+        self.discharge(freed);
     }
 }
 
--- a/crates/chervilfall_planner/src/planner/incarnations.rs
+++ b/crates/chervilfall_planner/src/planner/incarnations.rs
@@ -85,7 +85,7 @@
                 self.stopping.insert(key, task);
             }
             self.replace_state(task, before, key, placed.run);
-            self.endpoints[key].place(task, placed);
+            self.put(key, task, placed);
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -1,5 +1,6 @@
 //! The planner: takes events, returns actions.
 
+mod accounts;
 mod advise;
 mod ask;
 mod barrier;
@@ -38,6 +39,8 @@
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::starts::{latest, StartNote, StartRing, StartsRow};
 use crate::tasks::Job;
+pub(crate) use accounts::AccountKey;
+use accounts::Accounts;
 use advise::AdviceCall;
 use barrier::Barrier;
 use commits::{Flight, Unsaved};
@@ -90,6 +93,7 @@
     endpoint_keys: BTreeMap<EndpointId, EndpointKey>,
     open: OpenSteps,
     history: History,
+    accounts: Accounts,
     /// Occurrences that are not due yet, by due time.
     due: BTreeSet<(u64, JobId, u32)>,
     stopping: Stopping,
@@ -158,6 +162,7 @@
             endpoint_keys: BTreeMap::new(),
             open: OpenSteps::default(),
             history: History::default(),
+            accounts: Accounts::default(),
             due: BTreeSet::new(),
             stopping: Stopping::default(),
             exposed: BTreeMap::new(),
@@ -194,7 +199,13 @@
     fn restore(&mut self, stored: Stored, last_commit_store_ms: Millis) {
         let jobs = stored.jobs.len();
         for (id, row) in stored.jobs {
+            let account = row.account.as_deref();
+            let account = account.map(|name| self.accounts.key(name, self.now));
             let mut job = Job::new(id, row, self.now);
+            job.account = account;
+            if let Some(account) = account.filter(|_| job.beyond) {
+                self.inherit_share(account);
+            }
             job.stored = true;
             job.inherited = true;
             job.rows.open = true;
@@ -238,6 +249,10 @@
         let mut job = Job::new(id, JobRow::default(), self.now);
         job.stored = true;
         job.inherited = true;
+        job.account = row
+            .account
+            .as_deref()
+            .map(|name| self.accounts.key(name, self.now));
         job.restore(row);
         self.awaited += usize::from(job.awaited);
         self.jobs.insert(id, job);
@@ -300,6 +315,7 @@
             self.schedule_due = false;
             self.last_pass_ms = self.now;
             self.schedule();
+            self.accounts.show();
             meters::queues(
                 self.open.len(),
                 self.unsaved.new_jobs.len(),
@@ -378,6 +394,7 @@
                 job.set_queue(queue);
             }
         }
+        self.accounts.configure(&config.accounts, self.now);
         self.config = config;
     }
 
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -38,6 +38,22 @@
         true
     }
 
+    /// Puts a run in the books of its endpoint and of its job's account.
+    pub(super) fn put(&mut self, key: EndpointKey, task: TaskKey, placed: Placed) {
+        if let Some((account, usage)) = placed.charge {
+            self.accounts.add(account, usage);
+        }
+        let replaced = self.endpoints[key].place(task, placed);
+        self.discharge(replaced);
+    }
+
+    /// Takes a run off the books of its job's account.
+    pub(super) fn discharge(&mut self, placed: Option<Placed>) {
+        if let Some((account, usage)) = placed.and_then(|placed| placed.charge) {
+            self.accounts.remove(account, usage);
+        }
+    }
+
     /// Puts a run in the books of its endpoint and its task. Returns false if one of them is not there.
     pub(super) fn place(
         &mut self,
@@ -47,9 +63,11 @@
         phase: RunPhase,
         apart: bool,
     ) -> bool {
-        let (Some(job), Some(endpoint)) =
-            (self.jobs.get_mut(&task.job), self.endpoints.get_mut(key))
-        else {
+        let charge = self.charge(task);
+        if !self.endpoints.contains_key(key) {
+            return false;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
         let Some(step) = job.spec.steps.get(task.step as usize) else {
@@ -71,12 +89,14 @@
         entry.state = TaskState::Placed(key, run);
         entry.last_run = run;
         progress.placed += 1;
-        endpoint.place(
+        self.put(
+            key,
             task,
             Placed {
                 run,
                 phase,
                 room,
+                charge,
                 unsized_run: false,
                 unanswered: 0,
                 unseen: false,
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use crate::account::AccountName;
 use crate::action::{Action, Answer, JobState, ReplyTo};
 use crate::advice::Advice;
 use crate::config::Queue;
@@ -11,6 +12,7 @@
 use crate::job::JobSpec;
 use crate::meters;
 use crate::planner::Planner;
+use crate::policy::share::Standing;
 use crate::record::{encode, JobRow};
 use crate::tasks::{Job, TaskState};
 
@@ -28,18 +30,48 @@
                 id,
                 spec,
                 wait_ms,
-            } => self.submit(to, queue, id, spec, wait_ms),
-            Request::State { id } => self.state(to, id),
-            Request::Cancel { id } => self.cancel(to, id),
+                account,
+            } => self.submit(to, queue, id, spec, wait_ms, account),
+            Request::State { id, account } if self.is_foreign_job(id, account.as_deref()) => {
+                self.reply(to, Answer::Unknown);
+            }
+            Request::Cancel { id, account } if self.is_foreign_job(id, account.as_deref()) => {
+                self.reply(to, Answer::Unknown);
+            }
+            Request::State { id, .. } => self.state(to, id),
+            Request::Cancel { id, .. } => self.cancel(to, id),
             Request::Waiting { queue } => self.count_waiting(to, &queue),
         }
     }
 
+    /// Returns whether a job belongs to another account than the one that asks: what others do is not shown.
+    fn is_foreign_job(&self, id: JobId, account: Option<&str>) -> bool {
+        let job = self.jobs.get(&id);
+        let owner = job.and_then(|job| job.account);
+        match (owner, account) {
+            (Some(owner), Some(account)) => self.accounts.name(owner) != account,
+            _ => false,
+        }
+    }
+
     pub(super) fn reply(&mut self, to: ReplyTo, answer: Answer) {
         self.actions.push(Action::Reply { to, answer });
     }
 
-    fn submit(&mut self, to: ReplyTo, queue: Queue, id: JobId, mut spec: JobSpec, wait_ms: Millis) {
+    fn submit(
+        &mut self,
+        to: ReplyTo,
+        queue: Queue,
+        id: JobId,
+        mut spec: JobSpec,
+        wait_ms: Millis,
+        account: Option<AccountName>,
+    ) {
+        if self.is_foreign_job(id, account.as_deref()) {
+            log::info!(job:% = id; "refused, another account has a job of this name");
+            self.reply(to, Answer::NameTaken);
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&id) {
             if job.awaited {
                 self.take_awaited(to, id);
@@ -64,6 +96,8 @@
             queue,
             spec,
             accepted_unix_ms: self.unix_ms,
+            account,
+            beyond: false,
         };
         let bytes = encode(&row).len().max(encode(&text.as_ref()).len());
         if bytes > self.limits.row_bytes {
@@ -71,7 +105,20 @@
             self.reply(to, Answer::TooLarge);
             return;
         }
+        let name = row.account.clone();
+        let account = name
+            .as_deref()
+            .map(|name| self.accounts.key(name, self.now));
+        let standing = self.standing(account);
+        if let Standing::Refused { retry_ms } = standing {
+            meters::refused("share");
+            log::info!(job:% = id, account = name.as_deref(), retry_ms = retry_ms; "refused, beyond its account's share");
+            self.reply(to, Answer::OverShare { retry_ms });
+            return;
+        }
         let mut job = Job::new(id, row, self.now);
+        job.account = account;
+        job.beyond = standing == Standing::Beyond;
         job.text = Some(text);
         job.submitters.push(to);
         job.refuse_at_ms = self.now + wait_ms;
@@ -111,6 +158,7 @@
     }
 
     fn refuse_waiting(&mut self, id: JobId) {
+        self.end_share(id);
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
@@ -225,6 +273,7 @@
         );
         self.unsaved.progress.insert(id);
         self.finished.push_back((self.now, id));
+        self.end_share(id);
         self.open.remove_job(id);
         self.forget_advice(id);
         self.stop_all(id);
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -66,6 +66,7 @@
         if self.open.is_empty() || self.now >= self.cover_until_ms() {
             return;
         }
+        self.count_unseen();
         let mut pass = self.begin_pass();
         let whole = self.now.saturating_sub(self.last_whole_pass_ms) >= WHOLE_PASS_MS;
         let keys = if whole {
@@ -135,6 +136,11 @@
             return;
         }
         let advice = job.queue.advice;
+        let least = if step.gang { progress.waiting() } else { 1 };
+        // What its account may not start now holds up nobody else: no advice is asked for it.
+        if self.quota_room(key) < least {
+            return;
+        }
         let blocked = job.inherited && self.barrier.is_some();
         if job.text.is_none() {
             if !blocked {
@@ -280,7 +286,10 @@
     }
 
     fn place_step(&mut self, pass: &mut Pass, key: StepKey, wanted: &Wanted) {
-        let waiting = self.waiting_tasks(key);
+        let mut waiting = self.waiting_tasks(key);
+        if !wanted.step().gang {
+            waiting.keep(self.quota_room(key) as usize);
+        }
         if wanted.step().gang {
             if waiting.awaited == 0 {
                 self.place_gang(pass, key, wanted, &waiting);
--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -37,6 +37,14 @@
         self.suspects.is_empty() && self.isolated.is_empty()
     }
 
+    /// Keeps at most so many tasks.
+    pub(super) fn keep(&mut self, most: usize) {
+        self.clear.truncate(most);
+        let left = most - self.clear.len();
+        self.suspects.truncate(left);
+        self.isolated.truncate(left - self.suspects.len());
+    }
+
     /// Returns those that can be started now.
     pub(super) fn members(&self) -> impl Iterator<Item = &WaitingTask> {
         self.isolated
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -26,6 +26,8 @@
 /// Rank of a step; the lowest is offered room first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
+    /// Work beyond an account's share comes after all other.
+    beyond: bool,
     prospect: Prospect,
     priority: u32,
     accepted_unix_ms: u64,
@@ -46,6 +48,7 @@
 pub(crate) fn rank(job: &Job, key: StepKey, unix_ms: u64) -> Rank {
     let due_unix_ms = job.spec.due_unix_ms(key.occurrence);
     Rank {
+        beyond: job.beyond,
         prospect: prospect(job, job.accepted_unix_ms.max(due_unix_ms), unix_ms),
         priority: effective_priority(job, unix_ms),
         accepted_unix_ms: job.accepted_unix_ms,
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -3,6 +3,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::account::AccountName;
 use crate::action::JobState;
 use crate::config::Queue;
 use crate::ids::{EndpointId, Millis, Run, UnixMillis};
@@ -65,6 +66,12 @@
     pub spec: JobSpec,
     /// Time of day of acceptance, in milliseconds since 1970.
     pub accepted_unix_ms: u64,
+    /// Client account that handed it in; none if none was needed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountName>,
+    /// It was handed in beyond the account's share.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub beyond: bool,
 }
 
 /// Progress of a step.
@@ -97,6 +104,9 @@
     pub started: bool,
     /// Steps that something is known of.
     pub steps: Vec<StepRow>,
+    /// Client account that handed it in, in rows of jobs that have ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountName>,
 }
 
 /// An endpoint that may hold a lease of this group.
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::account::AccountName;
 use crate::action::{JobState, ReplyTo};
 use crate::advice::Advice;
 use crate::config::Queue;
 use crate::endpoint::EndpointKey;
 use crate::ids::{JobId, Millis, Run, TaskKey};
 use crate::job::{JobSpec, Step};
+use crate::planner::AccountKey;
 use crate::policy::crashes::Exposure;
 use crate::policy::speed::Took;
 use crate::record::{ranges, JobRow, ProgressRow, StepRow};
@@ -99,6 +101,10 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) queue: Queue,
+    /// Client account that handed it in, if one was needed.
+    pub(crate) account: Option<AccountKey>,
+    /// It was handed in beyond the account's share.
+    pub(crate) beyond: bool,
     pub(crate) spec: Arc<JobSpec>,
     /// Longest chain of estimated work.
     pub(crate) chain_ms: Millis,
@@ -145,6 +151,8 @@
             objective_ms: row.spec.objective_ms(&row.queue),
             lasts: row.spec.steps.iter().any(|step| step.long_running),
             queue: row.queue,
+            account: None,
+            beyond: row.beyond,
             spec: Arc::new(row.spec),
             text: (!text.is_empty()).then(|| Arc::from(text)),
             rows: JobRows::default(),
@@ -177,11 +185,13 @@
     }
 
     /// Returns the row that holds the job but for its text.
-    pub(crate) fn row(&self) -> JobRow {
+    pub(crate) fn row(&self, account: Option<AccountName>) -> JobRow {
         JobRow {
             queue: self.queue.clone(),
             spec: JobSpec::clone(&self.spec),
             accepted_unix_ms: self.accepted_unix_ms,
+            account,
+            beyond: self.beyond,
         }
     }
 
@@ -260,6 +270,7 @@
             outcome: self.outcome,
             started: self.started,
             steps: steps.collect(),
+            account: None,
         }
     }
 
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -58,6 +58,8 @@
             queue: queue.clone(),
             spec,
             accepted_unix_ms: 1,
+            account: None,
+            beyond: false,
         };
         let roster = [FIRST, SECOND].map(|name| RosterEntry {
             id: EndpointId(name.to_owned()),
@@ -81,7 +83,7 @@
         let configuration = Configuration {
             version: 1,
             queues: BTreeMap::from([(queue.name.clone(), queue)]),
-            services: BTreeMap::new(),
+            ..Configuration::default()
         };
         successor.tell(Event::Configured(Arc::new(configuration)));
         let entries = [FIRST, SECOND].map(entry).to_vec();
--- a/crates/chervilfall_planner/tests/cancels.rs
+++ b/crates/chervilfall_planner/tests/cancels.rs
@@ -42,8 +42,11 @@
         let mut world = World::new(3, 4, 7);
         world.run(1_500);
         let id = JobId(1);
-        let state = Request::State { id };
-        assert_eq!(world.ask(Request::Cancel { id }), Answer::Unknown);
+        let state = Request::State { id, account: None };
+        assert_eq!(
+            world.ask(Request::Cancel { id, account: None }),
+            Answer::Unknown
+        );
         assert_eq!(world.ask(state.clone()), Answer::Unknown, "{}", case.name);
         if case.takeover {
             let holder = world.holder().expect("a holder");
@@ -73,9 +76,12 @@
         id,
         spec: job(),
         wait_ms: 300,
+        account: None,
     };
     let (holder, submitted) = world.request(submission).expect("a holder");
-    let (_, cancelled) = world.request(Request::Cancel { id }).expect("a holder");
+    let (_, cancelled) = world
+        .request(Request::Cancel { id, account: None })
+        .expect("a holder");
     world.run(4_000);
     let replies = &world.nodes[holder].replies;
     assert!(matches!(
--- a/crates/chervilfall_planner/tests/crashes.rs
+++ b/crates/chervilfall_planner/tests/crashes.rs
@@ -60,7 +60,10 @@
 }
 
 fn state(world: &mut World, id: u64) -> Answer {
-    world.ask(Request::State { id: JobId(id) })
+    world.ask(Request::State {
+        id: JobId(id),
+        account: None,
+    })
 }
 
 /// Submits a short job that can be done, and returns the number of the next one.
@@ -80,7 +83,7 @@
         assert!(world.now < end, "{name}: not done: {left:?}");
         let mut waiting = Vec::new();
         for id in left {
-            match world.ask(Request::State { id }) {
+            match world.ask(Request::State { id, account: None }) {
                 Answer::State(JobState::Completed) => {}
                 Answer::State(JobState::Failed) => {
                     assert!(
--- a/crates/chervilfall_planner/tests/fleet.rs
+++ b/crates/chervilfall_planner/tests/fleet.rs
@@ -130,6 +130,7 @@
                 id,
                 spec,
                 wait_ms: 1_000,
+                account: None,
             });
         }
     }
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -200,7 +200,7 @@
         if world.random.percent(4) {
             let id = JobId(1 + world.random.below(round + 1));
             // A cancel without an answer may have been carried out.
-            world.ask(Request::Cancel { id });
+            world.ask(Request::Cancel { id, account: None });
             world.cancelled.insert(id);
         }
         let pause_ms = world.random.below(700);
@@ -212,7 +212,7 @@
     world.check_history();
     let accepted: Vec<JobId> = world.accepted.iter().copied().collect();
     for id in accepted {
-        let answer = world.ask(Request::State { id });
+        let answer = world.ask(Request::State { id, account: None });
         let cancelled = world.cancelled.contains(&id);
         let right = match answer {
             Answer::State(JobState::Completed) => true,
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -16,7 +16,10 @@
 }
 
 fn state(world: &mut World, id: u64) -> Answer {
-    world.ask(Request::State { id: JobId(id) })
+    world.ask(Request::State {
+        id: JobId(id),
+        account: None,
+    })
 }
 
 fn completed(world: &mut World, id: u64, bound_ms: u64) {
@@ -177,7 +180,10 @@
     );
     world.run(300);
     assert_eq!(
-        world.ask(Request::Cancel { id: JobId(1) }),
+        world.ask(Request::Cancel {
+            id: JobId(1),
+            account: None
+        }),
         Answer::Cancelled
     );
     world.run(600);
@@ -189,7 +195,13 @@
     world.kill(holder);
     world.run(3_000);
     assert_eq!(state(&mut world, 1), Answer::State(JobState::Cancelled));
-    assert_eq!(world.ask(Request::Cancel { id: JobId(2) }), Answer::Unknown);
+    assert_eq!(
+        world.ask(Request::Cancel {
+            id: JobId(2),
+            account: None
+        }),
+        Answer::Unknown
+    );
 }
 
 #[test]
--- a/crates/chervilfall_planner/tests/restarts.rs
+++ b/crates/chervilfall_planner/tests/restarts.rs
@@ -102,7 +102,7 @@
     world.check_history();
     let accepted: Vec<JobId> = world.accepted.iter().copied().collect();
     for id in accepted {
-        let answer = world.ask(Request::State { id });
+        let answer = world.ask(Request::State { id, account: None });
         let suspect = world.most_crashes_under(id) >= GIVEN_UP_CRASHES;
         let may_fail = world.has_used_attempts(id) || suspect;
         let failed = answer == Answer::State(JobState::Failed) && may_fail;
@@ -261,7 +261,10 @@
         let endpoint = world.endpoints.values().next().expect("one");
         assert_eq!(!endpoint.starts.is_empty(), case.used, "{}", case.name);
         world.run(40_000);
-        let answer = world.ask(Request::State { id: JobId(1) });
+        let answer = world.ask(Request::State {
+            id: JobId(1),
+            account: None,
+        });
         let done = answer == Answer::State(JobState::Completed);
         let failed = answer == Answer::State(JobState::Failed);
         assert!(
--- a/crates/chervilfall_planner/tests/shapes.rs
+++ b/crates/chervilfall_planner/tests/shapes.rs
@@ -44,7 +44,10 @@
 }
 
 fn state(world: &mut World, id: u64) -> Answer {
-    world.ask(Request::State { id: JobId(id) })
+    world.ask(Request::State {
+        id: JobId(id),
+        account: None,
+    })
 }
 
 #[test]
@@ -189,7 +192,10 @@
     }
     assert_eq!(most, 3, "of 3 tasks were at work at the same time");
     assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
-    let cancel = Request::Cancel { id: JobId(1) };
+    let cancel = Request::Cancel {
+        id: JobId(1),
+        account: None,
+    };
     assert_eq!(world.ask(cancel), Answer::Cancelled);
     world.run(1_000);
     let after: usize = starts(&world).iter().sum();
--- a/crates/chervilfall_planner/tests/takeover.rs
+++ b/crates/chervilfall_planner/tests/takeover.rs
@@ -68,6 +68,12 @@
     world.run(wakes_ms - world.now - 5);
     world.now = wakes_ms;
     // The question is the first thing that it hears.
-    let answer = world.ask_node(old, Request::State { id: JobId(7) });
+    let answer = world.ask_node(
+        old,
+        Request::State {
+            id: JobId(7),
+            account: None,
+        },
+    );
     assert_ne!(answer, Some(Answer::Unknown));
 }
--- a/crates/chervilfall_planner/tests/terms.rs
+++ b/crates/chervilfall_planner/tests/terms.rs
@@ -59,6 +59,7 @@
         id,
         spec,
         wait_ms: 700,
+        account: None,
     };
     let answer = world.ask(submission);
     world.run(3_000);
--- a/crates/chervilfall_planner/tests/world/callers.rs
+++ b/crates/chervilfall_planner/tests/world/callers.rs
@@ -34,6 +34,7 @@
             id,
             spec,
             wait_ms: 700,
+            account: None,
         });
         match answer {
             Answer::Accepted => {
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -134,7 +134,7 @@
         let config = Configuration {
             version: 1,
             queues: BTreeMap::from([(queue.name.clone(), queue.clone())]),
-            services: BTreeMap::new(),
+            ..Configuration::default()
         };
         let nodes = (0..nodes).map(|number| FakeNode {
             planner: None,
