Histories of accounts: quotas under takeovers, late orders and a lowered quota; shares beside a hot account

A hot account of 40 jobs a second with a share of 2 has over half of them refused, the other's jobs all complete in time.

--- /dev/null
+++ b/crates/chervilfall_planner/tests/accounts.rs
@@ -0,0 +1,266 @@
+//! Client accounts: quotas under takeovers and late orders, and shares while one account sends many times its usual.
+
+mod world;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use chervilfall_planner::{
+    Account, Answer, Configuration, Event, JobId, JobSpec, JobState, Request, Run, TaskKey, Usage,
+};
+use world::random::Random;
+use world::{step, World};
+
+const BOUND: &str = "bound";
+const FREE: &str = "free";
+/// What the bound account may use, before and after it is lowered. Tasks use a core each.
+const QUOTA_MILLI: u64 = 3_000;
+const LOWERED_MILLI: u64 = 1_000;
+/// An order may be carried out this long after it was sent.
+const LATE_MS: u64 = 4_000;
+
+fn account(name: &str, cpu_milli: u64, weight: f64) -> Account {
+    Account {
+        name: name.to_owned(),
+        weight,
+        quota: Usage {
+            cpu_milli,
+            ..Usage::default()
+        },
+    }
+}
+
+fn configure(world: &mut World, version: u64, accounts: Vec<Account>) {
+    let named = accounts
+        .into_iter()
+        .map(|account| (account.name.clone(), account));
+    world.config = Arc::new(Configuration {
+        version,
+        accounts: named.collect(),
+        ..Configuration::clone(&world.config)
+    });
+    if let Some(holder) = world.holder() {
+        let event = Event::Configured(Arc::clone(&world.config));
+        world.feed(holder, event);
+    }
+}
+
+/// What the bound account has at work.
+fn runs_of(world: &World, owners: &BTreeMap<JobId, &'static str>) -> BTreeSet<(TaskKey, Run)> {
+    let living = world.endpoints.values().filter(|endpoint| !endpoint.dead);
+    let runs = living.flat_map(|endpoint| &endpoint.running);
+    runs.filter(|(task, _)| owners.get(&task.job) == Some(&BOUND))
+        .map(|(task, run)| (*task, run.run))
+        .collect()
+}
+
+struct Play {
+    world: World,
+    random: Random,
+    owners: BTreeMap<JobId, &'static str>,
+    next_job: u64,
+    lowered_ms: Option<u64>,
+    seen: BTreeSet<(TaskKey, Run)>,
+}
+
+impl Play {
+    fn open(seed: u64) -> Self {
+        let mut world = World::new(3, 4, seed);
+        configure(
+            &mut world,
+            2,
+            vec![account(BOUND, QUOTA_MILLI, 0.0), account(FREE, 0, 0.0)],
+        );
+        let mut play = Self {
+            world,
+            random: Random::new(seed + 1),
+            owners: BTreeMap::new(),
+            next_job: 0,
+            lowered_ms: None,
+            seen: BTreeSet::new(),
+        };
+        play.pass(1_500);
+        play
+    }
+
+    /// Lets time pass, and looks at each start.
+    fn pass(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / 5 {
+            self.world.run(5);
+            let runs = runs_of(&self.world, &self.owners);
+            let began = runs.difference(&self.seen).count();
+            let used_milli = runs.len() as u64 * 1_000;
+            let settled = self
+                .lowered_ms
+                .is_some_and(|at_ms| self.world.now > at_ms + LATE_MS);
+            let most_milli = if settled { LOWERED_MILLI } else { QUOTA_MILLI };
+            if began > 0 && used_milli > most_milli {
+                let line = format!("{used_milli} of {most_milli} at {}", self.world.now);
+                self.world.violations.push(line);
+            }
+            self.seen = runs;
+        }
+    }
+
+    fn submit(&mut self) {
+        self.next_job += 1;
+        let id = self.next_job;
+        let owner = if self.random.percent(60) { BOUND } else { FREE };
+        self.owners.insert(JobId(id), owner);
+        let tasks = u32::try_from(1 + self.random.below(4)).expect("few");
+        let spec = JobSpec {
+            spec: "text".to_owned(),
+            steps: vec![step(tasks, 200 + self.random.below(1_000))],
+            ..JobSpec::default()
+        };
+        self.world.submit_for(Some(owner), id, spec);
+    }
+
+    fn strike(&mut self) {
+        let Some(holder) = self.world.holder() else {
+            return;
+        };
+        let until_ms = self.world.now + 500 + self.random.below(3_000);
+        match self.random.below(5) {
+            0 => self.world.kill(holder),
+            1 => self.world.nodes[holder].frozen_until_ms = until_ms,
+            2 => self.world.nodes[holder].store_cut_until_ms = until_ms,
+            3 => self.world.late_percent = self.random.below(30),
+            _ => {
+                let number = usize::try_from(self.random.below(4)).expect("few");
+                if let Some(endpoint) = self.world.endpoints.values_mut().nth(number) {
+                    endpoint.cut_until_ms = until_ms;
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn no_account_is_started_beyond_its_quota() {
+    let first = std::env::var("CHERVILFALL_SEED").ok();
+    let first: u64 = first.and_then(|text| text.parse().ok()).unwrap_or(1);
+    let count = std::env::var("CHERVILFALL_HISTORIES").ok();
+    let count: u64 = count.and_then(|text| text.parse().ok()).unwrap_or(140);
+    for seed in first..first + count {
+        let mut play = Play::open(seed);
+        for round in 0..60 {
+            play.submit();
+            let pause_ms = 50 + play.random.below(300);
+            play.pass(pause_ms);
+            if play.random.percent(12) {
+                play.strike();
+            }
+            if round == 30 {
+                let lowered = vec![account(BOUND, LOWERED_MILLI, 0.0), account(FREE, 0, 0.0)];
+                configure(&mut play.world, 3, lowered);
+                play.lowered_ms = Some(play.world.now);
+            }
+        }
+        play.world.late_percent = 0;
+        play.pass(LATE_MS);
+        play.lowered_ms = None;
+        let raised = vec![account(BOUND, QUOTA_MILLI, 0.0), account(FREE, 0, 0.0)];
+        configure(&mut play.world, 4, raised);
+        play.pass(80_000);
+        play.world.check_history();
+        let violations = std::mem::take(&mut play.world.violations);
+        assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
+        let accepted: Vec<JobId> = play.world.accepted.iter().copied().collect();
+        for id in accepted {
+            let state = play.world.ask(Request::State { id, account: None });
+            let ended = matches!(state, Answer::State(JobState::Completed | JobState::Failed));
+            assert!(ended, "seed {seed}: job {id} is {state:?}");
+        }
+    }
+}
+
+#[test]
+fn a_job_is_shown_to_its_own_account_only() {
+    struct Case {
+        name: &'static str,
+        account: Option<&'static str>,
+        answer: Answer,
+    }
+    let cases = [
+        Case {
+            name: "its own",
+            account: Some(BOUND),
+            answer: Answer::State(JobState::Running),
+        },
+        Case {
+            name: "another",
+            account: Some(FREE),
+            answer: Answer::Unknown,
+        },
+        Case {
+            name: "a call that needs no key",
+            account: None,
+            answer: Answer::State(JobState::Running),
+        },
+    ];
+    let mut play = Play::open(3);
+    let spec = JobSpec {
+        steps: vec![step(1, 30_000)],
+        ..JobSpec::default()
+    };
+    let answer = play.world.submit_for(Some(BOUND), 1, spec.clone());
+    assert_eq!(answer, Answer::Accepted);
+    play.pass(500);
+    // A successor knows whose it is.
+    let holder = play.world.holder().expect("a holder");
+    play.world.nodes[holder].frozen_until_ms = u64::MAX;
+    play.pass(5_000);
+    for case in cases {
+        let account = case.account.map(str::to_owned);
+        let id = JobId(1);
+        let asked = Request::State { id, account };
+        assert_eq!(play.world.ask(asked), case.answer, "{}", case.name);
+    }
+    let cancel = Request::Cancel {
+        id: JobId(1),
+        account: Some(FREE.to_owned()),
+    };
+    assert_eq!(play.world.ask(cancel), Answer::Unknown);
+    let taken = play.world.submit_for(Some(FREE), 1, spec);
+    assert_eq!(taken, Answer::NameTaken);
+}
+
+/// One account sends twenty times its share for three seconds; the others' jobs must not wait for its work.
+#[test]
+fn an_account_beyond_its_share_costs_the_others_nothing() {
+    const HOT: &str = "hot";
+    const CALM: &str = "calm";
+    let mut world = World::new(3, 4, 9);
+    configure(
+        &mut world,
+        2,
+        vec![account(HOT, 0, 2.0), account(CALM, 0, 10.0)],
+    );
+    world.run(1_500);
+    let job = || JobSpec {
+        steps: vec![step(4, 400)],
+        ..JobSpec::default()
+    };
+    let mut refused = 0;
+    let mut calm = Vec::new();
+    for round in 0..60_u64 {
+        for part in 0..2 {
+            let answer = world.submit_for(Some(HOT), 1_000 + 2 * round + part, job());
+            refused += u32::from(matches!(answer, Answer::OverShare { .. }));
+        }
+        if round % 10 == 0 {
+            let id = 1 + round;
+            assert_eq!(world.submit_for(Some(CALM), id, job()), Answer::Accepted);
+            calm.push((JobId(id), world.now));
+        }
+        world.run(50);
+    }
+    assert!(refused > 60, "{refused} of 120 refused");
+    for (id, _) in &calm[..calm.len() - 1] {
+        let account = Some(CALM.to_owned());
+        let state = world.ask(Request::State { id: *id, account });
+        assert_eq!(state, Answer::State(JobState::Completed), "{id}");
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/crates/chervilfall_planner/tests/world/callers.rs
+++ b/crates/chervilfall_planner/tests/world/callers.rs
@@ -26,6 +26,11 @@
 
     /// Hands a job in and waits for the answer.
     pub fn submit(&mut self, id: u64, spec: JobSpec) -> Answer {
+        self.submit_for(None, id, spec)
+    }
+
+    /// Hands a job in for a client account and waits for the answer.
+    pub fn submit_for(&mut self, account: Option<&str>, id: u64, spec: JobSpec) -> Answer {
         let id = JobId(id);
         self.jobs.insert(id, spec.clone());
         let queue = self.queue.clone();
@@ -34,7 +39,7 @@
             id,
             spec,
             wait_ms: 700,
-            account: None,
+            account: account.map(str::to_owned),
         });
         match answer {
             Answer::Accepted => {
