Hold endpoints that run nothing less often on large fleets

Each endpoint was held 1.4 times a second whether it ran anything or not: 4,200 calls a second for half a core; commits then took 0.2 to 0.5 s, links fell silent, holders were deposed. Ruled out: the store (no refused call), joining (all 3,000 within the 14 s before the traffic), memory, descriptors (7,059 of 8,192). Change: an endpoint that runs nothing rests before its next hold, a millisecond for two endpoints of the fleet, 1.5 s at most; silence counts from the hold, and a run that is placed there ends the rest. At 350 endpoints the rest is 0.175 s.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -95,6 +95,8 @@
     pub(crate) acknowledged: u64,
     pub(crate) heard_ms: Option<Millis>,
     pub(crate) hold_sent_ms: Option<Millis>,
+    /// It ran nothing when it was last heard, so that its next hold was put off: silence counts from that hold.
+    pub(crate) rests: bool,
     /// The last hold was not answered: nothing is granted or started until one is.
     pub(crate) missed: bool,
     pub(crate) next_hold_ms: Millis,
@@ -132,6 +134,7 @@
             acknowledged: 0,
             heard_ms: None,
             hold_sent_ms: None,
+            rests: false,
             missed: false,
             next_hold_ms: 0,
             paused_until_ms: 0,
@@ -219,9 +222,15 @@
         }
     }
 
+    /// Returns for how long it has not been heard although it was asked.
     pub(crate) fn silent_for(&self, now: Millis) -> Millis {
+        let asked_ms = if self.rests {
+            self.hold_sent_ms.unwrap_or(now)
+        } else {
+            0
+        };
         self.heard_ms
-            .map_or(Millis::MAX, |heard| now.saturating_sub(heard))
+            .map_or(Millis::MAX, |heard| now.saturating_sub(heard.max(asked_ms)))
     }
 
     /// Returns for how long it was heard from while a run was known to be there; none if it never answered
@@ -302,6 +311,8 @@
 
     /// Puts a run in its books; returns an earlier one of the task that it replaces.
     pub(crate) fn place(&mut self, task: TaskKey, placed: Placed) -> Option<Placed> {
+        // Ends are listed to holds only.
+        self.next_hold_ms = if self.rests { 0 } else { self.next_hold_ms };
         let replaced = self.release(task);
         self.used = self.used.add(placed.room);
         self.unsized_runs += usize::from(placed.unsized_run);
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -48,6 +48,11 @@
     /// The same while hurried work runs there: on 350 endpoints a short request spends 0.1 s beside its run at the
     /// median, and a wait for others' ends can double that.
     pub hurried_hold_gap_ms: Millis,
+    /// Longest pause before an endpoint that runs nothing is held again. There is nothing to hear from it, and on a large fleet
+    /// the holds of all such endpoints keep the holder's processor from callers' work.
+    pub rest_ms: Millis,
+    /// Endpoints for which the pause is a millisecond: on a small fleet it is short, as lost endpoints are found by holds.
+    pub rest_endpoints: usize,
     /// Pause before a hold that follows an unanswered one.
     pub hold_retry_ms: Millis,
     /// An endpoint that has not answered for this long gets no starts and no longer leases: it has
@@ -82,6 +87,12 @@
 }
 
 impl Limits {
+    /// Returns the pause before an endpoint that runs nothing is held again, on a fleet of so many.
+    pub(crate) fn rest_of(&self, endpoints: usize) -> Millis {
+        let pause_ms = endpoints / self.rest_endpoints.max(1);
+        self.rest_ms.min(pause_ms as Millis)
+    }
+
     /// Returns when an endpoint was heard whose answer to a hold has come: now, or when the hold was sent if the answer
     /// has lain here since, because this holder stood still. Another incarnation may be there by now.
     pub(crate) const fn heard_ms(&self, now: Millis, sent_ms: Millis) -> Millis {
@@ -114,6 +125,8 @@
             hold_answer_ms: 350,
             hold_gap_ms: 100,
             hurried_hold_gap_ms: 10,
+            rest_ms: 1_500,
+            rest_endpoints: 2,
             hold_retry_ms: 200,
             silent_ms: 950,
             report_age_ms: 3_800,
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -153,6 +153,7 @@
             | HoldAnswer::Refused
             | HoldAnswer::Unanswered => {
                 let first = !std::mem::replace(&mut endpoint.missed, true);
+                endpoint.rests = false;
                 endpoint.next_hold_ms = now + retry_ms;
                 if first {
                     self.store_exposures(key);
@@ -196,6 +197,7 @@
     /// Takes in the ends and runs that an endpoint lists.
     pub(super) fn take_lists(&mut self, key: EndpointKey, report: &HoldReport) {
         let now = self.now;
+        let rest_ms = self.limits.rest_of(self.endpoints.len());
         let known = self.endpoints[key].taken_in;
         for end in report.ended.iter().filter(|end| end.number > known) {
             self.take_end(key, end);
@@ -219,6 +221,11 @@
         for running in &report.running {
             self.take_running(key, running);
         }
+        let endpoint = &mut self.endpoints[key];
+        endpoint.rests = endpoint.placed.is_empty() && !pending;
+        if endpoint.rests {
+            endpoint.next_hold_ms += rest_ms;
+        }
     }
 
     /// Takes in a run that an endpoint lists as at work.
