--- a/crates/chervilfall_node/src/watch/mod.rs
+++ b/crates/chervilfall_node/src/watch/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod pages;
 pub(crate) mod readings;
 pub(crate) mod recovery;
+pub(crate) mod takeover;
 
 use crate::ports::StoreError;
 
--- /dev/null
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -0,0 +1,232 @@
+//! From a claim to a holder that serves: reads the group's rows, keeps the claim alive meanwhile, or hands it back.
+
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use chervilfall_planner::{Candidate, CommitOutcome, HolderRow, Takeover};
+
+use crate::clock::now_ms;
+use crate::control::ControlEvent;
+use crate::leadership::Leadership;
+use crate::ports::{ConfigurationReading, Platform, Store};
+use crate::watch::claim::ClaimWatch;
+use crate::watch::pages::Progress;
+use crate::watch::recovery::{read_history, GroupReader};
+
+/// Time between renewals of a claim whose rows are being read: a third of the standstill
+/// that holds meanwhile.
+const RENEW_MS: u64 = 400;
+/// A claim is handed back if no page of the rows has come for this long: some times the bound of a page.
+const STUCK_MS: u64 = 3_000;
+/// Time between lines that say how far a reading of the rows has come.
+const PROGRESS_LINE_MS: u64 = 1_000;
+/// Somebody else has claimed the group.
+struct ClaimLost;
+
+/// Rows that were read under a claim which was handed back.
+pub(crate) struct KeptRows {
+    term: u64,
+    rows: GroupReader,
+}
+
+impl<P: Platform> ClaimWatch<P> {
+    /// Reads the rows of the group that was claimed, and keeps the claim alive meanwhile: a machine with a slow link can
+    /// take longer than the claim may stand still. The claim is handed back if nothing comes, so that nodes which can read
+    /// the rows are not kept from them.
+    pub(super) async fn load(
+        &self,
+        candidate: &mut Candidate,
+        mut takeover: Takeover,
+        claimed_ms: u64,
+    ) {
+        let began_ms = now_ms();
+        let progress = Progress::new();
+        let mut rows = self.kept_rows(&takeover);
+        let mut confirmed_ms = claimed_ms;
+        self.set_recovering(true).await;
+        let read = {
+            let reading = async {
+                let group = rows.read(self.platform.store(), &self.group, &progress);
+                let (read, ()) = tokio::join!(group, self.read_configuration());
+                read
+            };
+            tokio::pin!(reading);
+            let mut next_line_ms = began_ms + PROGRESS_LINE_MS;
+            loop {
+                tokio::select! {
+                    read = &mut reading => break Some(read),
+                    () = tokio::time::sleep(Duration::from_millis(RENEW_MS)) => {
+                        if progress.still_ms() >= STUCK_MS {
+                            break None;
+                        }
+                        let sent_ms = now_ms();
+                        match self.renew(&mut takeover).await {
+                            Ok(true) => confirmed_ms = sent_ms,
+                            Ok(false) => {}
+                            Err(ClaimLost) => {
+                                log::info!(term = takeover.row.term; "claim lost while rows were read");
+                                self.set_recovering(false).await;
+                                return;
+                            }
+                        }
+                        if now_ms() >= next_line_ms {
+                            next_line_ms += PROGRESS_LINE_MS;
+                            say_progress(&takeover, &progress, began_ms);
+                        }
+                    }
+                }
+            }
+        };
+        say_progress(&takeover, &progress, began_ms);
+        match read {
+            Some(Ok(())) => self.take_over(takeover, rows, confirmed_ms).await,
+            Some(Err(error)) => {
+                log::error!(term = takeover.row.term, error:% = error; "group's rows cannot be read, claim handed back");
+                self.hand_back(candidate, &mut takeover).await;
+            }
+            None => {
+                log::warn!(term = takeover.row.term, still_ms = progress.still_ms(); "group's rows do not come, claim handed back");
+                self.hand_back(candidate, &mut takeover).await;
+                self.keep_rows(&takeover, rows);
+            }
+        }
+        self.set_recovering(false).await;
+    }
+
+    /// Returns what was read under an earlier claim of this process, if nobody has held the group since.
+    fn kept_rows(&self, takeover: &Takeover) -> GroupReader {
+        let kept = self.lock_kept().take();
+        let kept = kept.filter(|kept| kept.term + 1 == takeover.row.term);
+        kept.map_or_else(GroupReader::new, |kept| kept.rows)
+    }
+
+    fn keep_rows(&self, takeover: &Takeover, rows: GroupReader) {
+        let term = takeover.row.term;
+        *self.lock_kept() = Some(KeptRows { term, rows });
+    }
+
+    fn lock_kept(&self) -> std::sync::MutexGuard<'_, Option<KeptRows>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the control thread whether rows are being read, so that links to this node last until it serves.
+    async fn set_recovering(&self, recovering: bool) {
+        // The control thread ends with the process only.
+        drop(
+            self.control
+                .send(ControlEvent::Recovering(recovering))
+                .await,
+        );
+    }
+
+    async fn take_over(&self, takeover: Takeover, rows: GroupReader, claimed_ms: u64) {
+        let term = takeover.row.term;
+        let event = ControlEvent::Claimed {
+            takeover,
+            stored: rows.into_stored(),
+            claimed_ms,
+        };
+        // The control thread ends with the process only.
+        drop(self.control.send(event).await);
+        // The control thread says when it has taken over; until then nothing is claimed.
+        let held = self
+            .leadership
+            .wait_until(|leadership| matches!(leadership, Leadership::Local));
+        drop(tokio::time::timeout(Duration::from_secs(1), held).await);
+        self.read_history(term);
+    }
+
+    /// Reads in the background what the new holder can serve without.
+    fn read_history(&self, term: u64) {
+        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        let (control, leadership) = (self.control.clone(), Arc::clone(&self.leadership));
+        tokio::spawn(async move {
+            let tell = |event| {
+                let (control, leadership) = (control.clone(), Arc::clone(&leadership));
+                async move {
+                    let holds = matches!(leadership.current(), Leadership::Local);
+                    let event = ControlEvent::Done { term, event };
+                    holds && control.send(event).await.is_ok()
+                }
+            };
+            if let Err(error) = read_history(&store, &group, tell).await {
+                log::error!(term = term, error:% = error; "texts and ended jobs cannot be read, group handed back");
+                // The control thread ends with the process only.
+                drop(control.send(ControlEvent::Unreadable { term }).await);
+            }
+        });
+    }
+
+    async fn hand_back(&self, candidate: &mut Candidate, takeover: &mut Takeover) {
+        candidate.abstain(now_ms());
+        let batch = Candidate::hand_back(takeover);
+        let outcome = self.platform.store().commit(&self.group, batch).await;
+        // Without an answer the claim lapses by its standstill.
+        log::info!(term = takeover.row.term, outcome = outcome.word(); "claim handed back");
+    }
+
+    /// Renews a claim; returns whether that is confirmed.
+    async fn renew(&self, takeover: &mut Takeover) -> Result<bool, ClaimLost> {
+        let batch = Candidate::renewal(takeover);
+        let number = batch.number;
+        let outcome = self.platform.store().commit(&self.group, batch).await;
+        let version = match outcome {
+            CommitOutcome::Stored { version, .. } => version,
+            CommitOutcome::Conflict(Some((version, bytes))) => {
+                // An earlier copy of this renewal may have been carried out.
+                let row = HolderRow::decode(&bytes).map_err(|_| ClaimLost)?;
+                let own = row.incarnation == self.incarnation && row.term == takeover.row.term;
+                if !own || row.number != number {
+                    return Err(ClaimLost);
+                }
+                version
+            }
+            CommitOutcome::Conflict(None) => return Err(ClaimLost),
+            CommitOutcome::NotDone | CommitOutcome::Unknown => return Ok(false),
+        };
+        takeover.version = version;
+        takeover.row.number = number;
+        Ok(true)
+    }
+
+    /// Reads the configuration after the claim was won: it is at least as new then as any that an earlier holder went by,
+    /// so that no job goes back to older terms.
+    async fn read_configuration(&self) {
+        let configuration = self.front.configuration();
+        let since_ms = now_ms();
+        let patience = Duration::from_millis(self.settings.config_apply_ms / 2);
+        let own = async {
+            let read = self.platform.store().read_configuration(None).await;
+            match read {
+                Ok(ConfigurationReading::Changed { table, .. }) => {
+                    configuration.put(Arc::new(table), since_ms);
+                }
+                // The reader says why, and tries again.
+                Ok(_) | Err(_) => std::future::pending().await,
+            }
+        };
+        let read = tokio::select! {
+            () = own => true,
+            read = configuration.until_heard_since(since_ms, patience) => read,
+        };
+        if !read {
+            log::warn!(
+                version = configuration.version(), age_ms = configuration.age_ms();
+                "configuration not read, group taken over by the one in force"
+            );
+        }
+    }
+}
+
+/// Says how far a reading of the rows has come.
+fn say_progress(takeover: &Takeover, progress: &Progress, began_ms: u64) {
+    let (rows, bytes, missed) = progress.counts();
+    let took_ms = now_ms().saturating_sub(began_ms);
+    metrics::gauge!("chervilfall_recovery_rows").set(rows as f64);
+    metrics::gauge!("chervilfall_recovery_bytes").set(bytes as f64);
+    metrics::gauge!("chervilfall_recovery_seconds").set(took_ms as f64 / 1_000.0);
+    log::info!(
+        term = takeover.row.term, rows = rows, bytes = bytes, missed = missed, took_ms = took_ms;
+        "group's rows are read"
+    );
+}
