--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -25,7 +25,7 @@
 mod starts;
 mod tasks;
 
-pub use account::{Account, AccountName, Usage};
+pub use account::{Account, AccountName};
 pub use action::{
     Action, AdviceOrder, Answer, HoldOrder, JobState, ReplyTo, StartOrder, StepDownReason,
     StopOrder,
@@ -49,4 +49,5 @@
     decode_text, JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS,
     PROGRESS, ROSTER, TEXTS,
 };
+pub use room::Room;
 pub use starts::{StartNote, StartsRow, STARTS};
--- a/crates/chervilfall_planner/src/placed.rs
+++ b/crates/chervilfall_planner/src/placed.rs
@@ -1,6 +1,5 @@
 //! Runs in the books of an endpoint.
 
-use crate::account::Usage;
 use crate::ids::{Millis, Run};
 use crate::planner::AccountKey;
 use crate::room::Room;
@@ -30,7 +29,7 @@
     pub(crate) phase: RunPhase,
     pub(crate) room: Room,
     /// What it counts for, and against which account.
-    pub(crate) charge: Option<(AccountKey, Usage)>,
+    pub(crate) charge: Option<(AccountKey, Room)>,
     /// What it takes is not known, because its job's row is gone: nothing is started beside it.
     pub(crate) unsized_run: bool,
     /// Copies of the start that were not answered; each may be carried out until its bound.
--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use crate::account::{Account, AccountName, Usage};
+use crate::account::{Account, AccountName};
 use crate::ids::{JobId, Millis, TaskKey};
 use crate::meters;
 use crate::planner::Planner;
 use crate::policy::share::{Share, Standing};
+use crate::room::Room;
 use crate::tasks::{StepKey, TaskState};
 
 /// Names an account in the arena.
@@ -16,12 +17,12 @@
 #[derive(Debug)]
 struct AccountState {
     name: AccountName,
-    quota: Usage,
+    quota: Room,
     share: Share,
     /// What its runs use, those that are being stopped or may be at work among them.
-    used: Usage,
+    used: Room,
     /// What inherited tasks use whose runs may not have been found yet.
-    unseen: Usage,
+    unseen: Room,
 }
 
 /// The accounts that jobs belong to.
@@ -40,10 +41,10 @@
         let key = AccountKey(u32::try_from(self.states.len()).unwrap_or(u32::MAX));
         self.states.push(AccountState {
             name: name.to_owned(),
-            quota: Usage::default(),
+            quota: Room::default(),
             share: Share::new(0.0, now),
-            used: Usage::default(),
-            unseen: Usage::default(),
+            used: Room::default(),
+            unseen: Room::default(),
         });
         self.keys.insert(name.to_owned(), key);
         key
@@ -78,25 +79,26 @@
         &self.state(key).name
     }
 
-    pub(super) fn add(&mut self, key: AccountKey, usage: Usage) {
+    pub(super) fn add(&mut self, key: AccountKey, usage: Room) {
         let state = self.state_mut(key);
-        state.used = state.used.plus(usage);
+        state.used = state.used.add(usage);
     }
 
-    pub(super) fn remove(&mut self, key: AccountKey, usage: Usage) {
+    pub(super) fn remove(&mut self, key: AccountKey, usage: Room) {
         let state = self.state_mut(key);
         state.used = state.used.minus(usage);
     }
 
     /// Returns how many tasks that use `need` each an account may start now.
-    fn room_for(&self, key: AccountKey, need: Usage) -> u32 {
+    fn room_for(&self, key: AccountKey, need: Room) -> u32 {
         let state = self.state(key);
-        state.quota.room_for(need, state.used.plus(state.unseen))
+        let used = state.used.add(state.unseen);
+        state.quota.fits_beside(used, need)
     }
 
     fn forget_unseen(&mut self) {
         for state in &mut self.states {
-            state.unseen = Usage::default();
+            state.unseen = Room::default();
         }
     }
 
@@ -118,14 +120,14 @@
         else {
             return u32::MAX;
         };
-        self.accounts.room_for(account, Usage::of_step(step))
+        self.accounts.room_for(account, Room::charged(step))
     }
 
     /// Returns what a task counts for, and against whom.
-    pub(super) fn charge(&self, task: TaskKey) -> Option<(AccountKey, Usage)> {
+    pub(super) fn charge(&self, task: TaskKey) -> Option<(AccountKey, Room)> {
         let job = self.jobs.get(&task.job)?;
         let step = job.spec.steps.get(task.step as usize)?;
-        Some((job.account?, Usage::of_step(step)))
+        Some((job.account?, Room::charged(step)))
     }
 
     /// Counts inherited tasks as at work while their runs may not have been found yet.
@@ -142,13 +144,14 @@
                 continue;
             };
             let waits = |task: &&crate::tasks::Task| task.state == TaskState::Waiting;
-            let waiting = progress.tasks.iter().filter(waits).count() as u64;
+            let waiting = progress.tasks.iter().filter(waits).count();
+            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
             let Some(step) = job.spec.steps.get(key.step as usize) else {
                 continue;
             };
-            let unseen = Usage::of_step(step).times(waiting);
+            let unseen = Room::charged(step).times(waiting);
             let state = self.accounts.state_mut(account);
-            state.unseen = state.unseen.plus(unseen);
+            state.unseen = state.unseen.add(unseen);
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -94,7 +94,7 @@
         let need = Room::of_step(wanted.step());
         let unknown = pool.iter().filter(|key| advice.is_open(**key));
         let able = unknown.filter(|key| Room::of_entry(&self.endpoints[**key].entry).holds(need));
-        let mut found: Vec<(bool, i8, Reverse<u32>, EndpointKey)> = able
+        let mut found: Vec<(bool, i8, Reverse<u64>, EndpointKey)> = able
             .map(|key| {
                 let room = room(*key);
                 let rank = wanted.haste.rank(self.pace(&self.endpoints[*key]));
--- a/crates/chervilfall_planner/src/policy/headroom.rs
+++ b/crates/chervilfall_planner/src/policy/headroom.rs
@@ -44,8 +44,8 @@
         } else {
             1.0
         };
-        self.cpu_milli += weight * (f64::from(room.cpu_milli) - self.cpu_milli);
-        self.memory_mb += weight * (f64::from(room.memory_mb) - self.memory_mb);
+        self.cpu_milli += weight * (room.cpu_milli as f64 - self.cpu_milli);
+        self.memory_mb += weight * (room.memory_mb as f64 - self.memory_mb);
     }
 
     /// Notes how many hurried tasks are at work.
@@ -60,8 +60,9 @@
     pub(crate) fn holes(&self, free: impl Iterator<Item = Room>) -> Option<Holes> {
         // Sizes of tasks and their number fit many times.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let whole = |value: f64| value as u32;
+        let whole = |value: f64| value as u64;
         let wanted = whole((self.peak * KEEP_FACTOR).ceil());
+        let wanted = u32::try_from(wanted).unwrap_or(u32::MAX);
         let keep = wanted.saturating_sub(self.running);
         if keep == 0 || self.cpu_milli < 1.0 {
             return None;
--- a/crates/chervilfall_planner/tests/accounts.rs
+++ b/crates/chervilfall_planner/tests/accounts.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    Account, Answer, Configuration, Event, JobId, JobSpec, JobState, Request, Run, TaskKey, Usage,
+    Account, Answer, Configuration, Event, JobId, JobSpec, JobState, Request, Room, Run, TaskKey,
 };
 use world::random::Random;
 use world::{step, World};
@@ -23,9 +23,9 @@
     Account {
         name: name.to_owned(),
         weight,
-        quota: Usage {
+        quota: Room {
             cpu_milli,
-            ..Usage::default()
+            ..Room::default()
         },
     }
 }
