Show metrics of accounts once a second

They were set in each pass over the open steps, with two labels made anew for each account: at 250 accounts some ten thousands of texts a second on the control thread. No other behaviour changes.

--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -10,6 +10,9 @@
 use crate::room::Room;
 use crate::tasks::{StepKey, TaskState};
 
+/// Time between metrics of accounts.
+const SHOW_MS: Millis = 1_000;
+
 /// Names an account in the arena.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct AccountKey(u32);
@@ -30,6 +33,7 @@
 pub(super) struct Accounts {
     states: Vec<AccountState>,
     keys: BTreeMap<AccountName, AccountKey>,
+    shown_ms: Millis,
 }
 
 impl Accounts {
@@ -102,8 +106,12 @@
         }
     }
 
-    /// Shows what accounts use; an operator reads a bounded number of them, those with a quota or a share.
-    pub(super) fn show(&self) {
+    /// Shows what accounts use, once a second; an operator reads a bounded number of them.
+    pub(super) fn show(&mut self, now: Millis) {
+        if now < self.shown_ms + SHOW_MS {
+            return;
+        }
+        self.shown_ms = now;
         for state in self.states.iter().take(meters::MOST_ACCOUNTS) {
             meters::account(&state.name, state.used.cpu_milli, state.quota.cpu_milli);
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -315,7 +315,7 @@
             self.schedule_due = false;
             self.last_pass_ms = self.now;
             self.schedule();
-            self.accounts.show();
+            self.accounts.show(self.now);
             meters::queues(
                 self.open.len(),
                 self.unsaved.new_jobs.len(),
