--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -120,7 +120,7 @@
             front: Arc::clone(&front),
             leadership,
             control: control.clone(),
-            kept: std::sync::Mutex::default(),
+            kept: None,
         };
         tokio::spawn(claim.run());
         Ok(Self {
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -1,7 +1,7 @@
 //! Finds the holder, links to it, and claims the group when nobody holds it.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilfall_planner::{
@@ -81,12 +81,13 @@
     pub(crate) front: Arc<Front>,
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) control: mpsc::Sender<ControlEvent>,
-    pub(crate) kept: Mutex<Option<KeptRows>>,
+    /// Rows that were read under a claim which was handed back.
+    pub(crate) kept: Option<KeptRows>,
 }
 
 impl<P: Platform> ClaimWatch<P> {
     /// Runs until a planned stop begins, and goes on to follow the next holder then.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
         let mut candidate = Candidate::new(Identity {
             node: self.settings.node.clone(),
             incarnation: self.incarnation,
@@ -122,7 +123,7 @@
 
     /// Reads the claim row and acts on it; returns when to look again.
     async fn look(
-        &self,
+        &mut self,
         candidate: &mut Candidate,
         dialing: &mut Option<Dialing>,
         dependency: &mut Dependency,
@@ -224,16 +225,16 @@
 
     /// Acts on a reading; returns when to look again.
     async fn consider(
-        &self,
+        &mut self,
         candidate: &mut Candidate,
         dialing: &mut Option<Dialing>,
         reading: ClaimReading,
         took_ms: u64,
     ) -> u64 {
-        let timings = &self.settings.timings;
+        let poll_ms = self.settings.timings.claim_poll_ms;
         let stall = Stall {
-            unsaid_ms: timings.stall_ms,
-            refused_ms: timings.refused_stall_ms,
+            unsaid_ms: self.settings.timings.stall_ms,
+            refused_ms: self.settings.timings.refused_stall_ms,
             slow_ms: SLOW_STORE_FACTOR * took_ms,
         };
         match candidate.observe(
@@ -250,18 +251,18 @@
                 self.follow(dialing, holder);
                 claim_in_ms
             }
-            CandidateMove::Wait => timings.claim_poll_ms,
+            CandidateMove::Wait => poll_ms,
             CandidateMove::Claim(batch, row) => {
                 if !self.front.stopping() {
                     self.claim(candidate, dialing, batch, row).await;
                 }
-                timings.claim_poll_ms
+                poll_ms
             }
         }
     }
 
     async fn claim(
-        &self,
+        &mut self,
         candidate: &mut Candidate,
         dialing: &mut Option<Dialing>,
         batch: Batch,
--- a/crates/chervilfall_node/src/watch/pages.rs
+++ b/crates/chervilfall_node/src/watch/pages.rs
@@ -49,6 +49,16 @@
     }
 }
 
+/// How far readings have come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ReadCounts {
+    pub(super) rows: u64,
+    /// Bytes of their values.
+    pub(super) bytes: u64,
+    /// Pages that did not come.
+    pub(super) missed: u64,
+}
+
 /// What all readings of a group have brought.
 #[derive(Debug)]
 pub(super) struct Progress {
@@ -85,10 +95,13 @@
         now_ms().saturating_sub(self.last_ms.load(Ordering::Relaxed))
     }
 
-    /// Returns rows, bytes of their values, and pages that did not come.
-    pub(super) fn counts(&self) -> (u64, u64, u64) {
+    pub(super) fn counts(&self) -> ReadCounts {
         let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
-        (count(&self.rows), count(&self.bytes), count(&self.missed))
+        ReadCounts {
+            rows: count(&self.rows),
+            bytes: count(&self.bytes),
+            missed: count(&self.missed),
+        }
     }
 }
 
--- a/crates/chervilfall_node/src/watch/recovery.rs
+++ b/crates/chervilfall_node/src/watch/recovery.rs
@@ -126,41 +126,44 @@
         }
     }
     tell(Event::HistoryRead).await;
-    let (rows, bytes, missed) = progress.counts();
-    log::info!(rows = rows, bytes = bytes, missed = missed; "texts and ended jobs read");
+    let counts = progress.counts();
+    log::info!(
+        rows = counts.rows, bytes = counts.bytes, missed = counts.missed;
+        "texts and ended jobs read"
+    );
     Ok(())
 }
 
-fn malformed(row: &Row, error: &dyn std::fmt::Display) -> StoreError {
+fn malformed(row: &Row, error: impl std::fmt::Display) -> StoreError {
     StoreError::Malformed(format!("row {}: {error}", row.key))
 }
 
 fn name(row: &Row) -> Result<JobId, StoreError> {
-    row.key.parse().map_err(|error| malformed(row, &error))
+    row.key.parse().map_err(|error| malformed(row, error))
 }
 
 fn decode_job(row: &Row) -> Result<Vec<(JobId, JobRow)>, StoreError> {
-    let value = JobRow::decode(&row.value).map_err(|error| malformed(row, &error))?;
+    let value = JobRow::decode(&row.value).map_err(|error| malformed(row, error))?;
     Ok(vec![(name(row)?, value)])
 }
 
 pub(crate) fn decode_progress(row: &Row) -> Result<Vec<(JobId, ProgressRow)>, StoreError> {
-    let value = ProgressRow::decode(&row.value).map_err(|error| malformed(row, &error))?;
+    let value = ProgressRow::decode(&row.value).map_err(|error| malformed(row, error))?;
     Ok(vec![(name(row)?, value)])
 }
 
 fn decode_roster(row: &Row) -> Result<Vec<RosterEntry>, StoreError> {
-    RosterEntry::decode_all(&row.value).map_err(|error| malformed(row, &error))
+    RosterEntry::decode_all(&row.value).map_err(|error| malformed(row, error))
 }
 
 fn decode_starts(row: &Row) -> Result<Vec<(u64, StartsRow)>, StoreError> {
     let slot: Result<u64, _> = row.key.parse();
-    let slot = slot.map_err(|error| malformed(row, &error))?;
-    let value = StartsRow::decode(&row.value).map_err(|error| malformed(row, &error))?;
+    let slot = slot.map_err(|error| malformed(row, error))?;
+    let value = StartsRow::decode(&row.value).map_err(|error| malformed(row, error))?;
     Ok(vec![(slot, value)])
 }
 
 fn decode_row_text(row: &Row) -> Result<(JobId, Arc<str>), StoreError> {
-    let text = decode_text(&row.value).map_err(|error| malformed(row, &error))?;
+    let text = decode_text(&row.value).map_err(|error| malformed(row, error))?;
     Ok((name(row)?, Arc::from(text)))
 }
--- a/crates/chervilfall_node/src/watch/takeover.rs
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -1,6 +1,6 @@
 //! From a claim to a holder that serves: reads the group's rows, keeps the claim alive meanwhile, or hands it back.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilfall_planner::{Candidate, CommitOutcome, HolderRow, Takeover};
@@ -34,7 +34,7 @@
     /// take longer than the claim may stand still. The claim is handed back if nothing comes, so that nodes which can read
     /// the rows are not kept from them.
     pub(super) async fn load(
-        &self,
+        &mut self,
         candidate: &mut Candidate,
         mut takeover: Takeover,
         claimed_ms: u64,
@@ -87,28 +87,20 @@
             None => {
                 log::warn!(term = takeover.row.term, still_ms = progress.still_ms(); "group's rows do not come, claim handed back");
                 self.hand_back(candidate, &mut takeover).await;
-                self.keep_rows(&takeover, rows);
+                let term = takeover.row.term;
+                self.kept = Some(KeptRows { term, rows });
             }
         }
         self.set_recovering(false).await;
     }
 
     /// Returns what was read under an earlier claim of this process, if nobody has held the group since.
-    fn kept_rows(&self, takeover: &Takeover) -> GroupReader {
-        let kept = self.lock_kept().take();
+    fn kept_rows(&mut self, takeover: &Takeover) -> GroupReader {
+        let kept = self.kept.take();
         let kept = kept.filter(|kept| kept.term + 1 == takeover.row.term);
         kept.map_or_else(GroupReader::new, |kept| kept.rows)
     }
 
-    fn keep_rows(&self, takeover: &Takeover, rows: GroupReader) {
-        let term = takeover.row.term;
-        *self.lock_kept() = Some(KeptRows { term, rows });
-    }
-
-    fn lock_kept(&self) -> std::sync::MutexGuard<'_, Option<KeptRows>> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Tells the control thread whether rows are being read, so that links to this node last until it serves.
     async fn set_recovering(&self, recovering: bool) {
         // The control thread ends with the process only.
@@ -220,13 +212,13 @@
 
 /// Says how far a reading of the rows has come.
 fn say_progress(takeover: &Takeover, progress: &Progress, began_ms: u64) {
-    let (rows, bytes, missed) = progress.counts();
+    let counts = progress.counts();
     let took_ms = now_ms().saturating_sub(began_ms);
-    metrics::gauge!("chervilfall_recovery_rows").set(rows as f64);
-    metrics::gauge!("chervilfall_recovery_bytes").set(bytes as f64);
+    metrics::gauge!("chervilfall_recovery_rows").set(counts.rows as f64);
+    metrics::gauge!("chervilfall_recovery_bytes").set(counts.bytes as f64);
     metrics::gauge!("chervilfall_recovery_seconds").set(took_ms as f64 / 1_000.0);
     log::info!(
-        term = takeover.row.term, rows = rows, bytes = bytes, missed = missed, took_ms = took_ms;
+        term = takeover.row.term, rows = counts.rows, bytes = counts.bytes, missed = counts.missed, took_ms = took_ms;
         "group's rows are read"
     );
 }
