Let a row that cannot be read cost its own job only

A new holder handed the group back for one text or end of a job that it could not decode, and the next one did too, so that nobody was served. Such a row is counted and said now; its job waits, or its name is refused (503) and not said to be unknown (504); all others go on. A text that did not come is asked for again after 1 s, not in each pass.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -74,8 +74,6 @@
     },
     /// This node reads the rows of a group that it has claimed, or does not any more.
     Recovering(bool),
-    /// Rows that the holder of a term needs cannot be decoded.
-    Unreadable { term: u64 },
     /// The list of endpoints was read.
     Endpoints {
         read_ms: u64,
@@ -405,12 +403,6 @@
                 claimed_ms,
             } => self.claimed(takeover, stored, claimed_ms),
             ControlEvent::Recovering(recovering) => self.set_recovering(recovering),
-            ControlEvent::Unreadable { term } => {
-                let planner = self.planner.as_mut();
-                if let Some(planner) = planner.filter(|planner| planner.term() == term) {
-                    planner.release();
-                }
-            }
             ControlEvent::Endpoints { read_ms, entries } => {
                 self.feed(Event::Endpoints { read_ms, entries });
             }
--- a/crates/chervilfall_node/src/watch/recovery.rs
+++ b/crates/chervilfall_node/src/watch/recovery.rs
@@ -96,42 +96,62 @@
 
 /// Reads texts, then ended jobs, and passes them on until `tell` says that nobody wants them any more.
 ///
-/// # Errors
-///
-/// Returns an error if a row cannot be decoded.
+/// A row that cannot be decoded concerns one job: that job's tasks are not started, or its name is not taken for new, and the
+/// others go on. So what is missing is never said to be all.
 pub(super) async fn read_history<S: Store, F: Future<Output = bool>>(
     store: &S,
     group: &str,
     tell: impl Fn(Event) -> F,
-) -> Result<(), StoreError> {
+) {
     let progress = Progress::new();
     let mut texts = TableReader::new(TEXTS);
+    let mut unreadable = 0;
     while let Some(rows) = texts.next(store, group, &progress).await {
-        let texts: Result<Vec<_>, StoreError> = rows.iter().map(decode_row_text).collect();
-        if !tell(Event::Texts(texts?)).await {
-            return Ok(());
+        let texts = decodable(&rows, decode_row_text, &mut unreadable);
+        if !tell(Event::Texts(texts)).await {
+            return;
         }
     }
-    if !tell(Event::TextsRead).await {
-        return Ok(());
+    if unreadable == 0 && !tell(Event::TextsRead).await {
+        return;
     }
     let mut ended = TableReader::new(ENDED);
+    let texts_unreadable = std::mem::take(&mut unreadable);
     while let Some(rows) = ended.next(store, group, &progress).await {
-        let mut ends = Vec::with_capacity(rows.len());
-        for row in &rows {
-            ends.extend(decode_progress(row)?);
-        }
+        let ends = decodable(&rows, decode_ended, &mut unreadable);
         if !tell(Event::Ended(ends)).await {
-            return Ok(());
+            return;
         }
     }
-    tell(Event::HistoryRead).await;
+    if unreadable == 0 {
+        tell(Event::HistoryRead).await;
+    }
     let counts = progress.counts();
     log::info!(
-        rows = counts.rows, bytes = counts.bytes, missed = counts.missed;
+        rows = counts.rows, bytes = counts.bytes, missed = counts.missed,
+        unreadable = texts_unreadable + unreadable;
         "texts and ended jobs read"
     );
-    Ok(())
+}
+
+/// Decodes what can be decoded, and counts the other rows.
+fn decodable<T>(
+    rows: &[Row],
+    decode: fn(&Row) -> Result<T, StoreError>,
+    unreadable: &mut u64,
+) -> Vec<T> {
+    let mut values = Vec::with_capacity(rows.len());
+    for row in rows {
+        match decode(row) {
+            Ok(value) => values.push(value),
+            Err(error) => {
+                log::error!(error:% = error; "row of a job cannot be read");
+                metrics::counter!("chervilfall_unreadable_job_rows_total").increment(1);
+                *unreadable += 1;
+            }
+        }
+    }
+    values
 }
 
 fn malformed(row: &Row, error: impl std::fmt::Display) -> StoreError {
@@ -147,9 +167,13 @@
     Ok(vec![(name(row)?, value)])
 }
 
-pub(crate) fn decode_progress(row: &Row) -> Result<Vec<(JobId, ProgressRow)>, StoreError> {
+fn decode_ended(row: &Row) -> Result<(JobId, ProgressRow), StoreError> {
     let value = ProgressRow::decode(&row.value).map_err(|error| malformed(row, error))?;
-    Ok(vec![(name(row)?, value)])
+    Ok((name(row)?, value))
+}
+
+fn decode_progress(row: &Row) -> Result<Vec<(JobId, ProgressRow)>, StoreError> {
+    Ok(vec![decode_ended(row)?])
 }
 
 fn decode_roster(row: &Row) -> Result<Vec<RosterEntry>, StoreError> {
--- a/crates/chervilfall_node/src/watch/takeover.rs
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -141,11 +141,7 @@
                     holds && control.send(event).await.is_ok()
                 }
             };
-            if let Err(error) = read_history(&store, &group, tell).await {
-                log::error!(term = term, error:% = error; "texts and ended jobs cannot be read, group handed back");
-                // The control thread ends with the process only.
-                drop(control.send(ControlEvent::Unreadable { term }).await);
-            }
+            read_history(&store, &group, tell).await;
         });
     }
 
--- a/crates/chervilfall_planner/src/planner/history.rs
+++ b/crates/chervilfall_planner/src/planner/history.rs
@@ -9,13 +9,15 @@
 
 use crate::action::{Action, Answer, ReplyTo};
 use crate::event::Request;
-use crate::ids::JobId;
+use crate::ids::{JobId, Millis};
 use crate::planner::requests::RETRY_MS;
 use crate::planner::Planner;
 use crate::record::ProgressRow;
 
 /// Most texts that are read before the others at the same time.
 const MOST_HURRIED: usize = 16;
+/// Time until a text that did not come is asked for again: one that cannot be read never comes.
+const TEXT_RETRY_MS: Millis = 1_000;
 
 /// What a look at the row of an ended job shows.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,6 +37,8 @@
     whole: bool,
     /// Jobs whose texts are being read before the others.
     hurried: BTreeSet<JobId>,
+    /// Jobs whose texts did not come, and when they were asked for.
+    textless: BTreeMap<JobId, Millis>,
     /// Names that no row bears.
     absent: BTreeSet<JobId>,
     /// Requests that wait for a look.
@@ -101,6 +105,10 @@
 
     /// Has the text of a job read before the others: its turn has come.
     pub(super) fn want_text(&mut self, id: JobId) {
+        let asked_ms = self.history.textless.get(&id);
+        if asked_ms.is_some_and(|asked_ms| self.now < asked_ms + TEXT_RETRY_MS) {
+            return;
+        }
         if self.history.hurried.len() < MOST_HURRIED && self.history.hurried.insert(id) {
             self.actions.push(Action::ReadText(id));
         }
@@ -109,8 +117,14 @@
     /// Takes in the text of a job whose turn had come; if it was not read, it is asked for again.
     pub(super) fn text_read(&mut self, id: JobId, text: Option<Arc<str>>) {
         self.history.hurried.remove(&id);
-        if let Some(text) = text {
-            self.take_texts(vec![(id, text)]);
+        match text {
+            Some(text) => {
+                self.history.textless.remove(&id);
+                self.take_texts(vec![(id, text)]);
+            }
+            None => {
+                self.history.textless.insert(id, self.now);
+            }
         }
     }
 
