Show an account's job to no call that names another queue

A call whose queue needs no key has no account and could look at, and cancel, each account's job by its name. It sees an account's job now only at the job's own queue, which has come to need no key since; rows of ended jobs keep account and queue.

--- a/crates/chervilfall_node/tests/patience.rs
+++ b/crates/chervilfall_node/tests/patience.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chervilfall_node::{Timings, WaitBounds};
-use chervilfall_planner::{JobId, Request};
+use chervilfall_planner::{Asker, JobId, Request};
 
 /// How long a caller waits for all its tries together.
 const PATIENCE_MS: u64 = 3_000;
@@ -79,7 +79,7 @@
         assert_eq!(bounds.answer, ms(case.answer_ms), "{}", case.name);
         let state = Request::State {
             id: JobId(1),
-            account: None,
+            asker: Asker::default(),
         };
         assert_eq!(bounds.holder(&state), ms(case.other_ms), "{}", case.name);
     }
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -21,6 +21,15 @@
 /// Opaque permission to start a step on an endpoint.
 pub type Ticket = String;
 
+/// Who asks about a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Asker {
+    /// Client account; none if the call needs no key.
+    pub account: Option<AccountName>,
+    /// Queue that the call names.
+    pub queue: QueueName,
+}
+
 /// A caller's request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Request {
@@ -42,17 +51,17 @@
     State {
         /// The job.
         id: JobId,
-        /// Client account that asks; none if none is needed.
+        /// Who asks.
         #[serde(default)]
-        account: Option<AccountName>,
+        asker: Asker,
     },
     /// Cancels a job.
     Cancel {
         /// The job.
         id: JobId,
-        /// Client account that asks; none if none is needed.
+        /// Who asks.
         #[serde(default)]
-        account: Option<AccountName>,
+        asker: Asker,
     },
     /// Asks how many jobs of a queue have not started.
     Waiting {
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -35,7 +35,7 @@
 pub use election::{Candidate, CandidateMove, HolderRow, Identity, Stall, Takeover};
 pub use endpoint::{EndpointEntry, EndpointKey};
 pub use event::{
-    AdviceAnswer, EndedRun, Event, HoldAnswer, HoldReport, How, NodeId, Refusal, Request,
+    AdviceAnswer, Asker, EndedRun, Event, HoldAnswer, HoldReport, How, NodeId, Refusal, Request,
     RunningRun, StartAnswer, StopAnswer, Ticket,
 };
 pub use ids::{
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -12,7 +12,7 @@
 use crate::planner::gap::Resumed;
 use crate::planner::Planner;
 use crate::record::{
-    encode, RosterBucket, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS, PROGRESS, ROSTER, TEXTS,
+    encode, Owner, RosterBucket, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS, PROGRESS, ROSTER, TEXTS,
 };
 use crate::starts::STARTS;
 use crate::tasks::JobRows;
@@ -184,8 +184,10 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 let mut progress = job.progress();
                 if job.outcome.is_some() {
-                    let account = job.account.map(|key| self.accounts.name(key));
-                    progress.account = account.map(str::to_owned);
+                    progress.owner = job.account.map(|key| Owner {
+                        account: self.accounts.name(key).to_owned(),
+                        queue: job.queue.name.clone(),
+                    });
                 }
                 let row = encode(&progress);
                 if job.outcome.is_none() || builder.new_jobs.contains(&id) {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -249,10 +249,10 @@
         let mut job = Job::new(id, JobRow::default(), self.now);
         job.stored = true;
         job.inherited = true;
-        job.account = row
-            .account
-            .as_deref()
-            .map(|name| self.accounts.key(name, self.now));
+        if let Some(owner) = &row.owner {
+            job.account = Some(self.accounts.key(&owner.account, self.now));
+            job.queue.name.clone_from(&owner.queue);
+        }
         job.restore(row);
         self.awaited += usize::from(job.awaited);
         self.jobs.insert(id, job);
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -7,7 +7,7 @@
 use crate::action::{Action, Answer, JobState, ReplyTo};
 use crate::advice::Advice;
 use crate::config::Queue;
-use crate::event::Request;
+use crate::event::{Asker, Request};
 use crate::ids::{JobId, Millis};
 use crate::job::JobSpec;
 use crate::meters;
@@ -32,10 +32,10 @@
                 wait_ms,
                 account,
             } => self.submit(to, queue, id, spec, wait_ms, account),
-            Request::State { id, account } if self.is_foreign_job(id, account.as_deref()) => {
+            Request::State { id, asker } if self.is_foreign_job(id, &asker) => {
                 self.reply(to, Answer::Unknown);
             }
-            Request::Cancel { id, account } if self.is_foreign_job(id, account.as_deref()) => {
+            Request::Cancel { id, asker } if self.is_foreign_job(id, &asker) => {
                 self.reply(to, Answer::Unknown);
             }
             Request::State { id, .. } => self.state(to, id),
@@ -44,13 +44,18 @@
         }
     }
 
-    /// Returns whether a job belongs to another account than the one that asks: what others do is not shown.
-    fn is_foreign_job(&self, id: JobId, account: Option<&str>) -> bool {
-        let job = self.jobs.get(&id);
-        let owner = job.and_then(|job| job.account);
-        match (owner, account) {
-            (Some(owner), Some(account)) => self.accounts.name(owner) != account,
-            _ => false,
+    /// Returns whether a job is not the asker's to see: what other accounts do is not shown. A call without an account sees an
+    /// account's job only at its own queue, which has come to need no key since.
+    fn is_foreign_job(&self, id: JobId, asker: &Asker) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let Some(owner) = job.account else {
+            return false;
+        };
+        match &asker.account {
+            Some(account) => self.accounts.name(owner) != account,
+            None => job.queue.name != asker.queue,
         }
     }
 
@@ -67,7 +72,11 @@
         wait_ms: Millis,
         account: Option<AccountName>,
     ) {
-        if self.is_foreign_job(id, account.as_deref()) {
+        let asker = Asker {
+            account: account.clone(),
+            queue: queue.name.clone(),
+        };
+        if self.is_foreign_job(id, &asker) {
             log::info!(job:% = id; "refused, another account has a job of this name");
             self.reply(to, Answer::NameTaken);
             return;
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -5,7 +5,7 @@
 
 use crate::account::AccountName;
 use crate::action::JobState;
-use crate::config::Queue;
+use crate::config::{Queue, QueueName};
 use crate::ids::{EndpointId, Millis, Run, UnixMillis};
 use crate::job::JobSpec;
 use crate::policy::crashes::Exposure;
@@ -104,9 +104,18 @@
     pub started: bool,
     /// Steps that something is known of.
     pub steps: Vec<StepRow>,
-    /// Client account that handed it in, in rows of jobs that have ended.
+    /// Whose it is, in rows of jobs that have ended; none if no account was needed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub account: Option<AccountName>,
+    pub owner: Option<Owner>,
+}
+
+/// Whose a job is that has ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// Client account that handed it in.
+    pub account: AccountName,
+    /// Queue that it was handed in to.
+    pub queue: QueueName,
 }
 
 /// An endpoint that may hold a lease of this group.
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -270,7 +270,7 @@
             outcome: self.outcome,
             started: self.started,
             steps: steps.collect(),
-            account: None,
+            owner: None,
         }
     }
 
--- a/crates/chervilfall_planner/tests/accounts.rs
+++ b/crates/chervilfall_planner/tests/accounts.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    Account, Answer, Configuration, Event, JobId, JobSpec, JobState, Request, Room, Run, TaskKey,
+    Account, Answer, Asker, Configuration, Event, JobId, JobSpec, JobState, Request, Room, Run,
+    TaskKey,
 };
 use world::random::Random;
 use world::{step, World};
@@ -30,6 +31,13 @@
     }
 }
 
+fn asker(account: Option<&str>, queue: &str) -> Asker {
+    Asker {
+        account: account.map(str::to_owned),
+        queue: queue.to_owned(),
+    }
+}
+
 fn configure(world: &mut World, version: u64, accounts: Vec<Account>) {
     let named = accounts
         .into_iter()
@@ -168,7 +176,10 @@
         assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
         let accepted: Vec<JobId> = play.world.accepted.iter().copied().collect();
         for id in accepted {
-            let state = play.world.ask(Request::State { id, account: None });
+            let state = play.world.ask(Request::State {
+                id,
+                asker: asker(play.owners.get(&id).copied(), "batch"),
+            });
             let ended = matches!(state, Answer::State(JobState::Completed | JobState::Failed));
             assert!(ended, "seed {seed}: job {id} is {state:?}");
         }
@@ -180,24 +191,34 @@
     struct Case {
         name: &'static str,
         account: Option<&'static str>,
+        queue: &'static str,
         answer: Answer,
     }
     let cases = [
         Case {
             name: "its own",
             account: Some(BOUND),
+            queue: "batch",
             answer: Answer::State(JobState::Running),
         },
         Case {
             name: "another",
             account: Some(FREE),
+            queue: "batch",
             answer: Answer::Unknown,
         },
         Case {
-            name: "a call that needs no key",
+            name: "its queue needs no key any more",
             account: None,
+            queue: "batch",
             answer: Answer::State(JobState::Running),
         },
+        Case {
+            name: "a queue that needs no key",
+            account: None,
+            queue: "other",
+            answer: Answer::Unknown,
+        },
     ];
     let mut play = Play::open(3);
     let spec = JobSpec {
@@ -212,14 +233,16 @@
     play.world.nodes[holder].frozen_until_ms = u64::MAX;
     play.pass(5_000);
     for case in cases {
-        let account = case.account.map(str::to_owned);
         let id = JobId(1);
-        let asked = Request::State { id, account };
+        let asked = Request::State {
+            id,
+            asker: asker(case.account, case.queue),
+        };
         assert_eq!(play.world.ask(asked), case.answer, "{}", case.name);
     }
     let cancel = Request::Cancel {
         id: JobId(1),
-        account: Some(FREE.to_owned()),
+        asker: asker(Some(FREE), "batch"),
     };
     assert_eq!(play.world.ask(cancel), Answer::Unknown);
     let taken = play.world.submit_for(Some(FREE), 1, spec);
@@ -258,8 +281,8 @@
     }
     assert!(refused > 60, "{refused} of 120 refused");
     for (id, _) in &calm[..calm.len() - 1] {
-        let account = Some(CALM.to_owned());
-        let state = world.ask(Request::State { id: *id, account });
+        let asker = asker(Some(CALM), "batch");
+        let state = world.ask(Request::State { id: *id, asker });
         assert_eq!(state, Answer::State(JobState::Completed), "{id}");
     }
     assert_eq!(world.violations, Vec::<String>::new());
--- a/crates/chervilfall_planner/tests/cancels.rs
+++ b/crates/chervilfall_planner/tests/cancels.rs
@@ -6,7 +6,7 @@
 
 mod world;
 
-use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request};
 use world::{step, World};
 
 fn job() -> JobSpec {
@@ -42,9 +42,15 @@
         let mut world = World::new(3, 4, 7);
         world.run(1_500);
         let id = JobId(1);
-        let state = Request::State { id, account: None };
+        let state = Request::State {
+            id,
+            asker: Asker::default(),
+        };
         assert_eq!(
-            world.ask(Request::Cancel { id, account: None }),
+            world.ask(Request::Cancel {
+                id,
+                asker: Asker::default()
+            }),
             Answer::Unknown
         );
         assert_eq!(world.ask(state.clone()), Answer::Unknown, "{}", case.name);
@@ -80,7 +86,10 @@
     };
     let (holder, submitted) = world.request(submission).expect("a holder");
     let (_, cancelled) = world
-        .request(Request::Cancel { id, account: None })
+        .request(Request::Cancel {
+            id,
+            asker: Asker::default(),
+        })
         .expect("a holder");
     world.run(4_000);
     let replies = &world.nodes[holder].replies;
--- a/crates/chervilfall_planner/tests/crashes.rs
+++ b/crates/chervilfall_planner/tests/crashes.rs
@@ -12,7 +12,7 @@
 
 mod world;
 
-use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request, Step, TaskKey};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request, Step, TaskKey};
 use world::endpoint::Crashing;
 use world::{step, World};
 
@@ -62,7 +62,7 @@
 fn state(world: &mut World, id: u64) -> Answer {
     world.ask(Request::State {
         id: JobId(id),
-        account: None,
+        asker: Asker::default(),
     })
 }
 
@@ -83,7 +83,10 @@
         assert!(world.now < end, "{name}: not done: {left:?}");
         let mut waiting = Vec::new();
         for id in left {
-            match world.ask(Request::State { id, account: None }) {
+            match world.ask(Request::State {
+                id,
+                asker: Asker::default(),
+            }) {
                 Answer::State(JobState::Completed) => {}
                 Answer::State(JobState::Failed) => {
                     assert!(
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request, Step};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request, Step};
 use world::endpoint::Crashing;
 use world::{step, World};
 
@@ -200,7 +200,10 @@
         if world.random.percent(4) {
             let id = JobId(1 + world.random.below(round + 1));
             // A cancel without an answer may have been carried out.
-            world.ask(Request::Cancel { id, account: None });
+            world.ask(Request::Cancel {
+                id,
+                asker: Asker::default(),
+            });
             world.cancelled.insert(id);
         }
         let pause_ms = world.random.below(700);
@@ -212,7 +215,10 @@
     world.check_history();
     let accepted: Vec<JobId> = world.accepted.iter().copied().collect();
     for id in accepted {
-        let answer = world.ask(Request::State { id, account: None });
+        let answer = world.ask(Request::State {
+            id,
+            asker: Asker::default(),
+        });
         let cancelled = world.cancelled.contains(&id);
         let right = match answer {
             Answer::State(JobState::Completed) => true,
--- a/crates/chervilfall_planner/tests/planner.rs
+++ b/crates/chervilfall_planner/tests/planner.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request, Step};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request, Step};
 use world::{step, World};
 
 fn job(steps: Vec<Step>) -> JobSpec {
@@ -18,7 +18,7 @@
 fn state(world: &mut World, id: u64) -> Answer {
     world.ask(Request::State {
         id: JobId(id),
-        account: None,
+        asker: Asker::default(),
     })
 }
 
@@ -182,7 +182,7 @@
     assert_eq!(
         world.ask(Request::Cancel {
             id: JobId(1),
-            account: None
+            asker: Asker::default()
         }),
         Answer::Cancelled
     );
@@ -198,7 +198,7 @@
     assert_eq!(
         world.ask(Request::Cancel {
             id: JobId(2),
-            account: None
+            asker: Asker::default()
         }),
         Answer::Unknown
     );
--- a/crates/chervilfall_planner/tests/restarts.rs
+++ b/crates/chervilfall_planner/tests/restarts.rs
@@ -15,7 +15,7 @@
 
 use ciborium::Value;
 
-use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request};
 use world::{step, World};
 
 /// Time for all jobs to end after the last crash.
@@ -102,7 +102,10 @@
     world.check_history();
     let accepted: Vec<JobId> = world.accepted.iter().copied().collect();
     for id in accepted {
-        let answer = world.ask(Request::State { id, account: None });
+        let answer = world.ask(Request::State {
+            id,
+            asker: Asker::default(),
+        });
         let suspect = world.most_crashes_under(id) >= GIVEN_UP_CRASHES;
         let may_fail = world.has_used_attempts(id) || suspect;
         let failed = answer == Answer::State(JobState::Failed) && may_fail;
@@ -263,7 +266,7 @@
         world.run(40_000);
         let answer = world.ask(Request::State {
             id: JobId(1),
-            account: None,
+            asker: Asker::default(),
         });
         let done = answer == Answer::State(JobState::Completed);
         let failed = answer == Answer::State(JobState::Failed);
--- a/crates/chervilfall_planner/tests/shapes.rs
+++ b/crates/chervilfall_planner/tests/shapes.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use chervilfall_planner::{Answer, JobId, JobSpec, JobState, Request, Step};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request, Step};
 use world::{step, World};
 
 /// Time of day in the world when its clock shows 0.
@@ -46,7 +46,7 @@
 fn state(world: &mut World, id: u64) -> Answer {
     world.ask(Request::State {
         id: JobId(id),
-        account: None,
+        asker: Asker::default(),
     })
 }
 
@@ -194,7 +194,7 @@
     assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
     let cancel = Request::Cancel {
         id: JobId(1),
-        account: None,
+        asker: Asker::default(),
     };
     assert_eq!(world.ask(cancel), Answer::Cancelled);
     world.run(1_000);
--- a/crates/chervilfall_planner/tests/takeover.rs
+++ b/crates/chervilfall_planner/tests/takeover.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use chervilfall_planner::{Answer, JobId, JobSpec, Request};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, Request};
 use world::{step, World};
 
 /// Followers of this world look at the claim row this often.
@@ -72,7 +72,7 @@
         old,
         Request::State {
             id: JobId(7),
-            account: None,
+            asker: Asker::default(),
         },
     );
     assert_ne!(answer, Some(Answer::Unknown));
