--- /dev/null
+++ b/crates/chervilfall_planner/tests/reach.rs
@@ -0,0 +1,145 @@
+//! How a new holder of a large fleet reaches its endpoints.
+//!
+//! It held them all at the same moment. On 3,000 endpoints the answers kept its processor for over a second, renewals of
+//! the claim waited behind them, the next node claimed the group and did the same.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use chervilfall_planner::{
+    Action, CommitOutcome, Configuration, EndpointId, Event, HoldAnswer, HoldReport, HolderRow,
+    Limits, Planner, RosterEntry, Stored, Takeover,
+};
+
+const ENDPOINTS: usize = 3_000;
+/// Holds of endpoints that have not answered yet, at one moment.
+const MOST: usize = 128;
+
+fn takeover() -> Takeover {
+    let row = HolderRow {
+        term: 2,
+        node: "successor".to_owned(),
+        incarnation: 2,
+        address: "127.0.0.1:1".to_owned(),
+        number: 0,
+        released: false,
+        settled: false,
+        cpu_permille: 500,
+        recovering: true,
+        wanted_permille: 0,
+        standstill_ms: 0,
+        written_store_ms: 0,
+    };
+    Takeover {
+        row,
+        fence: 100,
+        version: 100,
+        predecessor_seen_ms: Some(9_000),
+        predecessor_written_store_ms: 0,
+        predecessor_gone_ms: None,
+    }
+}
+
+/// Time from a hold to its answer; none for endpoints that do not answer.
+type Way = fn(usize) -> Option<u64>;
+
+#[test]
+fn endpoints_are_reached_a_few_at_a_time() {
+    struct Case {
+        name: &'static str,
+        way: Way,
+        /// Time until all that answer have been heard.
+        within_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "all answer",
+            way: |_| Some(10),
+            within_ms: 500,
+        },
+        Case {
+            name: "a third is cut off",
+            way: |number| (number % 3 != 0).then_some(10),
+            within_ms: 3_000,
+        },
+    ];
+    for case in cases {
+        let roster = (0..ENDPOINTS).map(|number| RosterEntry {
+            id: EndpointId(format!("{number}")),
+            born_ms: None,
+            address: format!("{number}:1"),
+            lapses_store_ms: None,
+        });
+        let stored = Stored {
+            roster: roster.collect(),
+            ..Stored::default()
+        };
+        let mut planner = Planner::new(Limits::default(), takeover(), stored, 10_000);
+        planner.handle(
+            10_000,
+            Event::Configured(Arc::new(Configuration::default())),
+        );
+        let answering = (0..ENDPOINTS).filter(|number| (case.way)(*number).is_some());
+        let mut unheard: BTreeSet<usize> = answering.collect();
+        let mut answers: Vec<(u64, Event)> = Vec::new();
+        let mut now = 10_000;
+        while !unheard.is_empty() {
+            now += 10;
+            assert!(
+                now <= 10_000 + case.within_ms,
+                "{}: {}",
+                case.name,
+                unheard.len()
+            );
+            let (due, later): (Vec<_>, Vec<_>) =
+                answers.into_iter().partition(|(at, _)| *at <= now);
+            answers = later;
+            let mut events: Vec<Event> = due.into_iter().map(|(_, event)| event).collect();
+            events.push(Event::Tick { unix_ms: now });
+            let mut first_holds = 0;
+            for event in events {
+                for action in planner.handle(now, event) {
+                    match action {
+                        Action::Commit(batch) => answers.push((
+                            now + 10,
+                            Event::Committed {
+                                number: batch.number,
+                                copy: batch.copy,
+                                outcome: CommitOutcome::Stored {
+                                    version: 100 + batch.number,
+                                    store_ms: now,
+                                },
+                            },
+                        )),
+                        Action::Hold(order) => {
+                            let number: usize = order.id.0.parse().expect("a number");
+                            first_holds += usize::from(unheard.contains(&number));
+                            let Some(way_ms) = (case.way)(number) else {
+                                let event = Event::Held {
+                                    endpoint: order.endpoint,
+                                    sent_ms: now,
+                                    answer: HoldAnswer::Unanswered,
+                                };
+                                answers.push((now + order.timeout_ms, event));
+                                continue;
+                            };
+                            unheard.remove(&number);
+                            let report = HoldReport {
+                                clock_ms: now,
+                                ..HoldReport::default()
+                            };
+                            let event = Event::Held {
+                                endpoint: order.endpoint,
+                                sent_ms: now,
+                                answer: HoldAnswer::Report(report),
+                            };
+                            answers.push((now + way_ms, event));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            assert!(first_holds <= MOST, "{}: {first_holds} at once", case.name);
+        }
+    }
+}
