Reach the endpoints of a large fleet a few at a time, and hold them apart

A new holder had 128 holds at most on their way to endpoints that it has not heard, 32 of them to ones that did not answer; rests are spread over half their length and half of it more, so that endpoints which were heard together are not held together for ever. Red before (3,000 in one tick), green now; with a third cut off the others are heard within 3 s.

--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -48,6 +48,13 @@
     /// The same while hurried work runs there: on 350 endpoints a short request spends 0.1 s beside its run at the
     /// median, and a wait for others' ends can double that.
     pub hurried_hold_gap_ms: Millis,
+    /// Most holds of endpoints that have not answered this holder yet, on their way for less than `first_hold_ms`. A new holder
+    /// of a large fleet is kept from renewing its claim by answers that come all together.
+    pub first_holds: usize,
+    /// The same, of those that have left a hold unanswered.
+    pub repeated_holds: usize,
+    /// Time after which such a hold makes room for others: its endpoint may not answer.
+    pub first_hold_ms: Millis,
     /// Longest pause before an endpoint that runs nothing is held again. There is nothing to hear from it, and on a large fleet
     /// the holds of all such endpoints keep the holder's processor from callers' work.
     pub rest_ms: Millis,
@@ -125,6 +132,9 @@
             hold_answer_ms: 350,
             hold_gap_ms: 100,
             hurried_hold_gap_ms: 10,
+            first_holds: 128,
+            repeated_holds: 32,
+            first_hold_ms: 100,
             rest_ms: 1_500,
             rest_endpoints: 2,
             hold_retry_ms: 200,
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -13,6 +13,9 @@
 use crate::room::Room;
 use crate::tasks::TaskState;
 
+/// Step of a sequence that fills a span evenly however many terms are taken: the golden ratio's part of it.
+const SPREAD_STEP_PERMILLE: u64 = 618;
+
 impl Planner {
     /// Adds an endpoint that an earlier holder may have given work.
     pub(super) fn add_rostered(&mut self, entry: RosterEntry) {
@@ -197,7 +200,7 @@
     /// Takes in the ends and runs that an endpoint lists.
     pub(super) fn take_lists(&mut self, key: EndpointKey, report: &HoldReport) {
         let now = self.now;
-        let rest_ms = self.limits.rest_of(self.endpoints.len());
+        let rest_ms = self.spread(self.limits.rest_of(self.endpoints.len()));
         let known = self.endpoints[key].taken_in;
         for end in report.ended.iter().filter(|end| end.number > known) {
             self.take_end(key, end);
@@ -228,6 +231,13 @@
         }
     }
 
+    /// Returns up to this time and half of it more or less, evenly spread over those that ask: endpoints that were heard
+    /// together must not be held together for ever.
+    fn spread(&mut self, time_ms: Millis) -> Millis {
+        self.spread_permille = (self.spread_permille + SPREAD_STEP_PERMILLE) % 1_000;
+        time_ms / 2 + time_ms * self.spread_permille / 1_000
+    }
+
     /// Takes in a run that an endpoint lists as at work.
     fn take_running(&mut self, key: EndpointKey, running: &RunningRun) {
         let task = running.task;
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -26,6 +26,8 @@
         let now = self.now;
         let bound_ms = self.cover_until_ms();
         let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
+        let mut first_holds = self.first_holds_left(false);
+        let mut repeated_holds = self.first_holds_left(true);
         for (key, endpoint) in &mut self.endpoints {
             if endpoint.hold_sent_ms.is_some() || now < endpoint.next_hold_ms {
                 continue;
@@ -33,6 +35,18 @@
             let Some(fence) = endpoint.fence(self.version) else {
                 continue;
             };
+            if !endpoint.contacted {
+                // Those that do not answer must not keep the others waiting.
+                let left = if endpoint.missed {
+                    &mut repeated_holds
+                } else {
+                    &mut first_holds
+                };
+                if *left == 0 {
+                    continue;
+                }
+                *left -= 1;
+            }
             // An endpoint that does not answer is granted nothing more, so that its leases lapse.
             let silent = endpoint.is_silent(now, &self.limits);
             let until_ms = if silent || !endpoint.rostered {
@@ -66,6 +80,21 @@
         }
     }
 
+    /// Returns how many endpoints that have not answered yet may be held now: for the first time, or again.
+    fn first_holds_left(&self, again: bool) -> usize {
+        let recent = |sent_ms: Millis| self.now < sent_ms + self.limits.first_hold_ms;
+        let waiting = self.endpoints.values().filter(|endpoint| {
+            let asked = !endpoint.contacted && endpoint.missed == again;
+            asked && endpoint.hold_sent_ms.is_some_and(recent)
+        });
+        let most = if again {
+            self.limits.repeated_holds
+        } else {
+            self.limits.first_holds
+        };
+        most.saturating_sub(waiting.count())
+    }
+
     /// Frees what was on endpoints whose leases have surely lapsed.
     ///
     /// A successor may have extended leases that this holder sees lapse. So a lapse counts only once
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -127,6 +127,8 @@
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
     finished: VecDeque<(Millis, JobId)>,
+    /// Where the last rest lies within its span.
+    spread_permille: u64,
     /// Jobs that were cancelled before they came.
     awaited: usize,
     /// Something has changed that a pass over the open steps should look at soon.
@@ -184,6 +186,7 @@
             advice_calls: BTreeMap::new(),
             next_advice: 0,
             finished: VecDeque::new(),
+            spread_permille: 0,
             awaited: 0,
             schedule_due: false,
             last_pass_ms: now,
