--- /dev/null
+++ b/crates/chervilfall_planner/tests/backlog.rs
@@ -0,0 +1,60 @@
+//! More jobs come than commits can take in.
+//!
+//! New jobs came before what became of earlier ones, and ends were acknowledged only by a commit that left nothing over. So under
+//! load for long no end was ever acknowledged: endpoints listed them all again and again, and nobody was shown that a job had
+//! ended.
+
+mod world;
+
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request};
+use world::{step, World};
+
+/// Rows of a commit: few, so that a small load is too much.
+const COMMIT_ROWS: usize = 16;
+/// Time between two jobs.
+const PAUSE_MS: u64 = 5;
+const JOBS: u64 = 1_200;
+/// How far what is shown may be behind what has ended.
+const BEHIND_MS: u64 = 2_000;
+
+#[test]
+fn ends_are_stored_and_acknowledged_while_new_jobs_press() {
+    let mut world = World::new(1, 16, 11);
+    world.limits.commit_rows = COMMIT_ROWS;
+    world.queue.advice = None;
+    world.run(1_500);
+    let spec = JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![step(1, 40)],
+        ..JobSpec::default()
+    };
+    for id in 1..=JOBS {
+        world.jobs.insert(JobId(id), spec.clone());
+        world.request(Request::Submit {
+            queue: world.queue.clone(),
+            id: JobId(id),
+            spec: spec.clone(),
+            wait_ms: 700,
+            account: None,
+        });
+        world.run(PAUSE_MS);
+    }
+    let old = |at_ms: &u64| *at_ms + BEHIND_MS < world.now;
+    let endpoints = || world.endpoints.values();
+    let ended = endpoints().flat_map(|endpoint| &endpoint.starts);
+    let ended: Vec<JobId> = ended
+        .filter(|(at_ms, ..)| old(at_ms))
+        .map(|(_, task, _)| task.job)
+        .collect();
+    let noted: usize = endpoints().map(|endpoint| endpoint.noted.len()).sum();
+    assert!(ended.len() > 100, "{} have ended", ended.len());
+    assert!(noted >= ended.len() * 9 / 10, "{noted} of {}", ended.len());
+    let mut shown = 0;
+    for id in &ended {
+        let asker = Asker::default();
+        let state = world.ask(Request::State { id: *id, asker });
+        shown += usize::from(state == Answer::State(JobState::Completed));
+    }
+    assert!(shown >= ended.len() * 9 / 10, "{shown} of {}", ended.len());
+    assert_eq!(world.violations, Vec::<String>::new());
+}
