Acknowledge ends by the progress they wait for, and keep room in commits for what became of jobs

While more jobs came than commits took in, new ones came first and ends were acknowledged only by a commit that left nothing over: never. Endpoints listed all their ends with each hold, up to 500 a time, callers were not shown that jobs had ended, and the holder's processor went into reading the same lists. Progress is written first come, first served now; an end waits for the progress that stood before it; two thirds of a commit are kept for progress while there is some.

--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Returns how many rows can still be put.
+    pub(super) fn rows_left(&self) -> usize {
+        self.rows.saturating_sub(self.changes.len() + 1)
+    }
+
     pub(super) fn has_room(&self) -> bool {
         self.has_room_for(0)
     }
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -1,6 +1,6 @@
 //! Group commits.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::action::{Action, Answer, JobState, StepDownReason};
 use crate::commit::{Batch, CommitOutcome};
@@ -15,40 +15,16 @@
     encode, Owner, RosterBucket, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS, PROGRESS, ROSTER, TEXTS,
 };
 use crate::starts::STARTS;
-use crate::tasks::JobRows;
 
 /// Factor on what recent commits took.
 const COMMIT_COPY_FACTOR: u64 = 2;
 /// Time of a commit that is worth a line in the log: a hundred times what a sound store takes.
 const SLOW_COMMIT_MS: Millis = 400;
+/// Thirds of a commit that are kept for what became of earlier jobs, if there is something to tell.
+const PROGRESS_THIRDS: usize = 2;
 /// Most doublings of the distance between copies.
 const COMMIT_COPY_DOUBLINGS: usize = 2;
 
-/// What the store does not have yet.
-#[derive(Debug, Default)]
-pub(crate) struct Unsaved {
-    pub(crate) new_jobs: VecDeque<JobId>,
-    pub(crate) progress: BTreeSet<JobId>,
-    pub(crate) acknowledgements: BTreeMap<EndpointKey, u64>,
-    removed: Vec<(JobId, JobRows)>,
-    pub(crate) roster: BTreeSet<RosterBucket>,
-}
-
-impl Unsaved {
-    pub(crate) fn remove(&mut self, id: JobId, rows: JobRows) {
-        self.progress.remove(&id);
-        self.removed.push((id, rows));
-    }
-
-    fn is_empty(&self) -> bool {
-        self.new_jobs.is_empty()
-            && self.progress.is_empty()
-            && self.acknowledgements.is_empty()
-            && self.removed.is_empty()
-            && self.roster.is_empty()
-    }
-}
-
 /// A batch on its way, and what follows when it is stored.
 #[derive(Debug)]
 pub(crate) struct Flight {
@@ -108,12 +84,8 @@
         self.add_new_jobs(&mut builder);
         self.add_progress(&mut builder);
         self.add_removed(&mut builder);
+        let acknowledgements = self.unsaved.take_acknowledgements();
         let complete = self.unsaved.new_jobs.is_empty() && self.unsaved.progress.is_empty();
-        let acknowledgements = if complete {
-            std::mem::take(&mut self.unsaved.acknowledgements)
-        } else {
-            BTreeMap::new()
-        };
         let releases = self.releasing && complete;
         let row = HolderRow {
             released: releases,
@@ -161,7 +133,13 @@
     }
 
     fn add_new_jobs(&mut self, builder: &mut Builder) {
-        while builder.has_room_for_job() {
+        // A job's end takes up to twice the changes of its acceptance: more must not come than end.
+        let reserved = if self.unsaved.progress.is_empty() {
+            0
+        } else {
+            builder.rows_left() * PROGRESS_THIRDS / 3
+        };
+        while builder.has_room_for_job() && builder.rows_left() > reserved {
             let Some(id) = self.unsaved.new_jobs.pop_front() else {
                 return;
             };
--- a/crates/chervilfall_planner/src/planner/crashes.rs
+++ b/crates/chervilfall_planner/src/planner/crashes.rs
@@ -168,8 +168,9 @@
             return;
         };
         if let Some(tasks) = self.exposed.get(&endpoint.entry.id) {
-            let jobs = tasks.iter().map(|task| task.job);
-            self.unsaved.progress.extend(jobs);
+            for task in tasks {
+                self.unsaved.progress.insert(task.job);
+            }
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -211,7 +211,7 @@
         };
         if newest > endpoint.taken_in {
             endpoint.taken_in = newest;
-            self.unsaved.acknowledgements.insert(key, newest);
+            self.unsaved.take_ends(key, newest);
         }
         let pending = endpoint.taken_in > endpoint.acknowledged;
         // The next hold follows the commit that stores the ends, or renews the lease meanwhile.
--- a/crates/chervilfall_planner/src/planner/incarnations.rs
+++ b/crates/chervilfall_planner/src/planner/incarnations.rs
@@ -102,7 +102,7 @@
     /// Gives up what is left of an earlier incarnation.
     fn end_record(&mut self, before: EndpointKey) {
         self.requeue_lost(before, LossReason::Replaced);
-        self.unsaved.acknowledgements.remove(&before);
+        self.unsaved.acknowledgements.remove(before);
         self.endpoints.remove(before);
     }
 }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -20,6 +20,7 @@
 mod stopping;
 mod suspects;
 mod turns;
+mod unsaved;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -43,12 +44,13 @@
 use accounts::Accounts;
 use advise::AdviceCall;
 use barrier::Barrier;
-use commits::{Flight, Unsaved};
+use commits::Flight;
 use gap::Gap;
 use history::History;
 pub use history::Look;
 use open::OpenSteps;
 use stopping::Stopping;
+use unsaved::Unsaved;
 
 /// What the rows of a group say.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -171,7 +171,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
-        self.unsaved.progress.remove(&id);
+        self.unsaved.progress.remove(id);
         meters::refused("store");
         log::info!(
             job:% = id, queue = job.queue.name.as_str(), waited_ms = self.now - job.accepted_ms,
