Count by width whether gangs meet their deadlines, and why not

Nothing said whether a gang had no tickets, no room, or was broken, so that the first try at it had to guess.

chervilfall_gang_deadlines_total, by width class, deadline (the objective, and three times of it) and outcome: met, or advice, takeover, room, restarted, running. One line for each gang and deadline that is missed says how many members its ticketed endpoints could hold, how many they had room for, and how often it started and began anew. Sums are made when an answer arrives, not in each pass. No choice of the scheduler depends on any of it.

Ruled out: counting in each pass whether the room is there (a pass visits hundreds of steps).

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -12,6 +12,7 @@
 mod election;
 mod endpoint;
 mod event;
+mod gang_wait;
 mod ids;
 mod job;
 mod leases;
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -87,6 +87,15 @@
     histogram!("chervilfall_advice_seconds", "outcome" => outcome).record(seconds(took_ms));
 }
 
+/// Counts a gang whose deadline has passed, by width and by whether and why it was missed.
+pub(crate) fn gang_deadline(width: &'static str, deadline: &'static str, outcome: &'static str) {
+    counter!(
+        "chervilfall_gang_deadlines_total",
+        "width" => width, "deadline" => deadline, "outcome" => outcome
+    )
+    .increment(1);
+}
+
 /// Counts an endpoint whose leases have lapsed.
 pub(crate) fn lapsed() {
     counter!("chervilfall_endpoints_lapsed_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/activation.rs
+++ b/crates/chervilfall_planner/src/planner/activation.rs
@@ -88,6 +88,7 @@
         if ready {
             self.open.insert(key, rank(job, key, self.unix_ms));
             self.schedule_due = true;
+            self.watch_gang(key);
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -178,6 +178,7 @@
                     .record_permission(*key, Permission::Granted(ticket, valid_until_ms));
             }
         }
+        self.note_gang_answer(call.step);
         self.schedule_due = true;
     }
 }
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -113,6 +113,7 @@
             return;
         }
         progress.aborting = false;
+        progress.gang_wait.restarts += u32::from(gang);
         self.open_step(key);
     }
 
@@ -186,6 +187,7 @@
     }
 
     fn step_completed(&mut self, key: StepKey) {
+        self.note_gang_complete(key);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod endpoints;
 mod ends;
+mod gangs;
 mod gap;
 mod history;
 mod incarnations;
@@ -45,6 +46,7 @@
 use advise::AdviceCall;
 use barrier::Barrier;
 use commits::InFlightCommit;
+use gangs::GangDeadlines;
 use gap::TakeoverGap;
 use history::History;
 pub use history::LookupResult;
@@ -98,6 +100,7 @@
     accounts: Accounts,
     /// Next occurrences of repeating jobs that are not due yet, by due time.
     due_occurrences: BTreeSet<(u64, JobId, u32)>,
+    gang_deadlines: GangDeadlines,
     stopping: Stopping,
     /// Tasks with a run that may have crashed an endpoint, by that endpoint.
     exposed: BTreeMap<EndpointId, BTreeSet<TaskKey>>,
@@ -168,6 +171,7 @@
             history: History::default(),
             accounts: Accounts::default(),
             due_occurrences: BTreeSet::new(),
+            gang_deadlines: GangDeadlines::new(),
             stopping: Stopping::default(),
             exposed: BTreeMap::new(),
             crashed_addresses: BTreeMap::new(),
@@ -331,11 +335,15 @@
     }
 
     fn tick(&mut self, unix_ms: u64) {
+        if self.unix_ms == 0 {
+            self.forget_passed_gang_deadlines(unix_ms);
+        }
         self.unix_ms = unix_ms;
         self.check_barrier();
         self.check_leases();
         self.mark_silent();
         self.open_due_occurrences();
+        self.check_gang_deadlines();
         self.drop_finished();
         self.refuse_overdue();
         self.expire_advice_calls();
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -368,6 +368,7 @@
         self.share_checkpoint(key);
         let starts = waiting.clear.iter().zip(picks);
         let starts = starts.map(|((index, _), endpoint)| (endpoint, *index, run));
+        self.note_gang_start(key);
         self.start_all(key, starts.collect());
     }
 
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -11,7 +11,7 @@
 use crate::tasks::{Job, StepKey};
 
 /// Multiple of the objective after which a job has no more value to its caller.
-const OVERDUE_FACTOR: u64 = 3;
+pub(crate) const OVERDUE_FACTOR: u64 = 3;
 
 /// Prospect of a job to meet its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -8,6 +8,7 @@
 use crate::advice::Advice;
 use crate::config::Queue;
 use crate::endpoint::EndpointKey;
+use crate::gang_wait::GangWait;
 use crate::ids::{JobId, Millis, Run, TaskKey};
 use crate::job::{JobSpec, Step};
 use crate::planner::AccountKey;
@@ -50,6 +51,8 @@
     pub(crate) advice: Advice,
     /// All members of the gang's run are being withdrawn.
     pub(crate) aborting: bool,
+    /// What it met while it waited, if it is a gang.
+    pub(crate) gang_wait: GangWait,
     /// Endpoints on which a run of the step has failed; others are preferred.
     pub(crate) failed_on: Vec<EndpointKey>,
     /// Durations of completed runs that did not resume from a checkpoint.
@@ -73,6 +76,7 @@
             placed: 0,
             advice: Advice::default(),
             aborting: false,
+            gang_wait: GangWait::default(),
             failed_on: Vec::new(),
             durations: Vec::new(),
             exclusive_since_ms: None,
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod callers;
+pub mod counters;
 pub mod endpoint;
 mod nodes;
 pub mod oracle;
