--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -116,6 +116,8 @@
     /// Failure domain.
     pub domain: usize,
     pub fails_all: bool,
+    /// Percentage of runs that fail.
+    pub fail_percent: u64,
     /// Speed of its work in percent of the normal speed.
     pub speed_percent: u64,
     pub rack: Option<String>,
@@ -165,6 +167,7 @@
             cut_until_ms: 0,
             domain: 0,
             fails_all: false,
+            fail_percent: 2,
             speed_percent: 100,
             rack: None,
             labels: BTreeSet::new(),
@@ -421,7 +424,7 @@
                 begun_ms: now,
                 ends_ms: now + left_ms * 100 / self.speed_percent,
                 saved_ms: saves.then_some(resumed_ms.unwrap_or(0)),
-                fails: random.percent(2),
+                fails: random.percent(self.fail_percent),
                 stops_ms: None,
                 broken: false,
                 crashes_ms: crashing
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -88,6 +88,8 @@
     pub advice_timed: bool,
     /// Percentage of endpoints that the advice service allows a step.
     pub advice_percent: u64,
+    /// The same for the steps of some jobs.
+    pub advice_percents: BTreeMap<JobId, u64>,
     /// Processor time that planners spent on their events.
     pub planning: Duration,
     pub jobs: BTreeMap<JobId, JobSpec>,
@@ -172,6 +174,7 @@
             advisors: 4,
             advice_timed: false,
             advice_percent: 100,
+            advice_percents: BTreeMap::new(),
             planning: Duration::ZERO,
             jobs: BTreeMap::new(),
             accepted: BTreeSet::new(),
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -275,7 +275,9 @@
     fn is_endpoint_allowed(&self, step: &str, id: &EndpointId) -> bool {
         let mut hasher = DefaultHasher::new();
         (step, id).hash(&mut hasher);
-        hasher.finish() % 100 < self.advice_percent
+        let job = step.split('.').next().and_then(|job| job.parse().ok());
+        let percent = job.and_then(|job: JobId| self.advice_percents.get(&job));
+        hasher.finish() % 100 < percent.copied().unwrap_or(self.advice_percent)
     }
 
     pub(super) fn send_commit(&mut self, node: usize, term: u64, batch: Batch) {
