--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -49,6 +49,16 @@
     }
 }
 
+/// A run that is over.
+pub struct PastRun {
+    pub task: TaskKey,
+    pub run: Run,
+    pub begun_ms: u64,
+    pub ended_ms: u64,
+    /// How it ended; none if its endpoint crashed.
+    pub how: Option<EndReason>,
+}
+
 /// A hold that waits for a run to end, or for its wait time to pass.
 pub struct WaitingHold {
     pub node: usize,
@@ -122,6 +132,8 @@
     pub labels: BTreeSet<String>,
     pub running: BTreeMap<TaskKey, FakeRun>,
     pub starts: Vec<(u64, TaskKey, Run)>,
+    /// Runs that are over, reported or not.
+    pub past_runs: Vec<PastRun>,
     /// Starts that an undisturbed node ordered and that were not carried out late.
     pub starts_by_undisturbed_nodes: Vec<(u64, TaskKey, Run)>,
     /// Acknowledged ends for which the lease was valid until the acknowledgement, with their times.
@@ -170,6 +182,7 @@
             labels: BTreeSet::new(),
             running: BTreeMap::new(),
             starts: Vec::new(),
+            past_runs: Vec::new(),
             starts_by_undisturbed_nodes: Vec::new(),
             acknowledged_ends: Vec::new(),
             failed: Vec::new(),
@@ -273,11 +286,25 @@
             self.dead = true;
             self.crashed = Some((now, culprit));
             self.running_at_crashes.extend(self.running.keys().copied());
-            let lost_runs = std::mem::take(&mut self.running).into_iter();
+            let lost_runs = std::mem::take(&mut self.running);
+            for (task, run) in &lost_runs {
+                self.note_past(now, *task, run, None);
+            }
+            let lost_runs = lost_runs.into_iter();
             self.lost_runs = lost_runs.map(|(task, run)| (task, run.run)).collect();
         }
     }
 
+    fn note_past(&mut self, now: u64, task: TaskKey, run: &FakeRun, how: Option<EndReason>) {
+        self.past_runs.push(PastRun {
+            task,
+            run: run.run,
+            begun_ms: run.begun_ms,
+            ended_ms: now,
+            how,
+        });
+    }
+
     /// Returns its monotonic clock, which runs two percent slow and counts from its start plus an
     /// offset.
     fn clock(&self, now: u64) -> u64 {
@@ -344,6 +371,7 @@
             .collect();
         for (task, how) in due {
             let ended = self.running.remove(&task).expect("listed");
+            self.note_past(now, task, &ended, Some(how));
             let run = ended.run;
             let checkpoint = if how == EndReason::Stopped {
                 ended.checkpoint(now)
