--- a/crates/chervilfall_planner/tests/accounts.rs
+++ b/crates/chervilfall_planner/tests/accounts.rs
@@ -7,7 +7,7 @@
 
 use chervilfall_planner::{
     Account, Answer, Asker, Configuration, Event, JobId, JobSpec, JobState, Request, Resources,
-    Run, TaskKey,
+    Run, Step, TaskKey,
 };
 use world::random::Random;
 use world::{step, World};
@@ -311,3 +311,102 @@
     }
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against wide steps that wait until their account has nothing narrower left, however much came after them.
+#[test]
+fn a_wide_step_is_not_passed_by_all_later_work_of_its_account() {
+    struct Case {
+        name: &'static str,
+        wide: Step,
+    }
+    const QUOTA_OF_WIDE_MILLI: u64 = 4_000;
+    /// Number of the wide job. Eight narrow jobs, 2 s of the quota, precede it.
+    const WIDE: u64 = 9;
+    /// Number of the last narrow job. Those that follow the wide one are 17 s of the quota.
+    const LAST: u64 = 90;
+    const WIDE_ENDS_WITHIN_MS: u64 = 9_000;
+    /// Time within which all must have ended: the quota must not lie idle for the wide job.
+    const ALL_END_WITHIN_MS: u64 = 21_000;
+    let gang = |count| Step {
+        gang: true,
+        ..step(count, 500)
+    };
+    let cases = [
+        Case {
+            name: "a gang of the whole quota",
+            wide: gang(4),
+        },
+        Case {
+            name: "a gang of most of the quota",
+            wide: gang(3),
+        },
+        Case {
+            name: "one task of the whole quota",
+            wide: Step {
+                cpu_milli: 4_000,
+                ..step(1, 500)
+            },
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(3, 6, 11);
+        world.queue.advice = None;
+        let queues = BTreeMap::from([(world.queue.name.clone(), world.queue.clone())]);
+        world.config = Arc::new(Configuration {
+            queues,
+            ..Configuration::clone(&world.config)
+        });
+        let mut random = Random::new(12);
+        configure(
+            &mut world,
+            2,
+            vec![account(LIMITED, QUOTA_OF_WIDE_MILLI, 0.0)],
+        );
+        world.run(1_500);
+        let submit = |world: &mut World, id, step| {
+            let spec = JobSpec {
+                steps: vec![step],
+                ..JobSpec::default()
+            };
+            let answer = world.submit_for(Some(LIMITED), id, spec);
+            assert_eq!(answer, Answer::Accepted, "{}", case.name);
+        };
+        for id in 1..WIDE {
+            submit(&mut world, id, step(1, 400 + random.below(800)));
+        }
+        submit(&mut world, WIDE, case.wide);
+        let submitted_ms = world.now;
+        for id in WIDE + 1..=LAST {
+            submit(&mut world, id, step(1, 400 + random.below(800)));
+        }
+        let waits = [
+            ("wide job", WIDE..=WIDE, WIDE_ENDS_WITHIN_MS),
+            ("last job", 1..=LAST, ALL_END_WITHIN_MS),
+        ];
+        for (what, jobs, bound_ms) in waits {
+            for id in jobs {
+                wait_for_end(&mut world, JobId(id));
+            }
+            let took_ms = world.now - submitted_ms;
+            assert!(
+                took_ms <= bound_ms,
+                "{}: {what} ended after {took_ms} ms",
+                case.name
+            );
+        }
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
+
+/// Runs the simulation until a job of the limited account has ended.
+fn wait_for_end(world: &mut World, id: JobId) {
+    for _ in 0..1_000 {
+        let asker = asker(Some(LIMITED), "batch");
+        let state = world.ask(Request::State { id, asker });
+        if matches!(state, Answer::State(JobState::Completed | JobState::Failed)) {
+            return;
+        }
+        world.run(50);
+    }
+    panic!("job {id} has not ended");
+}
