Reserve an account's quota for the wide step that waits for it

Callers of an account with a quota saw gangs that did not begin while the account had narrower work, however much later that was accepted. Cause: a gang starts only when its account's quota has room for all its members, and until then whatever became free went to narrower steps, also to those that rank behind it. Nothing kept the quota for it.

Change: the best-ranked step of an account that needs more than is left of the quota reserves it for the pass. Steps that rank behind it are backfilled: they start if by their estimate they end before the reserving step can start, which follows from the estimates of the account's runs, or if they fit beside it. A run over its estimate is expected to take as long again as it is over it, so a run that may still go on at a crashed endpoint holds up only what is longer than that. No reservation is made for what can never fit the quota, waits for a verdict, a text or advice, or stands behind the barrier after a takeover.

Not mended: gangs that need advice; they ask for it only once the quota has room, and the quota is not kept while the answer is out. Work that ranks ahead, such as new jobs that can still meet their objective, passes a late gang as before.

--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -96,9 +96,23 @@
 
     /// Returns how many tasks of `need` each an account may start now.
     fn startable_tasks(&self, key: AccountKey, need: Resources) -> u32 {
+        self.tasks_beside(key, self.used(key), need)
+    }
+
+    /// Returns an account's usage, with that of runs which have not been found yet.
+    pub(super) fn used(&self, key: AccountKey) -> Resources {
         let state = self.state(key);
-        let used = state.used.add(state.unconfirmed);
-        state.quota.max_fitting_in_quota(used, need)
+        state.used.add(state.unconfirmed)
+    }
+
+    /// Returns how many tasks of `need` each fit an account's quota beside `used`.
+    pub(super) fn tasks_beside(&self, key: AccountKey, used: Resources, need: Resources) -> u32 {
+        self.state(key).quota.max_fitting_in_quota(used, need)
+    }
+
+    /// Returns how many tasks of `need` each fit an account's whole quota.
+    pub(super) fn max_tasks(&self, key: AccountKey, need: Resources) -> u32 {
+        self.tasks_beside(key, Resources::default(), need)
     }
 
     fn clear_unconfirmed(&mut self) {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -16,6 +16,7 @@
 mod leases;
 mod open;
 mod orders;
+mod quota_reservations;
 mod requests;
 mod schedule;
 mod stopping;
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -15,6 +15,7 @@
 use crate::job::{JobSpec, Step};
 use crate::limits::Limits;
 use crate::planner::ask::max_calls_in_flight;
+use crate::planner::quota_reservations::QuotaReservations;
 use crate::planner::suspects::{WaitingTask, WaitingTasks};
 use crate::planner::Planner;
 use crate::policy::headroom::HeadroomSlots;
@@ -40,6 +41,8 @@
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
     /// Headroom that latency-tolerant work leaves free, by service.
     headroom_slots: BTreeMap<String, HeadroomSlots>,
+    /// Quotas that better-ranked steps wait for.
+    quota_reservations: QuotaReservations,
     /// Whether a node can make a fast call for advice.
     fast_call_possible: bool,
     /// Whether a node can make a slow call for advice.
@@ -103,6 +106,7 @@
         Pass {
             pools,
             headroom_slots,
+            quota_reservations: QuotaReservations::new(),
             fast_call_possible: self.can_call_advice(false),
             slow_call_possible: self.can_call_advice(true),
         }
@@ -147,7 +151,14 @@
         let min_startable = if step.gang { progress.waiting() } else { 1 };
         // A step that its account's quota keeps from starting requests no advice, so that it does
         // not delay others.
-        if self.tasks_within_quota(key) < min_startable {
+        let within_quota = self.tasks_within_quota(key);
+        if within_quota < min_startable {
+            self.reserve_quota(&mut pass.quota_reservations, key, min_startable);
+            return;
+        }
+        let reservations = &mut pass.quota_reservations;
+        let startable = self.tasks_beside_reservation(reservations, key, within_quota);
+        if startable < min_startable {
             return;
         }
         let blocked = job.inherited && self.barrier.is_some();
@@ -178,7 +189,7 @@
             latency_class: LatencyClass::of(job),
         };
         if placeable {
-            self.place_step(pass, key, &request);
+            self.place_step(pass, key, &request, startable);
         }
         if can_request_advice {
             while self.request_advice_for_step(pass, key, &request) {}
@@ -296,10 +307,10 @@
         }
     }
 
-    fn place_step(&mut self, pass: &mut Pass, key: StepKey, request: &StepRequest) {
+    fn place_step(&mut self, pass: &mut Pass, key: StepKey, request: &StepRequest, startable: u32) {
         let mut waiting = self.waiting_tasks(key);
         if !request.step().gang {
-            waiting.truncate(self.tasks_within_quota(key) as usize);
+            waiting.truncate(startable as usize);
         }
         if request.step().gang {
             if waiting.blocked == 0 {
