Check that a quota does not lie idle for a wide step

A second test has 60 jobs of one to four tasks, 30 in 100 of them gangs, and asks that 88 % of the quota are in use until the last has ended.

--- a/crates/chervilfall_planner/tests/accounts.rs
+++ b/crates/chervilfall_planner/tests/accounts.rs
@@ -17,6 +17,8 @@
 /// Quota of the limited account, before and after it is lowered. Each task uses one core.
 const QUOTA_MILLI: u64 = 3_000;
 const LOWERED_MILLI: u64 = 1_000;
+/// Quota of the limited account where wide steps wait for it.
+const WIDE_QUOTA_MILLI: u64 = 4_000;
 /// Maximum time from the sending of an order until it is carried out.
 const MAX_ORDER_DELAY_MS: u64 = 4_000;
 
@@ -319,7 +321,6 @@
         name: &'static str,
         wide: Step,
     }
-    const QUOTA_OF_WIDE_MILLI: u64 = 4_000;
     /// Number of the wide job. Eight narrow jobs, 2 s of the quota, precede it.
     const WIDE: u64 = 9;
     /// Number of the last narrow job. Those that follow the wide one are 17 s of the quota.
@@ -349,35 +350,15 @@
         },
     ];
     for case in cases {
-        let mut world = World::new(3, 6, 11);
-        world.queue.advice = None;
-        let queues = BTreeMap::from([(world.queue.name.clone(), world.queue.clone())]);
-        world.config = Arc::new(Configuration {
-            queues,
-            ..Configuration::clone(&world.config)
-        });
+        let mut world = open_unadvised(11);
         let mut random = Random::new(12);
-        configure(
-            &mut world,
-            2,
-            vec![account(LIMITED, QUOTA_OF_WIDE_MILLI, 0.0)],
-        );
-        world.run(1_500);
-        let submit = |world: &mut World, id, step| {
-            let spec = JobSpec {
-                steps: vec![step],
-                ..JobSpec::default()
-            };
-            let answer = world.submit_for(Some(LIMITED), id, spec);
-            assert_eq!(answer, Answer::Accepted, "{}", case.name);
-        };
         for id in 1..WIDE {
-            submit(&mut world, id, step(1, 400 + random.below(800)));
+            submit_limited(&mut world, id, step(1, 400 + random.below(800)));
         }
-        submit(&mut world, WIDE, case.wide);
+        submit_limited(&mut world, WIDE, case.wide);
         let submitted_ms = world.now;
         for id in WIDE + 1..=LAST {
-            submit(&mut world, id, step(1, 400 + random.below(800)));
+            submit_limited(&mut world, id, step(1, 400 + random.below(800)));
         }
         let waits = [
             ("wide job", WIDE..=WIDE, WIDE_ENDS_WITHIN_MS),
@@ -398,6 +379,66 @@
     }
 }
 
+/// Guards against a quota that lies idle for the wide steps that wait for it.
+#[test]
+fn narrow_work_uses_a_quota_that_a_wide_step_waits_for() {
+    const JOBS: u64 = 60;
+    /// Part of the quota that must be in use, in percent.
+    const MIN_USE_PERCENT: u64 = 88;
+    let mut random = Random::new(21);
+    let mut world = open_unadvised(22);
+    let mut work_ms = 0;
+    let submitted_ms = world.now;
+    for id in 1..=JOBS {
+        let count = 1 + u32::try_from(random.below(4)).expect("few");
+        let task_ms = 100 + random.below(1_500);
+        let gang = random.percent(30);
+        let one = Step {
+            gang,
+            ..step(count, task_ms)
+        };
+        work_ms += u64::from(count) * task_ms;
+        submit_limited(&mut world, id, one);
+    }
+    for id in 1..=JOBS {
+        wait_for_end(&mut world, JobId(id));
+    }
+    let quota_ms = (world.now - submitted_ms) * WIDE_QUOTA_MILLI / 1_000;
+    let use_percent = work_ms * 100 / quota_ms;
+    println!("{use_percent} % of the quota were in use");
+    assert!(
+        use_percent >= MIN_USE_PERCENT,
+        "{use_percent} % of the quota were in use"
+    );
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Opens a simulation with a queue without advice, and a quota of four cores.
+fn open_unadvised(seed: u64) -> World {
+    let mut world = World::new(3, 6, seed);
+    world.queue.advice = None;
+    let queues = BTreeMap::from([(world.queue.name.clone(), world.queue.clone())]);
+    world.config = Arc::new(Configuration {
+        queues,
+        ..Configuration::clone(&world.config)
+    });
+    let limited = account(LIMITED, WIDE_QUOTA_MILLI, 0.0);
+    configure(&mut world, 2, vec![limited]);
+    world.run(1_500);
+    world
+}
+
+/// Submits a job of one step for the limited account.
+fn submit_limited(world: &mut World, id: u64, step: Step) {
+    let spec = JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    let answer = world.submit_for(Some(LIMITED), id, spec);
+    assert_eq!(answer, Answer::Accepted, "job {id}");
+}
+
 /// Runs the simulation until a job of the limited account has ended.
 fn wait_for_end(world: &mut World, id: JobId) {
     for _ in 0..1_000 {
