Tell a configuration of any size over links, in pieces

Callers of a node that the store turns away got 503, and the node was not ready, as soon as the configuration had more than 500 routes: the holder told it only in one message, and left larger ones out so as not to hold heartbeats up.

Change: a follower that asks says that it takes pieces. The holder encodes a version once, for all followers, and sends it in pieces of 16 KB between heartbeats and replies; a piece is sent when the follower has taken the fourth one before, so that at most 64 KB of it are on a link's way at any time, and to three followers at a time, the others wait their turn. Once it has all the follower asks again, because the configuration may have been replaced on its way. A piece that is not taken for 2 s ends the transfer; the follower asks again anyway. The control thread has no part in it any more. A follower that says nothing of pieces (an older version) is sent up to 500 routes whole as before, and no new message; a follower sends its new message only in answer to a piece.

Ruled out: a larger bound for one message. It would only move the size from which heartbeats are held up.

Left: the whole table is sent for each change; with differences a change of one route would not cost 0.7 MB a node.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -26,10 +26,6 @@
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
 
-/// Maximum number of routes of a configuration that is sent over a link: a larger one would delay
-/// heartbeats on a slow link for so long that it counts as broken.
-const MAX_ROUTES_SENT: usize = 500;
-
 /// A holder hands the group over to a node with at least this many times its CPU.
 const HANDOVER_CPU_FACTOR: u64 = 2;
 /// How long that node must have been linked: one whose links keep breaking would hold the group
@@ -55,12 +51,6 @@
         number: u64,
         request: Request,
     },
-    /// A follower asks for the configuration in force.
-    ConfigurationRequest {
-        id: NodeId,
-        known: Option<u64>,
-        asked_ms: u64,
-    },
     /// A node that held the group before reports starts that it could not store.
     UnstoredStarts(Vec<StartNote>),
     /// A call for advice was answered.
@@ -211,27 +201,6 @@
         }
     }
 
-    /// Sends the configuration in force to a follower, which may not reach the store.
-    fn send_configuration(&self, id: NodeId, known: Option<u64>, asked_ms: u64) {
-        let current = (self.configuration.age_ms(), self.configuration.current());
-        let (Some(link), (Some(age_ms), Some(table))) = (self.links.get(&id), current) else {
-            return;
-        };
-        let table = (Some(table.version) > known).then_some(table);
-        if table
-            .as_ref()
-            .is_some_and(|table| table.routes.len() > MAX_ROUTES_SENT)
-        {
-            return;
-        }
-        // A follower that does not receive it asks again.
-        drop(link.queue.try_send(ToFollower::Configuration {
-            asked_ms,
-            age_ms,
-            table,
-        }));
-    }
-
     fn feed_nodes(&mut self) {
         let nodes = std::iter::once(LOCAL_NODE).chain(self.links.keys().copied());
         self.feed(Event::Nodes(nodes.collect()));
@@ -388,11 +357,6 @@
                     request,
                 });
             }
-            ControlEvent::ConfigurationRequest {
-                id,
-                known,
-                asked_ms,
-            } => self.send_configuration(id, known, asked_ms),
             ControlEvent::UnstoredStarts(starts) => self.feed(Event::UnstoredStarts(starts)),
             ControlEvent::Advised { number, answer } => {
                 self.feed(Event::Advised { number, answer });
--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -17,8 +17,10 @@
 use crate::front::Front;
 use crate::leadership::{HolderHealth, Leadership, LeadershipState, PendingRequest};
 use crate::link::frames::{read, write, LinkEnd, QUEUE_CAPACITY};
-use crate::link::message::{ToFollower, ToHolder};
+use crate::link::message::{ConfigurationPiece, ToFollower, ToHolder};
+use crate::link::pieces::Pieces;
 use crate::ports::Advisor;
+use crate::routes::RouteTable;
 use crate::settings::Settings;
 
 /// A link to the holder.
@@ -57,10 +59,12 @@
     /// cannot accept messages is closed anyway.
     pub(crate) fn ask_configuration(&self, known: Option<u64>) {
         let asked_ms = now_ms();
-        drop(
-            self.queue
-                .try_send(ToHolder::ConfigurationWanted { known, asked_ms }),
-        );
+        let wanted = ToHolder::ConfigurationWanted {
+            known,
+            asked_ms,
+            takes_pieces: true,
+        };
+        drop(self.queue.try_send(wanted));
     }
 
     fn answer(&self, number: u64, answer: Answer) {
@@ -124,10 +128,11 @@
     let writer = write(sink, receiver, silence);
     let beats = heartbeats(link.queue.clone(), timings.heartbeat_ms);
     let reader = async {
+        let mut pieces = Pieces::default();
         loop {
             match read::<ToFollower>(&mut stream, silence).await {
                 Ok(message) => {
-                    if !handle_message(message, &link, front, leadership, advisor) {
+                    if !handle_message(message, &mut pieces, &link, front, leadership, advisor) {
                         return LinkEnd::Closed;
                     }
                 }
@@ -179,6 +184,7 @@
 /// Handles a message; returns false if the peer is not the holder.
 fn handle_message<A: Advisor>(
     message: ToFollower,
+    pieces: &mut Pieces,
     link: &Arc<HolderLink>,
     front: &Arc<Front>,
     leadership: &Arc<LeadershipState>,
@@ -203,6 +209,7 @@
         } => front
             .configuration()
             .apply_from_holder(asked_ms, age_ms, table),
+        ToFollower::ConfigurationPiece(piece) => take_piece(&piece, pieces, link, front),
         ToFollower::Reply { number, answer } => link.answer(number, answer),
         ToFollower::Advise(order) => {
             let (advisor, link) = (advisor.clone(), Arc::clone(link));
@@ -218,6 +225,44 @@
     true
 }
 
+/// Takes a piece of the configuration, and asks for the next one.
+fn take_piece(
+    piece: &ConfigurationPiece,
+    pieces: &mut Pieces,
+    link: &Arc<HolderLink>,
+    front: &Arc<Front>,
+) {
+    let asked_ms = piece.asked_ms;
+    // A holder that misses this begins again when it is asked again.
+    let taken = ToHolder::ConfigurationPieceTaken { asked_ms };
+    drop(link.queue.try_send(taken));
+    let Some(bytes) = pieces.add(piece) else {
+        return;
+    };
+    let at_ms = asked_ms.saturating_sub(piece.age_ms);
+    let (link, front) = (Arc::clone(link), Arc::clone(front));
+    tokio::spawn(async move {
+        match decode(bytes).await {
+            Ok(table) => {
+                let configuration = front.configuration();
+                configuration.put_in_force(Arc::new(table), at_ms);
+                // It may have been replaced on its way.
+                link.ask_configuration(configuration.version());
+            }
+            Err(error) => log::warn!(error = error.as_str(); "holder's configuration is malformed"),
+        }
+    });
+}
+
+/// Decodes a configuration beside the link's task, which must not be late with heartbeats.
+async fn decode(bytes: Vec<u8>) -> Result<RouteTable, String> {
+    let decoding = tokio::task::spawn_blocking(move || ciborium::from_reader(bytes.as_slice()));
+    match decoding.await {
+        Ok(decoded) => decoded.map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
 fn mark_holder_found(
     link: &Arc<HolderLink>,
     leadership: &Arc<LeadershipState>,
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -1,6 +1,7 @@
 //! The holder's side of links.
 
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilfall_planner::NodeId;
@@ -13,6 +14,7 @@
 use crate::control::ControlEvent;
 use crate::link::frames::{read, write, LinkEnd, QUEUE_CAPACITY};
 use crate::link::message::{ToFollower, ToHolder};
+use crate::link::teller::{ConfigurationSource, Teller, Wanted};
 use crate::settings::Timings;
 
 /// The control thread's handle of a link to a follower.
@@ -32,14 +34,16 @@
 pub(crate) async fn accept_links(
     listener: TcpListener,
     timings: Timings,
+    source: Arc<ConfigurationSource>,
     control: mpsc::Sender<ControlEvent>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let (timings, control) = (timings.clone(), control.clone());
+                let source = Arc::clone(&source);
                 tokio::spawn(async move {
-                    if let Err(end) = serve(stream, &timings, &control).await {
+                    if let Err(end) = serve(stream, &timings, source, &control).await {
                         log::info!(end:% = end; "link from a follower ended");
                     }
                 });
@@ -55,6 +59,7 @@
 async fn serve(
     stream: TcpStream,
     timings: &Timings,
+    source: Arc<ConfigurationSource>,
     control: &mpsc::Sender<ControlEvent>,
 ) -> Result<(), LinkEnd> {
     let silence = Duration::from_millis(timings.silence_ms);
@@ -74,6 +79,7 @@
     };
     let id: NodeId = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let (queue, receiver) = mpsc::channel(QUEUE_CAPACITY);
+    let mut teller = Teller::new(source, queue.downgrade());
     let link = FollowerLink {
         queue,
         cpu_permille,
@@ -95,12 +101,21 @@
                     request: *request,
                 },
                 ToHolder::Advised { number, answer } => ControlEvent::Advised { number, answer },
-                ToHolder::ConfigurationWanted { known, asked_ms } => {
-                    ControlEvent::ConfigurationRequest {
-                        id,
+                ToHolder::ConfigurationWanted {
+                    known,
+                    asked_ms,
+                    takes_pieces,
+                } => {
+                    teller.handle_wanted(Wanted {
                         known,
                         asked_ms,
-                    }
+                        takes_pieces,
+                    });
+                    continue;
+                }
+                ToHolder::ConfigurationPieceTaken { asked_ms } => {
+                    teller.handle_taken(asked_ms);
+                    continue;
                 }
                 ToHolder::UnstoredStarts(starts) => ControlEvent::UnstoredStarts(starts),
             };
--- a/crates/chervilfall_node/src/link/message.rs
+++ b/crates/chervilfall_node/src/link/message.rs
@@ -5,6 +5,7 @@
 use chervilfall_planner::{AdviceAnswer, AdviceOrder, Answer, Millis, Request, StartNote};
 use serde::{Deserialize, Serialize};
 
+use crate::link::octets;
 use crate::routes::RouteTable;
 
 /// From a follower to the holder.
@@ -42,6 +43,14 @@
         known: Option<u64>,
         /// When this was sent, by the follower's clock; the answer repeats it.
         asked_ms: Millis,
+        /// The follower takes pieces.
+        #[serde(default)]
+        takes_pieces: bool,
+    },
+    /// A piece of the configuration has arrived. Sent only to a holder that sends pieces.
+    ConfigurationPieceTaken {
+        /// When the configuration was asked for.
+        asked_ms: Millis,
     },
 }
 
@@ -70,6 +79,9 @@
         /// The configuration, if it is newer than the follower's.
         table: Option<Arc<RouteTable>>,
     },
+    /// A piece of the configuration that the holder has in force. Sent only to a follower that takes
+    /// pieces.
+    ConfigurationPiece(ConfigurationPiece),
     /// Answer to a request.
     Reply {
         /// Number of the request.
@@ -82,3 +94,21 @@
     /// The sender does not hold the group.
     NotHolder,
 }
+
+/// A piece of an encoded configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ConfigurationPiece {
+    /// When the configuration was requested, by the follower's clock.
+    pub(super) asked_ms: Millis,
+    /// Time since it was last known to be the newest.
+    pub(super) age_ms: Millis,
+    /// Its version.
+    pub(super) version: u64,
+    /// Bytes before this piece.
+    pub(super) offset: u64,
+    /// No piece follows.
+    pub(super) last: bool,
+    /// The piece.
+    #[serde(with = "octets")]
+    pub(super) bytes: Vec<u8>,
+}
--- a/crates/chervilfall_node/src/link/mod.rs
+++ b/crates/chervilfall_node/src/link/mod.rs
@@ -4,7 +4,11 @@
 mod frames;
 mod holder;
 mod message;
+mod octets;
+mod pieces;
+mod teller;
 
 pub(crate) use follower::{dial, DialError, HolderLink};
 pub(crate) use holder::{accept_links, FollowerLink};
 pub(crate) use message::ToFollower;
+pub(crate) use teller::ConfigurationSource;
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -14,7 +14,7 @@
 use crate::control::{Control, ControlEvent};
 use crate::front::{Front, Revocation};
 use crate::leadership::LeadershipState;
-use crate::link::accept_links;
+use crate::link::{accept_links, ConfigurationSource};
 use crate::ports::Platform;
 use crate::settings::Settings;
 use crate::watch;
@@ -99,7 +99,12 @@
             Handle::current(),
         );
         let thread = ControlThread::spawn(receiver, timings.tick_ms, control_loop)?;
-        tokio::spawn(accept_links(listener, timings.clone(), control.clone()));
+        tokio::spawn(accept_links(
+            listener,
+            timings.clone(),
+            Arc::new(ConfigurationSource::new(Arc::clone(&configuration))),
+            control.clone(),
+        ));
         tokio::spawn(watch::configuration::watch(
             platform.store().clone(),
             configuration,
