Keep a commit small enough for a thin link, and send its copies no sooner than it can arrive

Cause: a commit held up to 600 KB of values, 0.64 s of the link, and copies of it, the first after 60 ms, shared the link with it.

Change: a commit holds at most 150 KB of values (200 KB as it is sent, 0.16 s of such a link; others let the claim stand still for 0.4 s at least). The interval until another copy is at least the bytes' time at 600 bytes a millisecond, so that the first has arrived where nothing else is on the link. 47 jobs, the most of a commit by its rows, have 100 KB with texts of 2 KB, so that the new bound only cuts unusual ones; what takes less than 36 KB is copied after 60 ms as before.

Tests of the planner, the node and the adapter pass, the soak was not played again after this change.

--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -35,8 +35,12 @@
     pub commit_timeout_ms: Millis,
     /// Maximum number of rows in a commit; the store accepts 100 entries.
     pub commit_rows: usize,
-    /// Maximum bytes of values in a commit; the store accepts a megabyte including encoding.
+    /// Maximum bytes of values in a commit, which a link of 10 Mbit/s carries, encoded, well within
+    /// the time that others let the claim stand still. The store accepts a megabyte.
     pub commit_bytes: usize,
+    /// Bytes of a commit's values that a link is expected to carry in a millisecond. Another copy
+    /// is sent only when the one before has had the time to arrive, since they share the link.
+    pub commit_bytes_per_ms: usize,
     /// Maximum number of submissions that wait for the store; further ones are refused immediately.
     pub accept_queue: usize,
     /// How long an endpoint may delay its answer to a hold while no run ends.
@@ -134,7 +138,8 @@
             commit_copies: 8,
             commit_timeout_ms: 1_000,
             commit_rows: 95,
-            commit_bytes: 600_000,
+            commit_bytes: 150_000,
+            commit_bytes_per_ms: 600,
             accept_queue: 1_000,
             hold_wait_ms: 600,
             hold_answer_ms: 350,
--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -17,6 +17,8 @@
 pub(super) struct BatchBuilder {
     rows: usize,
     bytes: usize,
+    /// Bytes of the values that were added.
+    pub(super) value_bytes: usize,
     pub(super) changes: Vec<RowChange>,
     pub(super) new_jobs: BTreeSet<JobId>,
     pub(super) progress: Vec<(JobId, Option<JobState>, bool)>,
@@ -29,6 +31,7 @@
         Self {
             rows,
             bytes,
+            value_bytes: 0,
             changes: Vec::new(),
             new_jobs: BTreeSet::new(),
             progress: Vec::new(),
@@ -53,6 +56,7 @@
 
     pub(super) fn put(&mut self, table: &'static str, key: String, value: Vec<u8>) {
         self.bytes = self.bytes.saturating_sub(value.len());
+        self.value_bytes += value.len();
         self.changes
             .push(RowChange::Put(RowKey { table, key }, value));
     }
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub(crate) struct InFlightCommit {
     batch: Batch,
+    /// Bytes of its values.
+    value_bytes: usize,
     pub(crate) first_sent_ms: Millis,
     /// Number of copies that have not been answered.
     unanswered_copies: usize,
@@ -54,7 +56,8 @@
 
 impl Planner {
     pub(super) fn commit_if_due(&mut self) {
-        let copy_ms = self.commit_copy_interval_ms();
+        let value_bytes = self.in_flight.as_ref().map_or(0, |sent| sent.value_bytes);
+        let copy_ms = self.commit_copy_interval_ms(value_bytes);
         if let Some(commit) = &mut self.in_flight {
             if self.now >= commit.next_copy_ms
                 && commit.unanswered_copies < self.limits.commit_copies
@@ -108,10 +111,11 @@
         self.actions.push(Action::Commit(batch.clone()));
         self.in_flight = Some(InFlightCommit {
             batch,
+            value_bytes: builder.value_bytes,
             first_sent_ms: self.now,
             unanswered_copies: 1,
             sent_ms: vec![self.now],
-            next_copy_ms: self.now + self.commit_copy_interval_ms(),
+            next_copy_ms: self.now + self.commit_copy_interval_ms(builder.value_bytes),
             new_jobs: builder.new_jobs,
             progress: builder.progress,
             acknowledgements,
@@ -121,9 +125,11 @@
         });
     }
 
-    /// Returns the interval until another copy is sent, a multiple of the recent commit duration.
-    fn commit_copy_interval_ms(&self) -> Millis {
-        let interval_ms = self.commit_duration_ms * COPY_INTERVAL_FACTOR;
+    /// Returns the interval until another copy of a commit is sent: a multiple of the recent commit
+    /// duration, and at least the time that its bytes take.
+    fn commit_copy_interval_ms(&self, value_bytes: usize) -> Millis {
+        let carried_ms = (value_bytes / self.limits.commit_bytes_per_ms.max(1)) as Millis;
+        let interval_ms = (self.commit_duration_ms * COPY_INTERVAL_FACTOR).max(carried_ms);
         interval_ms.clamp(self.limits.commit_copy_ms, self.limits.commit_timeout_ms)
     }
 
