Ask for changes from the version that a reading shows, not from the row's

Cause: after the store had dropped its history, a node read the row, and asked for changes since that row's own version, which is older than the history: refused again, and the whole row read again, at each poll. A reading of the row shows all changes up to its version of the store, so changes are now asked for from there. Found in review.

--- a/crates/chervilfall_node/src/watch/change_cursor.rs
+++ b/crates/chervilfall_node/src/watch/change_cursor.rs
@@ -27,8 +27,8 @@
         self.since
     }
 
-    /// Records that the row was found with a version that was not known.
-    pub(super) fn record_changed(&mut self, version: RowVersion) {
+    /// Records that every change up to a version of the store is known.
+    pub(super) fn record_known(&mut self, version: RowVersion) {
         self.since = self.since.max(version);
         self.unsettled = None;
     }
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -114,6 +114,9 @@
         self.configuration.record_answer(began_ms);
         // All changes up to this time are known.
         let at_ms = began_ms.saturating_sub(reading.lag_ms);
+        if reading.lag_ms == 0 {
+            self.cursor.record_known(reading.as_of);
+        }
         match reading.found {
             FoundConfiguration::Absent => {}
             FoundConfiguration::Unchanged => {
@@ -148,7 +151,7 @@
 
     fn record_row(&mut self, row: KnownRow, unreadable: bool) {
         self.known = Some(row);
-        self.cursor.record_changed(row.version);
+        self.cursor.record_known(row.version);
         self.unreadable = unreadable;
         metrics::gauge!("chervilfall_configuration_bytes").set(row.bytes as f64);
         metrics::gauge!("chervilfall_configuration_unreadable")
