Reserve what a gang asks tickets for, and let short work backfill it

Cause: a call for tickets takes most of a second, and narrower work takes the room that it is about. Change: policy/reservation.rs (reservation with backfilling): a gang that may still be of value reserves the resources of all its tasks when it renews its tickets; other work may use them if twice its estimate ends within half of the tickets' validity. Calls name the reserved endpoints and a few spare ones, up to three side by side. Released on start, cancel, end, failed call; parts on lost endpoints move elsewhere; not stored, so a successor has none. Endpoints reserved for suspects use the same reservations. Switch: policies.reservations.

--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -89,6 +89,12 @@
         entry.is_none_or(|entry| entry.permission.is_none() && !entry.asking)
     }
 
+    /// Returns whether a call in flight names the endpoint.
+    pub(crate) fn is_asking(&self, endpoint: EndpointKey) -> bool {
+        let entry = self.entries.get(endpoint);
+        entry.is_some_and(|entry| entry.asking)
+    }
+
     fn permission(&self, endpoint: EndpointKey) -> Option<&Permission> {
         self.entries.get(endpoint)?.permission.as_ref()
     }
@@ -97,6 +103,16 @@
         matches!(self.permission(endpoint), Some(Permission::Granted(..)))
     }
 
+    /// Returns the endpoints that may run the step.
+    pub(crate) fn allowed_endpoints(&self) -> impl Iterator<Item = EndpointKey> + '_ {
+        self.entries
+            .iter()
+            .filter_map(|(key, entry)| match entry.permission {
+                Some(Permission::Granted(..)) => Some(key),
+                _ => None,
+            })
+    }
+
     /// Returns whether any ticket may still be valid at `at_ms`.
     pub(crate) const fn any_ticket(&self, at_ms: Millis) -> bool {
         self.valid_until_ms > at_ms
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -11,6 +11,7 @@
 use crate::placed_run::{PlacedRun, RunPhase};
 use crate::policy::crashes::NEW_RUN_MS;
 use crate::policy::quarantine::{Quarantine, QuarantineState};
+use crate::policy::reservation::Reservations;
 use crate::policy::speed::Speed;
 use crate::resources::Resources;
 use crate::tasks::StepKey;
@@ -91,8 +92,8 @@
     pub(crate) sensitive_runs: u32,
     /// Number of runs that exclude any other start.
     exclusive_runs: u32,
-    /// Step for which the endpoint is reserved, and until when.
-    reserved: Option<(StepKey, Millis)>,
+    /// Resources that are reserved for steps.
+    pub(crate) reservations: Reservations,
     /// Number of the last end received.
     pub(crate) last_end_received: u64,
     /// Number of the last end stored.
@@ -134,7 +135,7 @@
             size_unknown_runs: 0,
             sensitive_runs: 0,
             exclusive_runs: 0,
-            reserved: None,
+            reservations: Reservations::default(),
             last_end_received: 0,
             acknowledged: 0,
             last_contact_ms: None,
@@ -274,13 +275,8 @@
         self.hold_unanswered || self.silent_for(now) > limits.silent_ms
     }
 
-    /// Returns whether it can be given new work of any step.
+    /// Returns whether it can be given new work.
     pub(crate) fn accepts_work(&self, now: Millis, limits: &Limits) -> bool {
-        self.reserved_for(now).is_none() && self.accepts_reserved_work(now, limits)
-    }
-
-    /// Returns whether it can be given new work of the step for which it is reserved.
-    pub(crate) fn accepts_reserved_work(&self, now: Millis, limits: &Limits) -> bool {
         self.exclusive_runs == 0
             && self.listed
             && self.rostered
@@ -317,6 +313,23 @@
         Resources::of_entry(&self.entry).minus(self.used)
     }
 
+    /// Returns the free resources that are not reserved.
+    pub(crate) fn unreserved(&self, now: Millis) -> Resources {
+        self.free().minus(self.reservations.total(now))
+    }
+
+    /// Returns the free resources that a run of a step may use now. `latest_end_ms` is when the run
+    /// is certain to have ended, if that is known.
+    pub(crate) fn free_for(
+        &self,
+        step: StepKey,
+        latest_end_ms: Option<Millis>,
+        now: Millis,
+    ) -> Resources {
+        let closed = self.reservations.closed_to(step, latest_end_ms, now);
+        self.free().minus(closed)
+    }
+
     /// Returns whether its capacity covers all runs placed there.
     pub(crate) fn fits_all_runs(&self) -> bool {
         Resources::of_entry(&self.entry).can_fit(self.used)
@@ -349,15 +362,4 @@
         self.contact_with_run_ms(placed)
             .is_none_or(|last_contact_ms| last_contact_ms < NEW_RUN_MS)
     }
-
-    /// Reserves the endpoint for a step until `until_ms`.
-    pub(crate) fn reserve(&mut self, step: StepKey, until_ms: Millis) {
-        self.reserved = Some((step, until_ms));
-    }
-
-    /// Returns the step for which it is reserved.
-    pub(crate) fn reserved_for(&self, now: Millis) -> Option<StepKey> {
-        let (step, until_ms) = self.reserved?;
-        (now < until_ms).then_some(step)
-    }
 }
--- a/crates/chervilfall_planner/src/planner/activation.rs
+++ b/crates/chervilfall_planner/src/planner/activation.rs
@@ -103,5 +103,6 @@
 
     pub(super) fn close_step(&mut self, key: StepKey) {
         self.open.remove(key);
+        self.release_reservation(key);
     }
 }
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -154,6 +154,7 @@
         }
         let AdviceAnswer::Granted(granted) = answer else {
             log::info!(step:% = call.step, caller = call.node, took_ms = took_ms; "advice failed");
+            self.release_reservation(call.step);
             return;
         };
         log::info!(
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 
 use crate::advice::Advice;
+use crate::config::AdviceTimings;
 use crate::endpoint::EndpointKey;
 use crate::job::Step;
 use crate::planner::schedule::{Pass, StepRequest};
@@ -18,6 +19,17 @@
 /// call takes, so a gang that needs the tickets of several calls must make them in parallel.
 const MAX_GANG_CALLS: usize = 3;
 
+/// Returns how many endpoints each of a gang's calls names if together they name `endpoints`. Each
+/// endpoint lengthens a call, and the calls run in parallel.
+pub(super) const fn endpoints_per_call(endpoints: usize) -> usize {
+    let per_call = endpoints.div_ceil(MAX_GANG_CALLS);
+    if per_call > MIN_ENDPOINTS_PER_CALL as usize {
+        per_call
+    } else {
+        MIN_ENDPOINTS_PER_CALL as usize
+    }
+}
+
 /// Returns how many calls for a step may be in flight.
 pub(super) const fn max_calls_in_flight(step: &Step) -> usize {
     if step.gang {
@@ -56,17 +68,22 @@
         } else {
             1
         };
-        let free_resources = |endpoint: EndpointKey| self.endpoints[endpoint].free();
+        let calls_in_flight = progress.advice.calls_in_flight();
+        if calls_in_flight >= max_calls_in_flight(request.step()) {
+            return false;
+        }
+        if self.gang_reservations.contains_key(&key) {
+            return self.request_reserved_tickets(key, request, timings);
+        }
+        let latest_end_ms = self.latest_end_ms(request);
+        let free_resources =
+            |endpoint: EndpointKey| self.endpoints[endpoint].free_for(key, latest_end_ms, self.now);
         let usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
         let max_tasks = |keys: &[EndpointKey]| -> u64 {
             keys.iter()
                 .map(|key| u64::from(free_resources(*key).max_fitting(need)))
                 .sum()
         };
-        let calls_in_flight = progress.advice.calls_in_flight();
-        if calls_in_flight >= max_calls_in_flight(request.step()) {
-            return false;
-        }
         if max_tasks(&usable) >= enough {
             if calls_in_flight > 0 {
                 return false;
@@ -74,7 +91,7 @@
             let stale = usable
                 .iter()
                 .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
-            return stale && self.request_advice(key, timings, &usable);
+            return stale && self.renew_tickets(pass, key, request, timings, &usable);
         }
         let max_endpoints =
             (waiting * ENDPOINTS_PER_WAITING_TASK).max(MIN_ENDPOINTS_PER_CALL) as usize;
@@ -88,6 +105,39 @@
         !named.is_empty() && self.request_advice(key, timings, &named)
     }
 
+    /// Requests tickets for endpoints that hold the whole step. A gang reserves their resources
+    /// first, if it may. Returns whether a call was made.
+    fn renew_tickets(
+        &mut self,
+        pass: &Pass,
+        key: StepKey,
+        request: &StepRequest,
+        timings: AdviceTimings,
+        usable: &[EndpointKey],
+    ) -> bool {
+        if self.begin_reservation(pass, key, request) {
+            self.extend_reservation(key, request, timings);
+            self.request_reserved_tickets(key, request, timings)
+        } else {
+            self.request_advice(key, timings, usable)
+        }
+    }
+
+    /// Requests tickets for the endpoints of a reservation. Returns whether a call was made.
+    fn request_reserved_tickets(
+        &mut self,
+        key: StepKey,
+        request: &StepRequest,
+        timings: AdviceTimings,
+    ) -> bool {
+        if !self.can_call_advice(timings.is_slow()) {
+            return false;
+        }
+        self.name_reserved_endpoints(key, request, timings);
+        let named = self.reserved_without_ticket(key);
+        !named.is_empty() && self.request_advice(key, timings, &named)
+    }
+
     /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
     /// enough free resources, then those whose speed class suits the latency class, then those with
     /// the most free CPU.
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -17,6 +17,7 @@
 mod open;
 mod orders;
 mod requests;
+mod reserve;
 mod schedule;
 mod stopping;
 mod suspects;
@@ -36,10 +37,11 @@
 use crate::limits::Limits;
 use crate::metrics;
 use crate::policy::headroom::Headroom;
+use crate::policy::reservation::GangReservation;
 use crate::policy::stall_timeout::CommitGaps;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::starts::{latest, StartNote, StartRing, StartsRow};
-use crate::tasks::Job;
+use crate::tasks::{Job, StepKey};
 pub(crate) use accounts::AccountKey;
 use accounts::Accounts;
 use advise::AdviceCall;
@@ -127,6 +129,8 @@
     barrier: Option<Barrier>,
     nodes: Vec<NodeId>,
     advice_calls: BTreeMap<u64, AdviceCall>,
+    /// Reservations of gangs that wait for resources or tickets.
+    gang_reservations: BTreeMap<StepKey, GangReservation>,
     next_advice: u64,
     finished: VecDeque<(Millis, JobId)>,
     /// Position of the last jittered idle hold interval within its range.
@@ -186,6 +190,7 @@
             barrier,
             nodes: Vec::new(),
             advice_calls: BTreeMap::new(),
+            gang_reservations: BTreeMap::new(),
             next_advice: 0,
             finished: VecDeque::new(),
             idle_jitter_permille: 0,
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -288,6 +288,7 @@
         self.finished.push_back((self.now, id));
         self.release_share(id);
         self.open.remove_job(id);
+        self.release_reservations(id);
         self.clear_advice(id);
         self.stop_runs(id);
     }
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -121,7 +121,7 @@
             let pool = pools.get(service)?;
             let running = pool.iter().map(|key| endpoints[*key].sensitive_runs);
             headroom.note_running(now, running.sum());
-            let free = pool.iter().map(|key| endpoints[*key].free());
+            let free = pool.iter().map(|key| endpoints[*key].unreserved(now));
             Some((service.clone(), headroom.slots(free)?))
         });
         headroom_slots.collect()
@@ -167,7 +167,8 @@
         });
         let can_request_advice =
             call_possible && progress.advice.calls_in_flight() < max_calls_in_flight(step);
-        if !placeable && !can_request_advice {
+        let reserved = self.gang_reservations.contains_key(&key);
+        if !placeable && !can_request_advice && !reserved {
             return;
         }
         let request = StepRequest {
@@ -177,6 +178,9 @@
             advice,
             latency_class: LatencyClass::of(job),
         };
+        if let Some(timings) = request.advice.filter(|_| reserved) {
+            self.extend_reservation(key, &request, timings);
+        }
         if placeable {
             self.place_step(pass, key, &request);
         }
@@ -200,9 +204,7 @@
     pub(super) fn offers_for_suspects(&self, key: StepKey, request: &StepRequest) -> Vec<Offer> {
         let candidates = self.candidates(key, request, || self.endpoints.keys().collect());
         let accepts = |endpoint: &Endpoint, now, limits: &Limits| {
-            let reserved_step = endpoint.reserved_for(now);
-            reserved_step.is_none_or(|step| step == key)
-                && endpoint.accepts_reserved_work(now, limits)
+            !endpoint.reservations.is_for_others(key, now) && endpoint.accepts_work(now, limits)
         };
         self.usable_offers(candidates, key, request, accepts)
     }
@@ -223,7 +225,7 @@
         ticketed.unwrap_or_default()
     }
 
-    fn usable_offers(
+    pub(super) fn usable_offers(
         &self,
         candidates: Vec<EndpointKey>,
         key: StepKey,
@@ -235,17 +237,23 @@
             return Vec::new();
         };
         let need = request.required_resources();
+        let latest_end_ms = self.latest_end_ms(request);
         let usable = candidates.into_iter().filter_map(|endpoint_key| {
             let endpoint = self.endpoints.get(endpoint_key)?;
-            let fits = endpoint.free().can_fit(need)
+            let free = endpoint.free_for(key, latest_end_ms, self.now);
+            let fits = free.can_fit(need)
                 && endpoint.entry.service == request.service
                 && accepts(endpoint, self.now, &self.limits);
-            fits.then_some((endpoint_key, endpoint))
+            fits.then_some((endpoint_key, endpoint, free))
         });
         let failed_on = &progress.failed_on;
-        let offers = usable.filter_map(|(endpoint_key, endpoint)| {
-            let failed = failed_on.contains(&endpoint_key);
-            self.offer(endpoint_key, endpoint, key, request.step(), failed)
+        let offers = usable.filter_map(|(endpoint_key, endpoint, free)| {
+            let offer = self.offer(endpoint_key, endpoint, key, request.step())?;
+            Some(Offer {
+                free,
+                failed: failed_on.contains(&endpoint_key),
+                ..offer
+            })
         });
         offers.collect()
     }
@@ -256,7 +264,6 @@
         endpoint: &Endpoint,
         key: StepKey,
         step: &Step,
-        failed: bool,
     ) -> Option<Offer> {
         let required = step.required_label.as_ref();
         if required.is_some_and(|label| !endpoint.entry.labels.contains(label)) {
@@ -281,7 +288,7 @@
             endpoint: endpoint_key,
             free: endpoint.free(),
             max_new_tasks,
-            failed,
+            failed: false,
             near,
             speed_class: self.speed_class(endpoint),
         })
@@ -365,6 +372,7 @@
         if picks.is_empty() {
             return;
         }
+        self.release_reservation(key);
         self.share_checkpoint(key);
         let starts = waiting.clear.iter().zip(picks);
         let starts = starts.map(|((index, _), endpoint)| (endpoint, *index, run));
--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -10,6 +10,7 @@
 use crate::planner::Planner;
 use crate::policy::crashes::{verdict, Verdict};
 use crate::policy::placement::{pick_all_or_none, pick_endpoints, Offer};
+use crate::policy::reservation::Reservation;
 use crate::resources::Resources;
 use crate::tasks::{StepKey, TaskState};
 
@@ -207,7 +208,8 @@
             return;
         }
         offers.sort_by_key(|offer| {
-            let reserved = self.endpoints[offer.endpoint].reserved_for(now).is_some();
+            let reservations = &self.endpoints[offer.endpoint].reservations;
+            let reserved = reservations.is_for(key, now);
             (Reverse(reserved), self.run_count(offer))
         });
         let mut missing = if request.step().gang { count } else { 1 };
@@ -216,8 +218,14 @@
                 return;
             }
             let endpoint = &mut self.endpoints[offer.endpoint];
-            endpoint.reserve(key, now + RESERVATION_MS);
             let whole = Resources::of_entry(&endpoint.entry);
+            let reservation = Reservation {
+                step: key,
+                resources: whole,
+                backfill_until_ms: now,
+                until_ms: now + RESERVATION_MS,
+            };
+            endpoint.reservations.insert(reservation, now);
             missing = missing.saturating_sub(whole.max_fitting(need));
         }
     }
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod order;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
+pub(crate) mod reservation;
 pub(crate) mod share;
 pub(crate) mod speed;
 pub(crate) mod stall_timeout;
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -56,6 +56,11 @@
     }
 }
 
+/// Returns whether the result of a job may still be of value to its caller.
+pub(crate) fn may_be_of_value(job: &Job, key: StepKey, unix_ms: u64) -> bool {
+    rank(job, key, unix_ms).prospect < Prospect::Overdue
+}
+
 /// Returns the priority of a job. Latency-tolerant work without slack is raised by one level so
 /// that queues of higher priority do not starve it until it is late.
 fn effective_priority(job: &Job, unix_ms: u64) -> u32 {
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -8,6 +8,8 @@
 pub struct Policies {
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
+    /// A gang reserves the resources that its call for tickets is about.
+    pub reservations: bool,
     /// Latency-sensitive work goes to fast endpoints and latency-tolerant work to slow ones.
     pub speed: bool,
 }
@@ -16,6 +18,7 @@
     fn default() -> Self {
         Self {
             headroom: true,
+            reservations: true,
             speed: true,
         }
     }
