Tell readiness by when a reading began, a takeover by what it covers

Whether callers may be sent here does not hang on what a feed withholds: keys and unknown queues are still judged by what is confirmed. Change: both times are kept, a takeover waits for the covered one.

--- a/crates/chervilfall_node/src/configuration.rs
+++ b/crates/chervilfall_node/src/configuration.rs
@@ -22,9 +22,10 @@
     version: AtomicU64,
     /// When the last reading began that found nothing newer, in milliseconds.
     confirmed_ms: AtomicU64,
-    /// Up to when all changes were covered by a reading that the store answered, whatever its
-    /// result, in milliseconds.
+    /// When the last reading began that the store answered, whatever its result, in milliseconds.
     answered_ms: AtomicU64,
+    /// Up to when such a reading covers all changes, in milliseconds.
+    covered_ms: AtomicU64,
     /// Notifies the reader that a reading is requested.
     reading_requested: Notify,
     /// Time within which a configuration must be in force, in milliseconds.
@@ -38,6 +39,7 @@
             version: AtomicU64::new(UNKNOWN),
             confirmed_ms: AtomicU64::new(UNKNOWN),
             answered_ms: AtomicU64::new(UNKNOWN),
+            covered_ms: AtomicU64::new(UNKNOWN),
             reading_requested: Notify::new(),
             apply_ms,
         }
@@ -63,7 +65,7 @@
     }
 
     /// Returns whether a configuration is known, and the store answered a reading recently enough
-    /// that a newer one that can be decoded would be in force.
+    /// that a newer one that it told and that can be decoded would be in force.
     #[must_use]
     pub fn has_recent_answer(&self) -> bool {
         let answered = age_ms(&self.answered_ms).is_some_and(|age_ms| age_ms <= self.apply_ms);
@@ -86,11 +88,11 @@
     /// Waits until the store has answered a reading that covers all changes up to `since_ms`;
     /// returns whether it has.
     pub(crate) async fn wait_for_answer_since(&self, since_ms: u64, wait_budget: Duration) -> bool {
-        let answered = |state: &Self| match state.answered_ms.load(Ordering::Relaxed) {
+        let covered = |state: &Self| match state.covered_ms.load(Ordering::Relaxed) {
             UNKNOWN => false,
-            answered_ms => answered_ms >= since_ms,
+            covered_ms => covered_ms >= since_ms,
         };
-        self.wait_until(answered, wait_budget).await
+        self.wait_until(covered, wait_budget).await
     }
 
     /// Requests a reading and waits until `holds` is true; returns whether it is.
@@ -143,9 +145,11 @@
         advance(&self.confirmed_ms, at_ms);
     }
 
-    /// Records that the store has answered a reading that covers all changes up to `at_ms`.
-    pub(crate) fn record_answer(&self, at_ms: u64) {
-        advance(&self.answered_ms, at_ms);
+    /// Records that the store has answered a reading that began at `began_ms` and covers all changes
+    /// up to `covered_ms`.
+    pub(crate) fn record_answer(&self, began_ms: u64, covered_ms: u64) {
+        advance(&self.answered_ms, began_ms);
+        advance(&self.covered_ms, covered_ms);
     }
 
     /// Puts a configuration in force that was the store's newest at `at_ms`, unless it or a newer
--- a/crates/chervilfall_node/src/watch/configuration.rs
+++ b/crates/chervilfall_node/src/watch/configuration.rs
@@ -140,7 +140,7 @@
     fn apply(&mut self, reading: ConfigurationReading, began_ms: u64, took_ms: u64) {
         // All changes up to this time are known.
         let at_ms = began_ms.saturating_sub(reading.lag_ms);
-        self.configuration.record_answer(at_ms);
+        self.configuration.record_answer(began_ms, at_ms);
         if reading.lag_ms == 0 {
             self.cursor.record_known(reading.as_of);
         }
