Show that the first commit of a term may be taken for stored though it is not

A holder renews its claim while it reads the rows. A renewal without an answer left the number of the claim as it was, so the planner's first commit had the same number. If the store had carried the renewal out, the commit's condition failed, and the row that the store showed in its answer was that of the renewal: same process, same term, same number. The planner took it for an earlier copy of its commit and treated all of it as stored: jobs accepted, jobs cancelled, ends acknowledged, endpoints in the roster. The next holder knew none of it.

Ruled out by reading: commits of the former holder landing later (each is conditional on the claim row, which the claim has changed); pages read before the claim (read after it); starts that the former holder reports (they add exposures to unfinished tasks only).

--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -100,6 +100,9 @@
     pub crashing: BTreeMap<JobId, CrashBehavior>,
     /// Planners read the last entry that an endpoint has written, instead of its current state.
     pub uses_reported_entries: bool,
+    /// A new holder renews its claim once while it reads the rows, and the answer is lost although
+    /// the store carries the renewal out.
+    pub unanswered_renewals: bool,
     /// Crashed endpoints are replaced after this time.
     pub restart_delay_ms: u64,
     /// Replacements of crashed endpoints keep their name.
@@ -182,6 +185,7 @@
             cancelled: BTreeSet::new(),
             crashing: BTreeMap::new(),
             uses_reported_entries: false,
+            unanswered_renewals: false,
             restart_delay_ms: 4_000,
             keeps_names: false,
             next_request: 0,
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use chervilfall_planner::{
-    decode_text, Action, AdviceAnswer, Batch, CandidateAction, CommitOutcome, EndpointEntry,
-    EndpointId, Event, HolderRow, JobId, JobRow, LookupResult, Planner, ProgressRow, RosterEntry,
-    StallTimeouts, StartsRow, StoredGroup,
+    decode_text, Action, AdviceAnswer, Batch, Candidate, CandidateAction, CommitOutcome,
+    EndpointEntry, EndpointId, Event, HolderRow, JobId, JobRow, LookupResult, Planner, ProgressRow,
+    RosterEntry, StallTimeouts, StartsRow, StoredGroup,
 };
 
 use super::endpoint::FakeEndpoint;
@@ -114,6 +114,9 @@
             return;
         };
         let takeover = self.nodes[node].candidate.won(row, version);
+        if self.unanswered_renewals {
+            self.store.commit(self.now, &Candidate::renewal(&takeover));
+        }
         let stored = self.stored();
         self.faults.push((
             self.now,
