Give each batch of a claim a number of its own

A renewal without an answer and the planner's first commit had the same number, so that the row of the one was taken for the other.

Change: a claim's batches are built by the claim (Takeover), which counts each one that is sent, also those without an answer. A commit whose condition fails on a row of the same claim with a lower number has not been stored: it is sent again on the version that the row has now, once for all copies in flight, in place of being taken for stored or given up as lost. The decision about a renewal's outcome moved from the node to the planner's crate, where a test without a network reaches it.

--- a/crates/chervilfall_node/src/watch/takeover.rs
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilfall_planner::{Candidate, CommitOutcome, HolderRow, Takeover};
+use chervilfall_planner::{Candidate, Renewal, Takeover};
 
 use crate::clock::now_ms;
 use crate::control::ControlEvent;
@@ -21,9 +21,6 @@
 const NO_PROGRESS_LIMIT_MS: u64 = 3_000;
 /// Interval between log lines on the progress of reading the rows.
 const PROGRESS_LOG_INTERVAL_MS: u64 = 1_000;
-/// Another node has claimed the group.
-struct ClaimLost;
-
 /// Rows that were read under a claim which was handed back.
 pub(crate) struct RetainedRows {
     term: u64,
@@ -62,9 +59,9 @@
                         }
                         let sent_ms = now_ms();
                         match self.renew(&mut takeover).await {
-                            Ok(true) => confirmed_ms = sent_ms,
-                            Ok(false) => {}
-                            Err(ClaimLost) => {
+                            Renewal::Confirmed => confirmed_ms = sent_ms,
+                            Renewal::Unconfirmed => {}
+                            Renewal::ClaimLost => {
                                 log::info!(term = takeover.row.term; "claim lost while rows were read");
                                 self.set_recovering(false).await;
                                 return;
@@ -151,34 +148,16 @@
 
     async fn hand_back(&self, candidate: &mut Candidate, takeover: &mut Takeover) {
         candidate.back_off(now_ms());
-        let batch = Candidate::hand_back(takeover);
+        let batch = takeover.release();
         let outcome = self.platform.store().commit(&self.group, batch).await;
         // Without an answer the claim lapses by its stall timeout.
         log::info!(term = takeover.row.term, outcome = outcome.label(); "claim handed back");
     }
 
-    /// Renews the claim; returns whether the store confirmed that.
-    async fn renew(&self, takeover: &mut Takeover) -> Result<bool, ClaimLost> {
-        let batch = Candidate::renewal(takeover);
-        let number = batch.number;
+    async fn renew(&self, takeover: &mut Takeover) -> Renewal {
+        let batch = takeover.renewal();
         let outcome = self.platform.store().commit(&self.group, batch).await;
-        let version = match outcome {
-            CommitOutcome::Stored { version, .. } => version,
-            CommitOutcome::Conflict(Some((version, bytes))) => {
-                // An earlier copy of this renewal may have been carried out.
-                let row = HolderRow::decode(&bytes).map_err(|_| ClaimLost)?;
-                let own = row.incarnation == self.incarnation && row.term == takeover.row.term;
-                if !own || row.number != number {
-                    return Err(ClaimLost);
-                }
-                version
-            }
-            CommitOutcome::Conflict(None) => return Err(ClaimLost),
-            CommitOutcome::NotDone | CommitOutcome::Unknown => return Ok(false),
-        };
-        takeover.version = version;
-        takeover.row.number = number;
-        Ok(true)
+        takeover.record_renewal(&outcome)
     }
 
     /// Reads the configuration after the claim was won: it is then at least as new as any that an
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::commit::{Batch, RowChange, RowKey};
+use crate::commit::{Batch, CommitOutcome, RowChange, RowKey};
 use crate::ids::{Fence, Millis, RowVersion};
 use crate::record::{decode, encode, RecordError, CLAIMS, HOLDER};
 
@@ -80,6 +80,11 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
         decode(bytes)
     }
+
+    /// Returns whether both rows were written under the same claim.
+    pub(crate) const fn is_same_claim(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation && self.term == other.term
+    }
 }
 
 /// A claim that was won.
@@ -102,6 +107,82 @@
     pub predecessor_gone_ms: Option<Millis>,
 }
 
+/// What the outcome of a renewal shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Renewal {
+    /// It is stored: the claim held when it was sent.
+    Confirmed,
+    /// It is not known to be stored.
+    Unconfirmed,
+    /// Another node has claimed the group.
+    ClaimLost,
+}
+
+impl Takeover {
+    /// Returns the batch that renews the claim before the planner of its holder is running.
+    pub fn renewal(&mut self) -> Batch {
+        self.next_batch(false)
+    }
+
+    /// Returns the batch that releases such a claim.
+    pub fn release(&mut self) -> Batch {
+        self.next_batch(true)
+    }
+
+    /// Returns a batch that only writes the claim row. Each batch of a claim has a number of its
+    /// own, also if the one before was not answered: the row then tells which of them was stored.
+    fn next_batch(&mut self, released: bool) -> Batch {
+        self.row.number += 1;
+        let row = HolderRow {
+            released,
+            ..self.row.clone()
+        };
+        let key = RowKey {
+            table: CLAIMS,
+            key: HOLDER.to_owned(),
+        };
+        Batch {
+            number: row.number,
+            copy: 0,
+            expected: self.version,
+            changes: vec![RowChange::Put(key, row.encode())],
+            timeout_ms: CLAIM_TIMEOUT_MS,
+        }
+    }
+
+    /// Records the outcome of the last renewal.
+    pub fn record_renewal(&mut self, outcome: &CommitOutcome) -> Renewal {
+        match outcome {
+            CommitOutcome::Stored { version, .. } => {
+                self.version = *version;
+                Renewal::Confirmed
+            }
+            CommitOutcome::Conflict(found) => self.record_conflict(found.as_ref()),
+            CommitOutcome::NotDone | CommitOutcome::Unknown => Renewal::Unconfirmed,
+        }
+    }
+
+    /// Records that the claim row has another version than expected. A renewal that was not
+    /// answered may have been stored.
+    fn record_conflict(&mut self, found: Option<&(RowVersion, Vec<u8>)>) -> Renewal {
+        let Some((version, row)) = found.and_then(|(version, bytes)| {
+            let row = HolderRow::decode(bytes).ok()?;
+            Some((*version, row))
+        }) else {
+            return Renewal::ClaimLost;
+        };
+        if !row.is_same_claim(&self.row) {
+            return Renewal::ClaimLost;
+        }
+        self.version = version;
+        if row.number == self.row.number {
+            Renewal::Confirmed
+        } else {
+            Renewal::Unconfirmed
+        }
+    }
+}
+
 /// What a candidate should do next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CandidateAction {
@@ -381,35 +462,6 @@
         CandidateAction::Claim(batch, row)
     }
 
-    /// Returns the batch that renews a claim before the planner of its holder is running.
-    #[must_use]
-    pub fn renewal(takeover: &Takeover) -> Batch {
-        Self::next_batch(takeover, false)
-    }
-
-    /// Returns the batch that releases such a claim.
-    #[must_use]
-    pub fn hand_back(takeover: &Takeover) -> Batch {
-        Self::next_batch(takeover, true)
-    }
-
-    fn next_batch(takeover: &Takeover, released: bool) -> Batch {
-        let mut row = takeover.row.clone();
-        row.number += 1;
-        row.released = released;
-        let key = RowKey {
-            table: CLAIMS,
-            key: HOLDER.to_owned(),
-        };
-        Batch {
-            number: row.number,
-            copy: 0,
-            expected: takeover.version,
-            changes: vec![RowChange::Put(key, row.encode())],
-            timeout_ms: CLAIM_TIMEOUT_MS,
-        }
-    }
-
     /// Returns the claim that was won with a batch of [`Candidate::observe`].
     #[must_use]
     pub fn won(&self, row: HolderRow, version: Fence) -> Takeover {
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -33,7 +33,9 @@
 };
 pub use commit::{Batch, CommitOutcome, RowChange, RowKey};
 pub use config::{AdviceTimings, Configuration, Queue, QueueName, Service, ServiceName};
-pub use election::{Candidate, CandidateAction, HolderRow, Identity, StallTimeouts, Takeover};
+pub use election::{
+    Candidate, CandidateAction, HolderRow, Identity, Renewal, StallTimeouts, Takeover,
+};
 pub use endpoint::{EndpointEntry, EndpointKey};
 pub use event::{
     AdviceAnswer, Asker, EndReason, EndedRun, Event, HoldAnswer, HoldReport, NodeId, Refusal,
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -52,6 +52,17 @@
     pub(crate) fn contains_new_job(&self, id: JobId) -> bool {
         self.new_jobs.contains(&id)
     }
+
+    /// Returns another copy of the batch, to be sent now. Copies add load to the store, so the
+    /// interval between them grows.
+    fn next_copy(&mut self, now: Millis, copy_interval_ms: Millis) -> Batch {
+        let doublings = self.unanswered_copies.min(MAX_COPY_DOUBLINGS);
+        self.unanswered_copies += 1;
+        self.next_copy_ms = now + (copy_interval_ms << doublings);
+        self.batch.copy = self.sent_ms.len();
+        self.sent_ms.push(now);
+        self.batch.clone()
+    }
 }
 
 impl Planner {
@@ -62,13 +73,8 @@
             if self.now >= commit.next_copy_ms
                 && commit.unanswered_copies < self.limits.commit_copies
             {
-                // Copies add load to the store, so the interval between them grows.
-                let doubled_ms = copy_ms << commit.unanswered_copies.min(MAX_COPY_DOUBLINGS);
-                commit.unanswered_copies += 1;
-                commit.next_copy_ms = self.now + doubled_ms;
-                commit.batch.copy = commit.sent_ms.len();
-                commit.sent_ms.push(self.now);
-                self.actions.push(Action::Commit(commit.batch.clone()));
+                let copy = commit.next_copy(self.now, copy_ms);
+                self.actions.push(Action::Commit(copy));
             }
             return;
         }
@@ -286,19 +292,29 @@
             let row = HolderRow::decode(&bytes);
             row.map(|row| (version, row)).ok()
         });
-        match row {
-            Some((version, row)) if self.is_own_row(&row) => self.handle_stored(version),
+        let number = self.in_flight.as_ref().map(|commit| commit.batch.number);
+        match row.filter(|(_, row)| row.is_same_claim(&self.holder)) {
+            // An earlier copy of the batch was stored.
+            Some((version, row)) if Some(row.number) == number => self.handle_stored(version),
+            Some((version, row)) if Some(row.number) < number => self.resend_commit(version),
             _ => self.step_down(StepDownReason::ClaimLost),
         }
     }
 
-    /// Returns whether the row was written by the batch in flight, so that an earlier copy of it
-    /// was stored.
-    fn is_own_row(&self, row: &HolderRow) -> bool {
-        let number = self.in_flight.as_ref().map(|commit| commit.batch.number);
-        row.incarnation == self.holder.incarnation
-            && row.term == self.holder.term
-            && Some(row.number) == number
+    /// Sends the batch in flight on the condition that the claim row has this version: a renewal
+    /// that was not answered was stored before it, so none of its copies was. All of them show the
+    /// same version, and the first one to do so is followed by another copy.
+    fn resend_commit(&mut self, version: RowVersion) {
+        let Some(commit) = &mut self.in_flight else {
+            return;
+        };
+        if version <= commit.batch.expected {
+            return;
+        }
+        commit.batch.expected = version;
+        let copy = commit.next_copy(self.now, self.limits.commit_copy_ms);
+        log::info!(number = copy.number, version = version; "commit resent after an unanswered renewal");
+        self.actions.push(Action::Commit(copy));
     }
 
     fn handle_stored(&mut self, version: RowVersion) {
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use chervilfall_planner::{
-    decode_text, Action, AdviceAnswer, Batch, Candidate, CandidateAction, CommitOutcome,
-    EndpointEntry, EndpointId, Event, HolderRow, JobId, JobRow, LookupResult, Planner, ProgressRow,
-    RosterEntry, StallTimeouts, StartsRow, StoredGroup,
+    decode_text, Action, AdviceAnswer, Batch, CandidateAction, CommitOutcome, EndpointEntry,
+    EndpointId, Event, HolderRow, JobId, JobRow, LookupResult, Planner, ProgressRow, RosterEntry,
+    StallTimeouts, StartsRow, StoredGroup,
 };
 
 use super::endpoint::FakeEndpoint;
@@ -113,9 +113,9 @@
         let CommitOutcome::Stored { version, .. } = self.store.commit(self.now, &batch) else {
             return;
         };
-        let takeover = self.nodes[node].candidate.won(row, version);
+        let mut takeover = self.nodes[node].candidate.won(row, version);
         if self.unanswered_renewals {
-            self.store.commit(self.now, &Candidate::renewal(&takeover));
+            self.store.commit(self.now, &takeover.renewal());
         }
         let stored = self.stored();
         self.faults.push((
