Answer the submission of a cancelled job once its acceptance is stored

Found by the fourth case of first_commit: a job that was cancelled before its submission was accepted at once if its cancel was stored, and also when a commit was stored that had been built before the submission came. The row still said that it had never been submitted, so one term later the caller of an accepted job was told that there is none. It never ran in either case.

Change: the answer waits for the commit that stores the acceptance; a commit remembers what it says of a job, as the job may have changed by the time that it is stored.

--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -13,6 +13,17 @@
 /// other rows are removed.
 const MAX_FURTHER_JOB_CHANGES: usize = 3;
 
+/// What a batch says of a job's progress. The job may have changed again by the time that the batch
+/// is stored.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WrittenProgress {
+    pub(super) job: JobId,
+    pub(super) outcome: Option<JobState>,
+    pub(super) cancelled: bool,
+    /// The job was cancelled and has not been submitted.
+    pub(super) pre_cancelled: bool,
+}
+
 /// Collects the changes of a batch within the store's limits.
 pub(super) struct BatchBuilder {
     rows: usize,
@@ -21,7 +32,7 @@
     pub(super) value_bytes: usize,
     pub(super) changes: Vec<RowChange>,
     pub(super) new_jobs: BTreeSet<JobId>,
-    pub(super) progress: Vec<(JobId, Option<JobState>, bool)>,
+    pub(super) progress: Vec<WrittenProgress>,
     pub(super) announced: Vec<(TaskKey, EndpointKey, Run)>,
     pub(super) grantable: BTreeSet<EndpointKey>,
 }
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -2,13 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::action::{Action, Answer, JobState, StepDownReason};
+use crate::action::{Action, Answer, StepDownReason};
 use crate::commit::{Batch, CommitOutcome};
 use crate::election::HolderRow;
 use crate::endpoint::EndpointKey;
 use crate::ids::{JobId, Millis, RowVersion, Run, TaskKey};
 use crate::metrics;
-use crate::planner::batch::BatchBuilder;
+use crate::planner::batch::{BatchBuilder, WrittenProgress};
 use crate::planner::gap::ServiceMilestone;
 use crate::planner::Planner;
 use crate::record::{
@@ -39,7 +39,7 @@
     /// When another copy is due.
     next_copy_ms: Millis,
     new_jobs: BTreeSet<JobId>,
-    progress: Vec<(JobId, Option<JobState>, bool)>,
+    progress: Vec<WrittenProgress>,
     acknowledgements: BTreeMap<EndpointKey, u64>,
     /// Starts that may be ordered once the batch is stored.
     announced: Vec<(TaskKey, EndpointKey, Run)>,
@@ -190,7 +190,12 @@
                     builder.put(ENDED, id.to_string(), row);
                     builder.remove_open_job(id, std::mem::take(&mut job.rows));
                 }
-                builder.progress.push((id, job.outcome, job.cancelled));
+                builder.progress.push(WrittenProgress {
+                    job: id,
+                    outcome: job.outcome,
+                    cancelled: job.cancelled,
+                    pre_cancelled: job.pre_cancelled,
+                });
                 let announced = self.announced.iter().filter(|(task, _)| task.job == id);
                 let announced = announced.map(|(task, (endpoint, run))| (*task, *endpoint, *run));
                 builder.announced.extend(announced);
@@ -333,8 +338,8 @@
         for id in commit.new_jobs {
             self.handle_job_stored(id);
         }
-        for (id, outcome, cancelled) in commit.progress {
-            self.handle_progress_stored(id, outcome, cancelled);
+        for written in commit.progress {
+            self.handle_progress_stored(written);
         }
         for (task, endpoint, run) in commit.announced {
             self.start_announced(endpoint, task, run);
@@ -377,28 +382,31 @@
         self.activate(id);
     }
 
-    fn handle_progress_stored(&mut self, id: JobId, outcome: Option<JobState>, cancelled: bool) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+    fn handle_progress_stored(&mut self, written: WrittenProgress) {
+        let Some(job) = self.jobs.get_mut(&written.job) else {
             return;
         };
-        job.visible_outcome = outcome;
-        if !cancelled {
+        job.visible_outcome = written.outcome;
+        if !written.cancelled {
             return;
         }
         job.cancel_stored = true;
-        for to in std::mem::take(&mut job.submitters) {
-            self.actions.push(Action::Reply {
-                to,
-                answer: Answer::Accepted,
-            });
-        }
-        let answer = if job.pre_cancelled {
+        let submitters = if written.pre_cancelled {
+            Vec::new()
+        } else {
+            std::mem::take(&mut job.submitters)
+        };
+        let cancellers = std::mem::take(&mut job.cancellers);
+        let cancelled = if written.pre_cancelled {
             Answer::Unknown
         } else {
             Answer::Cancelled
         };
-        for to in std::mem::take(&mut job.cancellers) {
-            self.reply(to, answer);
+        for to in submitters {
+            self.reply(to, Answer::Accepted);
+        }
+        for to in cancellers {
+            self.reply(to, cancelled);
         }
     }
 }
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -86,7 +86,7 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             if job.pre_cancelled {
                 self.accept_pre_cancelled(to, id);
-            } else if job.stored {
+            } else if job.stored && job.submitters.is_empty() {
                 self.reply(to, Answer::Accepted);
             } else {
                 job.submitters.push(to);
@@ -252,20 +252,17 @@
         log::info!(job:% = id; "cancel requested before the job was submitted");
     }
 
-    /// Accepts the submission of a job that was cancelled before; the job never runs.
+    /// Accepts the submission of a job that was cancelled before; the job never runs. The caller is
+    /// answered once this is stored, so that a later holder knows the job.
     fn accept_pre_cancelled(&mut self, to: ReplyTo, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         job.pre_cancelled = false;
+        job.submitters.push(to);
         self.pre_cancelled_jobs -= 1;
         self.unsaved.progress.insert(id);
         log::info!(job:% = id; "submitted after it was cancelled, never runs");
-        if job.cancel_stored {
-            self.reply(to, Answer::Accepted);
-        } else {
-            job.submitters.push(to);
-        }
     }
 
     /// Ends a job: none of its tasks start any more, and its runs are stopped.
--- a/crates/chervilfall_planner/tests/cancels.rs
+++ b/crates/chervilfall_planner/tests/cancels.rs
@@ -102,3 +102,37 @@
     world.run(5_000);
     assert_eq!(starts(&world), 0);
 }
+
+#[test]
+fn the_submission_of_a_cancelled_job_is_answered_once_its_acceptance_is_stored() {
+    let mut world = World::new(3, 4, 7);
+    world.run(1_500);
+    let id = JobId(1);
+    let asker = Asker::default();
+    // The commit with the cancel is in flight when the submission arrives.
+    world.store.down_until_ms = world.now + 300;
+    let cancel = Request::Cancel {
+        id,
+        asker: asker.clone(),
+    };
+    world.request(cancel).expect("a holder");
+    world.run(100);
+    let submission = Request::Submit {
+        queue: world.queue.clone(),
+        id,
+        spec: job(),
+        wait_ms: 2_000,
+        account: None,
+    };
+    let (holder, submitted) = world.request(submission).expect("a holder");
+    let answered = |world: &World| world.nodes[holder].replies.contains_key(&submitted);
+    world.run_until(2_000, answered);
+    assert_eq!(
+        world.nodes[holder].replies.get(&submitted),
+        Some(&Answer::Accepted)
+    );
+    world.nodes[holder].frozen_until_ms = u64::MAX;
+    world.run_until(10_000, |world| world.holder() != Some(holder));
+    let answer = world.ask(Request::State { id, asker });
+    assert_eq!(answer, Answer::State(JobState::Cancelled));
+}
