Start with bounds that are tight, and say so

Change: only what cannot be right is refused (0). A configuration is put in force within the shorter of the two bounds, at the least 500 ms; the list of endpoints is read twice within the shortest bound on what it shows, at the most each 100 ms.

The other checks were looked through: silence of links against heartbeats, ticks of no length, cores and an empty name are the node's own settings and cannot be right.

--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -25,5 +25,5 @@
 pub use load::{ControlLoad, LoadStatus};
 pub use node::{Node, NodeError};
 pub use routes::{Route, RouteTable};
-pub use settings::{changed_fields, read_text, Settings, SettingsError, Timings};
+pub use settings::{changed_fields, read_text, Settings, SettingsError, TightBound, Timings};
 pub use wait_bounds::WaitBounds;
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -63,11 +63,17 @@
         let listener = TcpListener::bind(address)
             .await
             .map_err(|cause| NodeError::Listen { address, cause })?;
+        for bound in settings.tight_bounds() {
+            log::warn!(
+                field = bound.field, value_ms = bound.value_ms, kept_from_ms = bound.kept_from_ms;
+                "bound is tight, kept as far as possible"
+            );
+        }
         let settings = Arc::new(settings);
         let timings = settings.timings.clone();
         let (control, receiver) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
         let leadership = Arc::new(LeadershipState::new());
-        let configuration = Arc::new(ConfigurationState::new(settings.config_apply_ms));
+        let configuration = Arc::new(ConfigurationState::new(settings.configuration_within_ms()));
         let front = Arc::new(Front::new(
             Arc::clone(&configuration),
             Arc::clone(&leadership),
@@ -109,13 +115,13 @@
             platform.store().clone(),
             configuration,
             Arc::clone(&leadership),
-            settings.config_apply_ms,
+            settings.configuration_within_ms(),
         ));
         tokio::spawn(watch::endpoints::watch(
             platform.store().clone(),
             Arc::clone(&leadership),
             control.clone(),
-            watch::endpoints::times_within(timings.endpoints_poll_ms, settings.drain_ms),
+            watch::endpoints::times_within(settings.endpoints_poll_ms(), settings.drain_ms),
         ));
         let claim = watch::claim::ClaimWatch {
             platform,
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -114,9 +114,13 @@
     2_000
 }
 
-/// Minimum of `config_apply_ms`: a shorter time needs readings so frequent that they burden the
-/// store.
+/// Shortest time within which a configuration is put in force: a shorter one needs readings so
+/// frequent that they burden the store.
 const MIN_CONFIG_APPLY_MS: u64 = 500;
+/// Shortest interval between readings of the list of endpoints, for the same reason.
+const MIN_ENDPOINTS_POLL_MS: u64 = 100;
+/// Readings of the list of endpoints that have to fit into a bound on what the list shows.
+const READINGS_PER_BOUND: u64 = 2;
 
 const fn drain_ms() -> u64 {
     2_000
@@ -126,6 +130,17 @@
     1_500
 }
 
+/// A bound that is shorter than what the node keeps whatever fails. It is kept as far as possible.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TightBound {
+    /// Name of the field.
+    pub field: &'static str,
+    /// Its value.
+    pub value_ms: u64,
+    /// Value from which on it is not tight.
+    pub kept_from_ms: u64,
+}
+
 /// Settings of a node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -190,9 +205,52 @@
     /// which starts must respect a report plus one report interval, less one reading of the list
     /// and the transit of a start.
     #[must_use]
-    pub const fn report_age_ms(&self) -> u64 {
+    pub fn report_age_ms(&self) -> u64 {
         let followed_ms = self.capacity_notice_ms + self.report_ms;
-        followed_ms.saturating_sub(self.timings.endpoints_poll_ms + START_TRANSIT_MS)
+        followed_ms.saturating_sub(self.endpoints_poll_ms() + START_TRANSIT_MS)
+    }
+
+    /// Returns the time within which a configuration is put in force: that of a configuration, or
+    /// of the keys that it revokes if those have less.
+    #[must_use]
+    pub fn configuration_within_ms(&self) -> u64 {
+        let revoke_ms = self.revoke_ms.unwrap_or(u64::MAX);
+        let within_ms = self.config_apply_ms.min(revoke_ms);
+        within_ms.max(MIN_CONFIG_APPLY_MS)
+    }
+
+    /// Returns the interval between readings of the list of endpoints: shorter than usual if a
+    /// bound on what the list shows is tight.
+    #[must_use]
+    pub fn endpoints_poll_ms(&self) -> u64 {
+        let bound_ms = self.drain_ms.min(self.capacity_notice_ms);
+        let poll_ms = self.timings.endpoints_poll_ms;
+        poll_ms
+            .min(bound_ms / READINGS_PER_BOUND)
+            .max(MIN_ENDPOINTS_POLL_MS)
+    }
+
+    /// Returns the bounds that are tight.
+    #[must_use]
+    pub fn tight_bounds(&self) -> Vec<TightBound> {
+        let list_ms = READINGS_PER_BOUND * self.timings.endpoints_poll_ms;
+        let bounds = [
+            ("config_apply_ms", self.config_apply_ms, MIN_CONFIG_APPLY_MS),
+            ("drain_ms", self.drain_ms, list_ms),
+            ("capacity_notice_ms", self.capacity_notice_ms, list_ms),
+        ];
+        let revoke = self
+            .revoke_ms
+            .map(|ms| ("revoke_ms", ms, self.config_apply_ms));
+        let bounds = bounds.into_iter().chain(revoke);
+        let tight = bounds.filter(|(_, value_ms, kept_from_ms)| value_ms < kept_from_ms);
+        tight
+            .map(|(field, value_ms, kept_from_ms)| TightBound {
+                field,
+                value_ms,
+                kept_from_ms,
+            })
+            .collect()
     }
 
     /// Returns the CPU that the node may use, in thousandths of a core.
@@ -226,30 +284,14 @@
                 "must be between 0.001 and 1000".to_owned(),
             ));
         }
-        if settings.config_apply_ms < MIN_CONFIG_APPLY_MS {
-            let cause = format!("must be at least {MIN_CONFIG_APPLY_MS}");
-            return Err(field("config_apply_ms".to_owned(), cause));
-        }
-        if settings
-            .revoke_ms
-            .is_some_and(|ms| ms < settings.config_apply_ms)
-        {
-            let cause = format!(
-                "must be at least config_apply_ms, which is {}",
-                settings.config_apply_ms
-            );
-            return Err(field("revoke_ms".to_owned(), cause));
-        }
-        let least_ms = 2 * settings.timings.endpoints_poll_ms;
-        if settings.drain_ms < least_ms {
-            let cause =
-                format!("must be at least {least_ms}, two readings of the list of endpoints");
-            return Err(field("drain_ms".to_owned(), cause));
-        }
-        if settings.capacity_notice_ms < least_ms {
-            let cause =
-                format!("must be at least {least_ms}, two readings of the list of endpoints");
-            return Err(field("capacity_notice_ms".to_owned(), cause));
+        let bounds = [
+            ("config_apply_ms", settings.config_apply_ms),
+            ("revoke_ms", settings.revoke_ms.unwrap_or(u64::MAX)),
+            ("drain_ms", settings.drain_ms),
+            ("capacity_notice_ms", settings.capacity_notice_ms),
+        ];
+        if let Some((name, _)) = bounds.iter().find(|(_, bound_ms)| *bound_ms == 0) {
+            return Err(field((*name).to_owned(), "must be at least 1".to_owned()));
         }
         let timings = &settings.timings;
         if timings.silence_ms <= 2 * timings.heartbeat_ms {
--- a/crates/chervilfall_node/src/watch/takeover.rs
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -165,7 +165,7 @@
     async fn read_configuration(&self) {
         let configuration = self.front.configuration();
         let since_ms = now_ms();
-        let wait_budget = Duration::from_millis(self.settings.config_apply_ms / 2);
+        let wait_budget = Duration::from_millis(self.settings.configuration_within_ms() / 2);
         let own = async {
             let query = ConfigurationQuery::Row { known: None };
             let store = self.platform.store();
