--- a/crates/chervilfall_planner/tests/first_commit.rs
+++ b/crates/chervilfall_planner/tests/first_commit.rs
@@ -119,7 +119,7 @@
     ];
     for case in cases {
         let mut world = World::new(4, 4, 5);
-        world.unanswered_renewals = true;
+        world.unanswered_renewal_percent = 100;
         world.run(WARM_UP_MS);
         if case.submitted_before {
             let answer = world.submit(JOB, job(case.work_ms));
@@ -140,7 +140,7 @@
 #[test]
 fn a_holder_keeps_a_claim_whose_renewal_was_not_answered() {
     let mut world = World::new(3, 4, 5);
-    world.unanswered_renewals = true;
+    world.unanswered_renewal_percent = 100;
     world.run(WARM_UP_MS);
     lose_holder(&mut world);
     let holder = world.holder();
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -21,6 +21,11 @@
 /// Time for all jobs to end after the last fault: the longest lapse of a lease and some runs.
 const SETTLE_MS: u64 = 60_000;
 
+/// Percentage of takeovers with an unanswered renewal, in histories with a slow store.
+const UNANSWERED_RENEWAL_PERCENT: u64 = 50;
+/// Longest additional time of a transaction in these histories.
+const SLOW_STORE_MS: u64 = 700;
+
 fn random_job(world: &mut World) -> JobSpec {
     let shape = world.random.below(4);
     let count = 1 + u32::try_from(world.random.below(6)).expect("small");
@@ -53,6 +58,8 @@
     crashes: bool,
     /// Crashed endpoints restart under the same name.
     keeps_names: bool,
+    /// The store is slow at times, and renewals of claims that are carried out are not answered.
+    slow_store: bool,
 }
 
 /// Faults that end before the leases granted under a claim do.
@@ -61,6 +68,7 @@
     late_percent: 8,
     crashes: false,
     keeps_names: false,
+    slow_store: false,
 };
 /// Faults that outlast the leases granted under a claim, with most orders late.
 const LONG_FAULTS: FaultProfile = FaultProfile {
@@ -68,6 +76,12 @@
     late_percent: 55,
     crashes: false,
     keeps_names: false,
+    slow_store: false,
+};
+/// Short faults, a slow store and takeovers whose renewals are not answered.
+const SLOW_STORE: FaultProfile = FaultProfile {
+    slow_store: true,
+    ..SHORT_FAULTS
 };
 /// Short faults, and crashes.
 const CRASHES: FaultProfile = FaultProfile {
@@ -189,8 +203,19 @@
         // In half of the histories entries lag behind the state of the endpoints.
         world.uses_reported_entries = world.random.percent(50);
     }
+    if profile.slow_store {
+        world.unanswered_renewal_percent = UNANSWERED_RENEWAL_PERCENT;
+    }
     world.run(1_500);
     for round in 0..ROUNDS {
+        if profile.slow_store && world.random.percent(20) {
+            let slow = world.random.percent(50);
+            world.store.slow_ms = if slow {
+                world.random.below(SLOW_STORE_MS)
+            } else {
+                0
+            };
+        }
         if profile.crashes && world.random.percent(10) {
             crash(&mut world);
         }
@@ -217,6 +242,7 @@
         world.run(pause_ms);
     }
     world.store.lost_answer_percent = 0;
+    world.store.slow_ms = 0;
     world.late_percent = 0;
     world.run(SETTLE_MS);
     world.check_history();
@@ -280,6 +306,13 @@
     run_histories(seeds, SHORT_FAULTS);
 }
 
+#[test]
+fn histories_with_a_slow_store_violate_no_invariant() {
+    let first = env_number("CHERVILFALL_SEED", 0);
+    let count = env_number("CHERVILFALL_HISTORIES", HISTORIES);
+    run_histories(first..first + count, SLOW_STORE);
+}
+
 #[test]
 fn histories_with_long_faults_violate_no_invariant() {
     let first = env_number("CHERVILFALL_SEED", 0);
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -102,9 +102,9 @@
     pub uses_reported_entries: bool,
     /// Failure domains that are evacuated.
     pub evacuated: BTreeSet<DomainName>,
-    /// A new holder renews its claim once while it reads the rows, and the answer is lost although
-    /// the store carries the renewal out.
-    pub unanswered_renewals: bool,
+    /// Percentage of new holders that renew their claim once while they read the rows, and get no
+    /// answer although the store carries the renewal out.
+    pub unanswered_renewal_percent: u64,
     /// Crashed endpoints are replaced after this time.
     pub restart_delay_ms: u64,
     /// Replacements of crashed endpoints keep their name.
@@ -188,7 +188,7 @@
             crashing: BTreeMap::new(),
             uses_reported_entries: false,
             evacuated: BTreeSet::new(),
-            unanswered_renewals: false,
+            unanswered_renewal_percent: 0,
             restart_delay_ms: 4_000,
             keeps_names: false,
             next_request: 0,
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -120,7 +120,8 @@
             return;
         };
         let mut takeover = self.nodes[node].candidate.won(row, version);
-        if self.unanswered_renewals {
+        let percent = self.unanswered_renewal_percent;
+        if percent > 0 && self.random.percent(percent) {
             self.store.commit(self.now, &takeover.renewal());
         }
         let stored = self.stored();
@@ -328,7 +329,7 @@
             return;
         }
         self.schedule(
-            ONE_WAY_DELAY_MS + 4,
+            ONE_WAY_DELAY_MS + 4 + self.store.slow_ms,
             ScheduledEvent::ApplyCommit(node, term, Box::new(batch), true),
         );
     }
--- a/crates/chervilfall_planner/tests/world/store.rs
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -15,6 +15,8 @@
     version: u64,
     rows: BTreeMap<(String, String), (u64, Vec<u8>)>,
     pub down_until_ms: u64,
+    /// Additional time that a transaction takes.
+    pub slow_ms: u64,
     /// Percentage of transactions that are not answered and are carried out late.
     pub lost_answer_percent: u64,
 }
