Read the list of endpoints four times in the shortest bound on what it shows

Cause: the holder read the list each 0.5 s on every deployment. A list of 6,000 endpoints is about 2 MB; the whole fleet has 5 s in which starts must respect it, the smallest deployments 2 s.

Change: the interval follows from the bound: a quarter of it, 0.5 s at the least as before, half of it if it is tight. Ruled out: the feed of changes in place of the list (each endpoint's entry changes with each of its reports, every 1.5 s, so at 1.25 s most rows come anyway).

--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -58,7 +58,8 @@
     pub ready_age_ms: u64,
     /// Interval between readings of the claim row while there is no working holder.
     pub claim_poll_ms: u64,
-    /// Interval between the holder's readings of the list of endpoints.
+    /// Shortest interval between the holder's readings of the list of endpoints, unless a bound on
+    /// what the list shows is tight.
     pub endpoints_poll_ms: u64,
     /// How long a request that is not a submission waits for a holder before it is refused.
     pub holder_wait_ms: u64,
@@ -119,8 +120,11 @@
 const MIN_CONFIG_APPLY_MS: u64 = 500;
 /// Shortest interval between readings of the list of endpoints, for the same reason.
 const MIN_ENDPOINTS_POLL_MS: u64 = 100;
-/// Readings of the list of endpoints that have to fit into a bound on what the list shows.
-const READINGS_PER_BOUND: u64 = 2;
+/// Readings of the list of endpoints in the time of a bound on what the list shows. A list takes a
+/// third of a kilobyte for each endpoint, so it is not read more often than the bound asks for.
+const READINGS_PER_BOUND: u64 = 4;
+/// Least such readings.
+const MIN_READINGS_PER_BOUND: u64 = 2;
 
 const fn drain_ms() -> u64 {
     2_000
@@ -223,14 +227,15 @@
         within_ms.max(MIN_CONFIG_APPLY_MS)
     }
 
-    /// Returns the interval between readings of the list of endpoints: shorter than usual if a
-    /// bound on what the list shows is tight.
+    /// Returns the interval between readings of the list of endpoints: a part of the shortest bound
+    /// on what the list shows, at least `timings.endpoints_poll_ms` unless that bound is tight.
     #[must_use]
     pub fn endpoints_poll_ms(&self) -> u64 {
         let bound_ms = self.leaving_ms().min(self.capacity_notice_ms);
         let poll_ms = self.timings.endpoints_poll_ms;
         poll_ms
-            .min(bound_ms / READINGS_PER_BOUND)
+            .max(bound_ms / READINGS_PER_BOUND)
+            .min(bound_ms / MIN_READINGS_PER_BOUND)
             .max(MIN_ENDPOINTS_POLL_MS)
     }
 
@@ -251,7 +256,7 @@
     /// Returns the bounds that are tight.
     #[must_use]
     pub fn tight_bounds(&self) -> Vec<TightBound> {
-        let list_ms = READINGS_PER_BOUND * self.timings.endpoints_poll_ms;
+        let list_ms = MIN_READINGS_PER_BOUND * self.timings.endpoints_poll_ms;
         let bounds = [
             ("config_apply_ms", self.config_apply_ms, MIN_CONFIG_APPLY_MS),
             ("drain_ms", self.drain_ms, list_ms),
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -207,6 +207,20 @@
             configuration_within_ms: 500,
             endpoints_poll_ms: 500,
         },
+        Case {
+            name: "a long bound is read less often",
+            more: "drain_ms: 5000\nevacuate_ms: 6000\ncapacity_notice_ms: 6000\n",
+            tight: None,
+            configuration_within_ms: 2_000,
+            endpoints_poll_ms: 1_250,
+        },
+        Case {
+            name: "evacuations have the shortest bound",
+            more: "drain_ms: 5000\nevacuate_ms: 4000\ncapacity_notice_ms: 6000\n",
+            tight: None,
+            configuration_within_ms: 2_000,
+            endpoints_poll_ms: 1_000,
+        },
         Case {
             name: "drain time shorter than two usual readings of the list",
             more: "drain_ms: 900\n",
