Keep the holds of idle endpoints from growing with a large fleet

Cause: each endpoint that runs nothing was held every 2.2 s at any size from 3,000 on, so the holder's calls grew with the fleet: 4,700 a second in all at 6,000 endpoints. Each of these holds waited 0.6 s for an end that cannot come, on the connection that the next start needs.

Change: from 1,200 endpoints on, where pauses are longer than the wait, such holds do not wait; the pause grows with the fleet up to the time after which a lost endpoint leaves the platform's list (three of its reports), so their rate stays below 2,000 a second up to 9,000 endpoints and grows from there. Small fleets are held as before. A lost idle endpoint is noticed later, up to 6.9 s at 9,000; a start sent there meanwhile waits for its lease to lapse.

--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -87,6 +87,7 @@
         let limits = Limits {
             lease_max_ms: settings.lease_max_ms,
             report_age_ms: settings.report_age_ms(),
+            max_idle_hold_interval_ms: settings.listed_ms(),
             evacuations_age_ms: settings.evacuations_age_ms(),
             status_ms: settings.status_s * 1_000 + 30_000,
             row_bytes: settings.row_bytes * 3 / 4 - 1_024,
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -120,6 +120,8 @@
 const MIN_CONFIG_APPLY_MS: u64 = 500;
 /// Shortest interval between readings of the list of endpoints, for the same reason.
 const MIN_ENDPOINTS_POLL_MS: u64 = 100;
+/// Reports that an endpoint may miss before it leaves the platform's list.
+const LISTED_REPORTS: u64 = 3;
 /// Readings of the list of endpoints in the time of a bound on what the list shows. A list takes a
 /// third of a kilobyte for each endpoint, so it is not read more often than the bound asks for.
 const READINGS_PER_BOUND: u64 = 4;
@@ -277,6 +279,12 @@
             .collect()
     }
 
+    /// Returns the time after which an endpoint that is lost leaves the platform's list.
+    #[must_use]
+    pub const fn listed_ms(&self) -> u64 {
+        LISTED_REPORTS * self.report_ms
+    }
+
     /// Returns the CPU that the node may use, in thousandths of a core.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -63,7 +63,7 @@
     pub first_hold_ms: Millis,
     /// Maximum interval between holds of an endpoint that runs nothing. Such an endpoint has
     /// nothing to report, and on a large fleet these holds would take CPU time from callers'
-    /// requests.
+    /// requests. An endpoint that is lost leaves the platform's list after about this time.
     pub max_idle_hold_interval_ms: Millis,
     /// Number of endpoints for each millisecond of the idle hold interval. The interval is short on
     /// a small fleet because holds detect lost endpoints.
@@ -109,11 +109,29 @@
 impl Limits {
     /// Returns the interval between holds of an endpoint that runs nothing, for a fleet of
     /// `endpoints` endpoints.
-    pub(crate) fn idle_hold_interval_ms(&self, endpoints: usize) -> Millis {
+    fn idle_hold_interval_ms(&self, endpoints: usize) -> Millis {
         let pause_ms = endpoints / self.idle_endpoints_per_ms.max(1);
         self.max_idle_hold_interval_ms.min(pause_ms as Millis)
     }
 
+    /// Returns how long the hold of an endpoint that runs nothing waits for an end. On a large fleet
+    /// most starts meet no such hold, and one that waits takes the connection from the next start.
+    pub(crate) fn idle_hold_wait_ms(&self, endpoints: usize) -> Millis {
+        if self.idle_hold_interval_ms(endpoints) < self.hold_wait_ms {
+            self.hold_wait_ms
+        } else {
+            0
+        }
+    }
+
+    /// Returns the pause between an answer of an endpoint that runs nothing and its next hold. It
+    /// makes up for holds that do not wait.
+    pub(crate) fn idle_hold_pause_ms(&self, endpoints: usize) -> Millis {
+        let saved_wait_ms = self.hold_wait_ms - self.idle_hold_wait_ms(endpoints);
+        let pause_ms = self.idle_hold_interval_ms(endpoints) + saved_wait_ms;
+        pause_ms.min(self.max_idle_hold_interval_ms)
+    }
+
     /// Returns the time of contact for an answer to a hold: now, or when the hold was sent if the
     /// answer is overdue. Such an answer may have waited here while this process was paused, and
     /// another incarnation may have started since.
@@ -151,7 +169,7 @@
             first_holds: 128,
             repeated_holds: 32,
             first_hold_ms: 100,
-            max_idle_hold_interval_ms: 1_500,
+            max_idle_hold_interval_ms: 4_500,
             idle_endpoints_per_ms: 2,
             hold_retry_ms: 200,
             silent_ms: 950,
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -219,8 +219,8 @@
     /// Records the ends and runs that an endpoint lists.
     pub(super) fn record_lists(&mut self, key: EndpointKey, report: &HoldReport) {
         let now = self.now;
-        let idle_interval_ms =
-            self.spread_evenly(self.limits.idle_hold_interval_ms(self.endpoints.len()));
+        let idle_pause_ms =
+            self.spread_evenly(self.limits.idle_hold_pause_ms(self.endpoints.len()));
         let known = self.endpoints[key].last_end_received;
         for end in report.ended.iter().filter(|end| end.number > known) {
             self.record_end(key, end);
@@ -247,7 +247,7 @@
         let endpoint = &mut self.endpoints[key];
         endpoint.idle = endpoint.placed.is_empty() && !pending;
         if endpoint.idle {
-            endpoint.next_hold_ms += idle_interval_ms;
+            endpoint.next_hold_ms += idle_pause_ms;
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -28,6 +28,7 @@
         let now = self.now;
         let bound_ms = self.lease_bound_ms();
         let lease_ms = self.limits.lease_ms.min(self.limits.lease_max_ms);
+        let idle_wait_ms = self.limits.idle_hold_wait_ms(self.endpoints.len());
         let mut first_holds = self.first_holds_left(false);
         let mut repeated_holds = self.first_holds_left(true);
         for (key, endpoint) in &mut self.endpoints {
@@ -67,6 +68,8 @@
                 0
             } else if settling {
                 STOP_WAIT_MS
+            } else if endpoint.placed.is_empty() {
+                idle_wait_ms
             } else {
                 self.limits.hold_wait_ms
             };
