--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -172,6 +172,9 @@
     /// CPU that the node may use, in cores: nodes with more are preferred as holders.
     #[serde(default = "one")]
     pub cpu_cores: f64,
+    /// Descriptors that the process may open; no limit if none.
+    #[serde(default)]
+    pub max_descriptors: Option<usize>,
     /// Longest lease that endpoints grant.
     pub lease_max_ms: u64,
     /// Interval between an endpoint's status reports.
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -282,15 +282,6 @@
         self.draining || self.evacuated
     }
 
-    /// Returns whether all its runs are starts whose first answer is awaited. A hold beside them
-    /// would need a connection of its own, and could tell nothing that the answers do not.
-    pub(crate) fn awaits_first_starts(&self) -> bool {
-        let mut placed = self.placed.values();
-        let awaited =
-            |placed: &PlacedRun| placed.phase == RunPhase::Starting && placed.unanswered == 0;
-        !self.placed.is_empty() && placed.all(awaited)
-    }
-
     /// Returns whether it is silent, so that it is granted no leases until it answers again.
     pub(crate) fn is_silent(&self, now: Millis, limits: &Limits) -> bool {
         self.hold_unanswered || self.silent_for(now) > limits.silent_ms
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -32,10 +32,7 @@
         let mut first_holds = self.first_holds_left(false);
         let mut repeated_holds = self.first_holds_left(true);
         for (key, endpoint) in &mut self.endpoints {
-            if endpoint.hold_sent_ms.is_some()
-                || now < endpoint.next_hold_ms
-                || endpoint.awaits_first_starts()
-            {
+            if endpoint.hold_sent_ms.is_some() || now < endpoint.next_hold_ms {
                 continue;
             }
             let Some(fence) = endpoint.fence(self.version) else {
