--- a/crates/chervilfall_node/src/watch/endpoints.rs
+++ b/crates/chervilfall_node/src/watch/endpoints.rs
@@ -12,7 +12,8 @@
 use crate::ports::{EvacuationList, Store};
 use crate::watch::readings::{HedgedReads, ReadEvent, ReadingTimes};
 
-/// Returns timings with which three readings in a row may be lost within `bound_ms`. Lists are long, so the next reading waits longer if answers take long.
+/// Returns timings with which three readings in a row may be lost within `bound_ms`. Lists are long,
+/// so the next reading waits longer if answers take long.
 pub(crate) const fn times_within(poll_ms: u64, bound_ms: u64) -> ReadingTimes {
     ReadingTimes {
         poll_ms,
--- a/crates/chervilfall_node/src/watch/takeover.rs
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilfall_planner::{Candidate, Renewal, Takeover};
+use chervilfall_planner::{Candidate, RenewalOutcome, Takeover};
 
 use crate::clock::now_ms;
 use crate::control::ControlEvent;
@@ -59,9 +59,9 @@
                         }
                         let sent_ms = now_ms();
                         match self.renew(&mut takeover).await {
-                            Renewal::Confirmed => confirmed_ms = sent_ms,
-                            Renewal::Unconfirmed => {}
-                            Renewal::ClaimLost => {
+                            RenewalOutcome::Confirmed => confirmed_ms = sent_ms,
+                            RenewalOutcome::Unconfirmed => {}
+                            RenewalOutcome::ClaimLost => {
                                 log::info!(term = takeover.row.term; "claim lost while rows were read");
                                 self.set_recovering(false).await;
                                 return;
@@ -154,7 +154,7 @@
         log::info!(term = takeover.row.term, outcome = outcome.label(); "claim handed back");
     }
 
-    async fn renew(&self, takeover: &mut Takeover) -> Renewal {
+    async fn renew(&self, takeover: &mut Takeover) -> RenewalOutcome {
         let batch = takeover.renewal();
         let outcome = self.platform.store().commit(&self.group, batch).await;
         takeover.record_renewal(&outcome)
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -109,7 +109,7 @@
 
 /// What the outcome of a renewal shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Renewal {
+pub enum RenewalOutcome {
     /// It is stored: the claim held when it was sent.
     Confirmed,
     /// It is not known to be stored.
@@ -151,34 +151,34 @@
     }
 
     /// Records the outcome of the last renewal.
-    pub fn record_renewal(&mut self, outcome: &CommitOutcome) -> Renewal {
+    pub fn record_renewal(&mut self, outcome: &CommitOutcome) -> RenewalOutcome {
         match outcome {
             CommitOutcome::Stored { version, .. } => {
                 self.version = *version;
-                Renewal::Confirmed
+                RenewalOutcome::Confirmed
             }
             CommitOutcome::Conflict(found) => self.record_conflict(found.as_ref()),
-            CommitOutcome::NotDone | CommitOutcome::Unknown => Renewal::Unconfirmed,
+            CommitOutcome::NotDone | CommitOutcome::Unknown => RenewalOutcome::Unconfirmed,
         }
     }
 
     /// Records that the claim row has another version than expected. A renewal that was not
     /// answered may have been stored.
-    fn record_conflict(&mut self, found: Option<&(RowVersion, Vec<u8>)>) -> Renewal {
+    fn record_conflict(&mut self, found: Option<&(RowVersion, Vec<u8>)>) -> RenewalOutcome {
         let Some((version, row)) = found.and_then(|(version, bytes)| {
             let row = HolderRow::decode(bytes).ok()?;
             Some((*version, row))
         }) else {
-            return Renewal::ClaimLost;
+            return RenewalOutcome::ClaimLost;
         };
         if !row.is_same_claim(&self.row) {
-            return Renewal::ClaimLost;
+            return RenewalOutcome::ClaimLost;
         }
         self.version = version;
         if row.number == self.row.number {
-            Renewal::Confirmed
+            RenewalOutcome::Confirmed
         } else {
-            Renewal::Unconfirmed
+            RenewalOutcome::Unconfirmed
         }
     }
 }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -34,7 +34,7 @@
 pub use commit::{Batch, CommitOutcome, RowChange, RowKey};
 pub use config::{AdviceTimings, Configuration, Queue, QueueName, Service, ServiceName};
 pub use election::{
-    Candidate, CandidateAction, HolderRow, Identity, Renewal, StallTimeouts, Takeover,
+    Candidate, CandidateAction, HolderRow, Identity, RenewalOutcome, StallTimeouts, Takeover,
 };
 pub use endpoint::{DomainName, EndpointEntry, EndpointKey};
 pub use event::{
