--- a/crates/chervilfall_planner/tests/evacuations.rs
+++ b/crates/chervilfall_planner/tests/evacuations.rs
@@ -179,3 +179,23 @@
     world.run(SETTLE_MS);
     assert_eq!(state(&mut world, 1), Answer::State(JobState::Completed));
 }
+
+/// Guards against a start that is repeated after its first copy was lost, to an endpoint that has begun to leave meanwhile.
+#[test]
+fn a_start_is_not_repeated_in_a_domain_that_is_evacuated_meanwhile() {
+    let mut world = open(1);
+    // All orders of the next ticks are lost for now; the starts are repeated after their timeout.
+    world.late_percent = 100;
+    assert_eq!(world.submit(1, job(step(TASKS, 300))), Answer::Accepted);
+    world.run(20);
+    world.late_percent = 0;
+    world.evacuated.insert(domain_name(1));
+    let lost_ms = world.now;
+    world.run(1_500);
+    let repeated = |domain| {
+        let starts = starts(&world, domain).into_iter();
+        starts.filter(|at_ms| *at_ms > lost_ms).count()
+    };
+    assert!(repeated(0) > 0, "starts are repeated elsewhere");
+    assert_eq!(repeated(1), 0, "and not there");
+}
