--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -122,8 +122,8 @@
 const MIN_ENDPOINTS_POLL_MS: u64 = 100;
 /// Reports that an endpoint may miss before it leaves the platform's list.
 const LISTED_REPORTS: u64 = 3;
-/// Readings of the list of endpoints in the time of a bound on what the list shows. A list takes a
-/// third of a kilobyte for each endpoint, so it is not read more often than the bound asks for.
+/// Readings of the list of endpoints in the time of a bound on what the list shows. The list is long
+/// on a large fleet, so it is not read more often than the bound asks for.
 const READINGS_PER_BOUND: u64 = 4;
 /// Least such readings.
 const MIN_READINGS_PER_BOUND: u64 = 2;
