Compare nodes as holders by processor and link

Cause: only the processor decided who holds the group, so that a node with 0.3 cores and a link of 10 Mbit/s became the holder although nodes with 0.5 cores and 200 Mbit/s were there, and another such node followed it after a planned stop.

Change: a node's size is the smaller of its processor and of 15 thousandths of a core for each Mbit/s of its link (new setting link_mbps, optional; a value outside 0.1 to 1000000 is refused by name). The size takes the place of the processor in the claim row, in the hello on links, in the delay of a claim and in the handover to a node of twice the size. The fields on rows and links keep their names, so that older versions understand them.

Test in virtual time, nodes of equal processors of which some have 10 Mbit/s: with the size that ignores the link the node that reads the row first claims it (0 instead of 2 as the first holder); with it the first claim, the claim after a planned stop and the one after a loss go to a node with 200 Mbit/s; where all links are thin, the delays are those of today.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -26,8 +26,8 @@
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
 
-/// A holder hands the group over to a node with at least this many times its CPU.
-const HANDOVER_CPU_FACTOR: u64 = 2;
+/// A holder hands the group over to a node of at least this many times its size.
+const HANDOVER_SIZE_FACTOR: u64 = 2;
 /// How long that node must have been linked: one whose links keep breaking would hold the group
 /// only briefly.
 const HANDOVER_LINK_AGE_MS: u64 = 1_000;
@@ -83,8 +83,8 @@
     pub(crate) group: String,
     pub(crate) limits: Limits,
     pub(crate) heartbeat_ms: u64,
-    /// CPU that this node may use, in thousandths of a core.
-    pub(crate) cpu_permille: u64,
+    /// Size of this node, in thousandths of a core.
+    pub(crate) size_permille: u64,
     pub(crate) front: Arc<Front>,
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) sender: mpsc::Sender<ControlEvent>,
@@ -111,7 +111,7 @@
         group: String,
         limits: Limits,
         heartbeat_ms: u64,
-        cpu_permille: u64,
+        size_permille: u64,
         configuration: Arc<ConfigurationState>,
         front: Arc<Front>,
         leadership: Arc<LeadershipState>,
@@ -123,7 +123,7 @@
             group,
             limits,
             heartbeat_ms,
-            cpu_permille,
+            size_permille,
             front,
             leadership,
             sender,
@@ -249,7 +249,7 @@
         self.links.clear();
     }
 
-    /// Hands the group over to a node with much more CPU that is linked again: this one could
+    /// Hands the group over to a node of much larger size that is linked again: this one could
     /// hardly serve all callers.
     fn hand_over_to_larger_node(&mut self) {
         let Some(planner) = &mut self.planner else {
@@ -260,10 +260,10 @@
             .links
             .values()
             .filter(|link| link.since_ms <= linked_by_ms);
-        let largest = steady.map(|link| link.cpu_permille).max().unwrap_or(0);
+        let largest = steady.map(|link| link.size_permille).max().unwrap_or(0);
         planner.set_required_permille(largest);
-        if largest >= HANDOVER_CPU_FACTOR * self.cpu_permille && !planner.is_releasing() {
-            log::info!(term = planner.term(), wanted_permille = largest; "group is handed over to a node with more CPU");
+        if largest >= HANDOVER_SIZE_FACTOR * self.size_permille && !planner.is_releasing() {
+            log::info!(term = planner.term(), wanted_permille = largest; "group is handed over to a larger node");
             planner.release();
         }
     }
--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -121,7 +121,7 @@
     });
     let hello = ToHolder::Hello {
         node: settings.node.clone(),
-        cpu_permille: settings.cpu_permille(),
+        cpu_permille: settings.size_permille(),
     };
     // The queue is new and empty, so this does not fail.
     drop(link.queue.try_send(hello));
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -21,8 +21,8 @@
 #[derive(Debug)]
 pub(crate) struct FollowerLink {
     pub(crate) queue: mpsc::Sender<ToFollower>,
-    /// CPU that the follower may use, in thousandths of a core.
-    pub(crate) cpu_permille: u64,
+    /// Size of the follower, in thousandths of a core.
+    pub(crate) size_permille: u64,
     /// When the link was established.
     pub(crate) since_ms: u64,
 }
@@ -82,7 +82,7 @@
     let mut teller = Teller::new(source, queue.downgrade());
     let link = FollowerLink {
         queue,
-        cpu_permille,
+        size_permille: cpu_permille,
         since_ms: now_ms(),
     };
     let up = ControlEvent::LinkUp { id, node, link };
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -99,7 +99,7 @@
             GROUP.to_owned(),
             limits,
             timings.heartbeat_ms,
-            settings.cpu_permille(),
+            settings.size_permille(),
             Arc::clone(&configuration),
             Arc::clone(&front),
             Arc::clone(&leadership),
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
-use chervilfall_planner::Policies;
+use chervilfall_planner::{NodeResources, Policies};
 use serde::Deserialize;
 
 /// Longest time that a start takes to reach its endpoint, unless it is delayed.
@@ -120,6 +121,9 @@
 const MIN_CONFIG_APPLY_MS: u64 = 500;
 /// Shortest interval between readings of the list of endpoints, for the same reason.
 const MIN_ENDPOINTS_POLL_MS: u64 = 100;
+/// Accepted rates of a link in Mbit/s: from one that leaves a node a size of at least one
+/// thousandth of a core, to more than any machine has.
+const LINK_MBPS: RangeInclusive<f64> = 0.1..=1_000_000.0;
 /// Reports that an endpoint may miss before it leaves the platform's list.
 const LISTED_REPORTS: u64 = 3;
 /// Readings of the list of endpoints in the time of a bound on what the list shows. The list is long
@@ -169,9 +173,12 @@
     /// Address of the advice service.
     #[serde(default)]
     pub advice: Option<SocketAddr>,
-    /// CPU that the node may use, in cores: nodes with more are preferred as holders.
+    /// CPU that the node may use, in cores: larger nodes are preferred as holders.
     #[serde(default = "one")]
     pub cpu_cores: f64,
+    /// Rate of the node's link in Mbit/s, which limits its size as a holder; no limit if absent.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Descriptors that the process may open; no limit if none.
     #[serde(default)]
     pub max_descriptors: Option<usize>,
@@ -288,12 +295,16 @@
         LISTED_REPORTS * self.report_ms
     }
 
-    /// Returns the CPU that the node may use, in thousandths of a core.
+    /// Returns the size of the node as a holder, in thousandths of a core.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn cpu_permille(&self) -> u64 {
-        // `parse` accepts only values between 0.001 and 1000.
-        (self.cpu_cores * 1_000.0) as u64
+    pub fn size_permille(&self) -> u64 {
+        let resources = NodeResources {
+            // `parse` accepts only values between 0.001 and 1000.
+            cpu_permille: (self.cpu_cores * 1_000.0) as u64,
+            link_mbps: self.link_mbps,
+        };
+        resources.size_permille()
     }
 
     /// Parses settings; `name` identifies the text in errors.
@@ -319,6 +330,19 @@
                 "must be between 0.001 and 1000".to_owned(),
             ));
         }
+        if settings
+            .link_mbps
+            .is_some_and(|mbps| !LINK_MBPS.contains(&mbps))
+        {
+            return Err(field(
+                "link_mbps".to_owned(),
+                format!(
+                    "must be between {} and {}",
+                    LINK_MBPS.start(),
+                    LINK_MBPS.end()
+                ),
+            ));
+        }
         let bounds = [
             ("config_apply_ms", settings.config_apply_ms),
             ("revoke_ms", settings.revoke_ms.unwrap_or(u64::MAX)),
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -98,7 +98,7 @@
             address: self.settings.link_listen.to_string(),
             // Steady time counts from the start of the process.
             started_ms: 0,
-            cpu_permille: self.settings.cpu_permille(),
+            size_permille: self.settings.size_permille(),
         });
         let mut dependency = DependencyStatus::new("claim row");
         let mut connection: Option<HolderConnection> = None;
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -75,6 +75,24 @@
             without: "",
             expected: "cpu_cores",
         },
+        Case {
+            name: "a link without capacity",
+            more: "link_mbps: 0\n",
+            without: "",
+            expected: "link_mbps: must be between 0.1 and",
+        },
+        Case {
+            name: "a link of no number",
+            more: "link_mbps: .nan\n",
+            without: "",
+            expected: "link_mbps: must be between 0.1 and",
+        },
+        Case {
+            name: "a link with a unit",
+            more: "link_mbps: 10 Mbit/s\n",
+            without: "",
+            expected: "link_mbps",
+        },
         Case {
             name: "no name",
             more: "node: ''\n",
@@ -259,3 +277,44 @@
         );
     }
 }
+
+#[test]
+fn the_size_of_a_node_is_limited_by_its_link() {
+    struct Case {
+        name: &'static str,
+        more: &'static str,
+        size_permille: u64,
+    }
+    let cases = [
+        Case {
+            name: "a settings file of the previous version",
+            more: "cpu_cores: 0.5\n",
+            size_permille: 500,
+        },
+        Case {
+            name: "a link that carries more than the processor can handle",
+            more: "cpu_cores: 0.5\nlink_mbps: 200\n",
+            size_permille: 500,
+        },
+        Case {
+            name: "a thin link",
+            more: "cpu_cores: 0.3\nlink_mbps: 10\n",
+            size_permille: 150,
+        },
+        Case {
+            name: "a fraction of a Mbit/s",
+            more: "cpu_cores: 0.3\nlink_mbps: 2.5\n",
+            size_permille: 37,
+        },
+    ];
+    for case in cases {
+        let text = GOOD.to_owned() + case.more;
+        let settings = Settings::parse("size", &text).expect(case.name);
+        assert_eq!(
+            settings.size_permille(),
+            case.size_permille,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -13,18 +13,17 @@
 /// How long a refused connection counts as evidence that the holder's process is gone.
 const REFUSED_MS: Millis = 1_000;
 
-/// Delay before machines with little CPU claim the group: the time that larger machines need to
-/// notice the lost holder and to claim first.
+/// Delay before small nodes claim the group: the time that larger nodes need to notice the lost holder and to claim first.
 const CLAIM_DELAY_MS: Millis = 1_200;
-/// How long a holder may recover before a machine with at least twice its CPU, which would recover
-/// faster, replaces it: longer than such a machine needs for the whole recovery.
+/// How long a holder may recover before a node of at least twice its size, which would recover
+/// faster, replaces it: longer than such a node needs for the whole recovery.
 const RECOVERY_GRACE_MS: Millis = 1_000;
 /// How long the size of a larger holder is remembered, because that holder may return.
 pub(crate) const LARGEST_RETENTION_MS: Millis = 30_000;
 /// How long a node makes no claim after it has released the group because it could not read the
 /// rows.
 const BACK_OFF_MS: Millis = 2_000;
-/// CPU assumed of the last holder while there is none yet: only machines with less than half of it
+/// Size assumed of the last holder while there is none yet: only nodes with less than half of it
 /// delay their claim.
 const LARGE_PERMILLE: u64 = 500;
 
@@ -47,12 +46,13 @@
     /// Each endpoint to which earlier holders may have granted a lease has either contacted this
     /// holder or let its lease lapse.
     pub settled: bool,
-    /// CPU of the holder's machine, in thousandths of a core.
+    /// Size of the holder's node, in thousandths of a core: the CPU of its machine, or less if its
+    /// link is slow.
     pub cpu_permille: u64,
     /// The holder is still reading the group's rows and serves no requests.
     #[serde(default)]
     pub recovering: bool,
-    /// CPU of the largest machine that could hold the group: the holder, a node linked to it or a
+    /// Size of the largest node that could hold the group: the holder, a node linked to it or a
     /// recent holder.
     #[serde(default)]
     pub wanted_permille: u64,
@@ -262,7 +262,7 @@
     refused: Option<RefusedHolder>,
     /// The newest term seen, and when it was first seen.
     term: Option<(u64, Millis)>,
-    /// CPU of the largest machine seen, in thousandths of a core, and when it was last seen.
+    /// Size of the largest node seen, in thousandths of a core, and when it was last seen.
     largest: Option<(u64, Millis)>,
     /// Until when this node makes no claim.
     backs_off_until_ms: Millis,
@@ -279,8 +279,8 @@
     pub address: String,
     /// When its process started.
     pub started_ms: Millis,
-    /// CPU of its machine, in thousandths of a core.
-    pub cpu_permille: u64,
+    /// Size of the node, in thousandths of a core.
+    pub size_permille: u64,
 }
 
 impl Candidate {
@@ -299,10 +299,10 @@
         }
     }
 
-    /// Returns how long this node delays its claim in favor of larger machines. A planner's work
-    /// grows with the fleet, and a machine with half of the last holder's CPU falls behind.
+    /// Returns how long this node delays its claim in favor of larger ones. A planner's work grows
+    /// with the fleet, and a node of half the last holder's size falls behind.
     const fn claim_delay_ms(&self, last_permille: u64) -> Millis {
-        if self.identity.cpu_permille * 2 < last_permille {
+        if self.identity.size_permille * 2 < last_permille {
             CLAIM_DELAY_MS
         } else {
             0
@@ -321,7 +321,7 @@
         self.backs_off_until_ms = now + BACK_OFF_MS;
     }
 
-    /// Records the CPU reported in the holder's row; returns that of the largest recent machine.
+    /// Records the size reported in the holder's row; returns that of the largest recent node.
     fn largest_permille(&mut self, now: Millis, holder: &HolderRow) -> u64 {
         let seen = holder.cpu_permille.max(holder.wanted_permille);
         let known = self.largest.filter(|(permille, seen_ms)| {
@@ -333,11 +333,11 @@
     }
 
     /// Returns whether this node should replace a holder that is still recovering, because it would
-    /// recover faster. It needs at least twice the holder's CPU, which bounds the number of
+    /// recover faster. It needs at least twice the holder's size, which bounds the number of
     /// successive replacements.
     fn is_preferred_over(&self, now: Millis, holder: &HolderRow) -> bool {
         let since_ms = self.term.map_or(now, |(_, since_ms)| since_ms);
-        let larger = self.identity.cpu_permille >= 2 * holder.cpu_permille;
+        let larger = self.identity.size_permille >= 2 * holder.cpu_permille;
         holder.recovering && larger && now.saturating_sub(since_ms) >= RECOVERY_GRACE_MS
     }
 
@@ -439,7 +439,7 @@
             node: self.identity.node.clone(),
             incarnation: self.identity.incarnation,
             address: self.identity.address.clone(),
-            cpu_permille: self.identity.cpu_permille,
+            cpu_permille: self.identity.size_permille,
             recovering: true,
             wanted_permille: self.largest.map_or(0, |(permille, _)| permille),
             number: 0,
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -47,6 +47,7 @@
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
 pub use planner::{Backlog, LookupResult, Planner, StoredGroup};
+pub use policy::node_size::NodeResources;
 pub use policy::switches::Policies;
 pub use record::{
     decode_text, JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS,
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod crashes;
 pub(crate) mod headroom;
+pub(crate) mod node_size;
 pub(crate) mod order;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
--- a/crates/chervilfall_planner/tests/election.rs
+++ b/crates/chervilfall_planner/tests/election.rs
@@ -1,17 +1,20 @@
 //! When a node claims the group.
 
+mod electorate;
+
 use chervilfall_planner::{Candidate, CandidateAction, HolderRow, Identity, StallTimeouts};
+use electorate::Electorate;
 
 /// Stall timeout of a holder that has not reported one.
 const STALL_MS: u64 = 1_200;
 
-fn candidate(cpu_permille: u64) -> Candidate {
+fn candidate(size_permille: u64) -> Candidate {
     Candidate::new(Identity {
         node: "node-1".to_owned(),
         incarnation: 1,
         address: "127.0.0.1:1".to_owned(),
         started_ms: 0,
-        cpu_permille,
+        size_permille,
     })
 }
 
@@ -395,3 +398,108 @@
     };
     assert_eq!((row.cpu_permille, row.wanted_permille), (120, 500));
 }
+
+/// Why the group needs a holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Vacancy {
+    /// There was none before.
+    First,
+    /// The first node of the list held the group and stops as planned.
+    PlannedStop,
+    /// The first node of the list held the group and is lost.
+    Loss,
+}
+
+/// Guards against a holder with a thin link, which answers callers late although larger nodes are
+/// available.
+#[test]
+fn a_node_with_a_thin_link_claims_only_if_no_larger_one_does() {
+    struct Case {
+        name: &'static str,
+        /// Rates of the nodes' links in Mbit/s, in the order in which the nodes read the claim row.
+        links_mbps: &'static [f64],
+        vacancy: Vacancy,
+        holder: usize,
+        /// Longest time without a holder.
+        within_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "the first holder",
+            links_mbps: &[10.0, 10.0, 200.0, 200.0],
+            vacancy: Vacancy::First,
+            holder: 2,
+            within_ms: 100,
+        },
+        Case {
+            name: "planned stop",
+            links_mbps: &[200.0, 10.0, 10.0, 200.0],
+            vacancy: Vacancy::PlannedStop,
+            holder: 3,
+            within_ms: 100,
+        },
+        Case {
+            name: "planned stop of a holder with a thin link",
+            links_mbps: &[10.0, 10.0, 200.0, 200.0],
+            vacancy: Vacancy::PlannedStop,
+            holder: 2,
+            within_ms: 100,
+        },
+        Case {
+            name: "loss",
+            links_mbps: &[200.0, 10.0, 10.0, 200.0],
+            vacancy: Vacancy::Loss,
+            holder: 3,
+            within_ms: 600,
+        },
+        Case {
+            name: "loss, and only nodes with thin links are left",
+            links_mbps: &[200.0, 10.0, 10.0],
+            vacancy: Vacancy::Loss,
+            holder: 1,
+            within_ms: 1_800,
+        },
+        Case {
+            name: "the first holder where all links are thin",
+            links_mbps: &[10.0, 10.0, 10.0],
+            vacancy: Vacancy::First,
+            holder: 0,
+            within_ms: 1_300,
+        },
+        Case {
+            name: "planned stop where all links are thin",
+            links_mbps: &[10.0, 10.0, 10.0],
+            vacancy: Vacancy::PlannedStop,
+            holder: 1,
+            within_ms: 100,
+        },
+        Case {
+            name: "loss where all links are thin",
+            links_mbps: &[10.0, 10.0, 10.0],
+            vacancy: Vacancy::Loss,
+            holder: 1,
+            within_ms: 600,
+        },
+    ];
+    for case in cases {
+        let mut electorate = Electorate::with_links(case.links_mbps);
+        if case.vacancy != Vacancy::First {
+            electorate.appoint(0);
+            electorate.run(2_000);
+        }
+        match case.vacancy {
+            Vacancy::First => {}
+            Vacancy::PlannedStop => electorate.stop(0),
+            Vacancy::Loss => electorate.lose(0),
+        }
+        electorate.run(case.within_ms);
+        assert_eq!(electorate.holder(), Some(case.holder), "{}", case.name);
+        electorate.run(10_000);
+        assert_eq!(
+            electorate.holder(),
+            Some(case.holder),
+            "{}: later",
+            case.name
+        );
+    }
+}
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -453,6 +453,6 @@
         incarnation,
         address: format!("127.0.0.1:{node}"),
         started_ms,
-        cpu_permille: 1_000,
+        size_permille: 1_000,
     })
 }
