Bound the usage that inherited tasks may have after a takeover

Cause: while the barrier of a takeover is up (up to 9.5 s), every inherited waiting task counted against its account's quota as if it were running. An account with more waiting work than quota could start nothing, although capacity was free.

Change: runs that have not been found are only on endpoints that have not reported their lists, so all tasks of an account that reserve what they are charged for count for at most the capacity of these endpoints. The capacity is that stated by the roster (new field, default none): the largest that the endpoint had while it was known. A holder uses a capacity that has grown only once the roster that states it is stored, so the bound holds from the takeover on, before the list is read, whatever the endpoint's entry says later, and over several takeovers. Tasks that fill count in full. If a missing endpoint's row states no capacity (earlier version), nothing is cut.

Weighed and not kept: number of missing endpoints times the largest known capacity.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -76,6 +76,9 @@
     /// For a silent endpoint: when its last lease has lapsed by the store's clock, as stored in the
     /// roster.
     pub(crate) lapses_store_ms: Option<Millis>,
+    /// Upper limit on the resources that its runs reserve, as stored in the roster; none if the
+    /// roster states none.
+    pub(crate) rostered_capacity: Option<Resources>,
     /// When its latest status report was first read.
     reported_ms: Millis,
     /// It refuses starts that exceed its capacity.
@@ -129,6 +132,7 @@
             listed,
             rostered: false,
             lapses_store_ms: None,
+            rostered_capacity: None,
             reported_ms: 0,
             enforces_capacity: false,
             contacted: false,
@@ -165,6 +169,8 @@
         next.earlier_fence = Some(before.fence.or(before.earlier_fence).unwrap_or(0));
         next.enforces_capacity = before.enforces_capacity;
         next.evacuated = before.evacuated;
+        // Runs that were on their way to the previous incarnation may have moved to this one.
+        next.rostered_capacity = before.rostered_capacity;
         next.draining = next.entry_is_of_incarnation() && next.entry.draining;
         if next.entry_is_of_incarnation() {
             next.reported_ms = before.reported_ms;
@@ -327,7 +333,30 @@
     }
 
     pub(crate) fn free(&self) -> Resources {
-        Resources::of_entry(&self.entry).minus(self.used)
+        let capacity = Resources::of_entry(&self.entry);
+        let startable = self
+            .rostered_capacity
+            .map_or(capacity, |rostered| capacity.min(rostered));
+        startable.minus(self.used)
+    }
+
+    /// Returns the capacity that the roster is to state: no run of this or an earlier holder is
+    /// outside it. It never falls while the endpoint is known, because runs outlast a smaller
+    /// capacity.
+    pub(crate) fn capacity_for_roster(&self) -> Option<Resources> {
+        let capacity = Resources::of_entry(&self.entry);
+        let all_runs_known =
+            self.contacted && !self.lists_incomplete && self.size_unknown_runs == 0;
+        match self.rostered_capacity {
+            Some(rostered) => Some(rostered.max(capacity)),
+            None => all_runs_known.then(|| capacity.max(self.used)),
+        }
+    }
+
+    /// Returns whether the roster must be written for starts to use the whole capacity, or for a
+    /// successor to know an upper limit.
+    pub(crate) fn roster_lacks_capacity(&self) -> bool {
+        self.capacity_for_roster() != self.rostered_capacity
     }
 
     /// Returns whether its capacity covers all runs placed there.
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -44,6 +44,12 @@
         .set(quota_cpu_milli as f64);
 }
 
+/// Sets the gauge for the CPU that an account's inherited tasks may use without having been found.
+pub(crate) fn unconfirmed(name: &str, cpu_milli: u64) {
+    gauge!("chervilfall_account_unconfirmed_cpu_milli", "account" => name.to_owned())
+        .set(cpu_milli as f64);
+}
+
 /// Sets the gauge for how long a failure domain has been evacuated, to 0 if it no longer is.
 pub(crate) fn evacuation(domain: &str, for_ms: Option<Millis>) {
     gauge!("chervilfall_evacuated_seconds", "domain" => domain.to_owned())
--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -4,6 +4,7 @@
 
 use crate::account::{Account, AccountName};
 use crate::ids::{JobId, Millis, TaskKey};
+use crate::job::Step;
 use crate::metrics;
 use crate::planner::Planner;
 use crate::policy::share::{Share, ShareAdmission};
@@ -28,6 +29,33 @@
     unconfirmed: Resources,
 }
 
+/// Usage by an account's inherited tasks that may have runs which have not been found yet.
+#[derive(Debug, Default)]
+struct UnconfirmedUsage {
+    /// Usage by tasks that reserve all that they are charged for.
+    reserving: Resources,
+    /// Usage by tasks that fill, which are charged for CPU that they do not reserve.
+    filling: Resources,
+}
+
+impl UnconfirmedUsage {
+    fn add(&mut self, step: &Step, usage: Resources) {
+        let sum = if step.fills {
+            &mut self.filling
+        } else {
+            &mut self.reserving
+        };
+        *sum = sum.add(usage);
+    }
+
+    /// Returns the usage if runs that have not been found reserve at most `max_unfound`, if that is
+    /// known. Tasks that fill are counted in full, because their CPU is not reserved.
+    fn bounded(self, max_unfound: Option<Resources>) -> Resources {
+        let reserving = max_unfound.map_or(self.reserving, |most| self.reserving.min(most));
+        reserving.add(self.filling)
+    }
+}
+
 /// The accounts that jobs belong to.
 #[derive(Debug, Default)]
 pub(super) struct Accounts {
@@ -128,7 +156,16 @@
         }
         self.exported_ms = now;
         for state in self.states.iter().take(metrics::MAX_ACCOUNTS) {
+            let unconfirmed = state.unconfirmed.cpu_milli;
             metrics::account(&state.name, state.used.cpu_milli, state.quota.cpu_milli);
+            metrics::unconfirmed(&state.name, unconfirmed);
+            if unconfirmed > 0 {
+                log::info!(
+                    account = state.name.as_str(), cpu_milli = unconfirmed,
+                    used_cpu_milli = state.used.cpu_milli, quota_cpu_milli = state.quota.cpu_milli;
+                    "usage by inherited tasks is unconfirmed"
+                );
+            }
         }
     }
 }
@@ -157,9 +194,11 @@
     /// Counts inherited tasks as running while they may have runs that have not been found yet.
     pub(super) fn count_unconfirmed(&mut self) {
         self.accounts.clear_unconfirmed();
-        if self.barrier.is_none() {
+        let Some(barrier) = &self.barrier else {
             return;
-        }
+        };
+        let max_unfound = barrier.max_unfound_usage();
+        let mut unconfirmed: BTreeMap<AccountKey, UnconfirmedUsage> = BTreeMap::new();
         for key in self.open.keys() {
             let Some(job) = self.jobs.get(&key.job).filter(|job| job.inherited) else {
                 continue;
@@ -173,9 +212,12 @@
             let Some(step) = job.spec.steps.get(key.step as usize) else {
                 continue;
             };
-            let unconfirmed = Resources::charged_to_account(step).times(waiting);
-            let state = self.accounts.state_mut(account);
-            state.unconfirmed = state.unconfirmed.add(unconfirmed);
+            let usage = Resources::charged_to_account(step).times(waiting);
+            let unconfirmed = unconfirmed.entry(account).or_default();
+            unconfirmed.add(step, usage);
+        }
+        for (account, unconfirmed) in unconfirmed {
+            self.accounts.state_mut(account).unconfirmed = unconfirmed.bounded(max_unfound);
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -8,14 +8,25 @@
 use crate::ids::Millis;
 use crate::limits::Limits;
 use crate::planner::Planner;
+use crate::record::RosterEntry;
+use crate::resources::Resources;
 
 /// Endpoints that may have runs started by an earlier holder.
 #[derive(Debug)]
 pub(crate) struct Barrier {
     lapse_ms: Millis,
-    /// Endpoints that have not reported their runs yet. For those that the predecessor marked as
-    /// silent, the time by the store's clock at which their leases have lapsed.
-    missing: BTreeMap<EndpointKey, Option<Millis>>,
+    /// Endpoints that have not reported their runs yet.
+    missing: BTreeMap<EndpointKey, MissingEndpoint>,
+}
+
+/// What the roster states of an endpoint that has not reported its runs yet.
+#[derive(Debug)]
+struct MissingEndpoint {
+    /// If the predecessor marked it as silent, the time by the store's clock at which its leases
+    /// have lapsed.
+    lapses_store_ms: Option<Millis>,
+    /// Upper limit on the resources that its runs reserve.
+    capacity: Option<Resources>,
 }
 
 impl Barrier {
@@ -39,15 +50,35 @@
         })
     }
 
-    pub(crate) fn add(&mut self, endpoint: EndpointKey, lapses_store_ms: Option<Millis>) {
-        self.missing.insert(endpoint, lapses_store_ms);
+    pub(crate) fn add(&mut self, endpoint: EndpointKey, entry: &RosterEntry) {
+        let missing = MissingEndpoint {
+            lapses_store_ms: entry.lapses_store_ms,
+            capacity: entry.capacity,
+        };
+        self.missing.insert(endpoint, missing);
+    }
+
+    /// Returns an upper limit on the resources that runs reserve which have not been found yet; none
+    /// if the roster does not limit them for all endpoints.
+    ///
+    /// Such runs are only on endpoints that have not reported their lists. A holder starts nothing
+    /// there beyond the capacity that the stored roster states, which never falls, so neither a
+    /// later change of the endpoint's capacity nor another takeover can exceed the sum.
+    pub(crate) fn max_unfound_usage(&self) -> Option<Resources> {
+        let mut capacities = self.missing.values().map(|missing| missing.capacity);
+        capacities.try_fold(Resources::default(), |sum, capacity| {
+            Some(sum.add(capacity?))
+        })
     }
 
     /// Removes endpoints whose leases had lapsed at `store_ms`. A commit of this holder was stored
     /// then, so no successor had granted them new leases.
     fn remove_lapsed(&mut self, store_ms: Millis) {
-        self.missing
-            .retain(|_, lapses_store_ms| lapses_store_ms.is_none_or(|lapses| store_ms < lapses));
+        self.missing.retain(|_, missing| {
+            missing
+                .lapses_store_ms
+                .is_none_or(|lapses| store_ms < lapses)
+        });
     }
 }
 
--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -7,6 +7,7 @@
 use crate::endpoint::EndpointKey;
 use crate::ids::{JobId, Run, TaskKey};
 use crate::record::{JOBS, PROGRESS, TEXTS};
+use crate::resources::Resources;
 use crate::tasks::JobRows;
 
 /// Upper limit on the changes of one job after its first: its end is written, and its up to three
@@ -35,6 +36,8 @@
     pub(super) progress: Vec<WrittenProgress>,
     pub(super) announced: Vec<(TaskKey, EndpointKey, Run)>,
     pub(super) grantable: BTreeSet<EndpointKey>,
+    /// Capacities that the roster states once the batch is stored.
+    pub(super) rostered_capacities: Vec<(EndpointKey, Resources)>,
 }
 
 impl BatchBuilder {
@@ -48,6 +51,7 @@
             progress: Vec::new(),
             announced: Vec::new(),
             grantable: BTreeSet::new(),
+            rostered_capacities: Vec::new(),
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -14,6 +14,7 @@
 use crate::record::{
     encode, Owner, RosterBucket, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS, PROGRESS, ROSTER, TEXTS,
 };
+use crate::resources::Resources;
 use crate::starts::STARTS;
 
 /// Factor of the recent commit duration after which another copy of a commit is sent.
@@ -45,6 +46,8 @@
     announced: Vec<(TaskKey, EndpointKey, Run)>,
     /// Endpoints that may be granted leases once the batch is stored.
     grantable: BTreeSet<EndpointKey>,
+    /// Capacities that the roster states once the batch is stored.
+    rostered_capacities: Vec<(EndpointKey, Resources)>,
     releases: bool,
 }
 
@@ -127,6 +130,7 @@
             acknowledgements,
             announced: builder.announced,
             grantable: builder.grantable,
+            rostered_capacities: builder.rostered_capacities,
             releases,
         });
     }
@@ -225,11 +229,18 @@
                 // The stored roster may list it as silent from now on.
                 endpoint.rostered = false;
             }
+            let capacity = endpoint.capacity_for_roster();
+            // From now on the stored roster may state this capacity.
+            endpoint.rostered_capacity = endpoint.rostered_capacity.or(capacity);
+            if let Some(capacity) = capacity {
+                builder.rostered_capacities.push((key, capacity));
+            }
             row.push(RosterEntry {
                 id: endpoint.entry.id.clone(),
                 born_ms: endpoint.born_ms,
                 address: endpoint.entry.address.clone(),
                 lapses_store_ms: endpoint.lapses_store_ms,
+                capacity,
             });
         }
         for (bucket, row) in rows {
@@ -350,6 +361,11 @@
                 endpoint.next_hold_ms = endpoint.batched_hold_due_ms(self.now, &self.limits);
             }
         }
+        for (key, capacity) in commit.rostered_capacities {
+            if let Some(endpoint) = self.endpoints.get_mut(key) {
+                endpoint.rostered_capacity = Some(capacity);
+            }
+        }
         for key in commit.grantable {
             if let Some(endpoint) = self.endpoints.get_mut(key) {
                 endpoint.rostered = true;
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -19,11 +19,10 @@
 
 impl Planner {
     /// Adds an endpoint on which an earlier holder may have started runs.
-    pub(super) fn add_rostered(&mut self, entry: RosterEntry) {
-        let lapses_store_ms = entry.lapses_store_ms;
+    pub(super) fn add_rostered(&mut self, rostered: &RosterEntry) {
         let entry = EndpointEntry {
-            id: entry.id,
-            address: entry.address,
+            id: rostered.id.clone(),
+            address: rostered.address.clone(),
             service: String::new(),
             domain: String::new(),
             draining: false,
@@ -33,15 +32,16 @@
             rack: None,
             labels: BTreeSet::new(),
             report: 0,
-            born_ms: entry.born_ms,
+            born_ms: rostered.born_ms,
         };
         let key = self.add_endpoint(entry, false);
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.rostered = lapses_store_ms.is_none();
-            endpoint.lapses_store_ms = lapses_store_ms;
+            endpoint.rostered = rostered.lapses_store_ms.is_none();
+            endpoint.lapses_store_ms = rostered.lapses_store_ms;
+            endpoint.rostered_capacity = rostered.capacity;
         }
         if let Some(barrier) = &mut self.barrier {
-            barrier.add(key, lapses_store_ms);
+            barrier.add(key, rostered);
         }
     }
 
@@ -101,6 +101,8 @@
             self.unsaved.roster.insert(RosterBucket::of(&entry.id));
             let key = self.add_endpoint(entry.clone(), true);
             self.endpoints[key].enforces_capacity = self.config.enforces_capacity(&entry.service);
+            // Nothing runs there before the roster names it.
+            self.endpoints[key].rostered_capacity = Some(Resources::of_entry(&entry));
             self.endpoints[key].update_entry(read_ms, entry);
             return;
         };
@@ -118,6 +120,16 @@
             // Only the endpoint's own lists show which incarnation is running.
             endpoint.next_hold_ms = self.now;
         }
+        self.roster_capacity(key);
+    }
+
+    /// Writes the endpoint's capacity to the roster if that states a smaller one or none.
+    fn roster_capacity(&mut self, key: EndpointKey) {
+        let endpoint = self.endpoints.get(key);
+        if let Some(endpoint) = endpoint.filter(|endpoint| endpoint.roster_lacks_capacity()) {
+            let bucket = RosterBucket::of(&endpoint.entry.id);
+            self.unsaved.roster.insert(bucket);
+        }
     }
 
     /// Removes endpoints that left the list, are defunct and have no recorded runs.
@@ -213,6 +225,7 @@
         if !report.partial {
             self.settle_missing_runs(key, sent_ms, report);
             self.remove_from_barrier(key);
+            self.roster_capacity(key);
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -245,7 +245,7 @@
         }
         let entries = stored.roster.len();
         metrics::takeover();
-        for entry in stored.roster {
+        for entry in &stored.roster {
             self.add_rostered(entry);
         }
         log::info!(
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -71,13 +71,13 @@
 
 impl Planner {
     pub(super) fn schedule(&mut self) {
+        self.count_unconfirmed();
         if self.open.is_empty()
             || self.now >= self.lease_bound_ms()
             || !self.evacuations_are_known()
         {
             return;
         }
-        self.count_unconfirmed();
         let mut pass = self.begin_pass();
         let full = self.now.saturating_sub(self.last_full_pass_ms) >= FULL_PASS_INTERVAL_MS;
         let keys = if full {
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -9,6 +9,7 @@
 use crate::ids::{EndpointId, Millis, Run, UnixMillis};
 use crate::job::JobSpec;
 use crate::policy::crashes::Exposure;
+use crate::resources::Resources;
 
 /// Table of accepted jobs, by job.
 pub const JOBS: &str = "jobs";
@@ -137,6 +138,10 @@
     /// none is granted until a later roster without this is stored.
     #[serde(default)]
     pub lapses_store_ms: Option<Millis>,
+    /// Upper limit on the resources that runs reserve there; none in rows of earlier versions and
+    /// if an earlier holder may have reserved more than is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<Resources>,
 }
 
 /// Encodes a value.
--- a/crates/chervilfall_planner/src/resources.rs
+++ b/crates/chervilfall_planner/src/resources.rs
@@ -65,6 +65,24 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    pub(crate) fn min(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
+    /// Returns the larger amount of each resource.
+    pub(crate) fn max(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// Returns the resources of `count` tasks that use this amount each.
     pub(crate) fn times(self, count: u32) -> Self {
         let count = u64::from(count);
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -68,6 +68,7 @@
             born_ms: None,
             address: format!("{name}:1"),
             lapses_store_ms: None,
+            capacity: None,
         });
         let stored = StoredGroup {
             jobs: vec![(TASK.job, row)],
--- a/crates/chervilfall_planner/tests/first_holds.rs
+++ b/crates/chervilfall_planner/tests/first_holds.rs
@@ -44,6 +44,18 @@
 /// Returns the time from a hold to its answer by endpoint number; none if it does not answer.
 type AnswerDelay = fn(usize) -> Option<u64>;
 
+/// Returns the roster with all endpoints.
+fn roster() -> Vec<RosterEntry> {
+    let roster = (0..ENDPOINTS).map(|number| RosterEntry {
+        id: EndpointId(format!("{number}")),
+        born_ms: None,
+        address: format!("{number}:1"),
+        lapses_store_ms: None,
+        capacity: None,
+    });
+    roster.collect()
+}
+
 #[test]
 fn endpoints_are_reached_a_few_at_a_time() {
     struct Case {
@@ -65,14 +77,8 @@
         },
     ];
     for case in cases {
-        let roster = (0..ENDPOINTS).map(|number| RosterEntry {
-            id: EndpointId(format!("{number}")),
-            born_ms: None,
-            address: format!("{number}:1"),
-            lapses_store_ms: None,
-        });
         let stored = StoredGroup {
-            roster: roster.collect(),
+            roster: roster(),
             ..StoredGroup::default()
         };
         let mut planner = Planner::new(Limits::default(), takeover(), stored, 10_000);
--- a/crates/chervilfall_planner/tests/idle_holds.rs
+++ b/crates/chervilfall_planner/tests/idle_holds.rs
@@ -87,6 +87,7 @@
         born_ms: None,
         address: format!("{number}:1"),
         lapses_store_ms: None,
+        capacity: None,
     });
     let group = StoredGroup {
         roster: roster.collect(),
