Choose the changes of a commit in a module of its own

A slow store leaves more changes waiting than one commit holds. They went in by order of arrival, with two thirds of the rows kept for progress even if there was little of it, so rows stayed unused and others went to jobs that were late.

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -47,6 +47,10 @@
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
 pub use planner::{Backlog, LookupResult, Planner, StoredGroup};
+pub use policy::commit_order::{
+    CommitOrder, CommitPlan, JobTiming, ProgressKind, WaitingChanges, WaitingProgress,
+    WaitingSubmission,
+};
 pub use policy::node_size::NodeResources;
 pub use policy::switches::Policies;
 pub use record::{
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Scheduling policies, one per file.
 
+pub(crate) mod commit_order;
 pub(crate) mod crashes;
 pub(crate) mod headroom;
 pub(crate) mod node_size;
