Serve more jobs while the store is slow

Cause: at 570 ms a commit, 95 rows a commit and 120 short jobs a second, rows are what is short. A submission took two rows and an end three or four. Of the rows a third at most went to submissions, whatever waited.

Change: - policies.texts_in_job_rows: a text of 1 to 1,024 bytes is in its job's row. An acceptance takes one row, an end one less. An empty text keeps a row of its own, because a row without a text says that there is another one. JobRows notes which rows exist, and only those are removed, also of ends. - policies.commit_order: if more waits than one commit holds, the changes are chosen by policy/commit_order.rs. An end then takes one row: the outcome goes to the row of progress, and a later commit with room moves it to `ended`. Jobs beyond their account's share don't use it, because each inherited row of theirs counts as an open job. - Ends are acknowledged once the progress of their own jobs is stored.

--- a/crates/chervilfall_node/src/watch/recovery.rs
+++ b/crates/chervilfall_node/src/watch/recovery.rs
@@ -1,7 +1,8 @@
 //! Reads the rows that earlier holders have stored.
 //!
 //! A new holder serves as soon as it knows the open jobs, the endpoints and the latest starts.
-//! Texts of jobs and ended jobs are most of the bytes; they are read while it serves.
+//! Long texts of jobs and ended jobs are most of the bytes; they are read while it serves. Short
+//! texts are in the rows of their jobs.
 
 use std::future::Future;
 use std::sync::Arc;
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -76,7 +76,7 @@
 /// A job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
-    /// Opaque text passed with each start; it is stored in a separate row.
+    /// Opaque text passed with each start; if it is long, it is stored in a separate row.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub spec: String,
     /// Steps in order.
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -15,6 +15,15 @@
     histogram!("chervilfall_commit_seconds").record(seconds(took_ms));
 }
 
+/// Counts a commit that holds only part of the changes that wait, and those that it leaves over.
+pub(crate) fn commit_under_pressure(left_submissions: usize, left_progress: usize) {
+    counter!("chervilfall_commits_under_pressure_total").increment(1);
+    counter!("chervilfall_changes_deferred_total", "kind" => "submission")
+        .increment(left_submissions as u64);
+    counter!("chervilfall_changes_deferred_total", "kind" => "progress")
+        .increment(left_progress as u64);
+}
+
 /// Counts a stored submission and records how long storing it took.
 pub(crate) fn accepted(waited_ms: Millis) {
     counter!("chervilfall_jobs_accepted_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -8,11 +8,7 @@
 use crate::ids::{JobId, Run, TaskKey};
 use crate::record::{JOBS, PROGRESS, TEXTS};
 use crate::resources::Resources;
-use crate::tasks::JobRows;
-
-/// Upper limit on the changes of one job after its first: its end is written, and its up to three
-/// other rows are removed.
-const MAX_FURTHER_JOB_CHANGES: usize = 3;
+use crate::tasks::{JobRows, OpenRows};
 
 /// What a batch says of a job's progress. The job may have changed again by the time that the batch
 /// is stored.
@@ -76,15 +72,17 @@
             .push(RowChange::Put(RowKey { table, key }, value));
     }
 
-    /// Returns whether all rows of one more job fit.
-    pub(super) fn has_room_for_job(&self) -> bool {
-        self.has_room_for(MAX_FURTHER_JOB_CHANGES)
+    /// Returns whether this many rows fit.
+    pub(super) fn has_room_for_rows(&self, rows: usize) -> bool {
+        rows == 0 || self.has_room_for(rows - 1)
     }
 
     /// Removes the rows of an open job.
     pub(super) fn remove_open_job(&mut self, id: JobId, rows: JobRows) {
-        if rows.open {
+        if rows.open != OpenRows::Absent {
             self.remove(JOBS, id);
+        }
+        if rows.open == OpenRows::SeparateText {
             self.remove(TEXTS, id);
         }
         if rows.progress {
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -11,9 +11,7 @@
 use crate::planner::batch::{BatchBuilder, WrittenProgress};
 use crate::planner::gap::ServiceMilestone;
 use crate::planner::Planner;
-use crate::record::{
-    encode, Owner, RosterBucket, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS, PROGRESS, ROSTER, TEXTS,
-};
+use crate::record::{encode, RosterBucket, RosterEntry, CLAIMS, HOLDER, ROSTER};
 use crate::resources::Resources;
 use crate::starts::STARTS;
 
@@ -21,8 +19,6 @@
 const COPY_INTERVAL_FACTOR: u64 = 2;
 /// Duration from which on a commit is logged as slow: a hundred times that of a healthy store.
 const SLOW_COMMIT_MS: Millis = 400;
-/// Thirds of a commit that are reserved for the progress of earlier jobs, if there is any.
-const PROGRESS_THIRDS: usize = 2;
 /// Upper limit on how often the interval between copies is doubled.
 const MAX_COPY_DOUBLINGS: usize = 2;
 
@@ -95,9 +91,7 @@
         // Endpoints can be used only once they are in the stored roster, so it precedes jobs.
         self.add_roster(&mut builder);
         self.add_starts(&mut builder);
-        self.add_new_jobs(&mut builder);
-        self.add_progress(&mut builder);
-        self.add_removals(&mut builder);
+        self.add_job_changes(&mut builder);
         let acknowledgements = self.unsaved.take_acknowledgements();
         let complete = self.unsaved.new_jobs.is_empty() && self.unsaved.progress.is_empty();
         let releases = self.releasing && complete;
@@ -150,63 +144,6 @@
         })
     }
 
-    fn add_new_jobs(&mut self, builder: &mut BatchBuilder) {
-        // The end of a job takes up to twice the changes of its acceptance. Without the reserve,
-        // jobs would be accepted faster than their ends can be stored.
-        let reserved = if self.unsaved.progress.is_empty() {
-            0
-        } else {
-            builder.rows_left() * PROGRESS_THIRDS / 3
-        };
-        while builder.has_room_for_job() && builder.rows_left() > reserved {
-            let Some(id) = self.unsaved.new_jobs.pop_front() else {
-                return;
-            };
-            if let Some(job) = self.jobs.get_mut(&id) {
-                let account = job.account.map(|key| self.accounts.name(key).to_owned());
-                builder.put(JOBS, id.to_string(), encode(&job.row(account)));
-                let text = job.text.as_deref().unwrap_or("");
-                builder.put(TEXTS, id.to_string(), encode(&text));
-                job.rows.open = true;
-                builder.new_jobs.insert(id);
-            }
-        }
-    }
-
-    fn add_progress(&mut self, builder: &mut BatchBuilder) {
-        while builder.has_room_for_job() {
-            let Some(id) = self.unsaved.progress.pop_first() else {
-                return;
-            };
-            if let Some(job) = self.jobs.get_mut(&id) {
-                let mut progress = job.progress();
-                if job.outcome.is_some() {
-                    progress.owner = job.account.map(|key| Owner {
-                        account: self.accounts.name(key).to_owned(),
-                        queue: job.queue.name.clone(),
-                    });
-                }
-                let row = encode(&progress);
-                if job.outcome.is_none() || builder.new_jobs.contains(&id) {
-                    builder.put(PROGRESS, id.to_string(), row);
-                    job.rows.progress = true;
-                } else {
-                    builder.put(ENDED, id.to_string(), row);
-                    builder.remove_open_job(id, std::mem::take(&mut job.rows));
-                }
-                builder.progress.push(WrittenProgress {
-                    job: id,
-                    outcome: job.outcome,
-                    cancelled: job.cancelled,
-                    pre_cancelled: job.pre_cancelled,
-                });
-                let announced = self.announced.iter().filter(|(task, _)| task.job == id);
-                let announced = announced.map(|(task, (endpoint, run))| (*task, *endpoint, *run));
-                builder.announced.extend(announced);
-            }
-        }
-    }
-
     /// Adds the buckets of the roster that have changed.
     fn add_roster(&mut self, builder: &mut BatchBuilder) {
         let mut rows: BTreeMap<RosterBucket, Vec<RosterEntry>> = BTreeMap::new();
@@ -258,16 +195,6 @@
         }
     }
 
-    fn add_removals(&mut self, builder: &mut BatchBuilder) {
-        while builder.has_room_for_job() {
-            let Some((id, rows)) = self.unsaved.removed.pop() else {
-                return;
-            };
-            builder.remove(ENDED, id);
-            builder.remove_open_job(id, rows);
-        }
-    }
-
     pub(super) fn handle_commit_outcome(
         &mut self,
         number: u64,
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -244,7 +244,9 @@
         };
         if newest > endpoint.last_end_received {
             endpoint.last_end_received = newest;
-            self.unsaved.record_ends(key, newest);
+            let new = report.ended.iter().filter(|end| end.number > known);
+            let jobs = new.map(|end| end.task.job);
+            self.unsaved.record_ends(key, newest, jobs);
         }
         let pending = endpoint.last_end_received > endpoint.acknowledged;
         // The next hold follows the commit that stores the ends, or renews the lease before it.
--- a/crates/chervilfall_planner/src/planner/history.rs
+++ b/crates/chervilfall_planner/src/planner/history.rs
@@ -103,6 +103,9 @@
                 self.restore_finished_job(id, &row);
                 self.activate(id);
             }
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.rows.ended = true;
+            }
         }
     }
 
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/job_rows.rs
@@ -0,0 +1,275 @@
+//! Rows of jobs in a batch: which changes of jobs it contains, and the rows that each takes.
+
+use crate::ids::{JobId, Millis};
+use crate::metrics;
+use crate::planner::batch::{BatchBuilder, WrittenProgress};
+use crate::planner::Planner;
+use crate::policy::commit_order::{
+    CommitOrder, JobTiming, ProgressKind, WaitingChanges, WaitingProgress, WaitingSubmission,
+};
+use crate::record::{encode, Owner, ENDED, JOBS, PROGRESS, TEXTS};
+use crate::tasks::{Job, OpenRows};
+
+/// Upper limit on a text that is stored in its job's row. A new holder reads these rows before it
+/// serves, so longer texts have rows of their own.
+const MAX_TEXT_IN_JOB_ROW_BYTES: usize = 1_024;
+/// Interval between log lines that say that more waits than a batch holds.
+const PRESSURE_LOG_INTERVAL_MS: Millis = 1_000;
+/// Divisor of the estimated chain of work of a job that has not started. Estimates are off by up to
+/// a factor of about two, so half of it is certain.
+const CERTAIN_CHAIN_DIVISOR: Millis = 2;
+
+/// Rows that a job's progress is written to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProgressForm {
+    /// The row of its progress; the job stays open.
+    Open,
+    /// The same, with the job's outcome. Its open rows are removed by a later batch.
+    EndedInPlace,
+    /// The row of its end; its open rows are removed.
+    Ended,
+}
+
+impl ProgressForm {
+    /// Returns the form for a job. Ends are written in place if there are too many of them for one
+    /// batch. Those of jobs beyond their account's share are not, because earlier versions count
+    /// each such job that they inherit with its own row as an open one.
+    fn of(job: &Job, under_pressure: bool) -> Self {
+        let has_row = job.rows.open != OpenRows::Absent;
+        if job.outcome.is_none() {
+            Self::Open
+        } else if under_pressure && has_row && !job.beyond {
+            Self::EndedInPlace
+        } else {
+            Self::Ended
+        }
+    }
+
+    /// Returns the number of rows that it takes.
+    fn rows(self, job: &Job) -> usize {
+        match self {
+            Self::Open | Self::EndedInPlace => 1,
+            Self::Ended => 1 + job.rows.open_count(),
+        }
+    }
+}
+
+impl Planner {
+    /// Adds changes of jobs, as far as they fit.
+    pub(super) fn add_job_changes(&mut self, builder: &mut BatchBuilder) {
+        let order = if self.limits.policies.commit_order {
+            CommitOrder::Urgency
+        } else {
+            CommitOrder::Arrival
+        };
+        let waiting = self.waiting_changes();
+        let plan = waiting.choose(order, builder.rows_left(), self.commit_duration_ms);
+        for id in plan.submissions {
+            if !self.add_new_job(builder, id) {
+                break;
+            }
+        }
+        for id in plan.progress {
+            if !self.add_progress(builder, id, plan.under_pressure) {
+                break;
+            }
+        }
+        let new_jobs = &builder.new_jobs;
+        self.unsaved.new_jobs.retain(|id| !new_jobs.contains(id));
+        self.unsaved.note_missed();
+        if plan.under_pressure {
+            self.report_pressure(builder);
+        } else {
+            self.add_moved_ends(builder);
+        }
+        self.add_removals(builder);
+    }
+
+    /// Returns the changes of jobs that wait for a batch. A job that was cancelled before any batch
+    /// contained it has no row of its own; its end is all that is stored.
+    fn waiting_changes(&self) -> WaitingChanges {
+        let jobs = |id: JobId| self.jobs.get(&id);
+        let submissions = self.unsaved.new_jobs.iter().copied().filter_map(jobs);
+        let submissions = submissions.filter(|job| job.outcome.is_none());
+        let submissions = submissions.map(|job| WaitingSubmission {
+            id: job.id,
+            beyond: job.beyond,
+            priority: job.queue.priority,
+            timing: self.timing(job),
+            rows: 1 + usize::from(!self.stores_text_in_job_row(job)),
+            missed_commits: self.unsaved.missed_submissions.of(job.id),
+        });
+        let progress = self.unsaved.progress.iter().filter_map(jobs);
+        let progress = progress.map(|job| WaitingProgress {
+            id: job.id,
+            kind: self.progress_kind(job),
+            timing: self.timing(job),
+            rows: ProgressForm::of(job, false).rows(job),
+            min_rows: ProgressForm::of(job, true).rows(job),
+            missed_commits: self.unsaved.missed_progress.of(job.id),
+        });
+        WaitingChanges {
+            submissions: submissions.collect(),
+            progress: progress.collect(),
+        }
+    }
+
+    fn timing(&self, job: &Job) -> JobTiming {
+        let min_remaining_ms = if job.started || job.outcome.is_some() {
+            0
+        } else {
+            job.chain_ms / CERTAIN_CHAIN_DIVISOR
+        };
+        JobTiming {
+            age_ms: self.now.saturating_sub(job.accepted_ms),
+            min_remaining_ms,
+            objective_ms: job.objective_ms,
+        }
+    }
+
+    fn progress_kind(&self, job: &Job) -> ProgressKind {
+        let announced = self.announced.keys().any(|task| task.job == job.id);
+        if announced || !job.cancellers.is_empty() || !job.stored {
+            ProgressKind::Awaited
+        } else if job.outcome.is_some() {
+            ProgressKind::Ended
+        } else {
+            ProgressKind::Partial
+        }
+    }
+
+    /// Returns whether a job's text is stored in its own row. An empty text is not: without a text,
+    /// the row says that the text has a row of its own.
+    fn stores_text_in_job_row(&self, job: &Job) -> bool {
+        let text = job.text.as_deref().unwrap_or("");
+        let short = !text.is_empty() && text.len() <= MAX_TEXT_IN_JOB_ROW_BYTES;
+        short && self.limits.policies.texts_in_job_rows
+    }
+
+    /// Adds a submission, and returns whether it fits.
+    fn add_new_job(&mut self, builder: &mut BatchBuilder, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return true;
+        };
+        let account = job.account.map(|key| self.accounts.name(key).to_owned());
+        let text = job.text.clone().unwrap_or_default();
+        let mut rows = Vec::new();
+        if self.stores_text_in_job_row(job) {
+            rows.push((JOBS, encode(&job.row(account.clone(), &text))));
+        }
+        let fits_row = |(_, row): &(_, Vec<u8>)| row.len() <= self.limits.row_bytes;
+        let open = if rows.first().is_some_and(fits_row) {
+            OpenRows::WithText
+        } else {
+            let row = encode(&job.row(account, ""));
+            rows = vec![(JOBS, row), (TEXTS, encode(&text.as_ref()))];
+            OpenRows::SeparateText
+        };
+        if !builder.has_room_for_rows(rows.len()) {
+            return false;
+        }
+        for (table, row) in rows {
+            builder.put(table, id.to_string(), row);
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.rows.open = open;
+        }
+        builder.new_jobs.insert(id);
+        true
+    }
+
+    /// Adds the progress of a job, and returns whether it fits.
+    fn add_progress(
+        &mut self,
+        builder: &mut BatchBuilder,
+        id: JobId,
+        under_pressure: bool,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.unsaved.progress.remove(id);
+            return true;
+        };
+        let form = ProgressForm::of(job, under_pressure);
+        if !builder.has_room_for_rows(form.rows(job)) {
+            return false;
+        }
+        self.unsaved.progress.remove(id);
+        let mut progress = job.progress();
+        if job.outcome.is_some() {
+            progress.owner = job.account.map(|key| Owner {
+                account: self.accounts.name(key).to_owned(),
+                queue: job.queue.name.clone(),
+            });
+        }
+        let row = encode(&progress);
+        match form {
+            ProgressForm::Open | ProgressForm::EndedInPlace => {
+                builder.put(PROGRESS, id.to_string(), row);
+                job.rows.progress = true;
+            }
+            ProgressForm::Ended => {
+                builder.put(ENDED, id.to_string(), row);
+                builder.remove_open_job(id, std::mem::take(&mut job.rows));
+                job.rows.ended = true;
+            }
+        }
+        if !job.stored {
+            builder.new_jobs.insert(id);
+        }
+        builder.progress.push(WrittenProgress {
+            job: id,
+            outcome: job.outcome,
+            cancelled: job.cancelled,
+            pre_cancelled: job.pre_cancelled,
+        });
+        let announced = self.announced.iter().filter(|(task, _)| task.job == id);
+        let announced = announced.map(|(task, (endpoint, run))| (*task, *endpoint, *run));
+        builder.announced.extend(announced);
+        if form == ProgressForm::EndedInPlace {
+            self.unsaved.ended_in_place.insert(id);
+        }
+        true
+    }
+
+    /// Moves ends that were stored beside the jobs' open rows to rows of their own, which a new
+    /// holder reads while it serves.
+    fn add_moved_ends(&mut self, builder: &mut BatchBuilder) {
+        while let Some(id) = self.unsaved.ended_in_place.first().copied() {
+            let job = self.jobs.get(&id);
+            let moves = job.is_some_and(|job| job.rows.open != OpenRows::Absent);
+            if moves && !self.add_progress(builder, id, false) {
+                return;
+            }
+            self.unsaved.ended_in_place.remove(&id);
+        }
+    }
+
+    /// Removes the rows of finished jobs that can no longer be asked for.
+    fn add_removals(&mut self, builder: &mut BatchBuilder) {
+        while let Some((id, rows)) = self.unsaved.removed.last().copied() {
+            if !builder.has_room_for_rows(rows.count()) {
+                return;
+            }
+            self.unsaved.removed.pop();
+            if rows.ended {
+                builder.remove(ENDED, id);
+            }
+            builder.remove_open_job(id, rows);
+        }
+    }
+
+    fn report_pressure(&mut self, builder: &BatchBuilder) {
+        let (submissions, progress) = (self.unsaved.new_jobs.len(), self.unsaved.progress.len());
+        metrics::commit_under_pressure(submissions, progress);
+        if self.now < self.unsaved.pressure_logged_ms + PRESSURE_LOG_INTERVAL_MS {
+            return;
+        }
+        self.unsaved.pressure_logged_ms = self.now;
+        log::info!(
+            number = self.holder.number, stored_jobs = builder.new_jobs.len(),
+            stored_progress = builder.progress.len(), left_jobs = submissions,
+            left_progress = progress, commit_ms = self.commit_duration_ms;
+            "more waits than one commit holds"
+        );
+    }
+}
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -15,6 +15,7 @@
 mod gap;
 mod history;
 mod incarnations;
+mod job_rows;
 mod leases;
 mod open;
 mod orders;
@@ -42,7 +43,7 @@
 use crate::policy::stall_timeout::CommitGaps;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::starts::{latest, StartNote, StartRing, StartsRow};
-use crate::tasks::Job;
+use crate::tasks::{Job, OpenRows};
 pub(crate) use accounts::AccountKey;
 use accounts::Accounts;
 use advise::AdviceCall;
@@ -222,7 +223,10 @@
             }
             job.stored = true;
             job.inherited = true;
-            job.rows.open = true;
+            job.rows.open = match job.text {
+                Some(_) => OpenRows::WithText,
+                None => OpenRows::SeparateText,
+            };
             self.jobs.insert(id, job);
         }
         for (id, row) in stored.progress {
--- a/crates/chervilfall_planner/src/planner/unsaved.rs
+++ b/crates/chervilfall_planner/src/planner/unsaved.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::endpoint::EndpointKey;
-use crate::ids::JobId;
+use crate::ids::{JobId, Millis};
 use crate::record::RosterBucket;
 use crate::tasks::JobRows;
 
@@ -35,29 +35,26 @@
         }
     }
 
-    pub(crate) fn pop_first(&mut self) -> Option<JobId> {
-        let (_, id) = self.jobs.pop_first()?;
-        self.sequences.remove(&id);
-        Some(id)
+    /// Returns the queued jobs in order of arrival.
+    pub(super) fn iter(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.jobs.values().copied()
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.jobs.is_empty()
+    pub(super) fn len(&self) -> usize {
+        self.jobs.len()
     }
 
-    /// Returns the sequence number of the first queued job, or the next number if none is queued.
-    fn first_sequence(&self) -> Sequence {
-        let first = self.jobs.first_key_value();
-        first.map_or(self.next, |(sequence, _)| *sequence)
+    pub(crate) fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
     }
 }
 
-/// Ends reported by an endpoint up to a number. They can be acknowledged once all progress before a
-/// sequence number is stored.
-#[derive(Debug, Clone, Copy)]
+/// Ends reported by an endpoint up to a number. They can be acknowledged once none of these changes
+/// of their jobs' progress is queued any more and the batch being built is stored.
+#[derive(Debug, Clone)]
 struct UnsavedEnds {
     number: u64,
-    before: Sequence,
+    changes: Vec<Sequence>,
 }
 
 /// Ends that have been processed but not acknowledged, by endpoint.
@@ -75,12 +72,15 @@
         self.ends.is_empty()
     }
 
-    /// Removes and returns the ends that can be acknowledged once everything before a sequence
-    /// number is stored.
-    fn take_before(&mut self, sequence: Sequence) -> BTreeMap<EndpointKey, u64> {
+    /// Removes and returns the ends whose jobs' progress is no longer queued.
+    fn take_ready(&mut self, progress: &UnsavedProgress) -> BTreeMap<EndpointKey, u64> {
+        let queued = |change: &Sequence| progress.jobs.contains_key(change);
         let mut ready = BTreeMap::new();
         for (endpoint, ends) in &mut self.ends {
-            while let Some(first) = ends.front().filter(|first| first.before <= sequence) {
+            while let Some(first) = ends
+                .front()
+                .filter(|first| !first.changes.iter().any(queued))
+            {
                 ready.insert(*endpoint, first.number);
                 ends.pop_front();
             }
@@ -90,33 +90,68 @@
     }
 }
 
+/// How many batches in a row went without a job's change that was queued.
+#[derive(Debug, Default)]
+pub(super) struct MissedBatches(BTreeMap<JobId, u32>);
+
+impl MissedBatches {
+    pub(super) fn of(&self, id: JobId) -> u32 {
+        self.0.get(&id).copied().unwrap_or(0)
+    }
+
+    /// Counts a batch that went without the changes of these jobs.
+    fn note(&mut self, left: impl Iterator<Item = JobId>) {
+        let counted = left.map(|id| (id, self.of(id) + 1)).collect();
+        self.0 = counted;
+    }
+}
+
 /// Changes that have not been stored yet.
 #[derive(Debug, Default)]
 pub(crate) struct UnsavedChanges {
     pub(crate) new_jobs: VecDeque<JobId>,
     pub(crate) progress: UnsavedProgress,
     pub(crate) acknowledgements: UnsavedAcknowledgements,
+    pub(super) missed_submissions: MissedBatches,
+    pub(super) missed_progress: MissedBatches,
     pub(super) removed: Vec<(JobId, JobRows)>,
+    /// Jobs whose ends are stored beside their open rows, which a later batch removes.
+    pub(super) ended_in_place: BTreeSet<JobId>,
+    /// When it was last logged that more waits than a batch holds.
+    pub(super) pressure_logged_ms: Millis,
     pub(crate) roster: BTreeSet<RosterBucket>,
 }
 
 impl UnsavedChanges {
     pub(crate) fn remove(&mut self, id: JobId, rows: JobRows) {
         self.progress.remove(id);
+        self.ended_in_place.remove(&id);
         self.removed.push((id, rows));
     }
 
-    /// Records that an endpoint's ends up to a number have been processed.
-    pub(crate) fn record_ends(&mut self, endpoint: EndpointKey, number: u64) {
-        let before = self.progress.next;
+    /// Records that an endpoint's ends up to a number, of tasks of `jobs`, have been processed.
+    pub(crate) fn record_ends(
+        &mut self,
+        endpoint: EndpointKey,
+        number: u64,
+        jobs: impl Iterator<Item = JobId>,
+    ) {
+        let sequences = &self.progress.sequences;
+        let changes = jobs.filter_map(|id| sequences.get(&id).copied()).collect();
         let ends = self.acknowledgements.ends.entry(endpoint).or_default();
-        ends.push_back(UnsavedEnds { number, before });
+        ends.push_back(UnsavedEnds { number, changes });
     }
 
     /// Removes and returns the ends that can be acknowledged once the batch being built is stored.
     pub(super) fn take_acknowledgements(&mut self) -> BTreeMap<EndpointKey, u64> {
-        let sequence = self.progress.first_sequence();
-        self.acknowledgements.take_before(sequence)
+        self.acknowledgements.take_ready(&self.progress)
+    }
+
+    /// Counts for each change that is still queued that the batch just built went without it.
+    pub(super) fn note_missed(&mut self) {
+        let submissions = self.new_jobs.iter().copied();
+        self.missed_submissions.note(submissions);
+        self.missed_progress.note(self.progress.iter());
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -10,6 +10,10 @@
     pub headroom: bool,
     /// Latency-sensitive work goes to fast endpoints and latency-tolerant work to slow ones.
     pub speed: bool,
+    /// Short texts are stored in the rows of their jobs.
+    pub texts_in_job_rows: bool,
+    /// If more waits than one commit holds, urgent changes are stored first and with few rows.
+    pub commit_order: bool,
 }
 
 impl Default for Policies {
@@ -17,6 +21,8 @@
         Self {
             headroom: true,
             speed: true,
+            texts_in_job_rows: true,
+            commit_order: true,
         }
     }
 }
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -13,8 +13,8 @@
 
 /// Table of accepted jobs, by job.
 pub const JOBS: &str = "jobs";
-/// Table of the texts that are passed with starts, by job. They are long, and a new holder needs
-/// them only once it starts tasks.
+/// Table of the long texts that are passed with starts, by job. A new holder needs them only once it
+/// starts tasks.
 pub const TEXTS: &str = "texts";
 /// Table of the progress of open jobs, by job.
 pub const PROGRESS: &str = "progress";
@@ -60,8 +60,8 @@
 #[error("row is not what this version writes: {0}")]
 pub struct RecordError(String);
 
-/// An accepted job, without the text passed with its starts. Rows of earlier versions include the
-/// text.
+/// An accepted job, with the text passed with its starts if that is short. If the text here is
+/// empty, it has a row of its own.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobRow {
     /// The queue's settings when the job was accepted; they outlive the removal of the queue.
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -92,13 +92,44 @@
     }
 }
 
+/// Where a job's own row and its text are stored.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum OpenRows {
+    /// Nowhere.
+    #[default]
+    Absent,
+    /// In one row.
+    WithText,
+    /// In a row each.
+    SeparateText,
+}
+
 /// Which rows of a job exist in the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct JobRows {
     /// The rows of the job itself and of its text.
-    pub(crate) open: bool,
+    pub(crate) open: OpenRows,
     /// The row of its progress.
     pub(crate) progress: bool,
+    /// The row of its end.
+    pub(crate) ended: bool,
+}
+
+impl JobRows {
+    /// Returns the number of rows that are removed when the job's end is written.
+    pub(crate) fn open_count(self) -> usize {
+        let open = match self.open {
+            OpenRows::Absent => 0,
+            OpenRows::WithText => 1,
+            OpenRows::SeparateText => 2,
+        };
+        open + usize::from(self.progress)
+    }
+
+    /// Returns the number of rows.
+    pub(crate) fn count(self) -> usize {
+        self.open_count() + usize::from(self.ended)
+    }
 }
 
 /// A job.
@@ -189,11 +220,15 @@
         self.objective_ms = self.spec.objective_ms(queue);
     }
 
-    /// Returns the row that holds the job without its text.
-    pub(crate) fn row(&self, account: Option<AccountName>) -> JobRow {
+    /// Returns the row that holds the job and `text`, which is empty if its text has a row of its
+    /// own.
+    pub(crate) fn row(&self, account: Option<AccountName>, text: &str) -> JobRow {
         JobRow {
             queue: self.queue.clone(),
-            spec: JobSpec::clone(&self.spec),
+            spec: JobSpec {
+                spec: text.to_owned(),
+                ..JobSpec::clone(&self.spec)
+            },
             accepted_unix_ms: self.accepted_unix_ms,
             account,
             beyond: self.beyond,
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -60,6 +60,8 @@
     keeps_names: bool,
     /// The store is slow at times, and renewals of claims that are carried out are not answered.
     slow_store: bool,
+    /// Several jobs are submitted at a time, and a commit holds only few of their rows.
+    small_commits: bool,
 }
 
 /// Faults that end before the leases granted under a claim do.
@@ -69,6 +71,7 @@
     crashes: false,
     keeps_names: false,
     slow_store: false,
+    small_commits: false,
 };
 /// Faults that outlast the leases granted under a claim, with most orders late.
 const LONG_FAULTS: FaultProfile = FaultProfile {
@@ -77,12 +80,24 @@
     crashes: false,
     keeps_names: false,
     slow_store: false,
+    small_commits: false,
 };
 /// Short faults, a slow store and takeovers whose renewals are not answered.
 const SLOW_STORE: FaultProfile = FaultProfile {
     slow_store: true,
     ..SHORT_FAULTS
 };
+/// The same, with more changes than commits hold.
+const SMALL_COMMITS: FaultProfile = FaultProfile {
+    small_commits: true,
+    ..SLOW_STORE
+};
+/// Rows of a commit in these histories.
+const SMALL_COMMIT_ROWS: usize = 12;
+/// Jobs that are submitted at a time in these histories.
+const BURST_JOBS: u64 = 8;
+/// First number of these jobs.
+const FIRST_BURST_JOB: u64 = 1_000;
 /// Short faults, and crashes.
 const CRASHES: FaultProfile = FaultProfile {
     crashes: true,
@@ -191,6 +206,43 @@
     }
 }
 
+/// Submits several jobs without waiting for the answers.
+fn submit_burst(world: &mut World, round: u64, requests: &mut Vec<(JobId, usize, u64)>) {
+    for position in 0..BURST_JOBS {
+        let id = JobId(FIRST_BURST_JOB + round * BURST_JOBS + position);
+        let spec = JobSpec {
+            spec: "text".to_owned(),
+            steps: vec![step(2, 300)],
+            ..JobSpec::default()
+        };
+        world.jobs.insert(id, spec.clone());
+        let request = Request::Submit {
+            queue: world.queue.clone(),
+            id,
+            spec,
+            wait_ms: 700,
+            account: None,
+        };
+        let sent = world.request(request);
+        requests.extend(sent.map(|(node, number)| (id, node, number)));
+    }
+}
+
+/// Notes how the submissions of bursts were answered.
+fn note_answers(world: &mut World, requests: &[(JobId, usize, u64)]) {
+    for (id, node, number) in requests {
+        match world.nodes[*node].replies.get(number) {
+            Some(Answer::Accepted) => {
+                world.accepted.insert(*id);
+            }
+            Some(Answer::Refused { .. }) => {
+                world.refused.insert(*id);
+            }
+            _ => {}
+        }
+    }
+}
+
 fn run_history(seed: u64, profile: FaultProfile) -> Result<(), String> {
     let mut world = World::new(4, 8, seed);
     for endpoint in world.endpoints.values_mut().skip(5) {
@@ -206,8 +258,15 @@
     if profile.slow_store {
         world.unanswered_renewal_percent = UNANSWERED_RENEWAL_PERCENT;
     }
+    if profile.small_commits {
+        world.limits.commit_rows = SMALL_COMMIT_ROWS;
+    }
+    let mut requests = Vec::new();
     world.run(1_500);
     for round in 0..ROUNDS {
+        if profile.small_commits {
+            submit_burst(&mut world, round, &mut requests);
+        }
         if profile.slow_store && world.random.percent(20) {
             let slow = world.random.percent(50);
             world.store.slow_ms = if slow {
@@ -245,6 +304,7 @@
     world.store.slow_ms = 0;
     world.late_percent = 0;
     world.run(SETTLE_MS);
+    note_answers(&mut world, &requests);
     world.check_history();
     let accepted: Vec<JobId> = world.accepted.iter().copied().collect();
     for id in accepted {
@@ -313,6 +373,13 @@
     run_histories(first..first + count, SLOW_STORE);
 }
 
+#[test]
+fn histories_with_small_commits_violate_no_invariant() {
+    let first = env_number("CHERVILFALL_SEED", 0);
+    let count = env_number("CHERVILFALL_HISTORIES", HISTORIES);
+    run_histories(first..first + count, SMALL_COMMITS);
+}
+
 #[test]
 fn histories_with_long_faults_violate_no_invariant() {
     let first = env_number("CHERVILFALL_SEED", 0);
--- a/crates/chervilfall_planner/tests/world/store.rs
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -19,6 +19,8 @@
     pub slow_ms: u64,
     /// Percentage of transactions that are not answered and are carried out late.
     pub lost_answer_percent: u64,
+    /// Rows that were to be removed and did not exist, as `table/key`.
+    pub absent_removals: Vec<String>,
 }
 
 impl FakeStore {
@@ -42,7 +44,11 @@
                     self.rows.insert(key, (self.version, value.clone()));
                 }
                 RowChange::Remove(key) => {
-                    self.rows.remove(&(key.table.to_owned(), key.key.clone()));
+                    let removed = self.rows.remove(&(key.table.to_owned(), key.key.clone()));
+                    if removed.is_none() {
+                        let name = format!("{}/{}", key.table, key.key);
+                        self.absent_removals.push(name);
+                    }
                 }
             }
         }
