Make only advice calls whose tickets could be used

Cause: nodes for slow calls are used up by gangs that ask although they cannot fit, and by tolerant steps whose tickets are renewed although headroom keeps them from starting. Other steps then wait for a node.

Change: policy `useful_advice_calls` (policy/advice_use.rs, with the share of allowed endpoints by queue in policy/advice_share.rs). While at least half of the slow calls allowed are in flight, a renewal requires capacity for the step (for tolerant work: what headroom leaves), a gang asks only if allowed endpoints plus the learned share of the others could hold it, and capacity that better-ranked steps with tickets or calls in flight will use is claimed by them. With fewer slow calls in flight, calls are made as before, because they delay nobody.

Until a share is learned all endpoints count as allowed.

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -47,6 +47,10 @@
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
 pub use planner::{Backlog, LookupResult, Planner, StoredGroup};
+pub use policy::advice_share::AdviceShare;
+pub use policy::advice_use::{
+    asking_is_useful, AdviceCallKind, AdviceClaims, ClaimableEndpoint, FittingTasks,
+};
 pub use policy::commit_order::{
     CommitOrder, CommitPlan, JobTiming, ProgressKind, WaitingChanges, WaitingProgress,
     WaitingSubmission,
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -14,11 +14,13 @@
 use crate::ids::{Millis, Run};
 use crate::job::{JobSpec, Step};
 use crate::limits::Limits;
+use crate::metrics;
 use crate::planner::ask::max_calls_in_flight;
 use crate::planner::quota_reservations::QuotaReservations;
 use crate::planner::suspects::{WaitingTask, WaitingTasks};
 use crate::planner::waiting::WaitCause;
 use crate::planner::Planner;
+use crate::policy::advice_use::AdviceClaims;
 use crate::policy::headroom::HeadroomSlots;
 use crate::policy::order::has_slack;
 use crate::policy::placement::{
@@ -41,7 +43,13 @@
     /// Endpoints that accept work, by service.
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
     /// Headroom that latency-tolerant work leaves free, by service.
-    headroom_slots: BTreeMap<String, HeadroomSlots>,
+    pub(super) headroom_slots: BTreeMap<String, HeadroomSlots>,
+    /// Whether calls for advice that may be of no use are withheld.
+    pub(super) only_useful_calls: bool,
+    /// Capacity that better-ranked steps are about to use with their tickets.
+    pub(super) claims: AdviceClaims,
+    /// Number of steps that requested no advice because it would be of no use.
+    pub(super) withheld_calls: u32,
     /// Quotas that better-ranked steps wait for.
     quota_reservations: QuotaReservations,
     /// Whether a node can make a fast call for advice.
@@ -90,6 +98,10 @@
         };
         for key in keys {
             self.schedule_step(&mut pass, key);
+            self.claim_advised_capacity(&mut pass, key);
+        }
+        if full {
+            metrics::advice_withheld(pass.withheld_calls);
         }
     }
 
@@ -110,6 +122,10 @@
         Pass {
             pools,
             headroom_slots,
+            only_useful_calls: self.limits.policies.useful_advice_calls
+                && self.slow_calls_are_scarce(),
+            claims: AdviceClaims::default(),
+            withheld_calls: 0,
             quota_reservations: QuotaReservations::new(),
             fast_call_possible: self.can_call_advice(false),
             slow_call_possible: self.can_call_advice(true),
@@ -356,7 +372,7 @@
         let mut offers = self.offers(pass, key, request);
         let need = request.required_resources();
         let headroom_slots = pass.headroom_slots.get_mut(&request.service);
-        let picks = match headroom_slots.filter(|_| self.must_leave_headroom(key, request)) {
+        let picks = match headroom_slots.filter(|_| self.must_leave_headroom(key)) {
             Some(slots) => pick_keeping_headroom(&mut offers, need, count, slots),
             None => pick_endpoints(&mut offers, need, count, request.latency_class),
         };
@@ -408,10 +424,11 @@
 
     /// Returns whether a step must leave headroom for latency-sensitive work: it is
     /// latency-tolerant and its job has slack.
-    fn must_leave_headroom(&self, key: StepKey, request: &StepRequest) -> bool {
+    pub(super) fn must_leave_headroom(&self, key: StepKey) -> bool {
         let job = self.jobs.get(&key.job);
-        request.latency_class == LatencyClass::Tolerant
-            && job.is_some_and(|job| has_slack(job, self.unix_ms))
+        job.is_some_and(|job| {
+            LatencyClass::of(job) == LatencyClass::Tolerant && has_slack(job, self.unix_ms)
+        })
     }
 
     /// Picks endpoints for a gang: all in one rack if the step asks for it and that is possible.
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -14,6 +14,8 @@
     pub texts_in_job_rows: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
+    /// Advice is requested only when its tickets could be used.
+    pub useful_advice_calls: bool,
 }
 
 impl Default for Policies {
@@ -23,6 +25,7 @@
             speed: true,
             texts_in_job_rows: true,
             commit_order: true,
+            useful_advice_calls: true,
         }
     }
 }
