Refuse jobs at once that by forecast cannot complete with worth

Cause: a submission was held until its wait was used up although the store could not take it, and jobs were accepted, cost a commit and calls for advice, and had no worth left when they started. All that is behind the limit of waiting submissions was accepted.

The planner now forecasts when a job can first start, before it costs a commit: the submissions ahead of it at the rate at which jobs are stored, the jobs of its queue that wait for their first start, and the work of its account that the account's quota keeps waiting. Rates are measured only while something waits for the same without interruption, from observation to observation, at least 20 times over a second; otherwise the wait counts as 0. A job is refused if the forecast and half of its chain exceed three times its objective, or if its commit would come later than it may wait. Work that will be late is ahead of a job only if the job becomes late itself while it waits, as ranks serve work in time first. Steps of other queues are not counted: what they take shows in the rate. Submissions that wait for a commit are checked again every 50 ms, with half of the forecast, so that one low reading of a rate refuses nothing. The burn report counts these refusals as the others.

Tried before: whether a step waits for quota was read from the usage at the moment. Between the end of a run and the next pass some quota is always free, so the account never seemed to wait, and nothing was refused. The quota is now given out in order of rank, as a pass does. Weighed, not measured: a rate from the beginning of the wait, which would count the first commit or call for advice as time in which nothing is served.

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -47,6 +47,9 @@
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
 pub use planner::{Backlog, LookupResult, Planner, StoredGroup};
+pub use policy::admission::{
+    refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing, SubmissionTimes,
+};
 pub use policy::advice_share::AdviceShare;
 pub use policy::advice_use::{
     asking_is_useful, AdviceCallKind, AdviceClaims, ClaimableEndpoint, FittingTasks,
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -42,6 +42,13 @@
         .record(seconds(waited_ms));
 }
 
+/// Records by how much the forecast of a job's first start was off, by the queue's priority.
+pub(crate) fn forecast_error(priority: u32, error_ms: Millis) {
+    let priority = priority.to_string();
+    histogram!("chervilfall_forecast_error_seconds", "priority" => priority)
+        .record(seconds(error_ms));
+}
+
 /// Maximum number of accounts shown in metrics, because each adds time series of its own.
 pub(crate) const MAX_ACCOUNTS: usize = 256;
 
--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -9,7 +9,7 @@
 use crate::planner::Planner;
 use crate::policy::share::{Share, ShareAdmission};
 use crate::resources::Resources;
-use crate::tasks::{StepKey, TaskState};
+use crate::tasks::{Job, StepKey, TaskState};
 
 /// Interval between updates of the metrics of accounts.
 const METRICS_INTERVAL_MS: Millis = 1_000;
@@ -235,8 +235,17 @@
 
     /// Updates the account's share for a job that has ended.
     pub(super) fn release_share(&mut self, id: JobId) {
-        let job = self.jobs.get(&id);
-        if let Some(account) = job.filter(|job| job.beyond).and_then(|job| job.account) {
+        let account = self.jobs.get(&id).and_then(account_over_share);
+        self.end_over_share_job(account);
+    }
+
+    /// Updates an account's share for a job over the share that is refused after all.
+    pub(super) fn end_share(&mut self, job: &Job) {
+        self.end_over_share_job(account_over_share(job));
+    }
+
+    fn end_over_share_job(&mut self, account: Option<AccountKey>) {
+        if let Some(account) = account {
             self.accounts.state_mut(account).share.end_over_share_job();
         }
     }
@@ -246,3 +255,8 @@
         self.accounts.state_mut(account).share.add_over_share_job();
     }
 }
+
+/// Returns the account whose share a job exceeds.
+fn account_over_share(job: &Job) -> Option<AccountKey> {
+    job.account.filter(|_| job.beyond)
+}
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -0,0 +1,244 @@
+//! Forecasts of when submitted jobs can first start, from what the planner observes.
+
+use std::collections::BTreeMap;
+
+use crate::config::QueueName;
+use crate::ids::{JobId, Millis};
+use crate::job::Step;
+use crate::metrics;
+use crate::planner::accounts::AccountKey;
+use crate::planner::Planner;
+use crate::policy::admission::{
+    refusal, Forecast, ForecastRefusal, ServiceRate, Stage, Standing, SubmissionTimes,
+    TERM_START_MS,
+};
+use crate::policy::order::{prospect_of, Prospect};
+use crate::resources::Resources;
+use crate::tasks::{Job, StepKey};
+
+/// Interval between counts of what waits. Between two of them a forecast misses what has arrived.
+const COUNT_INTERVAL_MS: Millis = 50;
+
+/// Observations that forecasts are made from. A new holder starts without any.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    /// Jobs stored.
+    commits: ServiceRate,
+    /// First starts of jobs, by queue.
+    starts: BTreeMap<QueueName, Stage>,
+    /// CPU that accounts free while work of theirs waits for it, by account.
+    quotas: BTreeMap<AccountKey, Stage>,
+    /// Usage of accounts with waiting work once what fits their quotas has started.
+    planned: BTreeMap<AccountKey, Resources>,
+    counted_ms: Millis,
+}
+
+/// Why an open step has not been placed, as far as forecasts distinguish it.
+enum WaitsFor {
+    Start,
+    Quota { cpu_milli: u64 },
+}
+
+impl Planner {
+    /// Records that a batch was built. If new jobs are left over, commits are the bottleneck.
+    pub(super) fn note_batch_built(&mut self) {
+        let waiting = !self.unsaved.new_jobs.is_empty();
+        self.admission.commits.note_waiting(self.now, waiting);
+    }
+
+    pub(super) fn note_job_stored(&mut self) {
+        self.admission.commits.note_served(self.now, 1);
+    }
+
+    /// Records the first start of a job, and how far its forecast was off.
+    pub(super) fn note_first_start(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if let Some(stage) = self.admission.starts.get_mut(&job.queue.name) {
+            stage.rate.note_served(self.now, 1);
+        }
+        if let Some(forecast_ms) = job.forecast_ms {
+            let waited_ms = self.now.saturating_sub(job.accepted_ms);
+            metrics::forecast_error(job.queue.priority, forecast_ms.abs_diff(waited_ms));
+        }
+    }
+
+    /// Records that an account's usage has fallen.
+    pub(super) fn note_usage_released(&mut self, account: AccountKey, usage: Resources) {
+        if let Some(stage) = self.admission.quotas.get_mut(&account) {
+            stage.rate.note_served(self.now, usage.cpu_milli);
+        }
+    }
+
+    /// Counts what waits for its first start and for quota. Returns whether it was time to.
+    pub(super) fn count_waiting_work(&mut self) -> bool {
+        let due = self.now >= self.admission.counted_ms + COUNT_INTERVAL_MS;
+        if !due || !self.limits.policies.admission_forecast {
+            return false;
+        }
+        let mut admission = std::mem::take(&mut self.admission);
+        admission.counted_ms = self.now;
+        admission.planned.clear();
+        for stage in admission.starts.values_mut() {
+            stage.clear_waiting();
+        }
+        for stage in admission.quotas.values_mut() {
+            stage.clear_waiting();
+        }
+        let mut last_job = None;
+        for key in self.open.keys() {
+            let Some(job) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            // The steps of a job follow each other, and it has only one first start.
+            let first_of_job = last_job.replace(key.job) != Some(key.job);
+            self.count_step(&mut admission, key, job, first_of_job);
+        }
+        for stage in admission.starts.values_mut() {
+            stage.note_counted(self.now);
+        }
+        for stage in admission.quotas.values_mut() {
+            stage.note_counted(self.now);
+        }
+        self.admission = admission;
+        true
+    }
+
+    fn count_step(&self, admission: &mut Admission, key: StepKey, job: &Job, first_of_job: bool) {
+        let in_time = match prospect_of(job, key, self.unix_ms) {
+            Prospect::InTime => true,
+            Prospect::Late => false,
+            // It ranks behind every job that is submitted now.
+            Prospect::Overdue => return,
+        };
+        let standing = standing(job);
+        match self.waits_for(&mut admission.planned, key, job) {
+            WaitsFor::Quota { cpu_milli } => {
+                let Some(account) = job.account else {
+                    return;
+                };
+                let stage = admission.quotas.entry(account).or_default();
+                stage.add_waiting(standing, in_time, cpu_milli);
+            }
+            WaitsFor::Start if first_of_job && !job.started => {
+                if !admission.starts.contains_key(&job.queue.name) {
+                    let stage = Stage::default();
+                    admission.starts.insert(job.queue.name.clone(), stage);
+                }
+                if let Some(stage) = admission.starts.get_mut(&job.queue.name) {
+                    stage.add_waiting(standing, in_time, 1);
+                }
+            }
+            WaitsFor::Start => {}
+        }
+    }
+
+    /// Returns what a step waits for. Work that its account's quota keeps from starting is not ahead
+    /// of other accounts' work. The quota is given out in order of rank, as in a pass, because
+    /// between the end of a run and the next pass some of it is always free.
+    fn waits_for(
+        &self,
+        planned: &mut BTreeMap<AccountKey, Resources>,
+        key: StepKey,
+        job: &Job,
+    ) -> WaitsFor {
+        let step = job.spec.steps.get(key.step as usize);
+        let (Some(account), Some(step), Some(progress)) =
+            (job.account, step, job.step_progress(key))
+        else {
+            return WaitsFor::Start;
+        };
+        let waiting = progress.waiting();
+        let need = Resources::charged_to_account(step);
+        let used = planned
+            .entry(account)
+            .or_insert_with(|| self.accounts.used(account));
+        let fitting = self.accounts.tasks_beside(account, *used, need);
+        let needed = if step.gang { waiting } else { 1 };
+        if fitting < needed {
+            let cpu_milli = need.times(waiting).cpu_milli;
+            return WaitsFor::Quota { cpu_milli };
+        }
+        *used = used.add(need.times(waiting.min(fitting)));
+        WaitsFor::Start
+    }
+
+    /// Forecasts when a job that is not in a commit yet can first start. `commits_ahead` jobs go
+    /// into commits before it.
+    fn forecast(&self, job: &Job, commits_ahead: usize, times: SubmissionTimes) -> Forecast {
+        let in_term_ms = self.now.saturating_sub(self.claimed_ms);
+        if !self.limits.policies.admission_forecast || in_term_ms < TERM_START_MS {
+            return Forecast::default();
+        }
+        let admission = &self.admission;
+        let commit_ms = admission.commits.wait_ms(self.now, commits_ahead as u64);
+        let wait_ms = |stage: Option<&Stage>, slack_ms| {
+            stage.map_or(0, |stage| stage.wait_ms(self.now, standing(job), slack_ms))
+        };
+        let slack_ms = times.slack_ms().saturating_sub(commit_ms);
+        let start_ms = wait_ms(admission.starts.get(&job.queue.name), slack_ms);
+        let quota = job
+            .account
+            .filter(|account| self.quota_is_used_up(*account, job));
+        let quota = quota.and_then(|account| admission.quotas.get(&account));
+        let quota_ms = wait_ms(quota, slack_ms.saturating_sub(start_ms));
+        Forecast {
+            commit_ms,
+            start_ms,
+            quota_ms,
+        }
+    }
+
+    /// Returns whether an account's quota lets none of the job's first steps start beside what
+    /// already waits.
+    fn quota_is_used_up(&self, account: AccountKey, job: &Job) -> bool {
+        let startable = |step: &Step| {
+            let needed = if step.gang { step.count } else { 1 };
+            let planned = self.admission.planned.get(&account).copied();
+            let used = planned.unwrap_or_else(|| self.accounts.used(account));
+            let need = Resources::charged_to_account(step);
+            self.accounts.tasks_beside(account, used, need) >= needed
+        };
+        let mut first_steps = job.spec.steps.iter().filter(|step| step.after.is_empty());
+        !first_steps.any(startable)
+    }
+
+    /// Decides about a job that was just submitted, and records its forecast.
+    pub(super) fn check_submission(&self, job: &mut Job) -> Option<ForecastRefusal> {
+        let times = self.submission_times(job);
+        let forecast = self.forecast(job, self.unsaved.new_jobs.len(), times);
+        let known = self.limits.policies.admission_forecast;
+        job.forecast_ms = known.then_some(forecast.total_ms());
+        refusal(forecast, times)
+    }
+
+    /// Decides again about a job that waits for a commit behind `commits_ahead` others.
+    pub(super) fn recheck_submission(
+        &self,
+        job: &Job,
+        commits_ahead: usize,
+    ) -> Option<ForecastRefusal> {
+        let times = self.submission_times(job);
+        let forecast = self.forecast(job, commits_ahead, times);
+        refusal(forecast.for_recheck(), times)
+    }
+
+    fn submission_times(&self, job: &Job) -> SubmissionTimes {
+        // Services run until they are cancelled, and repeated jobs when they are due.
+        let counts = !job.long_running && job.spec.repeat_count == 0 && job.objective_ms > 0;
+        SubmissionTimes {
+            waited_ms: self.now.saturating_sub(job.accepted_ms),
+            wait_left_ms: job.refuse_at_ms.saturating_sub(self.now),
+            chain_ms: job.chain_ms,
+            objective_ms: counts.then_some(job.objective_ms),
+        }
+    }
+}
+
+fn standing(job: &Job) -> Standing {
+    Standing {
+        beyond: job.beyond,
+        priority: job.queue.priority,
+    }
+}
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -92,6 +92,7 @@
         self.add_roster(&mut builder);
         self.add_starts(&mut builder);
         self.add_job_changes(&mut builder);
+        self.note_batch_built();
         let acknowledgements = self.unsaved.take_acknowledgements();
         let complete = self.unsaved.new_jobs.is_empty() && self.unsaved.progress.is_empty();
         let releases = self.releasing && complete;
@@ -312,15 +313,18 @@
         };
         job.stored = true;
         let submitters = std::mem::take(&mut job.submitters);
+        let account = job.account.map(|account| self.accounts.name(account));
         metrics::accepted(self.now.saturating_sub(job.accepted_ms));
         log::info!(
             job:% = id, queue = job.queue.name.as_str(), service = job.queue.service.as_str(),
+            account = account, forecast_ms = job.forecast_ms,
             configuration = self.config.version, steps = job.spec.steps.len(), waited_ms = self.now.saturating_sub(job.accepted_ms);
             "accepted"
         );
         for to in submitters {
             self.reply(to, Answer::Accepted);
         }
+        self.note_job_stored();
         self.record_resumption(ServiceMilestone::Accepted);
         self.activate(id);
     }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod activation;
+mod admission;
 mod advise;
 mod ask;
 mod barrier;
@@ -48,6 +49,7 @@
 use crate::tasks::{Job, OpenRows};
 pub(crate) use accounts::AccountKey;
 use accounts::Accounts;
+use admission::Admission;
 use advise::AdviceCall;
 use barrier::Barrier;
 use commits::InFlightCommit;
@@ -106,6 +108,7 @@
     open: OpenSteps,
     history: History,
     accounts: Accounts,
+    admission: Admission,
     /// Next occurrences of repeating jobs that are not due yet, by due time.
     due_occurrences: BTreeSet<(u64, JobId, u32)>,
     gang_deadlines: GangDeadlines,
@@ -182,6 +185,7 @@
             open: OpenSteps::default(),
             history: History::default(),
             accounts: Accounts::default(),
+            admission: Admission::default(),
             due_occurrences: BTreeSet::new(),
             gang_deadlines: GangDeadlines::new(),
             stopping: Stopping::default(),
@@ -366,7 +370,8 @@
         self.open_due_occurrences();
         self.check_gang_deadlines();
         self.drop_finished();
-        self.refuse_overdue();
+        let counted = self.count_waiting_work();
+        self.refuse_overdue(counted);
         self.expire_advice_calls();
         self.schedule_if_due();
         self.report_waiting();
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -51,6 +51,7 @@
     pub(super) fn release_usage(&mut self, placed: Option<PlacedRun>) {
         if let Some((account, usage)) = placed.and_then(|placed| placed.charge) {
             self.accounts.remove(account, usage);
+            self.note_usage_released(account, usage);
         }
     }
 
@@ -261,6 +262,7 @@
         if !std::mem::replace(&mut job.started, true) {
             let waited_ms = self.now.saturating_sub(job.accepted_ms);
             metrics::first_start(job.queue.priority, waited_ms);
+            self.note_first_start(task.job);
         }
     }
 
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -12,6 +12,7 @@
 use crate::job::JobSpec;
 use crate::metrics;
 use crate::planner::Planner;
+use crate::policy::admission::{ForecastRefusal, RefusalCause};
 use crate::policy::share::ShareAdmission;
 use crate::record::{encode, JobRow};
 use crate::tasks::{Job, TaskState};
@@ -94,6 +95,7 @@
             return;
         }
         if self.unsaved.new_jobs.len() >= self.limits.accept_queue {
+            metrics::refused(RefusalCause::Store.label());
             log::info!(job:% = id, queue = queue.name.as_str(), claim_age_ms = self.claim_age_ms(self.now); "refused, too many wait for the store");
             self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
             return;
@@ -120,6 +122,13 @@
         let account = name
             .as_deref()
             .map(|name| self.accounts.key(name, self.now));
+        let mut job = Job::new(id, row, self.now);
+        job.account = account;
+        job.refuse_at_ms = self.now + wait_ms;
+        if let Some(refusal) = self.check_submission(&mut job) {
+            self.refuse_submission(to, &job, refusal);
+            return;
+        }
         let admission = self.charge_share(account);
         if let ShareAdmission::Refused { retry_ms } = admission {
             metrics::refused("share");
@@ -127,16 +136,40 @@
             self.reply(to, Answer::OverShare { retry_ms });
             return;
         }
-        let mut job = Job::new(id, row, self.now);
-        job.account = account;
         job.beyond = admission == ShareAdmission::OverShare;
+        if job.beyond {
+            if let Some(refusal) = self.check_submission(&mut job) {
+                self.end_share(&job);
+                self.refuse_submission(to, &job, refusal);
+                return;
+            }
+        }
         job.text = Some(text);
         job.submitters.push(to);
-        job.refuse_at_ms = self.now + wait_ms;
         self.jobs.insert(id, job);
         self.unsaved.new_jobs.push_back(id);
     }
 
+    /// Refuses a submission by its forecast, before it costs a commit.
+    fn refuse_submission(&mut self, to: ReplyTo, job: &Job, refusal: ForecastRefusal) {
+        self.record_refusal(job, refusal.cause);
+        self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
+    }
+
+    fn record_refusal(&self, job: &Job, cause: RefusalCause) {
+        metrics::refused(cause.label());
+        log::info!(
+            job:% = job.id, queue = job.queue.name.as_str(),
+            account = job.account.map(|account| self.accounts.name(account)),
+            cause = cause.label(), forecast_ms = job.forecast_ms,
+            chain_ms = job.chain_ms, objective_ms = job.objective_ms,
+            waited_ms = self.now.saturating_sub(job.accepted_ms),
+            may_wait_ms = job.refuse_at_ms.saturating_sub(job.accepted_ms),
+            claim_age_ms = self.claim_age_ms(self.now);
+            "refused by forecast"
+        );
+    }
+
     /// Returns a queue as defined by the newer of two configurations: that of the node that
     /// received the request, and the planner's. Returns `None` if the newer one has no such queue.
     fn newest_queue(&self, named: Queue) -> Option<Queue> {
@@ -155,17 +188,44 @@
         Some(known.unwrap_or(named))
     }
 
-    /// Refuses submissions that did not get into a batch in time.
-    pub(super) fn refuse_overdue(&mut self) {
-        let now = self.now;
-        let jobs = &self.jobs;
-        let overdue = |id: &JobId| jobs.get(id).is_none_or(|job| now >= job.refuse_at_ms);
-        let (refused, waiting): (VecDeque<JobId>, _) =
-            self.unsaved.new_jobs.drain(..).partition(overdue);
-        self.unsaved.new_jobs = waiting;
-        for id in refused {
-            self.refuse_unsaved(id);
+    /// Refuses submissions that did not get into a batch in time and, with `recheck`, those that by
+    /// a new forecast cannot complete in time. None of them is in a commit.
+    pub(super) fn refuse_overdue(&mut self, recheck: bool) {
+        let mut kept = VecDeque::with_capacity(self.unsaved.new_jobs.len());
+        for id in std::mem::take(&mut self.unsaved.new_jobs) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if self.now >= job.refuse_at_ms {
+                self.refuse_unanswered(id);
+                continue;
+            }
+            let checked = recheck && job.outcome.is_none();
+            let refusal = checked.then(|| self.recheck_submission(job, kept.len()));
+            match refusal.flatten() {
+                Some(refusal) => {
+                    self.record_refusal(job, refusal.cause);
+                    self.refuse_unsaved(id);
+                }
+                None => kept.push_back(id),
+            }
+        }
+        self.unsaved.new_jobs = kept;
+    }
+
+    /// Refuses a submission that the store did not take in time.
+    fn refuse_unanswered(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get(&id) {
+            metrics::refused(RefusalCause::Store.label());
+            log::info!(
+                job:% = id, queue = job.queue.name.as_str(),
+                account = job.account.map(|account| self.accounts.name(account)),
+                cause = RefusalCause::Store.label(), forecast_ms = job.forecast_ms,
+                waited_ms = self.now - job.accepted_ms, claim_age_ms = self.claim_age_ms(self.now);
+                "refused, the store does not answer"
+            );
         }
+        self.refuse_unsaved(id);
     }
 
     fn refuse_unsaved(&mut self, id: JobId) {
@@ -174,12 +234,6 @@
             return;
         };
         self.unsaved.progress.remove(id);
-        metrics::refused("store");
-        log::info!(
-            job:% = id, queue = job.queue.name.as_str(), waited_ms = self.now - job.accepted_ms,
-            claim_age_ms = self.claim_age_ms(self.now);
-            "refused, the store does not answer"
-        );
         for to in job.submitters {
             self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
         }
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -47,10 +47,9 @@
 /// Returns the rank of a step at `unix_ms`: work within the account's share first, then by
 /// prospect, priority and order of acceptance.
 pub(crate) fn rank(job: &Job, key: StepKey, unix_ms: u64) -> Rank {
-    let due_unix_ms = job.spec.due_unix_ms(key.occurrence);
     Rank {
         beyond: job.beyond,
-        prospect: prospect(job, job.accepted_unix_ms.max(due_unix_ms), unix_ms),
+        prospect: prospect_of(job, key, unix_ms),
         priority: effective_priority(job, unix_ms),
         accepted_unix_ms: job.accepted_unix_ms,
     }
@@ -63,6 +62,12 @@
     job.queue.priority.saturating_sub(u32::from(out_of_slack))
 }
 
+/// Returns the prospect of the job of a step at `unix_ms`.
+pub(crate) fn prospect_of(job: &Job, key: StepKey, unix_ms: u64) -> Prospect {
+    let due_unix_ms = job.spec.due_unix_ms(key.occurrence);
+    prospect(job, job.accepted_unix_ms.max(due_unix_ms), unix_ms)
+}
+
 fn prospect(job: &Job, begin_unix_ms: u64, unix_ms: u64) -> Prospect {
     let objective_ms = job.objective_ms;
     let waited_ms = unix_ms.saturating_sub(begin_unix_ms);
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policies {
+    /// A job that cannot complete while it still has worth is refused when it is submitted.
+    pub admission_forecast: bool,
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
     /// Latency-sensitive work goes to fast endpoints and latency-tolerant work to slow ones.
@@ -21,6 +23,7 @@
 impl Default for Policies {
     fn default() -> Self {
         Self {
+            admission_forecast: true,
             headroom: true,
             speed: true,
             texts_in_job_rows: true,
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -156,6 +156,8 @@
     pub(crate) accepted_unix_ms: u64,
     /// When its submission is refused if no commit has included it by then.
     pub(crate) refuse_at_ms: Millis,
+    /// Forecast of the time from its submission to its first start; none for inherited jobs.
+    pub(crate) forecast_ms: Option<Millis>,
     /// The job's row is stored.
     pub(crate) stored: bool,
     /// It was read from rows, so an earlier holder may have started tasks of it.
@@ -195,6 +197,7 @@
             accepted_ms: now,
             accepted_unix_ms: row.accepted_unix_ms,
             refuse_at_ms: now,
+            forecast_ms: None,
             stored: false,
             inherited: false,
             cancelled: false,
--- /dev/null
+++ b/crates/chervilfall_planner/tests/admission.rs
@@ -0,0 +1,382 @@
+//! Admission by forecast: its decisions, and loads that exceed the store, the endpoints or a quota.
+//!
+//! Guards against these failures: callers were held until their time was up although the store
+//! could not take their jobs, and jobs were accepted that had no worth left when they started.
+
+mod world;
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+
+use chervilfall_planner::{
+    refusal, Account, Answer, Configuration, Forecast, JobId, JobSpec, RefusalCause, Request,
+    Resources, ServiceRate, Stage, Standing, SubmissionTimes,
+};
+use world::{step, World};
+
+const WORK_MS: u64 = 400;
+/// Objective of a job: 1.5 times its work and 250 ms.
+const OBJECTIVE_MS: u64 = WORK_MS * 3 / 2 + 250;
+const WAIT_MS: u64 = 1_500;
+const LIMITED: &str = "limited";
+
+#[test]
+fn refusals_follow_from_the_forecast() {
+    struct Case {
+        name: &'static str,
+        forecast: Forecast,
+        waited_ms: u64,
+        objective_ms: Option<u64>,
+        cause: Option<RefusalCause>,
+    }
+    let waits = |commit_ms, start_ms, quota_ms| Forecast {
+        commit_ms,
+        start_ms,
+        quota_ms,
+    };
+    let case = |name, forecast, cause| Case {
+        name,
+        forecast,
+        waited_ms: 0,
+        objective_ms: Some(1_000),
+        cause,
+    };
+    let cases = [
+        case("nothing is known", waits(0, 0, 0), None),
+        case("just worth something", waits(0, 2_800, 0), None),
+        case("too late", waits(0, 2_801, 0), Some(RefusalCause::Starts)),
+        case("sum", waits(1_000, 700, 1_200), Some(RefusalCause::Quota)),
+        case(
+            "late for its commit",
+            waits(1_501, 0, 0),
+            Some(RefusalCause::Store),
+        ),
+        case("just in time for it", waits(1_500, 0, 0), None),
+        Case {
+            waited_ms: 1,
+            ..case("has waited", waits(0, 2_800, 0), Some(RefusalCause::Starts))
+        },
+        Case {
+            objective_ms: None,
+            ..case("no objective", waits(0, 90_000, 90_000), None)
+        },
+        Case {
+            waited_ms: 5_000,
+            ..case("nothing to wait for", waits(0, 0, 0), None)
+        },
+    ];
+    for case in cases {
+        let times = SubmissionTimes {
+            waited_ms: case.waited_ms,
+            wait_left_ms: WAIT_MS,
+            chain_ms: 400,
+            objective_ms: case.objective_ms,
+        };
+        let refused = refusal(case.forecast, times).map(|refusal| refusal.cause);
+        assert_eq!(refused, case.cause, "{}", case.name);
+    }
+}
+
+/// Returns a rate that has served `each` every `interval_ms` for a time.
+fn served(interval_ms: u64, each: u64, for_ms: u64) -> ServiceRate {
+    let mut rate = ServiceRate::default();
+    rate.note_waiting(0, true);
+    for at_ms in (0..=for_ms).step_by(usize::try_from(interval_ms).expect("short")) {
+        for _ in 0..each {
+            rate.note_served(at_ms, 1);
+        }
+    }
+    rate
+}
+
+#[test]
+fn waits_follow_from_what_was_served_under_pressure() {
+    struct Case {
+        name: &'static str,
+        rate: ServiceRate,
+        now: u64,
+        wait_ms: u64,
+    }
+    let case = |name, rate, now, wait_ms| Case {
+        name,
+        rate,
+        now,
+        wait_ms,
+    };
+    let mut passed = served(10, 1, 4_000);
+    passed.note_waiting(4_000, false);
+    passed.note_waiting(4_000, true);
+    let cases = [
+        case("steady", served(10, 1, 4_000), 4_000, 1_000),
+        case("batches", served(500, 25, 4_000), 4_400, 2_000),
+        case("too short", served(10, 1, 900), 1_000, 0),
+        case("too few", served(250, 1, 4_000), 4_000, 0),
+        case("long ago", served(10, 1, 4_000), 9_100, 0),
+        case("pressure has passed", passed, 4_100, 0),
+    ];
+    for case in cases {
+        let wait_ms = case.rate.wait_ms(case.now, 100);
+        let error_ms = wait_ms.abs_diff(case.wait_ms);
+        assert!(error_ms <= case.wait_ms / 20, "{}: {wait_ms}", case.name);
+    }
+}
+
+#[test]
+fn late_work_is_ahead_only_of_jobs_that_become_late() {
+    let standing = |beyond, priority| Standing { beyond, priority };
+    let mut stage = Stage::default();
+    stage.rate = served(10, 1, 4_000);
+    stage.add_waiting(standing(false, 0), true, 50);
+    stage.add_waiting(standing(false, 0), false, 100);
+    stage.add_waiting(standing(false, 1), true, 200);
+    let own = standing(false, 0);
+    assert_eq!(stage.wait_ms(4_000, own, 600) / 100, 5);
+    assert_eq!(stage.wait_ms(4_000, own, 400) / 100, 15);
+    assert_eq!(stage.wait_ms(4_000, standing(true, 0), 9_000) / 100, 25);
+}
+
+/// A submission, and the holder's answer to it.
+struct Sent {
+    id: JobId,
+    account: Option<&'static str>,
+    at_ms: u64,
+    request: Option<(usize, u64)>,
+    answer: Option<(Answer, u64)>,
+}
+
+impl Sent {
+    fn is_refused(&self) -> bool {
+        matches!(self.answer, Some((Answer::Refused { .. }, _)))
+    }
+}
+
+/// An open-loop load: it submits whether or not earlier jobs were answered.
+struct Load {
+    world: World,
+    sent: Vec<Sent>,
+}
+
+impl Load {
+    fn new(forecast: bool, endpoints: usize) -> Self {
+        let mut world = World::new(2, endpoints, 7);
+        world.limits.policies.admission_forecast = forecast;
+        world.queue.advice = None;
+        world.queue.priority = 0;
+        world.queue.stretch = 1.5;
+        world.queue.target_latency_ms = 250;
+        world.config = Arc::new(Configuration {
+            queues: BTreeMap::from([(world.queue.name.clone(), world.queue.clone())]),
+            accounts: BTreeMap::from([(
+                LIMITED.to_owned(),
+                Account {
+                    name: LIMITED.to_owned(),
+                    weight: 0.0,
+                    quota: Resources {
+                        cpu_milli: 8_000,
+                        ..Resources::default()
+                    },
+                },
+            )]),
+            ..Configuration::clone(&world.config)
+        });
+        world.run(4_500);
+        let sent = Vec::new();
+        Self { world, sent }
+    }
+
+    fn submit(&mut self, account: Option<&'static str>) {
+        let id = JobId(self.sent.len() as u64 + 1);
+        let spec = JobSpec {
+            spec: "text".to_owned(),
+            steps: vec![step(1, WORK_MS)],
+            ..JobSpec::default()
+        };
+        self.world.jobs.insert(id, spec.clone());
+        let request = self.world.request(Request::Submit {
+            queue: self.world.queue.clone(),
+            id,
+            spec,
+            wait_ms: WAIT_MS,
+            account: account.map(str::to_owned),
+        });
+        self.sent.push(Sent {
+            id,
+            account,
+            at_ms: self.world.now,
+            request,
+            answer: None,
+        });
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / 5 {
+            self.world.run(5);
+            for sent in &mut self.sent {
+                let Some((node, number)) = sent.request.filter(|_| sent.answer.is_none()) else {
+                    continue;
+                };
+                let reply = self.world.nodes[node].replies.get(&number);
+                sent.answer = reply.map(|answer| (*answer, self.world.now));
+            }
+        }
+    }
+
+    /// Submits so many jobs a second, every other one with the limited account if `with_account`.
+    fn submit_for(&mut self, for_ms: u64, per_s: u64, with_account: bool) {
+        for turn in 0..for_ms / 5 {
+            let due = (turn + 1) * per_s / 200 - turn * per_s / 200;
+            for _ in 0..due {
+                let limited = with_account && self.sent.len() % 2 == 0;
+                self.submit(limited.then_some(LIMITED));
+            }
+            self.run(5);
+        }
+    }
+
+    /// Returns the jobs whose task ended while they still had worth.
+    fn worthwhile(&self) -> usize {
+        let endpoints = self.world.endpoints.values();
+        let starts = endpoints.flat_map(|endpoint| &endpoint.starts);
+        let starts: BTreeMap<JobId, u64> =
+            starts.map(|(at_ms, task, _)| (task.job, *at_ms)).collect();
+        let in_time = |sent: &&Sent| {
+            let start_ms = starts.get(&sent.id);
+            start_ms.is_some_and(|at_ms| at_ms + WORK_MS <= sent.at_ms + 3 * OBJECTIVE_MS)
+        };
+        self.sent.iter().filter(in_time).count()
+    }
+
+    /// Checks that no refused job was stored or started.
+    fn check(&mut self) {
+        let refused = self.sent.iter().filter(|sent| sent.is_refused());
+        self.world.refused = refused.map(|sent| sent.id).collect();
+        self.world.check_history();
+        assert_eq!(self.world.violations, Vec::<String>::new());
+        for table in ["jobs", "ended"] {
+            for (key, _) in self.world.store.table(table) {
+                let id: JobId = key.parse().expect("a job's id");
+                assert!(!self.world.refused.contains(&id), "{id} was stored");
+            }
+        }
+    }
+}
+
+#[test]
+fn loads_beyond_the_capacity_are_refused_early_and_lighter_ones_never() {
+    struct Case {
+        name: &'static str,
+        forecast: bool,
+        /// Additional time that a commit takes, with few rows.
+        store_ms: u64,
+        per_s: u64,
+        with_account: bool,
+        refused: RangeInclusive<usize>,
+        /// Refusals later than 200 ms after the submission.
+        late_refusals: RangeInclusive<usize>,
+        min_worthwhile: usize,
+    }
+    let case = |name, forecast, per_s, refused| Case {
+        name,
+        forecast,
+        store_ms: 0,
+        per_s,
+        with_account: false,
+        refused,
+        late_refusals: 0..=0,
+        min_worthwhile: 0,
+    };
+    // Endpoints serve 100 jobs a second, of them the account's quota 20.
+    let cases = [
+        Case {
+            store_ms: 300,
+            late_refusals: 0..=100,
+            min_worthwhile: 550,
+            ..case("slow store", true, 100, 300..=450)
+        },
+        Case {
+            store_ms: 300,
+            late_refusals: 300..=450,
+            ..case("slow store, no forecast", false, 100, 300..=450)
+        },
+        Case {
+            min_worthwhile: 1_100,
+            ..case("short work", true, 400, 1_500..=2_500)
+        },
+        case("short work, no forecast", false, 400, 0..=0),
+        Case {
+            with_account: true,
+            min_worthwhile: 700,
+            ..case("quota", true, 100, 100..=250)
+        },
+        Case {
+            with_account: true,
+            ..case("quota, no forecast", false, 100, 0..=0)
+        },
+        Case {
+            min_worthwhile: 500,
+            ..case("light", true, 50, 0..=0)
+        },
+        Case {
+            store_ms: 300,
+            min_worthwhile: 100,
+            ..case("light, slow store", true, 10, 0..=0)
+        },
+    ];
+    for case in cases {
+        let name = case.name;
+        let mut load = Load::new(case.forecast, 10);
+        load.world.store.slow_ms = case.store_ms;
+        load.submit_for(10_000, case.per_s, case.with_account);
+        load.run(3_000);
+        load.check();
+        let refused: Vec<&Sent> = load.sent.iter().filter(|sent| sent.is_refused()).collect();
+        let is_late = |sent: &&&Sent| {
+            let answered_ms = sent.answer.map(|(_, at_ms)| at_ms);
+            answered_ms > Some(sent.at_ms + 200)
+        };
+        let late_refusals = refused.iter().filter(is_late).count();
+        let worthwhile = load.worthwhile();
+        assert!(
+            case.refused.contains(&refused.len()),
+            "{name}: {} refused",
+            refused.len()
+        );
+        assert!(
+            case.late_refusals.contains(&late_refusals),
+            "{name}: {late_refusals} refused late"
+        );
+        assert!(
+            worthwhile >= case.min_worthwhile,
+            "{name}: {worthwhile} worthwhile"
+        );
+        let others = refused.iter().filter(|sent| sent.account.is_none()).count();
+        assert!(
+            !case.with_account || others == 0,
+            "{name}: {others} others refused"
+        );
+    }
+}
+
+/// Guards against a new holder that refuses by rates which it has not observed.
+#[test]
+fn a_new_holder_accepts_until_it_has_observed_enough() {
+    let mut load = Load::new(true, 10);
+    load.submit_for(5_000, 400, false);
+    let holder = load.world.holder().expect("a holder");
+    let before = load.sent.iter().filter(|sent| sent.is_refused()).count();
+    assert!(before > 100, "{before} refused");
+    load.world.kill(holder);
+    while load.world.holder().is_none() {
+        load.run(5);
+    }
+    let first = load.sent.len();
+    load.submit_for(2_000, 400, false);
+    let early = load.sent[first..].iter().filter(|sent| sent.is_refused());
+    assert_eq!(early.count(), 0);
+    load.submit_for(4_000, 400, false);
+    load.run(3_000);
+    let later = load.sent[first..].iter().filter(|sent| sent.is_refused());
+    assert!(later.count() > 100);
+    load.check();
+}
