Tell refused callers different times to retry, and accept those that keep to them

Cause: all refused callers were told the same time (1 s, 0.5 s at least for the share), so those that were refused together returned together and were refused again.

The time is now when the cause of the refusal will have passed by the forecast (0.2 to 10 s; 1 s without a forecast), and a jitter by the job's id on top: a quarter of the time for the most urgent priority, approaching half for the least. A holder remembers up to 4,096 refusals until 3 s after their time. Who returns as told is not refused by forecast again and goes into commits before first attempts; who returns sooner is told the rest of the time. A refusal by the share gets the jitter and is not remembered, since the share may refuse again. A front without a holder, and a holder that gives the group up, tell 0.5 to 1.5 s. The front counts its refusals with the reason no_holder. Refusals of a new holder's lookups (history.rs) and of a node without a configuration still say 1 s.

Seen in tests/admission.rs: of a wave of 40 callers at a store that is 300 ms slower and overloaded, without the policy all that are refused return within the same 50 ms and at least 10 are refused again; with it at most 30% return within 50 ms and none is refused again. Both are cases of the table.

--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chervilfall_kernel::Deadline;
-use chervilfall_planner::{AccountName, Answer, JobId, Request};
+use chervilfall_planner::{no_holder_retry_ms, AccountName, Answer, JobId, Request};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
@@ -63,6 +63,8 @@
     /// Maximum age of the reading by which a call with a key is accepted; none if calls need no
     /// key.
     revocation: Option<Revocation>,
+    /// Callers that found no holder are told different times to retry.
+    spread_retries: bool,
     stopping: AtomicBool,
     /// Age of the holder's claim when it was last reported, in milliseconds; `u64::MAX` while
     /// unknown.
@@ -83,6 +85,7 @@
         control: mpsc::Sender<ControlEvent>,
         timings: Timings,
         revocation: Option<Revocation>,
+        spread_retries: bool,
     ) -> Self {
         Self {
             configuration,
@@ -90,6 +93,7 @@
             control,
             timings,
             revocation,
+            spread_retries,
             stopping: AtomicBool::new(false),
             claim_age_ms: AtomicU64::new(u64::MAX),
             claim_reported_ms: AtomicU64::new(0),
@@ -286,7 +290,7 @@
             // A request that was sent to a holder may be stored: only the next holder knows.
             let holder_by = if sent { answer_by } else { refuse_by };
             let Some(leadership) = self.wait_for_holder(holder_by, !sent).await else {
-                return not_answered(sent, &request);
+                return self.not_answered(sent, &request);
             };
             if let Request::Submit { wait_ms, .. } = &mut request {
                 *wait_ms = millis(clock().left(refuse_by));
@@ -305,11 +309,11 @@
                     Ok(Ok(answer)) => return answer,
                     // The holder is gone; a new one answers for what the old one stored.
                     Ok(Err(_)) => {}
-                    Err(_) => return not_answered(sent, &request),
+                    Err(_) => return self.not_answered(sent, &request),
                 }
             }
             if clock().left(holder_by).is_zero() {
-                return not_answered(sent, &request);
+                return self.not_answered(sent, &request);
             }
             tokio::time::sleep(RESEND_PAUSE).await;
         }
@@ -342,6 +346,22 @@
         }
     }
 
+    /// Returns the answer for a request that no holder has answered: refused only if it was never
+    /// sent.
+    fn not_answered(&self, sent: bool, request: &Request) -> Answer {
+        if sent {
+            return Answer::Undecided;
+        }
+        let job = job(request).filter(|_| self.spread_retries);
+        let retry_ms = job.map_or(RETRY_MS, no_holder_retry_ms);
+        if matches!(request, Request::Submit { .. }) {
+            metrics::counter!("chervilfall_jobs_refused_total", "reason" => "no_holder")
+                .increment(1);
+            return Answer::Refused { retry_ms };
+        }
+        Answer::NotCancelled { retry_ms }
+    }
+
     fn forward(&self, leadership: &Leadership, pending: PendingRequest) -> bool {
         match leadership {
             Leadership::NoHolder => false,
@@ -409,15 +429,3 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Returns the answer for a request that no holder has answered: refused only if it was never sent.
-fn not_answered(sent: bool, request: &Request) -> Answer {
-    let refused = !sent && matches!(request, Request::Submit { .. });
-    if refused {
-        return Answer::Refused { retry_ms: RETRY_MS };
-    }
-    if !sent {
-        return Answer::NotCancelled { retry_ms: RETRY_MS };
-    }
-    Answer::Undecided
-}
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -83,6 +83,7 @@
                 within_ms,
                 strict: settings.strict_revoke,
             }),
+            settings.policies.spread_retries,
         ));
         let limits = Limits {
             lease_max_ms: settings.lease_max_ms,
--- a/crates/chervilfall_planner/src/planner/admission.rs
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -7,12 +7,14 @@
 use crate::job::Step;
 use crate::metrics;
 use crate::planner::accounts::AccountKey;
+use crate::planner::requests::RETRY_MS;
 use crate::planner::Planner;
 use crate::policy::admission::{
-    refusal, Forecast, ForecastRefusal, ServiceRate, Stage, Standing, SubmissionTimes,
-    TERM_START_MS,
+    refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing,
+    SubmissionTimes, TERM_START_MS,
 };
 use crate::policy::order::{prospect_of, Prospect};
+use crate::policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
 use crate::resources::Resources;
 use crate::tasks::{Job, StepKey};
 
@@ -31,6 +33,7 @@
     /// Usage of accounts with waiting work once what fits their quotas has started.
     planned: BTreeMap<AccountKey, Resources>,
     counted_ms: Millis,
+    refusals: RefusalMemory,
 }
 
 /// Why an open step has not been placed, as far as forecasts distinguish it.
@@ -204,13 +207,73 @@
         !first_steps.any(startable)
     }
 
+    /// Returns when the caller of a refused job should retry, and remembers that it was told so.
+    pub(super) fn told_retry_ms(&mut self, id: JobId, priority: u32, passes_ms: Millis) -> Millis {
+        if !self.limits.policies.spread_retries {
+            return RETRY_MS;
+        }
+        let retry_ms = retry_ms(passes_ms, id, priority);
+        self.admission.refusals.remember(id, self.now, retry_ms)
+    }
+
+    /// Returns when the caller of a job that its account's share refuses should retry. It is not
+    /// remembered, because the share may refuse the job again.
+    pub(super) fn spread_share_retry_ms(&self, job: &Job, passes_ms: Millis) -> Millis {
+        if self.limits.policies.spread_retries {
+            retry_ms(passes_ms, job.id, job.queue.priority)
+        } else {
+            passes_ms
+        }
+    }
+
+    /// Returns when the caller of a job should retry that this holder refuses because it ends.
+    pub(super) fn step_down_retry_ms(&self, id: JobId) -> Millis {
+        if self.limits.policies.spread_retries {
+            no_holder_retry_ms(id)
+        } else {
+            RETRY_MS
+        }
+    }
+
+    /// Returns whether a job was refused before and is submitted again no sooner than told.
+    pub(super) fn is_retried_as_told(&self, id: JobId) -> bool {
+        self.admission.refusals.attempt(id, self.now) == Attempt::AsTold
+    }
+
+    /// Adds a job to those that wait for a commit. A retry goes before first attempts, so that it
+    /// is not refused for the same cause again.
+    pub(super) fn queue_new_job(&mut self, job: Job) {
+        let id = job.id;
+        self.admission.refusals.forget(id);
+        let position = if job.retried_as_told {
+            let retried = |id: &JobId| self.jobs.get(id).is_some_and(|job| job.retried_as_told);
+            self.unsaved.new_jobs.partition_point(retried)
+        } else {
+            self.unsaved.new_jobs.len()
+        };
+        self.jobs.insert(id, job);
+        self.unsaved.new_jobs.insert(position, id);
+    }
+
+    /// Returns a refusal because the store does not take a job in time.
+    pub(super) fn store_refusal(&self, commits_ahead: usize) -> ForecastRefusal {
+        let wait_ms = self
+            .admission
+            .commits
+            .wait_ms(self.now, commits_ahead as u64);
+        ForecastRefusal {
+            cause: RefusalCause::Store,
+            passes_ms: if wait_ms == 0 { RETRY_MS } else { wait_ms },
+        }
+    }
+
     /// Decides about a job that was just submitted, and records its forecast.
     pub(super) fn check_submission(&self, job: &mut Job) -> Option<ForecastRefusal> {
         let times = self.submission_times(job);
         let forecast = self.forecast(job, self.unsaved.new_jobs.len(), times);
         let known = self.limits.policies.admission_forecast;
         job.forecast_ms = known.then_some(forecast.total_ms());
-        refusal(forecast, times)
+        refusal(forecast, times).filter(|_| !job.retried_as_told)
     }
 
     /// Decides again about a job that waits for a commit behind `commits_ahead` others.
@@ -219,6 +282,9 @@
         job: &Job,
         commits_ahead: usize,
     ) -> Option<ForecastRefusal> {
+        if job.retried_as_told {
+            return None;
+        }
         let times = self.submission_times(job);
         let forecast = self.forecast(job, commits_ahead, times);
         refusal(forecast.for_recheck(), times)
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -473,7 +473,7 @@
                 Answer::Undecided
             } else {
                 Answer::Refused {
-                    retry_ms: requests::RETRY_MS,
+                    retry_ms: self.step_down_retry_ms(job.id),
                 }
             };
             for to in &job.submitters {
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -97,7 +97,9 @@
         if self.unsaved.new_jobs.len() >= self.limits.accept_queue {
             metrics::refused(RefusalCause::Store.label());
             log::info!(job:% = id, queue = queue.name.as_str(), claim_age_ms = self.claim_age_ms(self.now); "refused, too many wait for the store");
-            self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
+            let passes_ms = self.store_refusal(self.unsaved.new_jobs.len()).passes_ms;
+            let retry_ms = self.told_retry_ms(id, queue.priority, passes_ms);
+            self.reply(to, Answer::Refused { retry_ms });
             return;
         }
         let Some(queue) = self.newest_queue(queue) else {
@@ -125,12 +127,14 @@
         let mut job = Job::new(id, row, self.now);
         job.account = account;
         job.refuse_at_ms = self.now + wait_ms;
+        job.retried_as_told = self.is_retried_as_told(id);
         if let Some(refusal) = self.check_submission(&mut job) {
             self.refuse_submission(to, &job, refusal);
             return;
         }
         let admission = self.charge_share(account);
         if let ShareAdmission::Refused { retry_ms } = admission {
+            let retry_ms = self.spread_share_retry_ms(&job, retry_ms);
             metrics::refused("share");
             log::info!(job:% = id, account = name.as_deref(), retry_ms = retry_ms; "refused, the account exceeds its share");
             self.reply(to, Answer::OverShare { retry_ms });
@@ -146,17 +150,17 @@
         }
         job.text = Some(text);
         job.submitters.push(to);
-        self.jobs.insert(id, job);
-        self.unsaved.new_jobs.push_back(id);
+        self.queue_new_job(job);
     }
 
     /// Refuses a submission by its forecast, before it costs a commit.
     fn refuse_submission(&mut self, to: ReplyTo, job: &Job, refusal: ForecastRefusal) {
-        self.record_refusal(job, refusal.cause);
-        self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
+        let retry_ms = self.told_retry_ms(job.id, job.queue.priority, refusal.passes_ms);
+        self.record_refusal(job, refusal.cause, retry_ms);
+        self.reply(to, Answer::Refused { retry_ms });
     }
 
-    fn record_refusal(&self, job: &Job, cause: RefusalCause) {
+    fn record_refusal(&self, job: &Job, cause: RefusalCause, retry_ms: Millis) {
         metrics::refused(cause.label());
         log::info!(
             job:% = job.id, queue = job.queue.name.as_str(),
@@ -165,7 +169,7 @@
             chain_ms = job.chain_ms, objective_ms = job.objective_ms,
             waited_ms = self.now.saturating_sub(job.accepted_ms),
             may_wait_ms = job.refuse_at_ms.saturating_sub(job.accepted_ms),
-            claim_age_ms = self.claim_age_ms(self.now);
+            claim_age_ms = self.claim_age_ms(self.now), retry_ms = retry_ms;
             "refused by forecast"
         );
     }
@@ -196,52 +200,55 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if self.now >= job.refuse_at_ms {
-                self.refuse_unanswered(id);
-                continue;
-            }
-            let checked = recheck && job.outcome.is_none();
-            let refusal = checked.then(|| self.recheck_submission(job, kept.len()));
-            match refusal.flatten() {
-                Some(refusal) => {
-                    self.record_refusal(job, refusal.cause);
-                    self.refuse_unsaved(id);
-                }
+            let refusal = if self.now >= job.refuse_at_ms {
+                Some(self.store_refusal(kept.len()))
+            } else if recheck && job.outcome.is_none() {
+                self.recheck_submission(job, kept.len())
+            } else {
+                None
+            };
+            match refusal {
+                Some(refusal) => self.refuse_waiting(id, refusal),
                 None => kept.push_back(id),
             }
         }
         self.unsaved.new_jobs = kept;
     }
 
-    /// Refuses a submission that the store did not take in time.
-    fn refuse_unanswered(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get(&id) {
-            metrics::refused(RefusalCause::Store.label());
-            log::info!(
-                job:% = id, queue = job.queue.name.as_str(),
-                account = job.account.map(|account| self.accounts.name(account)),
-                cause = RefusalCause::Store.label(), forecast_ms = job.forecast_ms,
-                waited_ms = self.now - job.accepted_ms, claim_age_ms = self.claim_age_ms(self.now);
-                "refused, the store does not answer"
-            );
-        }
-        self.refuse_unsaved(id);
-    }
-
-    fn refuse_unsaved(&mut self, id: JobId) {
+    /// Refuses a submission that waits for a commit.
+    fn refuse_waiting(&mut self, id: JobId, refusal: ForecastRefusal) {
         self.release_share(id);
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
         self.unsaved.progress.remove(id);
+        let retry_ms = self.told_retry_ms(id, job.queue.priority, refusal.passes_ms);
+        if self.now >= job.refuse_at_ms {
+            self.record_unanswered(&job, retry_ms);
+        } else {
+            self.record_refusal(&job, refusal.cause, retry_ms);
+        }
         for to in job.submitters {
-            self.reply(to, Answer::Refused { retry_ms: RETRY_MS });
+            self.reply(to, Answer::Refused { retry_ms });
         }
         for to in job.cancellers {
             self.cancel(to, id);
         }
     }
 
+    /// Records the refusal of a submission that the store did not take in time.
+    fn record_unanswered(&self, job: &Job, retry_ms: Millis) {
+        metrics::refused(RefusalCause::Store.label());
+        log::info!(
+            job:% = job.id, queue = job.queue.name.as_str(),
+            account = job.account.map(|account| self.accounts.name(account)),
+            cause = RefusalCause::Store.label(), forecast_ms = job.forecast_ms,
+            waited_ms = self.now.saturating_sub(job.accepted_ms),
+            claim_age_ms = self.claim_age_ms(self.now), retry_ms = retry_ms;
+            "refused, the store does not answer"
+        );
+    }
+
     fn answer_state(&mut self, to: ReplyTo, id: JobId) {
         let answer = match self.jobs.get(&id) {
             Some(job) if job.pre_cancelled => Answer::Unknown,
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod order;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
+pub(crate) mod retry_time;
 pub(crate) mod share;
 pub(crate) mod speed;
 pub(crate) mod stall_timeout;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -18,6 +18,8 @@
     pub commit_order: bool,
     /// Advice is requested only when its tickets could be used.
     pub useful_advice_calls: bool,
+    /// Refused callers are told different times to retry, and are accepted if they keep to them.
+    pub spread_retries: bool,
 }
 
 impl Default for Policies {
@@ -29,6 +31,7 @@
             texts_in_job_rows: true,
             commit_order: true,
             useful_advice_calls: true,
+            spread_retries: true,
         }
     }
 }
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -158,6 +158,8 @@
     pub(crate) refuse_at_ms: Millis,
     /// Forecast of the time from its submission to its first start; none for inherited jobs.
     pub(crate) forecast_ms: Option<Millis>,
+    /// It was refused before and submitted again no sooner than its caller was told.
+    pub(crate) retried_as_told: bool,
     /// The job's row is stored.
     pub(crate) stored: bool,
     /// It was read from rows, so an earlier holder may have started tasks of it.
@@ -198,6 +200,7 @@
             accepted_unix_ms: row.accepted_unix_ms,
             refuse_at_ms: now,
             forecast_ms: None,
+            retried_as_told: false,
             stored: false,
             inherited: false,
             cancelled: false,
--- a/crates/chervilfall_planner/tests/admission.rs
+++ b/crates/chervilfall_planner/tests/admission.rs
@@ -10,8 +10,9 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    refusal, Account, Answer, Configuration, Forecast, JobId, JobSpec, RefusalCause, Request,
-    Resources, ServiceRate, Stage, Standing, SubmissionTimes,
+    no_holder_retry_ms, refusal, retry_ms, Account, Answer, Attempt, Configuration, Forecast,
+    JobId, JobSpec, RefusalCause, RefusalMemory, Request, Resources, ServiceRate, Stage, Standing,
+    SubmissionTimes,
 };
 use world::{step, World};
 
@@ -186,7 +187,10 @@
     }
 
     fn submit(&mut self, account: Option<&'static str>) {
-        let id = JobId(self.sent.len() as u64 + 1);
+        self.submit_job(JobId(self.sent.len() as u64 + 1), account);
+    }
+
+    fn submit_job(&mut self, id: JobId, account: Option<&'static str>) {
         let spec = JobSpec {
             spec: "text".to_owned(),
             steps: vec![step(1, WORK_MS)],
@@ -209,6 +213,13 @@
         });
     }
 
+    /// Replaces the holder by one with the limits set since.
+    fn take_over(&mut self) {
+        let holder = self.world.holder().expect("a holder");
+        self.world.kill(holder);
+        self.run(5_000);
+    }
+
     fn run(&mut self, for_ms: u64) {
         for _ in 0..for_ms / 5 {
             self.world.run(5);
@@ -380,3 +391,148 @@
     assert!(later.count() > 100);
     load.check();
 }
+
+#[test]
+fn retry_times_differ_within_their_bounds() {
+    struct Case {
+        passes_ms: u64,
+        priority: u32,
+        bounds: RangeInclusive<u64>,
+    }
+    let cases = [
+        (0, 0, 200..=250),
+        (2_000, 0, 2_000..=2_500),
+        (2_000, 1, 2_000..=2_666),
+        (2_000, 9, 2_000..=3_000),
+        (60_000, 0, 10_000..=12_500),
+    ];
+    for (passes_ms, priority, bounds) in cases {
+        let case = Case {
+            passes_ms,
+            priority,
+            bounds,
+        };
+        let times = (0..1_000).map(|id| retry_ms(case.passes_ms, JobId(id), case.priority));
+        assert_spread(times.collect(), &case.bounds);
+    }
+    assert_spread(
+        (0..1_000).map(|id| no_holder_retry_ms(JobId(id))).collect(),
+        &(500..=1_500),
+    );
+}
+
+/// Checks that times lie within bounds, and that no tenth of the range has twice its share.
+fn assert_spread(times: Vec<u64>, bounds: &RangeInclusive<u64>) {
+    let mut tenths = [0; 10];
+    let width = (bounds.end() - bounds.start()) / 10 + 1;
+    for time in times {
+        assert!(bounds.contains(&time), "{time} is not in {bounds:?}");
+        tenths[usize::try_from((time - bounds.start()) / width).expect("few")] += 1;
+    }
+    assert!(
+        tenths.iter().all(|tenth| *tenth < 200),
+        "{bounds:?}: {tenths:?}"
+    );
+}
+
+#[test]
+fn refusals_are_remembered_until_some_time_after_their_retry_time() {
+    let (id, other) = (JobId(1), JobId(2));
+    let mut memory = RefusalMemory::default();
+    assert_eq!(memory.remember(id, 1_000, 2_000), 2_000);
+    let cases = [
+        (id, 1_500, Attempt::Early { left_ms: 1_500 }),
+        (id, 3_000, Attempt::AsTold),
+        (id, 5_999, Attempt::AsTold),
+        (id, 6_000, Attempt::First),
+        (other, 3_000, Attempt::First),
+    ];
+    for (id, now, attempt) in cases {
+        assert_eq!(memory.attempt(id, now), attempt, "{id} at {now}");
+    }
+    // Who comes too early is told the same time again.
+    assert_eq!(memory.remember(id, 2_500, 9_000), 500);
+    assert_eq!(memory.attempt(id, 3_000), Attempt::AsTold);
+    for id in 0..10_000 {
+        memory.remember(JobId(id), 3_000, 2_000);
+    }
+    let remembered = (0..10_000).filter(|id| memory.attempt(JobId(*id), 5_000) == Attempt::AsTold);
+    assert_eq!(remembered.count(), 4_096);
+}
+
+/// Guards against callers that are refused together, return together and are refused again.
+#[test]
+fn callers_refused_together_are_accepted_when_they_return_as_told() {
+    struct Case {
+        spread: bool,
+        /// Callers that are refused when they return.
+        refused_again: RangeInclusive<usize>,
+        /// Percentage of them that return within the same 50 ms, at most.
+        together_percent: RangeInclusive<usize>,
+    }
+    const WAVE: usize = 40;
+    let cases = [
+        Case {
+            spread: true,
+            refused_again: 0..=0,
+            together_percent: 0..=30,
+        },
+        Case {
+            spread: false,
+            refused_again: WAVE / 4..=WAVE,
+            together_percent: 100..=100,
+        },
+    ];
+    for case in cases {
+        let mut load = Load::new(true, 10);
+        load.world.limits.policies.spread_retries = case.spread;
+        load.take_over();
+        load.world.store.slow_ms = 300;
+        load.submit_for(4_000, 100, false);
+        let first = load.sent.len();
+        for _ in 0..WAVE {
+            load.submit(None);
+        }
+        load.run(5);
+        let mut returns: BTreeMap<u64, Vec<JobId>> = BTreeMap::new();
+        for sent in &load.sent[first..] {
+            if let Some((Answer::Refused { retry_ms }, at_ms)) = sent.answer {
+                returns.entry(at_ms + retry_ms).or_default().push(sent.id);
+            }
+        }
+        let counts = returns.keys().map(|at_ms| {
+            let near = returns.range(at_ms..&(at_ms + 50));
+            near.map(|(_, ids)| ids.len()).sum::<usize>()
+        });
+        let together = counts.max().unwrap_or(0);
+        let refused: usize = returns.values().map(Vec::len).sum();
+        assert!(refused > WAVE / 2, "{refused} refused at once");
+        let percent = together * 100 / refused;
+        assert!(
+            case.together_percent.contains(&percent),
+            "{percent}% return together"
+        );
+        let second = load.sent.len();
+        let end_ms = load.world.now + 6_000;
+        while load.world.now < end_ms {
+            let due: Vec<JobId> = returns
+                .range(..=load.world.now)
+                .flat_map(|(_, ids)| ids.clone())
+                .collect();
+            returns.retain(|at_ms, _| *at_ms > load.world.now);
+            for id in due {
+                load.submit_job(id, None);
+            }
+            if load.world.now % 10 == 0 {
+                load.submit(None);
+            }
+            load.run(5);
+        }
+        let wave = first as u64 + 1..=(first + WAVE) as u64;
+        let again = load.sent[second..].iter();
+        let again = again.filter(|sent| wave.contains(&sent.id.0) && sent.is_refused());
+        let again = again.count();
+        assert!(case.refused_again.contains(&again), "{again} refused again");
+        assert_eq!(load.world.violations, Vec::<String>::new());
+    }
+}
