Hand the group over if the holder's control thread is overloaded

Cause: a holder that falls behind makes every answer and every start late until it is lost, also where a node of the same size is idle. Besides, a node that handed the group over to one of twice its size took its own released claim at once if it read the row first.

Change: policy/handover.rs decides, without a network. If events wait over 50 ms on average for 2 s, the holder releases the group to a node of at least its size that has been linked for over 1 s: not in its first 10 s, at most once in 10 s, and not while the claim is older than usual, with which the 2 s begin anew. Usual is timings.stale_ms (300 ms) and twice the mean wait, because the answer to a commit and the tick that sends the next one wait in the same queue. One report counts for 1 s at most, so that a process that was paused is not taken for an overloaded one. The rule for a node of twice the size moves there. For 10 s after a release, a node claims the group only if no other has for 1.5 s, small ones included. Switch: policies.overload_handover. ControlLoad tells the mean wait; "group is handed over" and chervilfall_handovers_total{reason} say why.

Seen red: without the 10 s, node 0 follows itself five times within 60 s; with an old claim ignored, handovers at 10 and 20 s under a slow store; with a report that counts whole, a handover after a pause of 5 s; with the group left to others although they are lost, 9.1 s without a holder. With both of two nodes overloaded for 60 s the group changes every 10 s. A holder that steps down as soon as it is to release fails the test of a release that cannot be stored (a first form of that test did not see it, because it did not look for starts).

Every test of the planner, node and story passes except wide_gangs, which is known to fail; the test of the release that cannot be stored was run again on its own after its change. Overload was not brought about in processes, and the gap of such a handover was not measured.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -9,8 +9,9 @@
 
 use chervilfall_kernel::{ControlLoop, Work};
 use chervilfall_planner::{
-    AdviceAnswer, Answer, DomainName, EndpointEntry, Event, Limits, NodeId, Planner, ReplyTo,
-    Request, StartNote, StepDownReason, StoredGroup, Takeover,
+    AdviceAnswer, Answer, DomainName, EndpointEntry, Event, HandoverPolicy, HolderTerm, Limits,
+    LoadReport, NodeId, Planner, ReplyTo, Request, StartNote, StepDownReason, StoredGroup,
+    Takeover,
 };
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -26,12 +27,6 @@
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
 
-/// A holder hands the group over to a node of at least this many times its size.
-const HANDOVER_SIZE_FACTOR: u64 = 2;
-/// How long that node must have been linked: one whose links keep breaking would hold the group
-/// only briefly.
-const HANDOVER_LINK_AGE_MS: u64 = 1_000;
-
 /// Events of the control thread.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
@@ -85,11 +80,15 @@
     pub(crate) heartbeat_ms: u64,
     /// Size of this node, in thousandths of a core.
     pub(crate) size_permille: u64,
+    /// Age that the claim does not exceed while the store is healthy.
+    pub(crate) usual_claim_age_ms: u64,
     pub(crate) front: Arc<Front>,
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) sender: mpsc::Sender<ControlEvent>,
     pub(crate) traffic: Handle,
     planner: Option<Planner>,
+    /// Decides about handovers while this node holds the group.
+    handover: Option<HandoverPolicy>,
     /// Starts that this node made as a holder and could not store, until the next holder has them.
     unstored: Vec<StartNote>,
     configuration: Arc<ConfigurationState>,
@@ -112,6 +111,7 @@
         limits: Limits,
         heartbeat_ms: u64,
         size_permille: u64,
+        usual_claim_age_ms: u64,
         configuration: Arc<ConfigurationState>,
         front: Arc<Front>,
         leadership: Arc<LeadershipState>,
@@ -124,11 +124,13 @@
             limits,
             heartbeat_ms,
             size_permille,
+            usual_claim_age_ms,
             front,
             leadership,
             sender,
             traffic,
             planner: None,
+            handover: None,
             unstored: Vec::new(),
             configuration,
             planner_configuration_version: None,
@@ -157,6 +159,10 @@
         if let Some(planner) = self.planner.take() {
             self.unstored = planner.unstored_starts();
         }
+        self.handover = None;
+        if reason == StepDownReason::Released {
+            self.leadership.record_release();
+        }
         self.waiting.clear();
         self.drop_links();
         if matches!(self.leadership.current(), Leadership::Local) {
@@ -168,6 +174,12 @@
     fn claimed(&mut self, takeover: Takeover, stored: StoredGroup, claimed_ms: u64) {
         let planner = Planner::new(self.limits.clone(), takeover, stored, claimed_ms);
         self.planner = Some(planner);
+        self.handover = Some(HandoverPolicy::new(HolderTerm {
+            size_permille: self.size_permille,
+            began_ms: claimed_ms,
+            usual_claim_age_ms: self.usual_claim_age_ms,
+            overload_handover: self.limits.policies.overload_handover,
+        }));
         self.leadership.set(Leadership::Local);
         self.planner_configuration_version = None;
         self.update_planner_configuration();
@@ -249,23 +261,31 @@
         self.links.clear();
     }
 
-    /// Hands the group over to a node of much larger size that is linked again: this one could
-    /// hardly serve all callers.
-    fn hand_over_to_larger_node(&mut self) {
-        let Some(planner) = &mut self.planner else {
+    /// Hands the group over to a linked node if that one can serve all callers better.
+    fn hand_over_if_due(&mut self) {
+        let (Some(planner), Some(handover)) = (&mut self.planner, &mut self.handover) else {
             return;
         };
-        let linked_by_ms = now_ms().saturating_sub(HANDOVER_LINK_AGE_MS);
-        let steady = self
-            .links
-            .values()
-            .filter(|link| link.since_ms <= linked_by_ms);
-        let largest = steady.map(|link| link.size_permille).max().unwrap_or(0);
-        planner.set_required_permille(largest);
-        if largest >= HANDOVER_SIZE_FACTOR * self.size_permille && !planner.is_releasing() {
-            log::info!(term = planner.term(), wanted_permille = largest; "group is handed over to a larger node");
-            planner.release();
+        let now = now_ms();
+        let steady = self.links.values().map(|link| link.node);
+        let steady = steady.filter(|node| node.is_steady(now));
+        let largest_permille = steady.map(|node| node.size_permille).max();
+        planner.set_required_permille(largest_permille.unwrap_or(0));
+        if planner.is_releasing() {
+            return;
         }
+        let claim_age_ms = planner.claim_age_ms(now);
+        let Some(reason) = handover.decide(now, claim_age_ms, largest_permille) else {
+            return;
+        };
+        log::info!(
+            term = planner.term(), reason = reason.label(), wanted_permille = largest_permille,
+            size_permille = self.size_permille, mean_wait_ms = handover.mean_wait_ms(),
+            claim_age_ms = claim_age_ms;
+            "group is handed over"
+        );
+        metrics::counter!("chervilfall_handovers_total", "reason" => reason.label()).increment(1);
+        planner.release();
     }
 
     fn link_down(&mut self, id: NodeId) {
@@ -324,7 +344,7 @@
             return;
         }
         self.heartbeat_due_ms = now + self.heartbeat_ms;
-        self.hand_over_to_larger_node();
+        self.hand_over_if_due();
         // A full queue shows in the status even without a probe.
         drop(self.sender.try_send(ControlEvent::Probe(Instant::now())));
         self.waiting.retain(|_, waiter| !waiter.is_closed());
@@ -407,11 +427,19 @@
         let Some(status) = self.load.status(Instant::now()) else {
             return;
         };
+        if let Some(handover) = &mut self.handover {
+            let report = LoadReport {
+                covers_ms: status.covers_ms,
+                mean_wait_ms: status.mean_queue_age_ms,
+            };
+            handover.record_load(now_ms(), report);
+        }
         if let Some(planner) = &self.planner {
             let backlog = planner.backlog();
             log::info!(
                 term = planner.term(), busy_percent = status.busy_percent, events = status.events,
                 most_waiting = status.most_waiting, oldest_ms = status.max_queue_age_ms,
+                mean_ms = status.mean_queue_age_ms,
                 longest_ms = status.max_stretch_ms, open_steps = backlog.open_steps,
                 unsaved_jobs = backlog.unsaved_jobs, advice_calls = backlog.advice_calls,
                 links = self.links.len();
--- a/crates/chervilfall_node/src/leadership.rs
+++ b/crates/chervilfall_node/src/leadership.rs
@@ -1,5 +1,6 @@
 //! Who holds the group, as this node sees it.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use chervilfall_planner::{Answer, Millis, Request};
@@ -23,12 +24,15 @@
 #[derive(Debug)]
 pub(crate) struct LeadershipState {
     sender: watch::Sender<Leadership>,
+    /// This node has released the group, and its claim watch has not been told yet.
+    released: AtomicBool,
 }
 
 impl LeadershipState {
     pub(crate) fn new() -> Self {
         Self {
             sender: watch::Sender::new(Leadership::NoHolder),
+            released: AtomicBool::new(false),
         }
     }
 
@@ -36,6 +40,16 @@
         self.sender.send_replace(leadership);
     }
 
+    /// Records that this node has released the group.
+    pub(crate) fn record_release(&self) {
+        self.released.store(true, Ordering::Release);
+    }
+
+    /// Returns whether this node has released the group since the last call.
+    pub(crate) fn take_release(&self) -> bool {
+        self.released.swap(false, Ordering::AcqRel)
+    }
+
     pub(crate) fn current(&self) -> Leadership {
         self.sender.borrow().clone()
     }
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilfall_planner::NodeId;
+use chervilfall_planner::{LinkedNode, NodeId};
 use futures_util::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -21,10 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct FollowerLink {
     pub(crate) queue: mpsc::Sender<ToFollower>,
-    /// Size of the follower, in thousandths of a core.
-    pub(crate) size_permille: u64,
-    /// When the link was established.
-    pub(crate) since_ms: u64,
+    pub(crate) node: LinkedNode,
 }
 
 /// Number of the next link; 0 is the node itself.
@@ -82,8 +79,10 @@
     let mut teller = Teller::new(source, queue.downgrade());
     let link = FollowerLink {
         queue,
-        size_permille: cpu_permille,
-        since_ms: now_ms(),
+        node: LinkedNode {
+            size_permille: cpu_permille,
+            since_ms: now_ms(),
+        },
     };
     let up = ControlEvent::LinkUp { id, node, link };
     control.send(up).await.map_err(|_| LinkEnd::Closed)?;
--- a/crates/chervilfall_node/src/load.rs
+++ b/crates/chervilfall_node/src/load.rs
@@ -22,6 +22,11 @@
     pub most_waiting: usize,
     /// Highest age of a probe when it was taken from the queue, in milliseconds.
     pub max_queue_age_ms: u64,
+    /// Mean age of probes when they were taken from the queue, in milliseconds; `None` if there was
+    /// no probe.
+    pub mean_queue_age_ms: Option<u64>,
+    /// Time since the previous status line, in milliseconds.
+    pub covers_ms: u64,
     /// Longest uninterrupted stretch of work, in milliseconds.
     pub max_stretch_ms: u64,
 }
@@ -33,6 +38,9 @@
     busy: Duration,
     longest: Duration,
     oldest: Duration,
+    /// Sum of the ages of the probes.
+    ages: Duration,
+    probes: u32,
     events: u64,
     most_waiting: usize,
 }
@@ -46,6 +54,8 @@
             busy: Duration::ZERO,
             longest: Duration::ZERO,
             oldest: Duration::ZERO,
+            ages: Duration::ZERO,
+            probes: 0,
             events: 0,
             most_waiting: 0,
         }
@@ -62,6 +72,8 @@
     /// Records that a probe waited in the queue for `age`.
     pub fn record_queue_age(&mut self, age: Duration) {
         self.oldest = self.oldest.max(age);
+        self.ages += age;
+        self.probes += 1;
         metrics::histogram!("chervilfall_control_queue_seconds").record(age.as_secs_f64());
     }
 
@@ -79,6 +91,8 @@
             events: self.events,
             most_waiting: self.most_waiting,
             max_queue_age_ms: millis(self.oldest),
+            mean_queue_age_ms: self.ages.checked_div(self.probes).map(millis),
+            covers_ms: millis(passed),
             max_stretch_ms: millis(self.longest),
         };
         *self = Self::new(now);
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -101,6 +101,7 @@
             limits,
             timings.heartbeat_ms,
             settings.size_permille(),
+            timings.stale_ms,
             Arc::clone(&configuration),
             Arc::clone(&front),
             Arc::clone(&leadership),
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -140,6 +140,9 @@
         dependency.note(&read);
         let no_holder = matches!(self.leadership.current(), Leadership::NoHolder);
         self.front.set_isolated(no_holder && read.is_err());
+        if self.leadership.take_release() {
+            candidate.record_release(now_ms());
+        }
         let Ok(reading) = read else {
             candidate.record_unreadable();
             return pause_ms;
--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -23,6 +23,10 @@
 /// How long a node makes no claim after it has released the group because it could not read the
 /// rows.
 const BACK_OFF_MS: Millis = 2_000;
+/// How long a node leaves the group to others after it has handed the group over.
+const YIELD_MS: Millis = 10_000;
+/// Delay of a claim during that time: longer than that of small nodes, so that these claim first.
+const YIELD_CLAIM_DELAY_MS: Millis = CLAIM_DELAY_MS + 300;
 /// Size assumed of the last holder while there is none yet: only nodes with less than half of it
 /// delay their claim.
 const LARGE_PERMILLE: u64 = 500;
@@ -266,6 +270,8 @@
     largest: Option<(u64, Millis)>,
     /// Until when this node makes no claim.
     backs_off_until_ms: Millis,
+    /// Until when this node claims the group only if no other does.
+    yields_until_ms: Millis,
 }
 
 /// Identity of a candidate.
@@ -296,6 +302,7 @@
             term: None,
             largest: None,
             backs_off_until_ms: 0,
+            yields_until_ms: 0,
         }
     }
 
@@ -321,6 +328,12 @@
         self.backs_off_until_ms = now + BACK_OFF_MS;
     }
 
+    /// Leaves the group to other nodes for a while, because this node has handed it over to one of
+    /// them. It still claims the group if no other node does.
+    pub fn record_release(&mut self, now: Millis) {
+        self.yields_until_ms = now + YIELD_MS;
+    }
+
     /// Records the size reported in the holder's row; returns that of the largest recent node.
     fn largest_permille(&mut self, now: Millis, holder: &HolderRow) -> u64 {
         let seen = holder.cpu_permille.max(holder.wanted_permille);
@@ -383,6 +396,7 @@
             row: row.clone(),
         });
         let backs_off = now < self.backs_off_until_ms;
+        let yields = now < self.yields_until_ms;
         match row {
             None => {
                 let claim_delay_ms = self.claim_delay_ms(LARGE_PERMILLE);
@@ -394,7 +408,9 @@
             Some(holder) => {
                 let own = self.is_own(&holder);
                 let largest_permille = self.largest_permille(now, &holder);
-                let claim_delay_ms = if own {
+                let claim_delay_ms = if yields {
+                    YIELD_CLAIM_DELAY_MS
+                } else if own {
                     0
                 } else {
                     self.claim_delay_ms(largest_permille)
@@ -404,7 +420,7 @@
                     .is_some_and(|refused| refused.applies_to(&holder, now));
                 let stall_ms = stall.for_holder(&holder, refused) + claim_delay_ms;
                 let delay_passed = now.saturating_sub(first_ms) >= claim_delay_ms;
-                let free = own || (holder.released && delay_passed);
+                let free = (own && !yields) || (holder.released && delay_passed);
                 let seen_age_ms = now.saturating_sub(first_ms);
                 let written_ms = holder.written_store_ms;
                 let written_age_ms = if written_ms == 0 {
@@ -417,9 +433,14 @@
                     .map_or(Millis::MAX, |at_ms| now.saturating_sub(at_ms));
                 let age_ms = seen_age_ms.max(written_age_ms).min(readable_for_ms);
                 let stalled = age_ms >= stall_ms && delay_passed;
-                if !backs_off && (free || stalled || self.is_preferred_over(now, &holder)) {
+                let preferred = !yields && self.is_preferred_over(now, &holder);
+                if !backs_off && (free || stalled || preferred) {
                     return self.claim(holder.term, version);
                 }
+                if own && yields {
+                    // There is no other holder to follow yet.
+                    return CandidateAction::Wait;
+                }
                 CandidateAction::Follow {
                     holder,
                     claim_in_ms: stall_ms.saturating_sub(age_ms),
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod advice_use;
 pub(crate) mod commit_order;
 pub(crate) mod crashes;
+pub(crate) mod handover;
 pub(crate) mod headroom;
 pub(crate) mod node_size;
 pub(crate) mod order;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -10,6 +10,8 @@
     pub admission_forecast: bool,
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
+    /// An overloaded holder hands the group over to a node of at least its size.
+    pub overload_handover: bool,
     /// Latency-sensitive work goes to fast endpoints and latency-tolerant work to slow ones.
     pub speed: bool,
     /// Short texts are stored in the rows of their jobs.
@@ -27,6 +29,7 @@
         Self {
             admission_forecast: true,
             headroom: true,
+            overload_handover: true,
             speed: true,
             texts_in_job_rows: true,
             commit_order: true,
--- a/crates/chervilfall_planner/tests/electorate/mod.rs
+++ b/crates/chervilfall_planner/tests/electorate/mod.rs
@@ -1,7 +1,10 @@
-//! Nodes that elect a holder through the claim row, in virtual time.
+//! Nodes that elect a holder through the claim row and hand the group over, in virtual time.
+
+#![allow(dead_code)]
 
 use chervilfall_planner::{
-    Candidate, CandidateAction, HolderRow, Identity, NodeResources, StallTimeouts,
+    Candidate, CandidateAction, HandoverPolicy, HolderRow, HolderTerm, Identity, LoadReport,
+    NodeResources, StallTimeouts,
 };
 
 /// Virtual time between steps, in milliseconds: a tick of the planner.
@@ -14,6 +17,8 @@
 const STANDSTILL_MS: u64 = 400;
 /// Followers read the claim row if it was not renewed for this long, in milliseconds.
 const STALE_MS: u64 = 300;
+/// Interval between reports of the holder's load, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 1_000;
 /// CPU of all nodes, in thousandths of a core.
 const CPU_PERMILLE: u64 = 500;
 
@@ -23,6 +28,14 @@
     pub size_permille: u64,
     /// The process runs.
     pub alive: bool,
+    /// Events wait in its control thread while it holds the group.
+    pub overloaded: bool,
+}
+
+/// A term that a node has begun.
+pub struct Term {
+    pub node: usize,
+    pub began_ms: u64,
 }
 
 /// Nodes and the claim row that they share.
@@ -31,6 +44,10 @@
     pub nodes: Vec<Elector>,
     version: u64,
     row: Option<HolderRow>,
+    /// All terms so far.
+    pub terms: Vec<Term>,
+    /// Decides for the holder.
+    handover: Option<HandoverPolicy>,
 }
 
 impl Electorate {
@@ -52,6 +69,7 @@
                 }),
                 size_permille,
                 alive: true,
+                overloaded: false,
             }
         });
         Self {
@@ -59,6 +77,8 @@
             nodes: nodes.collect(),
             version: 0,
             row: None,
+            terms: Vec::new(),
+            handover: None,
         }
     }
 
@@ -87,6 +107,20 @@
             written_store_ms: 0,
         };
         self.write(row);
+        self.begin_term(node);
+    }
+
+    fn begin_term(&mut self, node: usize) {
+        self.terms.push(Term {
+            node,
+            began_ms: self.now,
+        });
+        self.handover = Some(HandoverPolicy::new(HolderTerm {
+            size_permille: self.nodes[node].size_permille,
+            began_ms: self.now,
+            usual_claim_age_ms: STALE_MS,
+            overload_handover: true,
+        }));
     }
 
     /// Stops the holder as planned: it releases the group and makes no further claim.
@@ -116,6 +150,7 @@
         while self.now < end_ms {
             self.now += STEP_MS;
             self.renew();
+            self.hand_over();
             if self.now % POLL_MS < STEP_MS {
                 for node in 0..self.nodes.len() {
                     self.poll(node);
@@ -154,6 +189,30 @@
         });
     }
 
+    /// Lets the holder decide about a handover.
+    fn hand_over(&mut self) {
+        let (Some(holder), Some(handover)) = (self.holder(), &mut self.handover) else {
+            return;
+        };
+        if self.now % REPORT_INTERVAL_MS == 0 {
+            let mean_wait_ms = if self.nodes[holder].overloaded { 80 } else { 3 };
+            let report = LoadReport {
+                covers_ms: REPORT_INTERVAL_MS,
+                mean_wait_ms: Some(mean_wait_ms),
+            };
+            handover.record_load(self.now, report);
+        }
+        let written_ms = self.row.as_ref().map_or(0, |row| row.written_store_ms);
+        let others = self.nodes.iter().enumerate();
+        let others = others.filter(|(node, state)| *node != holder && state.alive);
+        let largest_permille = others.map(|(_, state)| state.size_permille).max();
+        let decision = handover.decide(self.now, self.now - written_ms, largest_permille);
+        if decision.is_some() {
+            self.release();
+            self.nodes[holder].candidate.record_release(self.now);
+        }
+    }
+
     /// Lets a node read the claim row, unless it follows a working holder.
     fn poll(&mut self, node: usize) {
         let works = self.holder().is_some()
@@ -177,6 +236,7 @@
             .observe(now, now, version, self.row.clone(), &stall);
         if let CandidateAction::Claim(_, row) = moved {
             self.write(row);
+            self.begin_term(node);
         }
     }
 }
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -7,7 +7,7 @@
 use chervilfall_planner::{
     decode_text, Action, AdviceAnswer, Batch, CandidateAction, CommitOutcome, EndpointEntry,
     EndpointId, Event, HolderRow, JobId, JobRow, LookupResult, Planner, ProgressRow, RosterEntry,
-    StallTimeouts, StartsRow, StoredGroup,
+    StallTimeouts, StartsRow, StepDownReason, StoredGroup,
 };
 
 use super::endpoint::FakeEndpoint;
@@ -271,11 +271,14 @@
             }
             Action::LookUp(id) => self.look_up(node, term, id),
             Action::ReadText(id) => self.read_text(node, term, id),
-            Action::StepDown(_) => {
+            Action::StepDown(reason) => {
                 let planner = self.nodes[node].planner.take();
                 let unstored = planner.map(|planner| planner.unstored_starts());
                 self.nodes[node].unstored = unstored.unwrap_or_default();
                 self.nodes[node].candidate.reset();
+                if reason == StepDownReason::Released {
+                    self.nodes[node].candidate.record_release(self.now);
+                }
             }
             order => self.send_order(node, term, order),
         }
