Share the nodes for advice calls between queues

Cause: slow calls may use seven eighths of the nodes, whatever fast calls need, and steps of the better-ranked queue take every node that becomes idle. Tolerant work then waits for a node for as long as gangs keep calling.

Nodes kept free of slow calls: twice the mean number of fast calls in flight or waiting over about 3 s, at least one and at most half of the nodes; an eighth, as before, until this was observed for 2 s. Queues whose steps waited for a node in the last full pass are entitled to equal shares of the other nodes, of which they take no more than they have waiting steps; what is left over goes by rank.

--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -15,6 +15,7 @@
 use crate::job::{JobSpec, Step};
 use crate::limits::Limits;
 use crate::metrics;
+use crate::planner::advise::AdviceWaits;
 use crate::planner::ask::max_calls_in_flight;
 use crate::planner::quota_reservations::QuotaReservations;
 use crate::planner::suspects::{WaitingTask, WaitingTasks};
@@ -48,6 +49,8 @@
     pub(super) only_useful_calls: bool,
     /// Capacity that better-ranked steps are about to use with their tickets.
     pub(super) claims: AdviceClaims,
+    /// Steps that wait for a node for a call for advice.
+    advice_waits: AdviceWaits,
     /// Number of steps that requested no advice because it would be of no use.
     pub(super) withheld_calls: u32,
     /// Quotas that better-ranked steps wait for.
@@ -87,6 +90,7 @@
         {
             return;
         }
+        self.note_fast_calls();
         let mut pass = self.begin_pass();
         let full = self.now.saturating_sub(self.last_full_pass_ms) >= FULL_PASS_INTERVAL_MS;
         let keys = if full {
@@ -102,6 +106,7 @@
         }
         if full {
             metrics::advice_withheld(pass.withheld_calls);
+            self.note_advice_waits(pass.advice_waits);
         }
     }
 
@@ -125,6 +130,7 @@
             only_useful_calls: self.limits.policies.useful_advice_calls
                 && self.slow_calls_are_scarce(),
             claims: AdviceClaims::default(),
+            advice_waits: AdviceWaits::default(),
             withheld_calls: 0,
             quota_reservations: QuotaReservations::new(),
             fast_call_possible: self.can_call_advice(false),
@@ -198,13 +204,18 @@
         let placeable = !blocked && (advice.is_none() || progress.advice.any_ticket(self.now));
         let call_possible = advice.is_some_and(|timings| {
             if timings.is_slow() {
-                pass.slow_call_possible
+                pass.slow_call_possible && self.queue_may_call(&job.queue.name)
             } else {
                 pass.fast_call_possible
             }
         });
         let can_request_advice =
             call_possible && progress.advice.calls_in_flight() < max_calls_in_flight(step);
+        if let Some(timings) = advice.filter(|_| !call_possible && !placeable) {
+            if progress.advice.calls_in_flight() == 0 {
+                pass.advice_waits.note(&job.queue, timings.is_slow());
+            }
+        }
         if !placeable && !can_request_advice {
             self.note_unplaced(key, call_possible);
             return;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -22,6 +22,8 @@
     pub useful_advice_calls: bool,
     /// Refused callers are told different times to retry, and are accepted if they keep to them.
     pub spread_retries: bool,
+    /// Queues share the nodes that make calls for advice by need.
+    pub advice_node_shares: bool,
 }
 
 impl Default for Policies {
@@ -35,6 +37,7 @@
             commit_order: true,
             useful_advice_calls: true,
             spread_retries: true,
+            advice_node_shares: true,
         }
     }
 }
