Order work of competing accounts by fair share

Cause: work of the same priority starts in order of acceptance, so an account that submits much at once delays all others until that work has started.

Change: policy `fair_share` (dominant resource fairness, off by default). Among steps of the same standing, those of the account with the smallest level come first: its dominant share by known runs, in tenths of what its weight gives it among the accounts that run or wait. Ranks fall during a pass as levels rise, and a visit starts no more tasks than lead to the next level. For a gang, runs started since its job was accepted, or taken over, do not count.

Failed try: levels computed once a full pass. Hence the levels within a pass.

The cost of a pass was not measured.

--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -218,6 +218,9 @@
     /// Policies in force.
     #[serde(default)]
     pub policies: Policies,
+    /// Features that the platform declares, in its own words.
+    #[serde(default)]
+    pub platform_features: Vec<String>,
 }
 
 impl Settings {
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -69,6 +69,18 @@
             without: "",
             expected: "revoke_ms",
         },
+        Case {
+            name: "a platform feature that is not in a list",
+            more: "platform_features: pressure\n",
+            without: "",
+            expected: "platform_features",
+        },
+        Case {
+            name: "a platform feature that is not a word",
+            more: "platform_features: [pressure, {a: 1}]\n",
+            without: "",
+            expected: "platform_features[1]",
+        },
         Case {
             name: "no CPU",
             more: "cpu_cores: 0\n",
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -66,6 +66,11 @@
         .set(cpu_milli as f64);
 }
 
+/// Sets the gauge for an account's usage in tenths of its fair share.
+pub(crate) fn share_level(name: &str, tenths: u32) {
+    gauge!("chervilfall_account_share_tenths", "account" => name.to_owned()).set(f64::from(tenths));
+}
+
 /// Sets the gauge for how long a failure domain has been evacuated, to 0 if it no longer is.
 pub(crate) fn evacuation(domain: &str, for_ms: Option<Millis>) {
     gauge!("chervilfall_evacuated_seconds", "domain" => domain.to_owned())
--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -7,6 +7,7 @@
 use crate::job::Step;
 use crate::metrics;
 use crate::planner::Planner;
+use crate::policy::fair_share::ShareLevel;
 use crate::policy::share::{Share, ShareAdmission};
 use crate::resources::Resources;
 use crate::tasks::{Job, StepKey, TaskState};
@@ -23,6 +24,10 @@
     name: AccountName,
     quota: Resources,
     share: Share,
+    /// Its share in jobs per second, which is also its weight where accounts compete for capacity.
+    weight: f64,
+    /// Level of its usage where accounts compete for capacity.
+    share_level: ShareLevel,
     /// Usage by its runs, including those that are being stopped or may still be running.
     used: Resources,
     /// Usage by inherited tasks that may have runs which have not been found yet.
@@ -75,6 +80,8 @@
             name: name.to_owned(),
             quota: Resources::default(),
             share: Share::new(0.0, now),
+            weight: 0.0,
+            share_level: ShareLevel::default(),
             used: Resources::default(),
             unconfirmed: Resources::default(),
         });
@@ -97,6 +104,7 @@
             }
             state.quota = account.quota;
             state.share.set_per_s(account.weight);
+            state.weight = account.weight;
         }
     }
 
@@ -133,6 +141,25 @@
         state.used.add(state.unconfirmed)
     }
 
+    /// Returns an account's usage by runs that are known.
+    pub(super) fn used_by_runs(&self, key: AccountKey) -> Resources {
+        self.state(key).used
+    }
+
+    pub(super) fn weight(&self, key: AccountKey) -> f64 {
+        self.state(key).weight
+    }
+
+    /// Sets the levels that metrics show; accounts that are not named are at the lowest.
+    pub(super) fn set_share_levels(&mut self, levels: &[(AccountKey, ShareLevel)]) {
+        for state in &mut self.states {
+            state.share_level = ShareLevel::default();
+        }
+        for (key, level) in levels {
+            self.state_mut(*key).share_level = *level;
+        }
+    }
+
     /// Returns how many tasks of `need` each fit an account's quota beside `used`.
     pub(super) fn tasks_beside(&self, key: AccountKey, used: Resources, need: Resources) -> u32 {
         self.state(key).quota.max_fitting_in_quota(used, need)
@@ -159,6 +186,7 @@
             let unconfirmed = state.unconfirmed.cpu_milli;
             metrics::account(&state.name, state.used.cpu_milli, state.quota.cpu_milli);
             metrics::unconfirmed(&state.name, unconfirmed);
+            metrics::share_level(&state.name, state.share_level.tenths());
             if unconfirmed > 0 {
                 log::info!(
                     account = state.name.as_str(), cpu_milli = unconfirmed,
--- a/crates/chervilfall_planner/src/planner/activation.rs
+++ b/crates/chervilfall_planner/src/planner/activation.rs
@@ -87,8 +87,9 @@
         });
         if ready {
             let overdue_last = self.limits.policies.overdue_last;
-            self.open
-                .insert(key, rank(job, key, self.unix_ms, overdue_last));
+            let share_level = self.share_level(job, key);
+            let rank = rank(job, key, self.unix_ms, overdue_last, share_level);
+            self.open.insert(key, rank);
             self.schedule_due = true;
             self.watch_gang(key);
         }
@@ -97,11 +98,13 @@
     /// Updates the ranks of the open steps. Jobs that can no longer meet their objective fall
     /// behind those that still can.
     pub(super) fn rank_open_steps(&mut self) {
+        self.update_fair_shares();
         let overdue_last = self.limits.policies.overdue_last;
         for key in self.open.keys() {
             if let Some(job) = self.jobs.get(&key.job) {
-                self.open
-                    .insert(key, rank(job, key, self.unix_ms, overdue_last));
+                let share_level = self.share_level(job, key);
+                let rank = rank(job, key, self.unix_ms, overdue_last, share_level);
+                self.open.insert(key, rank);
             }
         }
     }
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -263,7 +263,8 @@
             return;
         }
         let need = capacity.need;
-        pass.advice_claims.claim(need, waiting, endpoints.into_iter());
+        pass.advice_claims
+            .claim(need, waiting, endpoints.into_iter());
     }
 
     /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod ends;
 mod evacuations;
+mod fair_shares;
 mod gangs;
 mod gap;
 mod history;
@@ -56,6 +57,7 @@
 use barrier::Barrier;
 use commits::InFlightCommit;
 use evacuations::Evacuations;
+use fair_shares::FairShares;
 use gangs::GangDeadlines;
 use gap::TakeoverGap;
 use history::History;
@@ -111,6 +113,7 @@
     history: History,
     accounts: Accounts,
     admission: Admission,
+    fair_shares: FairShares,
     /// Next occurrences of repeating jobs that are not due yet, by due time.
     due_occurrences: BTreeSet<(u64, JobId, u32)>,
     gang_deadlines: GangDeadlines,
@@ -193,6 +196,7 @@
             history: History::default(),
             accounts: Accounts::default(),
             admission: Admission::default(),
+            fair_shares: FairShares::default(),
             due_occurrences: BTreeSet::new(),
             gang_deadlines: GangDeadlines::new(),
             stopping: Stopping::default(),
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -105,6 +105,10 @@
         } else {
             self.open.first(SHORT_PASS_STEPS)
         };
+        if self.limits.policies.fair_share {
+            self.schedule_by_fair_share(&mut pass, keys);
+            return;
+        }
         for key in keys {
             self.schedule_step(&mut pass, key);
             self.claim_advised_capacity(&mut pass, key);
@@ -164,7 +168,7 @@
         headroom_slots.collect()
     }
 
-    fn schedule_step(&mut self, pass: &mut Pass, key: StepKey) {
+    pub(super) fn schedule_step(&mut self, pass: &mut Pass, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
@@ -363,7 +367,8 @@
     fn place_step(&mut self, pass: &mut Pass, key: StepKey, request: &StepRequest, startable: u32) {
         let mut waiting = self.waiting_tasks(key);
         if !request.step().gang {
-            waiting.truncate(startable as usize);
+            let most = startable.min(self.tasks_to_next_level(key));
+            waiting.truncate(most as usize);
         }
         if request.step().gang {
             if waiting.blocked == 0 {
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod advice_use;
 pub(crate) mod commit_order;
 pub(crate) mod crashes;
+pub(crate) mod fair_share;
 pub(crate) mod handover;
 pub(crate) mod headroom;
 pub(crate) mod node_size;
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -7,6 +7,7 @@
 //! others was requested only after their objective had passed.
 
 use crate::ids::Millis;
+use crate::policy::fair_share::ShareLevel;
 use crate::policy::overdue::has_worth;
 use crate::policy::placement::LatencyClass;
 use crate::tasks::{Job, StepKey};
@@ -34,6 +35,7 @@
     beyond: bool,
     prospect: Prospect,
     priority: u32,
+    share_level: ShareLevel,
     accepted_unix_ms: u64,
 }
 
@@ -48,14 +50,21 @@
 }
 
 /// Returns the rank of a step at `unix_ms`: work within the account's share first, then by
-/// prospect, priority and order of acceptance. With `overdue_last`, all of this comes after whether
-/// the work has any worth left.
-pub(crate) fn rank(job: &Job, key: StepKey, unix_ms: u64, overdue_last: bool) -> Rank {
+/// prospect, priority, its account's fair share and order of acceptance. With `overdue_last`, all
+/// of this comes after whether the work has any worth left.
+pub(crate) fn rank(
+    job: &Job,
+    key: StepKey,
+    unix_ms: u64,
+    overdue_last: bool,
+    share_level: ShareLevel,
+) -> Rank {
     Rank {
         overdue: overdue_last && !is_worth_doing(job, key, unix_ms),
         beyond: job.beyond,
         prospect: prospect_of(job, key, unix_ms),
         priority: effective_priority(job, unix_ms),
+        share_level,
         accepted_unix_ms: job.accepted_unix_ms,
     }
 }
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-/// Switches for policies; all are on by default.
+/// Switches for policies; all are on by default, unless stated otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policies {
@@ -26,6 +26,9 @@
     pub spread_retries: bool,
     /// Queues share the nodes that make calls for advice by need.
     pub advice_node_shares: bool,
+    /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
+    /// because only the platform knows whether its accounts compete for capacity.
+    pub fair_share: bool,
 }
 
 impl Default for Policies {
@@ -41,6 +44,7 @@
             useful_advice_calls: true,
             spread_retries: true,
             advice_node_shares: true,
+            fair_share: false,
         }
     }
 }
