--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -107,11 +107,10 @@
         };
         if self.limits.policies.fair_share {
             self.schedule_by_fair_share(&mut pass, keys);
-            return;
-        }
-        for key in keys {
-            self.schedule_step(&mut pass, key);
-            self.claim_advised_capacity(&mut pass, key);
+        } else {
+            for key in keys {
+                self.schedule_ranked(&mut pass, key);
+            }
         }
         if full {
             metrics::advice_withheld(pass.withheld_calls);
@@ -119,6 +118,12 @@
         }
     }
 
+    /// Schedules a step whose turn it is in a pass.
+    pub(super) fn schedule_ranked(&mut self, pass: &mut Pass, key: StepKey) {
+        self.schedule_step(pass, key);
+        self.claim_advised_capacity(pass, key);
+    }
+
     fn begin_pass(&mut self) -> Pass {
         let mut pools: BTreeMap<String, Vec<EndpointKey>> = BTreeMap::new();
         for (key, endpoint) in &self.endpoints {
