--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -50,7 +50,6 @@
 pub use policy::admission::{
     refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing, SubmissionTimes,
 };
-pub use policy::advice_nodes::{may_call, FastCallLoad, QueueCalls};
 pub use policy::advice_share::AdviceShare;
 pub use policy::advice_use::{
     asking_is_useful, AdviceCallKind, AdviceClaims, ClaimableEndpoint, FittingTasks,
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -131,13 +131,6 @@
     counter!("chervilfall_advice_calls_total", "priority" => priority, "kind" => kind).increment(1);
 }
 
-/// Sets the gauges for the nodes kept free of slow advice calls, and for the steps that wait for a
-/// node for an advice call.
-pub(crate) fn advice_nodes(kept: usize, waiting_steps: usize) {
-    gauge!("chervilfall_advice_kept_nodes").set(kept as f64);
-    gauge!("chervilfall_advice_node_waits").set(waiting_steps as f64);
-}
-
 /// Sets the gauge for the steps that requested no advice because it would be of no use.
 pub(crate) fn advice_withheld(steps: u32) {
     gauge!("chervilfall_advice_withheld_steps").set(f64::from(steps));
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -7,14 +7,13 @@
 
 use crate::action::{Action, AdviceOrder};
 use crate::advice::Permission;
-use crate::config::{AdviceTimings, Queue, QueueName};
+use crate::config::AdviceTimings;
 use crate::endpoint::EndpointKey;
 use crate::event::{AdviceAnswer, NodeId};
 use crate::ids::{EndpointId, Millis};
 use crate::metrics;
 use crate::planner::ask::PlannedCall;
 use crate::planner::Planner;
-use crate::policy::advice_nodes::{may_call, QueueCalls};
 use crate::policy::advice_use::AdviceCallKind;
 use crate::tasks::StepKey;
 
@@ -28,27 +27,6 @@
 /// as a divisor. Calls of an earlier moment are then likely to delay those of the next.
 const SCARCITY_DIVISOR: usize = 2;
 
-/// Steps that wait for a node that can make their call.
-#[derive(Debug, Default)]
-pub(super) struct AdviceWaits {
-    /// Steps with slow calls, by queue.
-    pub(super) slow: BTreeMap<QueueName, usize>,
-    /// Steps with fast calls.
-    pub(super) fast: usize,
-}
-
-impl AdviceWaits {
-    pub(super) fn note(&mut self, queue: &Queue, slow: bool) {
-        if !slow {
-            self.fast += 1;
-        } else if let Some(steps) = self.slow.get_mut(&queue.name) {
-            *steps += 1;
-        } else {
-            self.slow.insert(queue.name.clone(), 1);
-        }
-    }
-}
-
 /// A call in flight.
 #[derive(Debug)]
 pub(crate) struct AdviceCall {
@@ -61,7 +39,6 @@
     deadline_ms: Millis,
     slow: bool,
     kind: AdviceCallKind,
-    queue: QueueName,
 }
 
 impl Planner {
@@ -83,42 +60,6 @@
         self.node_for_call(slow).is_some()
     }
 
-    /// Returns whether a queue may make a slow call beside those of the other queues.
-    pub(super) fn queue_may_call(&self, queue: &str) -> bool {
-        if !self.limits.policies.advice_node_shares || self.advice_waits.is_empty() {
-            return true;
-        }
-        let mut queues: BTreeMap<&str, QueueCalls> = BTreeMap::new();
-        for (name, waiting) in &self.advice_waits {
-            queues.entry(name).or_default().waiting = *waiting;
-        }
-        for call in self.advice_calls.values().filter(|call| call.slow) {
-            queues.entry(&call.queue).or_default().in_flight += 1;
-        }
-        let own = queues.remove(queue).unwrap_or_default();
-        let others: Vec<QueueCalls> = queues.into_values().collect();
-        may_call(own, &others, self.max_slow_calls())
-    }
-
-    /// Records the use of the nodes by fast calls.
-    pub(super) fn note_fast_calls(&mut self) {
-        let calls = self.advice_calls.values();
-        let fast = calls.filter(|call| !call.slow).count() + self.fast_advice_waits;
-        self.fast_call_load.note(self.now, count(fast));
-    }
-
-    /// Records which steps waited for a node in a full pass.
-    pub(super) fn note_advice_waits(&mut self, waits: AdviceWaits) {
-        let waiting = waits.fast + waits.slow.values().sum::<usize>();
-        let kept = self.nodes.len() - self.max_slow_calls().min(self.nodes.len());
-        metrics::advice_nodes(kept, waiting);
-        if !waits.slow.is_empty() && self.advice_waits.is_empty() {
-            log::info!(kept_nodes = kept, waiting_steps = waiting; "advice calls wait for nodes");
-        }
-        self.advice_waits = waits.slow;
-        self.fast_advice_waits = waits.fast;
-    }
-
     /// Returns whether so many slow calls are in flight that calls of no use delay others.
     pub(super) fn slow_calls_are_scarce(&self) -> bool {
         self.slow_calls() * SCARCITY_DIVISOR >= self.max_slow_calls()
@@ -131,13 +72,7 @@
 
     /// Returns how many slow calls may be in flight.
     fn max_slow_calls(&self) -> usize {
-        let nodes = self.nodes.len();
-        let kept = self.fast_call_load.kept_nodes(nodes);
-        let max_slow_calls = match kept.filter(|_| self.limits.policies.advice_node_shares) {
-            Some(kept) => nodes - kept,
-            None => nodes * SLOW_CALL_NODE_SHARE.0 / SLOW_CALL_NODE_SHARE.1,
-        };
-        max_slow_calls.max(1)
+        (self.nodes.len() * SLOW_CALL_NODE_SHARE.0 / SLOW_CALL_NODE_SHARE.1).max(1)
     }
 
     /// Returns a node that can make a call now.
@@ -167,7 +102,6 @@
             return false;
         };
         let priority = job.queue.priority;
-        let queue = job.queue.name.clone();
         let Some(progress) = job.step_progress_mut(step) else {
             return false;
         };
@@ -197,7 +131,6 @@
                 deadline_ms: self.now + timeout_ms + self.limits.advice_slack_ms,
                 slow,
                 kind: call.kind,
-                queue,
             },
         );
         let order = AdviceOrder {
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -87,10 +87,6 @@
         let Some(timings) = request.advice else {
             return false;
         };
-        let queue = self.jobs.get(&key.job).map(|job| job.queue.name.as_str());
-        if timings.is_slow() && !queue.is_some_and(|queue| self.queue_may_call(queue)) {
-            return false;
-        }
         match self.plan_advice(pass, key, request) {
             AdvicePlan::Call(call) => self.request_advice(key, timings, &call),
             AdvicePlan::Withhold => {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -43,7 +43,6 @@
 use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, Run, TaskKey};
 use crate::limits::Limits;
 use crate::metrics;
-use crate::policy::advice_nodes::FastCallLoad;
 use crate::policy::advice_share::AdviceShare;
 use crate::policy::headroom::Headroom;
 use crate::policy::stall_timeout::CommitGaps;
@@ -147,11 +146,6 @@
     nodes: Vec<NodeId>,
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
-    /// Steps that waited for a node for a slow call in the last full pass, by queue.
-    advice_waits: BTreeMap<QueueName, usize>,
-    /// The same for fast calls, of all queues.
-    fast_advice_waits: usize,
-    fast_call_load: FastCallLoad,
     /// Shares of the endpoints that the advice service allows, by queue.
     advice_shares: BTreeMap<QueueName, AdviceShare>,
     finished: VecDeque<(Millis, JobId)>,
@@ -218,9 +212,6 @@
             nodes: Vec::new(),
             advice_calls: BTreeMap::new(),
             next_advice: 0,
-            advice_waits: BTreeMap::new(),
-            fast_advice_waits: 0,
-            fast_call_load: FastCallLoad::default(),
             advice_shares: BTreeMap::new(),
             finished: VecDeque::new(),
             idle_jitter_permille: 0,
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -15,7 +15,6 @@
 use crate::job::{JobSpec, Step};
 use crate::limits::Limits;
 use crate::metrics;
-use crate::planner::advise::AdviceWaits;
 use crate::planner::ask::max_calls_in_flight;
 use crate::planner::quota_reservations::QuotaReservations;
 use crate::planner::suspects::{WaitingTask, WaitingTasks};
@@ -50,8 +49,6 @@
     pub(super) only_useful_calls: bool,
     /// Capacity that better-ranked steps are about to use with their tickets.
     pub(super) advice_claims: AdviceClaims,
-    /// Steps that wait for a node for a call for advice.
-    advice_waits: AdviceWaits,
     /// Number of steps that requested no advice because it would be of no use.
     pub(super) withheld_calls: u32,
     /// Quotas that better-ranked steps wait for.
@@ -95,7 +92,6 @@
         {
             return;
         }
-        self.note_fast_calls();
         let mut pass = self.begin_pass();
         let full = self.now.saturating_sub(self.last_full_pass_ms) >= FULL_PASS_INTERVAL_MS;
         let keys = if full {
@@ -114,7 +110,6 @@
         }
         if full {
             metrics::advice_withheld(pass.withheld_calls);
-            self.note_advice_waits(pass.advice_waits);
         }
     }
 
@@ -144,7 +139,6 @@
             only_useful_calls: self.limits.policies.useful_advice_calls
                 && self.slow_calls_are_scarce(),
             advice_claims: AdviceClaims::default(),
-            advice_waits: AdviceWaits::default(),
             withheld_calls: 0,
             quota_reservations: QuotaReservations::new(),
             fast_call_possible: self.can_call_advice(false),
@@ -220,7 +214,7 @@
         let placeable = !blocked && (advice.is_none() || progress.advice.any_ticket(self.now));
         let call_possible = advice.is_some_and(|timings| {
             if timings.is_slow() {
-                pass.slow_call_possible && self.queue_may_call(&job.queue.name)
+                pass.slow_call_possible
             } else {
                 pass.fast_call_possible
             }
@@ -229,11 +223,6 @@
         let can_request_advice = call_possible
             && !leaves_nodes
             && progress.advice.calls_in_flight() < max_calls_in_flight(step);
-        if let Some(timings) = advice.filter(|_| !call_possible && !placeable) {
-            if progress.advice.calls_in_flight() == 0 {
-                pass.advice_waits.note(&job.queue, timings.is_slow());
-            }
-        }
         if !placeable && !can_request_advice {
             self.claim_capacity(pass, key, startable);
             self.note_unplaced(key, call_possible);
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -1,7 +1,6 @@
 //! Scheduling policies, one per file.
 
 pub(crate) mod admission;
-pub(crate) mod advice_nodes;
 pub(crate) mod advice_share;
 pub(crate) mod advice_use;
 pub(crate) mod commit_order;
--- a/crates/chervilfall_planner/tests/advice_load.rs
+++ b/crates/chervilfall_planner/tests/advice_load.rs
@@ -254,7 +254,6 @@
 fn without_advice_policies() -> Policies {
     Policies {
         useful_advice_calls: false,
-        advice_node_shares: false,
         ..Policies::default()
     }
 }
@@ -276,24 +275,7 @@
             waits_long: false,
         },
         Case {
-            name: "shares of the nodes",
-            policies: Policies {
-                advice_node_shares: true,
-                ..without_advice_policies()
-            },
-            waits_long: false,
-        },
-        Case {
-            name: "both",
-            policies: Policies {
-                useful_advice_calls: true,
-                advice_node_shares: true,
-                ..without_advice_policies()
-            },
-            waits_long: false,
-        },
-        Case {
-            name: "without the policies",
+            name: "without the policy",
             policies: without_advice_policies(),
             waits_long: true,
         },
--- a/crates/chervilfall_planner/tests/advice_policies.rs
+++ b/crates/chervilfall_planner/tests/advice_policies.rs
@@ -1,8 +1,8 @@
 //! Decisions of the policies for advice calls, as tables.
 
 use chervilfall_planner::{
-    asking_is_useful, may_call, AdviceCallKind, AdviceClaims, AdviceShare, ClaimableEndpoint,
-    EndpointKey, FastCallLoad, FittingTasks, QueueCalls, Resources,
+    asking_is_useful, AdviceCallKind, AdviceClaims, AdviceShare, ClaimableEndpoint, EndpointKey,
+    FittingTasks, Resources,
 };
 use slotmap::SlotMap;
 
@@ -175,102 +175,3 @@
         assert_eq!(left, case.left, "{}", case.name);
     }
 }
-
-#[test]
-fn fast_calls_keep_twice_the_nodes_that_they_use() {
-    struct Case {
-        name: &'static str,
-        observed_ms: u64,
-        calls: u32,
-        nodes: usize,
-        kept: Option<usize>,
-    }
-    let cases = [
-        Case {
-            name: "not observed for long enough",
-            observed_ms: 1_900,
-            calls: 3,
-            nodes: 40,
-            kept: None,
-        },
-        Case {
-            name: "three in use",
-            observed_ms: 4_000,
-            calls: 3,
-            nodes: 40,
-            kept: Some(6),
-        },
-        Case {
-            name: "none in use",
-            observed_ms: 4_000,
-            calls: 0,
-            nodes: 40,
-            kept: Some(1),
-        },
-        Case {
-            name: "more in use than half of the nodes",
-            observed_ms: 4_000,
-            calls: 9,
-            nodes: 10,
-            kept: Some(5),
-        },
-    ];
-    for case in cases {
-        let mut load = FastCallLoad::default();
-        for now in (0..=case.observed_ms).step_by(100) {
-            load.note(now, case.calls);
-        }
-        assert_eq!(load.kept_nodes(case.nodes), case.kept, "{}", case.name);
-    }
-}
-
-#[test]
-fn queues_that_wait_keep_their_share_of_the_nodes() {
-    struct Case {
-        name: &'static str,
-        own_in_flight: usize,
-        other: QueueCalls,
-        may_call: bool,
-    }
-    let other = |in_flight, waiting| QueueCalls { in_flight, waiting };
-    let cases = [
-        Case {
-            name: "nobody else waits",
-            own_in_flight: 9,
-            other: other(0, 0),
-            may_call: true,
-        },
-        Case {
-            name: "no node is idle",
-            own_in_flight: 2,
-            other: other(8, 0),
-            may_call: false,
-        },
-        Case {
-            name: "beyond its share while the other has none",
-            own_in_flight: 5,
-            other: other(0, 9),
-            may_call: false,
-        },
-        Case {
-            name: "beyond its share while the other needs little",
-            own_in_flight: 7,
-            other: other(0, 2),
-            may_call: true,
-        },
-        Case {
-            name: "the other has its share",
-            own_in_flight: 4,
-            other: other(5, 9),
-            may_call: true,
-        },
-    ];
-    for case in cases {
-        let own = QueueCalls {
-            in_flight: case.own_in_flight,
-            waiting: 1,
-        };
-        let may = may_call(own, &[case.other], 10);
-        assert_eq!(may, case.may_call, "{}", case.name);
-    }
-}
