--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -78,21 +78,6 @@
         self.asking.len()
     }
 
-    /// Returns whether the step has neither answers nor calls in flight.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.asking.is_empty() && self.entries.is_empty()
-    }
-
-    /// Returns whether there is an answer about the endpoint.
-    pub(crate) fn is_answered(&self, endpoint: EndpointKey) -> bool {
-        self.permission(endpoint).is_some()
-    }
-
-    /// Returns the endpoints named by calls in flight.
-    pub(crate) fn in_calls(&self) -> impl Iterator<Item = EndpointKey> + '_ {
-        self.asking.values().flatten().copied()
-    }
-
     /// Returns the number of endpoints named by calls in flight.
     pub(crate) fn endpoints_in_calls(&self) -> usize {
         self.asking.values().map(Vec::len).sum()
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -50,10 +50,6 @@
 pub use policy::admission::{
     refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing, SubmissionTimes,
 };
-pub use policy::advice_share::AdviceShare;
-pub use policy::advice_use::{
-    asking_is_useful, AdviceCallKind, AdviceClaims, ClaimableEndpoint, FittingTasks,
-};
 pub use policy::commit_order::{
     CommitOrder, CommitPlan, JobTiming, ProgressKind, WaitingChanges, WaitingProgress,
     WaitingSubmission,
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -125,17 +125,6 @@
     histogram!("chervilfall_advice_seconds", "outcome" => outcome).record(seconds(took_ms));
 }
 
-/// Counts an advice call that was ordered, by the queue's priority.
-pub(crate) fn advice_call(priority: u32, kind: &'static str) {
-    let priority = priority.to_string();
-    counter!("chervilfall_advice_calls_total", "priority" => priority, "kind" => kind).increment(1);
-}
-
-/// Sets the gauge for the steps that requested no advice because it would be of no use.
-pub(crate) fn advice_withheld(steps: u32) {
-    gauge!("chervilfall_advice_withheld_steps").set(f64::from(steps));
-}
-
 /// Counts a gang whose deadline has passed, by width and by whether and why it was missed.
 pub(crate) fn gang_deadline(width: &'static str, deadline: &'static str, outcome: &'static str) {
     counter!(
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -12,9 +12,7 @@
 use crate::event::{AdviceAnswer, NodeId};
 use crate::ids::{EndpointId, Millis};
 use crate::metrics;
-use crate::planner::ask::PlannedCall;
 use crate::planner::Planner;
-use crate::policy::advice_use::AdviceCallKind;
 use crate::tasks::StepKey;
 
 /// Share of the nodes that slow calls may use, as a fraction. With one half, wide gangs on 350
@@ -23,10 +21,6 @@
 /// slow call ends.
 const SLOW_CALL_NODE_SHARE: (usize, usize) = (7, 8);
 
-/// Slow calls are scarce if at least this fraction of those allowed at a time is in flight, given
-/// as a divisor. Calls of an earlier moment are then likely to delay those of the next.
-const SCARCITY_DIVISOR: usize = 2;
-
 /// A call in flight.
 #[derive(Debug)]
 pub(crate) struct AdviceCall {
@@ -38,7 +32,6 @@
     sent_ms: Millis,
     deadline_ms: Millis,
     slow: bool,
-    kind: AdviceCallKind,
 }
 
 impl Planner {
@@ -60,27 +53,18 @@
         self.node_for_call(slow).is_some()
     }
 
-    /// Returns whether so many slow calls are in flight that calls of no use delay others.
-    pub(super) fn slow_calls_are_scarce(&self) -> bool {
-        self.slow_calls() * SCARCITY_DIVISOR >= self.max_slow_calls()
-    }
-
-    fn slow_calls(&self) -> usize {
-        let calls = self.advice_calls.values();
-        calls.filter(|call| call.slow).count()
-    }
-
-    /// Returns how many slow calls may be in flight.
-    fn max_slow_calls(&self) -> usize {
-        (self.nodes.len() * SLOW_CALL_NODE_SHARE.0 / SLOW_CALL_NODE_SHARE.1).max(1)
-    }
-
     /// Returns a node that can make a call now.
     fn node_for_call(&self, slow: bool) -> Option<NodeId> {
-        if slow && self.slow_calls() >= self.max_slow_calls() {
-            return None;
+        let calls = self.advice_calls.values();
+        if slow {
+            let slow_calls = calls.clone().filter(|call| call.slow).count();
+            let max_slow_calls =
+                (self.nodes.len() * SLOW_CALL_NODE_SHARE.0 / SLOW_CALL_NODE_SHARE.1).max(1);
+            if slow_calls >= max_slow_calls {
+                return None;
+            }
         }
-        let busy: Vec<NodeId> = self.advice_calls.values().map(|call| call.node).collect();
+        let busy: Vec<NodeId> = calls.map(|call| call.node).collect();
         // The planner's own node is used last, because it also runs the planner.
         let idle = self.nodes.iter().filter(|node| !busy.contains(node));
         idle.copied().max_by_key(|node| *node != 0)
@@ -92,7 +76,7 @@
         &mut self,
         step: StepKey,
         timings: AdviceTimings,
-        call: &PlannedCall,
+        keys: &[EndpointKey],
     ) -> bool {
         let slow = timings.is_slow();
         let Some(node) = self.node_for_call(slow) else {
@@ -101,15 +85,13 @@
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return false;
         };
-        let priority = job.queue.priority;
         let Some(progress) = job.step_progress_mut(step) else {
             return false;
         };
-        let keys = &call.endpoints[..call.endpoints.len().min(self.limits.advice_endpoints)];
+        let keys = &keys[..keys.len().min(self.limits.advice_endpoints)];
         if keys.is_empty() {
             return false;
         }
-        metrics::advice_call(priority, call.kind.label());
         self.next_advice += 1;
         let number = self.next_advice;
         progress.advice.begin_call(number, keys.to_vec());
@@ -130,7 +112,6 @@
                 sent_ms: self.now,
                 deadline_ms: self.now + timeout_ms + self.limits.advice_slack_ms,
                 slow,
-                kind: call.kind,
             },
         );
         let order = AdviceOrder {
@@ -164,7 +145,6 @@
             return;
         };
         let job_ended = job.outcome.is_some();
-        let queue = job.queue.name.clone();
         let Some(progress) = job.step_progress_mut(call.step) else {
             return;
         };
@@ -178,17 +158,13 @@
         };
         log::info!(
             step:% = call.step, caller = call.node, took_ms = took_ms,
-            kind = call.kind.label(), asked = call.endpoints.len(), granted = granted.len();
+            asked = call.endpoints.len(), granted = granted.len();
             "advice received"
         );
         // A ticket is valid from an unknown moment after the call was sent. Assumes the earliest at
         // which the service can have begun to answer, shortly before now.
         let valid_until_ms =
             self.now + call.valid_ms - self.limits.ticket_margin_ms.min(call.valid_ms);
-        if call.kind != AdviceCallKind::Renewal {
-            let share = self.advice_shares.entry(queue).or_default();
-            share.record(count(call.endpoints.len()), count(granted.len()));
-        }
         for key in call.endpoints.values() {
             if self.endpoints.contains_key(*key) {
                 progress.advice.record_permission(*key, Permission::Denied);
@@ -206,7 +182,3 @@
         self.schedule_due = true;
     }
 }
-
-fn count(endpoints: usize) -> u32 {
-    u32::try_from(endpoints).unwrap_or(u32::MAX)
-}
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -7,13 +7,8 @@
 use crate::job::Step;
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
-use crate::policy::advice_share::AdviceShare;
-use crate::policy::advice_use::{
-    asking_is_useful, AdviceCallKind, AdviceClaims, ClaimableEndpoint, FittingTasks,
-};
-use crate::policy::headroom::HeadroomSlots;
 use crate::resources::Resources;
-use crate::tasks::{Job, StepKey};
+use crate::tasks::StepKey;
 
 /// Minimum number of endpoints named in a step's first call for advice, if there are that many.
 const MIN_ENDPOINTS_PER_CALL: u32 = 30;
@@ -32,235 +27,65 @@
     }
 }
 
-/// A call for advice that a step should make now.
-pub(super) struct PlannedCall {
-    pub(super) kind: AdviceCallKind,
-    pub(super) endpoints: Vec<EndpointKey>,
-}
-
-/// What a step does about advice now.
-enum AdvicePlan {
-    Call(PlannedCall),
-    /// A call would be of no use.
-    Withhold,
-    /// There is nothing to ask, or calls in flight must end first.
-    Nothing,
-}
-
-/// Capacity that a step may count on when it requests advice.
-struct CallCapacity<'a> {
-    need: Resources,
-    max_on_one: u32,
-    /// Capacity that better-ranked steps are about to use.
-    claims: Option<&'a AdviceClaims>,
-    /// Headroom that the step must leave.
-    headroom: Option<HeadroomSlots>,
-}
-
-impl CallCapacity<'_> {
-    fn left(&self, endpoint: EndpointKey, free: Resources) -> Resources {
-        let unclaimed = match self.claims {
-            Some(claims) => claims.left(endpoint, free),
-            None => free,
-        };
-        match self.headroom {
-            Some(slots) if slots.max_tasks_inside(self.need) == 0 => slots.outside(unclaimed),
-            _ => unclaimed,
-        }
-    }
-
-    fn fitting(&self, endpoint: EndpointKey, free: Resources) -> u32 {
-        let left = self.left(endpoint, free);
-        left.max_fitting(self.need).min(self.max_on_one)
-    }
-}
-
 impl Planner {
     /// Requests advice on endpoints that were not asked about for the step yet, or refreshes the
     /// tickets of allowed endpoints with free capacity. Returns whether a call was made.
     pub(super) fn request_advice_for_step(
         &mut self,
-        pass: &mut Pass,
+        pass: &Pass,
         key: StepKey,
         request: &StepRequest,
     ) -> bool {
-        let Some(timings) = request.advice else {
+        let (Some(timings), Some(pool)) = (request.advice, pass.pools.get(&request.service)) else {
             return false;
         };
-        match self.plan_advice(pass, key, request) {
-            AdvicePlan::Call(call) => self.request_advice(key, timings, &call),
-            AdvicePlan::Withhold => {
-                pass.withheld_calls += 1;
-                false
-            }
-            AdvicePlan::Nothing => false,
+        let Some(progress) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step_progress(key))
+        else {
+            return false;
+        };
+        let waiting = progress.waiting();
+        if waiting == 0 {
+            return false;
         }
-    }
-
-    fn plan_advice(&self, pass: &Pass, key: StepKey, request: &StepRequest) -> AdvicePlan {
-        let Some(pool) = pass.pools.get(&request.service) else {
-            return AdvicePlan::Nothing;
+        let need = Resources::of_step(request.step());
+        let enough = if request.step().gang {
+            u64::from(waiting)
+        } else {
+            1
         };
-        let job = self.jobs.get(&key.job);
-        let Some((job, progress)) = job.and_then(|job| Some((job, job.step_progress(key)?))) else {
-            return AdvicePlan::Nothing;
+        let free_resources = |endpoint: EndpointKey| self.endpoints[endpoint].free();
+        let usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
+        let max_tasks = |keys: &[EndpointKey]| -> u64 {
+            keys.iter()
+                .map(|key| u64::from(free_resources(*key).max_fitting(need)))
+                .sum()
         };
-        let waiting = progress.waiting();
         let calls_in_flight = progress.advice.calls_in_flight();
-        if waiting == 0 || calls_in_flight >= max_calls_in_flight(request.step()) {
-            return AdvicePlan::Nothing;
+        if calls_in_flight >= max_calls_in_flight(request.step()) {
+            return false;
         }
-        let min_startable = if request.step().gang { waiting } else { 1 };
-        let capacity = self.call_capacity(pass, key, job, request.step());
-        let usable = self.allowed_with_capacity(pool, &progress.advice, &capacity);
-        let allowed = self.count_fitting(usable.iter().copied(), &capacity);
-        if allowed >= u64::from(min_startable) {
+        if max_tasks(&usable) >= enough {
+            if calls_in_flight > 0 {
+                return false;
+            }
             let stale = usable
                 .iter()
                 .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
-            if calls_in_flight > 0 || !stale {
-                return AdvicePlan::Nothing;
-            }
-            return AdvicePlan::Call(PlannedCall {
-                kind: AdviceCallKind::Renewal,
-                endpoints: usable,
-            });
+            return stale && self.request_advice(key, timings, &usable);
         }
         let max_endpoints =
             (waiting * ENDPOINTS_PER_WAITING_TASK).max(MIN_ENDPOINTS_PER_CALL) as usize;
         let left = max_endpoints.saturating_sub(progress.advice.endpoints_in_calls());
         // Most of a call's duration does not depend on the number of endpoints named.
         if calls_in_flight > 0 && left < MIN_ENDPOINTS_PER_CALL as usize {
-            return AdvicePlan::Nothing;
-        }
-        let endpoints =
-            self.unknown_by_free_capacity(pool, &progress.advice, request, left, &capacity);
-        if endpoints.is_empty() {
-            return AdvicePlan::Nothing;
-        }
-        let kind = if progress.advice.is_empty() {
-            AdviceCallKind::First
-        } else {
-            AdviceCallKind::Further
-        };
-        if pass.only_useful_calls {
-            let unanswered = pool.iter().copied();
-            let unanswered = unanswered.filter(|key| !progress.advice.is_answered(*key));
-            let fitting = FittingTasks {
-                allowed,
-                unknown: self.count_fitting(unanswered, &capacity),
-            };
-            let share = self.learned_advice_share(job);
-            if !asking_is_useful(kind, fitting, min_startable, share) {
-                return AdvicePlan::Withhold;
-            }
-        }
-        AdvicePlan::Call(PlannedCall { kind, endpoints })
-    }
-
-    /// Returns the capacity that a step may count on when it requests advice.
-    fn call_capacity<'a>(
-        &self,
-        pass: &'a Pass,
-        key: StepKey,
-        job: &Job,
-        step: &Step,
-    ) -> CallCapacity<'a> {
-        let need = Resources::of_step(step);
-        if !pass.only_useful_calls {
-            return CallCapacity {
-                need,
-                max_on_one: u32::MAX,
-                claims: None,
-                headroom: None,
-            };
-        }
-        let slots = pass.headroom_slots.get(&job.queue.service);
-        CallCapacity {
-            need,
-            max_on_one: match step.max_per_endpoint {
-                0 => u32::MAX,
-                limit => limit,
-            },
-            claims: Some(&pass.advice_claims),
-            headroom: slots.copied().filter(|_| self.must_leave_headroom(key)),
-        }
-    }
-
-    /// Returns the endpoints that may run the step and have capacity for one of its tasks.
-    fn allowed_with_capacity(
-        &self,
-        pool: &[EndpointKey],
-        advice: &Advice,
-        capacity: &CallCapacity<'_>,
-    ) -> Vec<EndpointKey> {
-        let allowed = pool.iter().copied().filter(|key| advice.allowed(*key));
-        allowed
-            .filter(|key| capacity.fitting(*key, self.endpoints[*key].free()) > 0)
-            .collect()
-    }
-
-    fn count_fitting(
-        &self,
-        endpoints: impl IntoIterator<Item = EndpointKey>,
-        capacity: &CallCapacity<'_>,
-    ) -> u64 {
-        let endpoints = endpoints.into_iter();
-        let fitting =
-            endpoints.map(|key| u64::from(capacity.fitting(key, self.endpoints[key].free())));
-        fitting.sum()
-    }
-
-    fn learned_advice_share(&self, job: &Job) -> Option<f64> {
-        let share = self.advice_shares.get(&job.queue.name);
-        share.and_then(AdviceShare::learned)
-    }
-
-    /// Claims the capacity that a step is about to use: on the endpoints for which it has tickets
-    /// or that its calls in flight name. A gang that does not fit there claims nothing.
-    pub(super) fn claim_advised_capacity(&self, pass: &mut Pass, key: StepKey) {
-        if !pass.only_useful_calls {
-            return;
-        }
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        let (Some(progress), Some(step)) = (
-            job.step_progress(key),
-            job.spec.steps.get(key.step as usize),
-        ) else {
-            return;
-        };
-        let (advice, waiting) = (&progress.advice, progress.waiting());
-        let in_use = advice.calls_in_flight() > 0 || advice.any_ticket(self.now);
-        if waiting == 0 || !in_use {
-            return;
-        }
-        let share = self.learned_advice_share(job).unwrap_or(1.0);
-        let capacity = self.call_capacity(pass, key, job, step);
-        let claimable = |endpoint: EndpointKey| {
-            let free = self.endpoints.get(endpoint)?.free();
-            let fitting = capacity.fitting(endpoint, free);
-            (fitting > 0).then_some(ClaimableEndpoint {
-                endpoint,
-                fitting,
-                allowed_share: if advice.allowed(endpoint) { 1.0 } else { share },
-            })
-        };
-        let unticketed = advice
-            .in_calls()
-            .filter(|endpoint| advice.ticket(*endpoint, self.now).is_none());
-        let endpoints = advice.ticketed(self.now).chain(unticketed);
-        let endpoints: Vec<ClaimableEndpoint> = endpoints.filter_map(claimable).collect();
-        let expected = endpoints
-            .iter()
-            .map(|one| f64::from(one.fitting) * one.allowed_share);
-        if step.gang && expected.sum::<f64>() < f64::from(waiting) {
-            return;
+            return false;
         }
-        let need = capacity.need;
-        pass.advice_claims
-            .claim(need, waiting, endpoints.into_iter());
+        let named =
+            self.unknown_by_free_capacity(pool, &progress.advice, request, left, free_resources);
+        !named.is_empty() && self.request_advice(key, timings, &named)
     }
 
     /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
@@ -272,15 +97,15 @@
         advice: &Advice,
         request: &StepRequest,
         max_endpoints: usize,
-        capacity: &CallCapacity<'_>,
+        free_resources: impl Fn(EndpointKey) -> Resources,
     ) -> Vec<EndpointKey> {
-        let need = capacity.need;
+        let need = Resources::of_step(request.step());
         let unknown = pool.iter().filter(|key| advice.is_unasked(**key));
         let able =
             unknown.filter(|key| Resources::of_entry(&self.endpoints[**key].entry).can_fit(need));
         let mut found: Vec<(bool, i8, Reverse<u64>, EndpointKey)> = able
             .map(|key| {
-                let free = capacity.left(*key, self.endpoints[*key].free());
+                let free = free_resources(*key);
                 let rank = request
                     .latency_class
                     .rank(self.speed_class(&self.endpoints[*key]));
@@ -296,3 +121,17 @@
         found.into_iter().map(|(.., key)| key).collect()
     }
 }
+
+/// Returns the endpoints that may run the step and have free resources for one of its tasks.
+fn allowed_with_capacity(
+    pool: &[EndpointKey],
+    advice: &Advice,
+    need: Resources,
+    free_resources: impl Fn(EndpointKey) -> Resources,
+) -> Vec<EndpointKey> {
+    let allowed = pool.iter().filter(|key| advice.allowed(**key));
+    allowed
+        .filter(|key| free_resources(**key).can_fit(need))
+        .copied()
+        .collect()
+}
--- a/crates/chervilfall_planner/src/planner/fair_shares.rs
+++ b/crates/chervilfall_planner/src/planner/fair_shares.rs
@@ -111,7 +111,7 @@
         let mut left: BTreeSet<(Rank, StepKey)> = ranked.collect();
         while let Some((rank, key)) = left.pop_first() {
             if self.rank_now(key).is_some_and(|now| now <= rank) {
-                self.schedule_ranked(pass, key);
+                self.schedule_step(pass, key);
             }
             let rank_now = self.rank_now(key).filter(|_| self.open.contains(key));
             if let Some(rank_now) = rank_now.filter(|now| *now > rank) {
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -20,7 +20,6 @@
 use crate::planner::suspects::{WaitingTask, WaitingTasks};
 use crate::planner::waiting::WaitCause;
 use crate::planner::Planner;
-use crate::policy::advice_use::AdviceClaims;
 use crate::policy::headroom::HeadroomSlots;
 use crate::policy::order::has_slack;
 use crate::policy::overdue::Claims;
@@ -44,13 +43,7 @@
     /// Endpoints that accept work, by service.
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
     /// Headroom that latency-tolerant work leaves free, by service.
-    pub(super) headroom_slots: BTreeMap<String, HeadroomSlots>,
-    /// Whether calls for advice that may be of no use are withheld.
-    pub(super) only_useful_calls: bool,
-    /// Capacity that better-ranked steps are about to use with their tickets.
-    pub(super) advice_claims: AdviceClaims,
-    /// Number of steps that requested no advice because it would be of no use.
-    pub(super) withheld_calls: u32,
+    headroom_slots: BTreeMap<String, HeadroomSlots>,
     /// Quotas that better-ranked steps wait for.
     quota_reservations: QuotaReservations,
     /// Whether a node can make a fast call for advice.
@@ -103,22 +96,13 @@
         };
         if self.limits.policies.fair_share {
             self.schedule_by_fair_share(&mut pass, keys);
-        } else {
-            for key in keys {
-                self.schedule_ranked(&mut pass, key);
-            }
+            return;
         }
-        if full {
-            metrics::advice_withheld(pass.withheld_calls);
+        for key in keys {
+            self.schedule_step(&mut pass, key);
         }
     }
 
-    /// Schedules a step whose turn it is in a pass.
-    pub(super) fn schedule_ranked(&mut self, pass: &mut Pass, key: StepKey) {
-        self.schedule_step(pass, key);
-        self.claim_advised_capacity(pass, key);
-    }
-
     fn begin_pass(&mut self) -> Pass {
         let mut pools: BTreeMap<String, Vec<EndpointKey>> = BTreeMap::new();
         for (key, endpoint) in &self.endpoints {
@@ -136,10 +120,6 @@
         Pass {
             pools,
             headroom_slots,
-            only_useful_calls: self.limits.policies.useful_advice_calls
-                && self.slow_calls_are_scarce(),
-            advice_claims: AdviceClaims::default(),
-            withheld_calls: 0,
             quota_reservations: QuotaReservations::new(),
             fast_call_possible: self.can_call_advice(false),
             slow_call_possible: self.can_call_advice(true),
@@ -396,7 +376,7 @@
         let mut offers = self.offers(pass, key, request);
         let need = request.required_resources();
         let headroom_slots = pass.headroom_slots.get_mut(&request.service);
-        let picks = match headroom_slots.filter(|_| self.must_leave_headroom(key)) {
+        let picks = match headroom_slots.filter(|_| self.must_leave_headroom(key, request)) {
             Some(slots) => pick_keeping_headroom(&mut offers, need, count, slots),
             None => pick_endpoints(&mut offers, need, count, request.latency_class),
         };
@@ -453,11 +433,10 @@
 
     /// Returns whether a step must leave headroom for latency-sensitive work: it is
     /// latency-tolerant and its job has slack.
-    pub(super) fn must_leave_headroom(&self, key: StepKey) -> bool {
+    fn must_leave_headroom(&self, key: StepKey, request: &StepRequest) -> bool {
         let job = self.jobs.get(&key.job);
-        job.is_some_and(|job| {
-            LatencyClass::of(job) == LatencyClass::Tolerant && has_slack(job, self.unix_ms)
-        })
+        request.latency_class == LatencyClass::Tolerant
+            && job.is_some_and(|job| has_slack(job, self.unix_ms))
     }
 
     /// Picks endpoints for a gang: all in one rack if the step asks for it and that is possible.
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -1,8 +1,6 @@
 //! Scheduling policies, one per file.
 
 pub(crate) mod admission;
-pub(crate) mod advice_share;
-pub(crate) mod advice_use;
 pub(crate) mod commit_order;
 pub(crate) mod crashes;
 pub(crate) mod fair_share;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -20,12 +20,8 @@
     pub texts_in_job_rows: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
-    /// Advice is requested only when its tickets could be used.
-    pub useful_advice_calls: bool,
     /// Refused callers are told different times to retry, and are accepted if they keep to them.
     pub spread_retries: bool,
-    /// Queues share the nodes that make calls for advice by need.
-    pub advice_node_shares: bool,
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
@@ -41,9 +37,7 @@
             speed: true,
             texts_in_job_rows: true,
             commit_order: true,
-            useful_advice_calls: true,
             spread_retries: true,
-            advice_node_shares: true,
             fair_share: false,
         }
     }
--- a/crates/chervilfall_planner/src/resources.rs
+++ b/crates/chervilfall_planner/src/resources.rs
@@ -102,18 +102,6 @@
         }
     }
 
-    /// Returns the resources of a number of tasks that need not be whole.
-    pub(crate) fn scaled(self, count: f64) -> Self {
-        // Counts are not negative, and amounts are far below the limits of the integer type.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let scaled = |amount: u64| (amount as f64 * count).round() as u64;
-        Self {
-            cpu_milli: scaled(self.cpu_milli),
-            memory_mb: scaled(self.memory_mb),
-            gpus: scaled(self.gpus),
-        }
-    }
-
     /// Returns how many times `need` fits.
     pub(crate) fn max_fitting(self, need: Self) -> u32 {
         let parts = [
