Keep the tables of rejected settings short

The cases for the rate of the link and for platform features have a table of their own; all cases are checked as before.

--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -6,120 +6,133 @@
 const GOOD: &str = "node: n1\ndomain: a\nlisten: 127.0.0.1:1\nready_listen: 127.0.0.1:2\n\
 link_listen: 127.0.0.1:3\nstore: 127.0.0.1:4\nlease_max_ms: 10000\nstatus_s: 120\nrow_bytes: 65536\n";
 
+/// Settings that are rejected.
+struct Rejected {
+    name: &'static str,
+    more: &'static str,
+    without: &'static str,
+    expected: &'static str,
+}
+
+fn assert_rejected(cases: &[Rejected]) {
+    assert!(Settings::parse("good", GOOD).is_ok());
+    for case in cases {
+        let text = GOOD.replace(case.without, "") + case.more;
+        let error = Settings::parse("bad", &text)
+            .expect_err(case.name)
+            .to_string();
+        assert!(error.contains(case.expected), "{}: {error}", case.name);
+    }
+}
+
 #[test]
 fn a_wrong_field_is_named() {
-    struct Case {
-        name: &'static str,
-        more: &'static str,
-        without: &'static str,
-        expected: &'static str,
-    }
     let cases = [
-        Case {
+        Rejected {
             name: "no address",
             more: "",
             without: "store: 127.0.0.1:4\n",
             expected: "missing field `store`",
         },
-        Case {
+        Rejected {
             name: "an invalid address",
             more: "advice: nowhere\n",
             without: "",
             expected: "advice",
         },
-        Case {
+        Rejected {
             name: "an unknown field",
             more: "stroe: 1\n",
             without: "",
             expected: "stroe",
         },
-        Case {
+        Rejected {
             name: "silence too short",
             more: "timings:\n  silence_ms: 200\n",
             without: "",
             expected: "timings.silence_ms",
         },
-        Case {
+        Rejected {
             name: "ticks of no length",
             more: "timings:\n  tick_ms: 0\n",
             without: "",
             expected: "timings.tick_ms",
         },
-        Case {
+        Rejected {
             name: "notice of capacity of no length",
             more: "capacity_notice_ms: 0\n",
             without: "",
             expected: "capacity_notice_ms",
         },
-        Case {
+        Rejected {
             name: "no time to put configurations in force",
             more: "config_apply_ms: 0\n",
             without: "",
             expected: "config_apply_ms",
         },
-        Case {
+        Rejected {
             name: "no time to drain",
             more: "drain_ms: 0\n",
             without: "",
             expected: "drain_ms",
         },
-        Case {
+        Rejected {
             name: "no time to revoke keys",
             more: "revoke_ms: 0\n",
             without: "",
             expected: "revoke_ms",
         },
-        Case {
+        Rejected {
+            name: "no CPU",
+            more: "cpu_cores: 0\n",
+            without: "",
+            expected: "cpu_cores",
+        },
+        Rejected {
+            name: "no name",
+            more: "node: ''\n",
+            without: "node: n1\n",
+            expected: "node",
+        },
+    ];
+    assert_rejected(&cases);
+}
+
+#[test]
+fn a_wrong_link_rate_or_feature_is_named() {
+    let cases = [
+        Rejected {
             name: "a platform feature that is not in a list",
             more: "platform_features: pressure\n",
             without: "",
             expected: "platform_features",
         },
-        Case {
+        Rejected {
             name: "a platform feature that is not a word",
             more: "platform_features: [pressure, {a: 1}]\n",
             without: "",
             expected: "platform_features[1]",
         },
-        Case {
-            name: "no CPU",
-            more: "cpu_cores: 0\n",
-            without: "",
-            expected: "cpu_cores",
-        },
-        Case {
+        Rejected {
             name: "a link without capacity",
             more: "link_mbps: 0\n",
             without: "",
             expected: "link_mbps: must be between 0.1 and",
         },
-        Case {
+        Rejected {
             name: "a link of no number",
             more: "link_mbps: .nan\n",
             without: "",
             expected: "link_mbps: must be between 0.1 and",
         },
-        Case {
+        Rejected {
             name: "a link with a unit",
             more: "link_mbps: 10 Mbit/s\n",
             without: "",
             expected: "link_mbps",
         },
-        Case {
-            name: "no name",
-            more: "node: ''\n",
-            without: "node: n1\n",
-            expected: "node",
-        },
     ];
-    assert!(Settings::parse("good", GOOD).is_ok());
-    for case in cases {
-        let text = GOOD.replace(case.without, "") + case.more;
-        let error = Settings::parse("bad", &text)
-            .expect_err(case.name)
-            .to_string();
-        assert!(error.contains(case.expected), "{}: {error}", case.name);
-    }
+    assert_rejected(&cases);
 }
 
 #[test]
