--- a/crates/chervilfall_planner/src/policy/overdue.rs
+++ b/crates/chervilfall_planner/src/policy/overdue.rs
@@ -36,7 +36,7 @@
         self.claimed = self.claimed.add(need.times(tasks.saturating_mul(factor)));
         self.smallest = Some(
             self.smallest
-                .map_or(need, |smallest| smallest.min_of_each(need)),
+                .map_or(need, |smallest| smallest.min(need)),
         );
     }
 
--- a/crates/chervilfall_planner/src/resources.rs
+++ b/crates/chervilfall_planner/src/resources.rs
@@ -57,15 +57,6 @@
         }
     }
 
-    /// Returns the smaller amount of each resource.
-    pub(crate) fn min_of_each(self, other: Self) -> Self {
-        Self {
-            cpu_milli: self.cpu_milli.min(other.cpu_milli),
-            memory_mb: self.memory_mb.min(other.memory_mb),
-            gpus: self.gpus.min(other.gpus),
-        }
-    }
-
     pub(crate) const fn minus(self, other: Self) -> Self {
         Self {
             cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
