--- a/crates/chervilfall_planner/src/election.rs
+++ b/crates/chervilfall_planner/src/election.rs
@@ -13,7 +13,8 @@
 /// How long a refused connection counts as evidence that the holder's process is gone.
 const REFUSED_MS: Millis = 1_000;
 
-/// Delay before small nodes claim the group: the time that larger nodes need to notice the lost holder and to claim first.
+/// Delay before small nodes claim the group: the time that larger nodes need to notice the lost
+/// holder and to claim first.
 const CLAIM_DELAY_MS: Millis = 1_200;
 /// How long a holder may recover before a node of at least twice its size, which would recover
 /// faster, replaces it: longer than such a node needs for the whole recovery.
--- a/crates/chervilfall_planner/src/planner/overdue.rs
+++ b/crates/chervilfall_planner/src/planner/overdue.rs
@@ -27,7 +27,7 @@
             return;
         };
         let waiting = progress.waiting().min(startable);
-        if waiting == 0 {
+        if waiting == 0 || !pass.claimants.insert(key) {
             return;
         }
         let advice = job.queue.advice;
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -5,7 +5,7 @@
 //! placed nor request advice is skipped early, and the passes between full ones visit only the
 //! steps of the best rank.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::config::AdviceTimings;
@@ -52,6 +52,8 @@
     slow_call_possible: bool,
     /// Capacity that steps with worth wait for, by service.
     pub(super) claims: BTreeMap<String, Claims>,
+    /// Steps that have a claim. A pass by fair share visits a step several times.
+    pub(super) claimants: BTreeSet<StepKey>,
     /// A step with worth waits for a node to call the advice service.
     pub(super) node_wanted: bool,
 }
@@ -124,6 +126,7 @@
             fast_call_possible: self.can_call_advice(false),
             slow_call_possible: self.can_call_advice(true),
             claims: BTreeMap::new(),
+            claimants: BTreeSet::new(),
             node_wanted: false,
         }
     }
@@ -205,7 +208,7 @@
             && progress.advice.calls_in_flight() < max_calls_in_flight(step);
         if !placeable && !can_request_advice {
             self.claim_capacity(pass, key, startable);
-            self.note_unplaced(key, call_possible);
+            self.note_unplaced(key, call_possible && !leaves_nodes);
             return;
         }
         let request = StepRequest {
@@ -223,8 +226,9 @@
             pass.fast_call_possible = self.can_call_advice(false);
             pass.slow_call_possible = self.can_call_advice(true);
         }
+        let startable = startable.min(self.tasks_within_quota(key));
         self.claim_capacity(pass, key, startable);
-        self.note_unplaced(key, call_possible);
+        self.note_unplaced(key, call_possible && !leaves_nodes);
     }
 
     /// Returns the endpoints that the step may use now.
--- a/crates/chervilfall_planner/src/policy/commit_order.rs
+++ b/crates/chervilfall_planner/src/policy/commit_order.rs
@@ -48,7 +48,8 @@
     /// Returns the timeliness of a job whose change is stored in `commit_ms`.
     fn timeliness(self, commit_ms: Millis) -> Timeliness {
         let ends_ms = self.age_ms + commit_ms + self.min_remaining_ms;
-        if ends_ms < self.objective_ms {
+        // Work without an objective is never late.
+        if self.objective_ms == 0 || ends_ms < self.objective_ms {
             Timeliness::InTime
         } else if ends_ms < self.objective_ms.saturating_mul(OVERDUE_FACTOR) {
             Timeliness::Late
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -29,9 +29,9 @@
 /// Rank of a step; the lowest is offered capacity first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    /// Work without remaining worth ranks behind all other work.
+    /// Work without remaining worth ranks last.
     overdue: bool,
-    /// Work in excess of an account's share ranks behind all other work.
+    /// Of the rest, work in excess of an account's share ranks behind the other.
     beyond: bool,
     prospect: Prospect,
     priority: u32,
@@ -39,6 +39,13 @@
     accepted_unix_ms: u64,
 }
 
+impl Rank {
+    /// Returns whether the work has no worth left.
+    pub(crate) const fn is_overdue(&self) -> bool {
+        self.overdue
+    }
+}
+
 /// A job has slack during the first part of its objective, given here as a divisor. The rest is
 /// needed for its work and for estimates that are off by a factor of two.
 const SLACK_DIVISOR: Millis = 2;
@@ -76,13 +83,6 @@
     job.queue.priority.saturating_sub(u32::from(out_of_slack))
 }
 
-impl Rank {
-    /// Returns whether the work has no worth left.
-    pub(crate) const fn is_overdue(&self) -> bool {
-        self.overdue
-    }
-}
-
 /// Returns whether completing the job of a step at `unix_ms` has worth. Services, which run until
 /// they are cancelled, always do.
 fn is_worth_doing(job: &Job, key: StepKey, unix_ms: u64) -> bool {
--- a/crates/chervilfall_planner/src/policy/overdue.rs
+++ b/crates/chervilfall_planner/src/policy/overdue.rs
@@ -34,10 +34,7 @@
         }
         let factor = if with_advice { ADVICE_CLAIM_FACTOR } else { 1 };
         self.claimed = self.claimed.add(need.times(tasks.saturating_mul(factor)));
-        self.smallest = Some(
-            self.smallest
-                .map_or(need, |smallest| smallest.min(need)),
-        );
+        self.smallest = Some(self.smallest.map_or(need, |smallest| smallest.min(need)));
     }
 
     /// Returns whether no step waits.
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -6,39 +6,40 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policies {
-    /// A job that cannot complete while it still has worth is refused when it is submitted.
+    /// A job that cannot complete while it still has worth is refused when it is submitted. Off by
+    /// default, because under a slow store it also refuses jobs that could be stored in time.
     pub admission_forecast: bool,
+    /// If more waits than one commit holds, urgent changes are stored first and with few rows.
+    pub commit_order: bool,
+    /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
+    /// because only the platform knows whether its accounts compete for capacity.
+    pub fair_share: bool,
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
-    /// An overloaded holder hands the group over to a node of at least its size.
-    pub overload_handover: bool,
     /// Work past three times its objective starts only on capacity that no other step can use.
     pub overdue_last: bool,
+    /// An overloaded holder hands the group over to a node of at least its size.
+    pub overload_handover: bool,
     /// Latency-sensitive work goes to fast endpoints and latency-tolerant work to slow ones.
     pub speed: bool,
-    /// Short texts are stored in the rows of their jobs.
-    pub texts_in_job_rows: bool,
-    /// If more waits than one commit holds, urgent changes are stored first and with few rows.
-    pub commit_order: bool,
     /// Refused callers are told different times to retry, and are accepted if they keep to them.
     pub spread_retries: bool,
-    /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
-    /// because only the platform knows whether its accounts compete for capacity.
-    pub fair_share: bool,
+    /// Short texts are stored in the rows of their jobs.
+    pub texts_in_job_rows: bool,
 }
 
 impl Default for Policies {
     fn default() -> Self {
         Self {
-            admission_forecast: true,
+            admission_forecast: false,
+            commit_order: true,
+            fair_share: false,
             headroom: true,
-            overload_handover: true,
             overdue_last: true,
+            overload_handover: true,
             speed: true,
-            texts_in_job_rows: true,
-            commit_order: true,
             spread_retries: true,
-            fair_share: false,
+            texts_in_job_rows: true,
         }
     }
 }
--- a/crates/chervilfall_planner/tests/admission.rs
+++ b/crates/chervilfall_planner/tests/admission.rs
@@ -162,6 +162,9 @@
     fn new(forecast: bool, endpoints: usize) -> Self {
         let mut world = World::new(2, endpoints, 7);
         world.limits.policies.admission_forecast = forecast;
+        // With these, the store would take the whole load.
+        world.limits.policies.texts_in_job_rows = false;
+        world.limits.policies.commit_order = false;
         world.queue.advice = None;
         world.queue.priority = 0;
         world.queue.stretch = 1.5;
