--- a/crates/chervilfall_node/src/link/message.rs
+++ b/crates/chervilfall_node/src/link/message.rs
@@ -15,7 +15,8 @@
     Hello {
         /// Name of the node.
         node: String,
-        /// CPU that it may use, in thousandths of a core.
+        /// Size of the node, in thousandths of a core. The name is that of earlier versions, which
+        /// sent its CPU.
         #[serde(default)]
         cpu_permille: u64,
     },
