Take the answer of a reading that begins in a process's first millisecond

HedgedReads took 0 for 'none answered yet', and the process clock is 0 in its first millisecond, so the answer to a reading that began there was discarded. The test's platform answers only one reading, and it waited without a bound. On the platform such a node has its first configuration one poll later.

Ruled out: a reading that is aborted or times out (none is before an answer), more than four in flight (the first one still ends).

Change: none is None. The wait of the authority test has a bound of 30 s, so that it fails and no longer hangs.

--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -27,3 +27,4 @@
 pub use routes::{Route, RouteTable};
 pub use settings::{changed_fields, read_text, Settings, SettingsError, TightBound, Timings};
 pub use wait_bounds::WaitBounds;
+pub use watch::readings::{HedgedReads, ReadEvent, ReadingTimes};
--- a/crates/chervilfall_node/src/watch/readings.rs
+++ b/crates/chervilfall_node/src/watch/readings.rs
@@ -19,16 +19,16 @@
 
 /// When the next reading begins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ReadingTimes {
+pub struct ReadingTimes {
     /// Time since the start of a reading that was answered.
-    pub(crate) poll_ms: u64,
+    pub poll_ms: u64,
     /// Minimum time since the start of a reading that is not answered.
-    pub(crate) min_hedge_ms: u64,
+    pub min_hedge_ms: u64,
     /// Maximum time since the start of a reading that is not answered.
-    pub(crate) max_hedge_ms: u64,
+    pub max_hedge_ms: u64,
     /// Maximum time since the start of a reading for which no other one is sent because its answer
     /// is arriving.
-    pub(crate) max_arrival_ms: u64,
+    pub max_arrival_ms: u64,
 }
 
 impl ReadingTimes {
@@ -41,7 +41,7 @@
 
 /// What a reader has to handle next.
 #[derive(Debug)]
-pub(crate) enum ReadEvent<T> {
+pub enum ReadEvent<T> {
     /// A reading is due.
     Due,
     /// A reading was answered that began later than all that were answered before.
@@ -71,7 +71,7 @@
 }
 
 /// Readings of one item of the store.
-pub(crate) struct HedgedReads<T> {
+pub struct HedgedReads<T> {
     times: ReadingTimes,
     dependency: DependencyStatus,
     running: JoinSet<Reading<T>>,
@@ -80,15 +80,15 @@
     last_began_ms: u64,
     /// When a reading was last requested that has not been answered.
     requested_ms: Option<u64>,
-    /// When the latest reading that was answered began.
-    answered_ms: u64,
+    /// When the latest reading that was answered began; none if no reading was answered yet.
+    answered_ms: Option<u64>,
     last_took_ms: u64,
     failed_in_a_row: usize,
 }
 
 impl<T: Send + 'static> HedgedReads<T> {
     /// Creates readings of which the first is due now.
-    pub(crate) fn new(name: &'static str, times: ReadingTimes) -> Self {
+    pub fn new(name: &'static str, times: ReadingTimes) -> Self {
         Self {
             times,
             dependency: DependencyStatus::new(name),
@@ -97,7 +97,7 @@
             due_ms: now_ms(),
             last_began_ms: 0,
             requested_ms: None,
-            answered_ms: 0,
+            answered_ms: None,
             last_took_ms: 0,
             failed_in_a_row: 0,
         }
@@ -105,12 +105,12 @@
 
     /// Returns the number of unanswered readings: those in flight, and the last consecutive
     /// failures.
-    pub(crate) fn unanswered(&self) -> usize {
+    pub fn unanswered(&self) -> usize {
         self.pending.len() + self.failed_in_a_row
     }
 
     /// Waits until a reading has ended or the next one is due.
-    pub(crate) async fn next_event(&mut self) -> ReadEvent<T> {
+    pub async fn next_event(&mut self) -> ReadEvent<T> {
         let may_begin = self.running.len() < MAX_IN_FLIGHT;
         let wait = Duration::from_millis(self.due_ms.saturating_sub(now_ms()));
         tokio::select! {
@@ -137,7 +137,7 @@
     }
 
     /// Starts a reading, which records its progress if its answer may take long to arrive.
-    pub(crate) fn begin<F>(&mut self, read: impl FnOnce(ReadProgress) -> F)
+    pub fn begin<F>(&mut self, read: impl FnOnce(ReadProgress) -> F)
     where
         F: Future<Output = Result<T, StoreError>> + Send + 'static,
     {
@@ -159,7 +159,7 @@
 
     /// Makes the next reading due now, or some time after the start of the last one if that is later:
     /// `RETRY_MS`, or while that one is not answered, the time after which another is sent beside it.
-    pub(crate) fn read_soon(&mut self) {
+    pub fn read_soon(&mut self) {
         let pause_ms = if self.pending.is_empty() {
             RETRY_MS
         } else {
@@ -203,10 +203,14 @@
             }
             newer
         });
-        if began_ms <= self.answered_ms {
+        // The first reading may begin at 0, in the first millisecond of the process.
+        if self
+            .answered_ms
+            .is_some_and(|answered_ms| began_ms <= answered_ms)
+        {
             return ReadEvent::None;
         }
-        self.answered_ms = began_ms;
+        self.answered_ms = Some(began_ms);
         self.last_took_ms = now_ms() - began_ms;
         if self.pending.is_empty() {
             self.due_ms = began_ms + self.times.poll_ms;
--- a/crates/chervilfall_node/tests/authority.rs
+++ b/crates/chervilfall_node/tests/authority.rs
@@ -26,6 +26,8 @@
 /// Least age of a reading that is too old: the node counts whole milliseconds.
 const TOO_OLD: Duration = Duration::from_millis(1_010);
 const POLL: Duration = Duration::from_millis(5);
+/// Most time until a node has the configuration: the only answer comes after a second.
+const MAX_OPENING: Duration = Duration::from_secs(30);
 /// Most nodes that are opened for a case until a call is in time.
 const MAX_TRIES: usize = 30;
 
@@ -177,6 +179,7 @@
     let node = Node::open(settings, platform).await.expect("a node");
     let latest = arrival.await.expect("a reading");
     while node.front().routes().is_none() {
+        assert!(earliest.elapsed() < MAX_OPENING, "the answer was discarded");
         tokio::time::sleep(POLL).await;
     }
     Opened {
