--- a/crates/chervilfall_node/src/watch/readings.rs
+++ b/crates/chervilfall_node/src/watch/readings.rs
@@ -88,6 +88,7 @@
 
 impl<T: Send + 'static> HedgedReads<T> {
     /// Creates readings of which the first is due now.
+    #[must_use]
     pub fn new(name: &'static str, times: ReadingTimes) -> Self {
         Self {
             times,
@@ -105,6 +106,7 @@
 
     /// Returns the number of unanswered readings: those in flight, and the last consecutive
     /// failures.
+    #[must_use]
     pub fn unanswered(&self) -> usize {
         self.pending.len() + self.failed_in_a_row
     }
