Name endpoints with the least free capacity in fast calls for advice

Cause: a task starts only on endpoints that a call named. Short work named those with the most free CPU, so that it also started there and split the large free blocks that gangs and wide tolerant work need, although there was room beside other work.

Change: fast calls name endpoints that fit, least free first (policies.name_least_free); slow calls as before, because capacity changes while they last.

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -56,6 +56,7 @@
 };
 pub use policy::fair_share::{FairShare, ShareLevel, UsageByStart};
 pub use policy::handover::{HandoverPolicy, HandoverReason, HolderTerm, LinkedNode, LoadReport};
+pub use policy::naming::{NamingCandidate, NamingOrder, NamingRank};
 pub use policy::node_size::NodeResources;
 pub use policy::overdue::{has_worth, Claims};
 pub use policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -1,12 +1,11 @@
 //! Selects the endpoints that a step asks the advice service about.
 
-use std::cmp::Reverse;
-
 use crate::advice::Advice;
 use crate::endpoint::EndpointKey;
 use crate::job::Step;
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
+use crate::policy::naming::{NamingCandidate, NamingOrder, NamingRank};
 use crate::resources::Resources;
 use crate::tasks::StepKey;
 
@@ -89,8 +88,7 @@
     }
 
     /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
-    /// enough free resources, then those whose speed class suits the latency class, then those with
-    /// the most free CPU.
+    /// enough free resources, then those whose speed class suits the latency class, then by free CPU.
     fn unknown_by_free_capacity(
         &self,
         pool: &[EndpointKey],
@@ -100,16 +98,22 @@
         free_resources: impl Fn(EndpointKey) -> Resources,
     ) -> Vec<EndpointKey> {
         let need = Resources::of_step(request.step());
+        let slow_call = request.advice.is_some_and(|timings| timings.is_slow());
+        let packs = self.limits.policies.name_least_free;
+        let order = NamingOrder::new(slow_call || !packs);
         let unknown = pool.iter().filter(|key| advice.is_unasked(**key));
         let able =
             unknown.filter(|key| Resources::of_entry(&self.endpoints[**key].entry).can_fit(need));
-        let mut found: Vec<(bool, i8, Reverse<u64>, EndpointKey)> = able
+        let mut found: Vec<(NamingRank, EndpointKey)> = able
             .map(|key| {
                 let free = free_resources(*key);
-                let rank = request
-                    .latency_class
-                    .rank(self.speed_class(&self.endpoints[*key]));
-                (!free.can_fit(need), rank, Reverse(free.cpu_milli), *key)
+                let speed_class = self.speed_class(&self.endpoints[*key]);
+                let candidate = NamingCandidate {
+                    fits: free.can_fit(need),
+                    speed_rank: request.latency_class.rank(speed_class),
+                    free_cpu_milli: free.cpu_milli,
+                };
+                (order.rank(candidate), *key)
             })
             .collect();
         // A call names a few of hundreds of endpoints, so only these are sorted.
@@ -118,7 +122,7 @@
             found.truncate(max_endpoints);
         }
         found.sort_unstable();
-        found.into_iter().map(|(.., key)| key).collect()
+        found.into_iter().map(|(_, key)| key).collect()
     }
 }
 
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod fair_share;
 pub(crate) mod handover;
 pub(crate) mod headroom;
+pub(crate) mod naming;
 pub(crate) mod node_size;
 pub(crate) mod order;
 pub(crate) mod overdue;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -16,6 +16,8 @@
     pub fair_share: bool,
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
+    /// Fast calls for advice name the endpoints with the least free capacity that fits.
+    pub name_least_free: bool,
     /// Work past three times its objective starts only on capacity that no other step can use.
     pub overdue_last: bool,
     /// An overloaded holder hands the group over to a node of at least its size.
@@ -35,6 +37,7 @@
             commit_order: true,
             fair_share: false,
             headroom: true,
+            name_least_free: true,
             overdue_last: true,
             overload_handover: true,
             speed: true,
