Count unfound runs of ended jobs against their account's quota

After a takeover, only waiting tasks of open steps counted as unconfirmed usage. A job that had been cancelled or had failed was not counted, although an endpoint that had not reported its list could still run it, so the account was given its whole quota beside these runs.

The end of a job removed its own row at once, and the row of the end does not state what a run uses, so a successor could not count it. Storing the usage in the row of the end was ruled out: it would go stale when the runs end, and runs found later would still not be charged. Ends are now written in place, a form that earlier versions read, while runs of the job are being stopped or may not have been found yet. They are moved once the runs have ended. For jobs beyond their account's share the own row is written again as within the share, because earlier versions count such a row as an open job. A holder no longer counts ended jobs beyond the share that it inherits as open.

Runs of ended jobs that are found are charged to the account until their ends are known. Not counted are runs of jobs whose ends an earlier version stored, and superseded runs of tasks that are done.

--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -219,7 +219,8 @@
         Some((job.account?, Resources::charged_to_account(step)))
     }
 
-    /// Counts inherited tasks as running while they may have runs that have not been found yet.
+    /// Counts inherited tasks as running while they may have runs that have not been found yet:
+    /// those of open steps, and those of jobs that have ended.
     pub(super) fn count_unconfirmed(&mut self) {
         self.accounts.clear_unconfirmed();
         let Some(barrier) = &self.barrier else {
@@ -227,7 +228,9 @@
         };
         let max_unfound = barrier.max_unfound_usage();
         let mut unconfirmed: BTreeMap<AccountKey, UnconfirmedUsage> = BTreeMap::new();
-        for key in self.open.keys() {
+        let ended = barrier.ended_jobs().filter_map(|id| self.jobs.get(&id));
+        let steps = self.open.keys().into_iter();
+        for key in steps.chain(ended.flat_map(Job::ready_steps)) {
             let Some(job) = self.jobs.get(&key.job).filter(|job| job.inherited) else {
                 continue;
             };
--- a/crates/chervilfall_planner/src/planner/activation.rs
+++ b/crates/chervilfall_planner/src/planner/activation.rs
@@ -3,18 +3,25 @@
 use crate::ids::JobId;
 use crate::planner::Planner;
 use crate::policy::order::rank;
-use crate::tasks::{StepKey, StepProgress};
+use crate::tasks::StepKey;
 
 impl Planner {
-    /// Opens the steps of a stored job that can start, or schedules its first occurrence.
+    /// Opens the steps of a stored job that can start, or schedules its first occurrence. Those of a
+    /// job that has ended are not opened; its occurrences are created as far as runs of them may not
+    /// have been found yet.
     pub(super) fn activate(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
         if job.outcome.is_some() {
             self.finished.push_back((self.now, id));
-            return;
+            if !self.watch_ended_job(id) {
+                return;
+            }
         }
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         if job.spec.repeat_count == 0 {
             self.open_occurrence(id, 0);
             return;
@@ -70,22 +77,7 @@
         if job.outcome.is_some() || !job.stored || progress.waiting() == 0 {
             return;
         }
-        let after = job
-            .spec
-            .steps
-            .get(key.step as usize)
-            .map(|step| &step.after);
-        let ready = after.is_some_and(|after| {
-            after.iter().all(|earlier| {
-                let earlier = StepKey {
-                    step: *earlier,
-                    ..key
-                };
-                job.step_progress(earlier)
-                    .is_some_and(StepProgress::complete)
-            })
-        });
-        if ready {
+        if job.is_step_ready(key) {
             let overdue_last = self.limits.policies.overdue_last;
             let share_level = self.share_level(job, key);
             let rank = rank(job, key, self.unix_ms, overdue_last, share_level);
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -1,15 +1,16 @@
 //! Barrier after a takeover: inherited tasks wait until every run of an earlier holder is either
 //! known or has certainly lost its lease.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::election::Takeover;
 use crate::endpoint::EndpointKey;
-use crate::ids::Millis;
+use crate::ids::{JobId, Millis};
 use crate::limits::Limits;
 use crate::planner::Planner;
 use crate::record::RosterEntry;
 use crate::resources::Resources;
+use crate::tasks::Job;
 
 /// Endpoints that may have runs started by an earlier holder.
 #[derive(Debug)]
@@ -17,6 +18,8 @@
     lapse_ms: Millis,
     /// Endpoints that have not reported their runs yet.
     missing: BTreeMap<EndpointKey, MissingEndpoint>,
+    /// Inherited jobs that have ended, with the steps that their runs belong to.
+    ended_jobs: BTreeSet<JobId>,
 }
 
 /// What the roster states of an endpoint that has not reported its runs yet.
@@ -47,6 +50,7 @@
         Some(Self {
             lapse_ms: gone.map_or(covered, |gone| gone.min(covered)),
             missing: BTreeMap::new(),
+            ended_jobs: BTreeSet::new(),
         })
     }
 
@@ -71,6 +75,11 @@
         })
     }
 
+    /// Returns the inherited jobs that have ended and may have runs which have not been found yet.
+    pub(crate) fn ended_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.ended_jobs.iter().copied()
+    }
+
     /// Removes endpoints whose leases had lapsed at `store_ms`. A commit of this holder was stored
     /// then, so no successor had granted them new leases.
     fn remove_lapsed(&mut self, store_ms: Millis) {
@@ -90,6 +99,26 @@
         }
     }
 
+    /// Remembers an inherited job that has ended, because the stops of its runs may not have reached
+    /// their endpoints. Returns whether it may have runs that have not been found yet.
+    pub(super) fn watch_ended_job(&mut self, id: JobId) -> bool {
+        let job = self.jobs.get(&id);
+        // The steps of a job that is only stored as ended are not known.
+        let has_steps = |job: &Job| job.inherited && !job.spec.steps.is_empty();
+        let Some(barrier) = self.barrier.as_mut().filter(|_| job.is_some_and(has_steps)) else {
+            return false;
+        };
+        barrier.ended_jobs.insert(id);
+        true
+    }
+
+    /// Returns whether a job that has ended may have runs in progress: they are being stopped, or an
+    /// earlier holder started them and they have not been found yet.
+    pub(super) fn may_have_runs(&self, job: &Job) -> bool {
+        let unfound = job.inherited && self.barrier.is_some();
+        self.stopping.contains_job(job.id) || (unfound && job.ready_steps().next().is_some())
+    }
+
     pub(super) fn check_barrier(&mut self) {
         let Some(barrier) = &mut self.barrier else {
             return;
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -308,7 +308,8 @@
             _ => None,
         };
         let waits = state == Some(TaskState::Waiting) || superseded.is_some();
-        let wanted = job.is_some_and(|job| job.outcome.is_none()) && waits;
+        let job_ended = job.is_some_and(|job| job.outcome.is_some());
+        let wanted = job.is_some() && !job_ended && waits;
         let step = job.and_then(|job| job.spec.steps.get(task.step as usize));
         let Some(endpoint) = self.endpoints.get(key) else {
             return;
@@ -342,6 +343,10 @@
             self.set_placed(task, key, running.run);
             self.record_checkpoint(task, &running.checkpoint);
         } else {
+            if job_ended && state == Some(TaskState::Waiting) {
+                // The account is charged for the run from now on, and no longer for the task.
+                self.set_placed(task, key, running.run);
+            }
             self.begin_stop(key, task, running.run);
         }
     }
--- a/crates/chervilfall_planner/src/planner/job_rows.rs
+++ b/crates/chervilfall_planner/src/planner/job_rows.rs
@@ -26,19 +26,28 @@
     Open,
     /// The same, with the job's outcome. Its open rows are removed by a later batch.
     EndedInPlace,
+    /// The same, for a job beyond its account's share: its own row is written as that of a job within
+    /// the share.
+    EndedInPlaceWithinShare,
     /// The row of its end; its open rows are removed.
     Ended,
 }
 
 impl ProgressForm {
-    /// Returns the form for a job. Ends are written in place if there are too many of them for one
-    /// batch. Those of jobs beyond their account's share are not, because earlier versions count
-    /// each such job that they inherit with its own row as an open one.
-    fn of(job: &Job, under_pressure: bool) -> Self {
+    /// Returns the form for a job.
+    ///
+    /// Ends are written in place if there are too many of them for one batch, or if the job may have
+    /// runs in progress: a successor then needs the job's own row, which states how much the runs
+    /// use. Earlier versions count each job beyond its account's share that they inherit with its own
+    /// row as an open one. So this row is written again for jobs that may have runs, and ends of
+    /// others are not written in place.
+    fn of(job: &Job, under_pressure: bool, may_have_runs: bool) -> Self {
         let has_row = job.rows.open != OpenRows::Absent;
         if job.outcome.is_none() {
             Self::Open
-        } else if under_pressure && has_row && !job.beyond {
+        } else if has_row && job.beyond && may_have_runs {
+            Self::EndedInPlaceWithinShare
+        } else if has_row && !job.beyond && (may_have_runs || under_pressure) {
             Self::EndedInPlace
         } else {
             Self::Ended
@@ -49,6 +58,7 @@
     fn rows(self, job: &Job) -> usize {
         match self {
             Self::Open | Self::EndedInPlace => 1,
+            Self::EndedInPlaceWithinShare => 2,
             Self::Ended => 1 + job.rows.open_count(),
         }
     }
@@ -104,8 +114,8 @@
             id: job.id,
             kind: self.progress_kind(job),
             timing: self.timing(job),
-            rows: ProgressForm::of(job, false).rows(job),
-            min_rows: ProgressForm::of(job, true).rows(job),
+            rows: self.progress_form(job, false).rows(job),
+            min_rows: self.progress_form(job, true).rows(job),
             missed_commits: self.unsaved.missed_progress.of(job.id),
         });
         WaitingChanges {
@@ -114,6 +124,11 @@
         }
     }
 
+    fn progress_form(&self, job: &Job, under_pressure: bool) -> ProgressForm {
+        let may_have_runs = job.outcome.is_some() && self.may_have_runs(job);
+        ProgressForm::of(job, under_pressure, may_have_runs)
+    }
+
     fn timing(&self, job: &Job) -> JobTiming {
         let min_remaining_ms = if job.started || job.outcome.is_some() {
             0
@@ -185,11 +200,14 @@
         id: JobId,
         under_pressure: bool,
     ) -> bool {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             self.unsaved.progress.remove(id);
             return true;
         };
-        let form = ProgressForm::of(job, under_pressure);
+        let form = self.progress_form(job, under_pressure);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return true;
+        };
         if !builder.has_room_for_rows(form.rows(job)) {
             return false;
         }
@@ -207,6 +225,17 @@
                 builder.put(PROGRESS, id.to_string(), row);
                 job.rows.progress = true;
             }
+            ProgressForm::EndedInPlaceWithinShare => {
+                builder.put(PROGRESS, id.to_string(), row);
+                job.rows.progress = true;
+                job.beyond = false;
+                let account = job.account.map(|key| self.accounts.name(key).to_owned());
+                let text = match job.rows.open {
+                    OpenRows::WithText => job.text.as_deref().unwrap_or_default(),
+                    OpenRows::SeparateText | OpenRows::Absent => "",
+                };
+                builder.put(JOBS, id.to_string(), encode(&job.row(account, text)));
+            }
             ProgressForm::Ended => {
                 builder.put(ENDED, id.to_string(), row);
                 builder.remove_open_job(id, std::mem::take(&mut job.rows));
@@ -225,17 +254,24 @@
         let announced = self.announced.iter().filter(|(task, _)| task.job == id);
         let announced = announced.map(|(task, (endpoint, run))| (*task, *endpoint, *run));
         builder.announced.extend(announced);
-        if form == ProgressForm::EndedInPlace {
+        if matches!(
+            form,
+            ProgressForm::EndedInPlace | ProgressForm::EndedInPlaceWithinShare
+        ) {
             self.unsaved.ended_in_place.insert(id);
         }
         true
     }
 
     /// Moves ends that were stored beside the jobs' open rows to rows of their own, which a new
-    /// holder reads while it serves.
+    /// holder reads while it serves. Those of jobs that may have runs are left in place.
     fn add_moved_ends(&mut self, builder: &mut BatchBuilder) {
-        while let Some(id) = self.unsaved.ended_in_place.first().copied() {
+        let ids: Vec<JobId> = self.unsaved.ended_in_place.iter().copied().collect();
+        for id in ids {
             let job = self.jobs.get(&id);
+            if job.is_some_and(|job| self.may_have_runs(job)) {
+                continue;
+            }
             let moves = job.is_some_and(|job| job.rows.open != OpenRows::Absent);
             if moves && !self.add_progress(builder, id, false) {
                 return;
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -231,9 +231,6 @@
             let account = account.map(|name| self.accounts.key(name, self.now));
             let mut job = Job::new(id, row, self.now);
             job.account = account;
-            if let Some(account) = account.filter(|_| job.beyond) {
-                self.inherit_share(account);
-            }
             job.stored = true;
             job.inherited = true;
             job.rows.open = match job.text {
@@ -258,6 +255,7 @@
         }
         self.expose_latest_starts(latest(stored.starts, last_commit_store_ms));
         for id in ids {
+            self.restore_share(id);
             self.activate(id);
         }
         let entries = stored.roster.len();
@@ -272,6 +270,20 @@
         );
     }
 
+    /// Counts a restored job beyond its account's share, or has the rows of its end moved.
+    fn restore_share(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.outcome.is_none() {
+            if let Some(account) = job.account.filter(|_| job.beyond) {
+                self.inherit_share(account);
+            }
+        } else if job.rows.open != OpenRows::Absent {
+            self.unsaved.ended_in_place.insert(id);
+        }
+    }
+
     fn restore_finished_job(&mut self, id: JobId, row: &ProgressRow) {
         if row.outcome.is_none() {
             log::error!(job:% = id; "progress of a job whose own row is missing");
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -347,6 +347,7 @@
         self.release_share(id);
         self.open.remove_job(id);
         self.clear_advice(id);
+        self.watch_ended_job(id);
         self.stop_runs(id);
     }
 
--- a/crates/chervilfall_planner/src/planner/stopping.rs
+++ b/crates/chervilfall_planner/src/planner/stopping.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::endpoint::EndpointKey;
-use crate::ids::TaskKey;
+use crate::ids::{JobId, TaskKey};
 
 /// Runs that are being stopped, by endpoint and by task.
 #[derive(Debug, Default)]
@@ -37,6 +37,18 @@
         self.endpoints.contains_key(&task)
     }
 
+    /// Returns whether a run of a job is being stopped and may still be running.
+    pub(super) fn contains_job(&self, job: JobId) -> bool {
+        let first = TaskKey {
+            job,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let mut tasks = self.endpoints.range(first..);
+        tasks.next().is_some_and(|(task, _)| task.job == job)
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = (EndpointKey, TaskKey)> + '_ {
         self.runs.iter().copied()
     }
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -261,6 +261,36 @@
             .get_mut(key.step as usize)
     }
 
+    /// Returns whether the steps before a step are complete.
+    pub(crate) fn is_step_ready(&self, key: StepKey) -> bool {
+        let step = self.spec.steps.get(key.step as usize);
+        step.is_some_and(|step| {
+            step.after.iter().all(|earlier| {
+                let earlier = StepKey {
+                    step: *earlier,
+                    ..key
+                };
+                self.step_progress(earlier)
+                    .is_some_and(StepProgress::complete)
+            })
+        })
+    }
+
+    /// Returns the steps that are ready and have waiting tasks.
+    pub(crate) fn ready_steps(&self) -> impl Iterator<Item = StepKey> + '_ {
+        let steps = self.occurrences.iter().flat_map(|(occurrence, steps)| {
+            let steps = (0_u16..).zip(steps);
+            steps.map(|(step, progress)| (*occurrence, step, progress))
+        });
+        let waiting = steps.filter(|(_, _, progress)| progress.waiting() > 0);
+        let keys = waiting.map(|(occurrence, step, _)| StepKey {
+            job: self.id,
+            occurrence,
+            step,
+        });
+        keys.filter(|key| self.is_step_ready(*key))
+    }
+
     pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
         self.step_progress(key.step_key())?
             .tasks
--- a/crates/chervilfall_planner/tests/unconfirmed_usage.rs
+++ b/crates/chervilfall_planner/tests/unconfirmed_usage.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    Account, Answer, Configuration, JobId, JobSpec, Planner, Resources, Step,
+    Account, Answer, Asker, Configuration, JobId, JobRow, JobSpec, JobState, Planner, ProgressRow,
+    Request, Resources, Step,
 };
 use ciborium::value::Value;
 use world::{step, World};
@@ -18,6 +19,8 @@
 const QUOTA_TASKS: u32 = 8;
 /// The endpoint that cannot be reached during the takeover.
 const CUT_OFF: usize = 0;
+/// Number of the job on the endpoint that is cut off.
+const HIDDEN_JOB: u64 = 1;
 /// Number of the job submitted after the takeover.
 const NEW_JOB: u64 = 100;
 /// Duration of tasks that do not end within a test.
@@ -26,9 +29,26 @@
 const LIST_READ_MS: u64 = 600;
 /// Time within which a short job starts if its account's quota has room. The barrier lasts 9.5 s.
 const STARTS_WITHIN_MS: u64 = 500;
+/// Time in which runs are stopped and their ends are stored.
+const STOPPED_WITHIN_MS: u64 = 1_500;
 /// Time for which the quota is checked after a takeover: longer than the barrier lasts.
 const CHECKED_MS: u64 = 12_000;
 
+/// How the job on the endpoint that is cut off ends while that endpoint cannot be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// It stays open.
+    None,
+    /// It is cancelled, and its runs end, before the endpoint is cut off.
+    Stopped,
+    /// It is cancelled before the takeover.
+    Cancelled,
+    /// Another of its tasks fails before the takeover and has no attempts left.
+    Failed,
+    /// It is cancelled after the takeover.
+    CancelledAfterTakeover,
+}
+
 /// What the endpoint that is cut off runs at the takeover.
 #[derive(Clone)]
 struct Setup {
@@ -41,6 +61,7 @@
     waiting: u32,
     /// The roster was written by a version that does not state capacities.
     earlier_version: bool,
+    ending: Ending,
 }
 
 impl Setup {
@@ -51,7 +72,21 @@
             hidden,
             waiting: 3 * QUOTA_TASKS,
             earlier_version: false,
+            ending: Ending::None,
+        }
+    }
+
+    /// Returns the job whose tasks run on the endpoint that is cut off. If it is to fail, it has
+    /// another task, which that endpoint has no room for.
+    fn hidden_steps(&self) -> Vec<Step> {
+        let mut steps = vec![self.hidden.clone()];
+        if self.ending == Ending::Failed {
+            steps.push(Step {
+                cpu_milli: ENDPOINT_MILLI,
+                ..step(1, 100)
+            });
         }
+        steps
     }
 }
 
@@ -62,7 +97,7 @@
 }
 
 /// Opens a simulation with a queue without advice, and a quota for the account.
-fn open(cut_off_milli: u32) -> World {
+fn open(cut_off_milli: u32, weight: f64) -> World {
     let mut world = World::new(3, 6, 31);
     world.queue.advice = None;
     for (number, endpoint) in world.endpoints.values_mut().enumerate() {
@@ -74,7 +109,7 @@
     let queues = BTreeMap::from([(world.queue.name.clone(), world.queue.clone())]);
     let account = Account {
         name: LIMITED.to_owned(),
-        weight: 0.0,
+        weight,
         quota: Resources {
             cpu_milli: u64::from(QUOTA_TASKS) * 1_000,
             ..Resources::default()
@@ -91,15 +126,31 @@
 }
 
 fn submit(world: &mut World, id: u64, step: Step) {
+    submit_steps(world, id, vec![step]);
+}
+
+fn submit_steps(world: &mut World, id: u64, steps: Vec<Step>) {
     let spec = JobSpec {
         spec: "text".to_owned(),
-        steps: vec![step],
+        steps,
         ..JobSpec::default()
     };
     let answer = world.submit_for(Some(LIMITED), id, spec);
     assert_eq!(answer, Answer::Accepted, "job {id}");
 }
 
+fn cancel_hidden(world: &mut World) {
+    let asker = Asker {
+        account: Some(LIMITED.to_owned()),
+        ..Asker::default()
+    };
+    let cancel = Request::Cancel {
+        id: JobId(HIDDEN_JOB),
+        asker,
+    };
+    assert_eq!(world.ask(cancel), Answer::Cancelled);
+}
+
 fn cut_off(world: &mut World) -> &mut world::endpoint::FakeEndpoint {
     world.endpoints.values_mut().nth(CUT_OFF).expect("listed")
 }
@@ -120,7 +171,7 @@
 /// Runs tasks on the endpoint that is cut off next, lets others of the same account wait, and
 /// replaces the holder.
 fn take_over(setup: &Setup) -> Takeover {
-    let mut world = open(setup.joined_milli);
+    let mut world = open(setup.joined_milli, 0.0);
     // Nothing but the endpoint that is cut off next may be used.
     for endpoint in world.endpoints.values_mut().skip(1) {
         endpoint.draining = true;
@@ -130,21 +181,65 @@
         cut_off(&mut world).resize(now, setup.cut_off_milli);
     }
     world.run(2_000);
-    submit(&mut world, 1, setup.hidden.clone());
-    submit(&mut world, 2, step(setup.waiting, WORK_MS));
+    submit_steps(&mut world, HIDDEN_JOB, setup.hidden_steps());
+    if setup.waiting > 0 {
+        submit(&mut world, 2, step(setup.waiting, WORK_MS));
+    }
     world.run(300);
+    if setup.ending == Ending::Stopped {
+        cancel_hidden(&mut world);
+        world.run(STOPPED_WITHIN_MS);
+    }
     let hidden_runs = cut_off(&mut world).running.len();
     cut_off(&mut world).cut_until_ms = u64::MAX;
     for endpoint in world.endpoints.values_mut().skip(1) {
         endpoint.draining = false;
+        endpoint.fail_percent = if setup.ending == Ending::Failed {
+            100
+        } else {
+            0
+        };
     }
     if setup.earlier_version {
         world.store.rewrite(without_capacities);
     }
+    match setup.ending {
+        Ending::None | Ending::Stopped | Ending::CancelledAfterTakeover => {}
+        Ending::Cancelled => cancel_hidden(&mut world),
+        Ending::Failed => world.run_until(1_500, |world| {
+            let (_, row) = world.store.row("progress", &JobId(HIDDEN_JOB).to_string());
+            let row = row.map(|row| ProgressRow::decode(&row).expect("a row"));
+            let (_, ended) = world.store.row("ended", &JobId(HIDDEN_JOB).to_string());
+            ended.is_some() || row.is_some_and(|row| row.outcome == Some(JobState::Failed))
+        }),
+    }
     replace_holder(&mut world);
+    for endpoint in world.endpoints.values_mut().skip(1) {
+        endpoint.fail_percent = 0;
+    }
+    if setup.ending == Ending::CancelledAfterTakeover {
+        cancel_hidden(&mut world);
+    }
     Takeover { world, hidden_runs }
 }
 
+/// Returns a job's own row, and whether it has a row of its end.
+fn stored_rows(world: &World, job: u64) -> (Option<JobRow>, bool) {
+    let key = JobId(job).to_string();
+    let (_, row) = world.store.row("jobs", &key);
+    let row = row.map(|row| JobRow::decode(&row).expect("a job"));
+    (row, world.store.row("ended", &key).1.is_some())
+}
+
+/// Returns how many tasks of the job submitted after the takeover were started.
+fn new_starts(world: &World) -> usize {
+    let endpoints = world.endpoints.values();
+    let starts = endpoints.flat_map(|endpoint| &endpoint.starts);
+    starts
+        .filter(|(_, task, _)| task.job == JobId(NEW_JOB))
+        .count()
+}
+
 /// Returns a row as written by a version that does not state capacities in the roster.
 fn without_capacities(bytes: &[u8]) -> Vec<u8> {
     let mut row: Value = ciborium::from_reader(bytes).expect("a row");
@@ -179,29 +274,26 @@
     world.run(200);
     submit(world, NEW_JOB, step(2, 300));
     world.run(STARTS_WITHIN_MS);
-    let starts = world
-        .endpoints
-        .values()
-        .flat_map(|endpoint| &endpoint.starts);
-    let started = starts
-        .filter(|(_, task, _)| task.job == JobId(NEW_JOB))
-        .count();
-    assert_eq!(started, 2, "tasks of the new job that were started");
+    assert_eq!(
+        new_starts(world),
+        2,
+        "tasks of the new job that were started"
+    );
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
-/// Guards against a quota that is exceeded together with runs that have not been found.
-#[test]
-fn runs_on_an_endpoint_that_is_cut_off_count_against_the_quota() {
-    struct Case {
-        name: &'static str,
-        setup: Setup,
-        /// Capacity of the endpoint that is cut off, after its runs were started.
-        shrinks_to_milli: Option<u32>,
-        /// It leaves the list of endpoints.
-        leaves_list: bool,
-        takeovers: usize,
-    }
+/// What happens to the endpoint that is cut off while its runs have not been found.
+struct Case {
+    name: &'static str,
+    setup: Setup,
+    /// Capacity of the endpoint that is cut off, after its runs were started.
+    shrinks_to_milli: Option<u32>,
+    /// It leaves the list of endpoints.
+    leaves_list: bool,
+    takeovers: usize,
+}
+
+fn cases() -> Vec<Case> {
     const LARGE_MILLI: u32 = 2 * ENDPOINT_MILLI;
     let case = |name, setup| Case {
         name,
@@ -224,7 +316,19 @@
         earlier_version: true,
         ..large.clone()
     };
-    let cases = [
+    let ended = |ending| Setup {
+        ending,
+        waiting: 0,
+        ..large.clone()
+    };
+    // The task that fails needs the other half of the quota.
+    let failed = Setup {
+        hidden: step(QUOTA_TASKS - ENDPOINT_MILLI / 1_000, WORK_MS),
+        cut_off_milli: ENDPOINT_MILLI,
+        joined_milli: ENDPOINT_MILLI,
+        ..ended(Ending::Failed)
+    };
+    vec![
         case(
             "of the same size as others",
             Setup::new(ENDPOINT_MILLI, step(4, WORK_MS)),
@@ -243,15 +347,44 @@
         Case {
             shrinks_to_milli: Some(1_000),
             takeovers: 2,
-            ..case("it has shrunk, and the successor is lost, too", large)
+            ..case(
+                "it has shrunk, and the successor is lost, too",
+                large.clone(),
+            )
         },
         Case {
             shrinks_to_milli: Some(1_000),
             takeovers: 2,
             ..case("its rows are of an earlier version", earlier_version)
         },
-    ];
-    for case in cases {
+        case("its job was cancelled", ended(Ending::Cancelled)),
+        case("its job has failed", failed),
+        case(
+            "its job is cancelled after the takeover",
+            ended(Ending::CancelledAfterTakeover),
+        ),
+        Case {
+            takeovers: 2,
+            ..case(
+                "its job was cancelled, and the successor is lost, too",
+                ended(Ending::Cancelled),
+            )
+        },
+        Case {
+            takeovers: 2,
+            ..case(
+                "its job is cancelled after the takeover, and the successor is lost, too",
+                ended(Ending::CancelledAfterTakeover),
+            )
+        },
+    ]
+}
+
+/// Guards against a quota that is exceeded together with runs that have not been found.
+#[test]
+fn runs_on_an_endpoint_that_is_cut_off_count_against_the_quota() {
+    let mut exceeding = Vec::new();
+    for case in cases() {
         let mut takeover = take_over(&case.setup);
         assert_eq!(
             takeover.hidden_runs, case.setup.hidden.count as usize,
@@ -272,10 +405,63 @@
             submit(world, NEW_JOB + u64::from(id), step(1, 2_000));
         }
         let most = max_usage_milli(world);
-        assert!(
-            most <= QUOTA_TASKS * 1_000,
-            "{}: {most} mCPU are in use",
-            case.name
-        );
+        if most > QUOTA_TASKS * 1_000 {
+            exceeding.push(format!("{}: {most} mCPU are in use", case.name));
+        }
+        if case.setup.ending != Ending::None {
+            let rows = stored_rows(world, HIDDEN_JOB);
+            assert_eq!(rows, (None, true), "{}: rows after the barrier", case.name);
+        }
+    }
+    assert_eq!(exceeding, Vec::<String>::new());
+}
+
+/// Guards against ended work that blocks its account although all its runs are known to have ended.
+#[test]
+fn a_job_whose_runs_have_ended_does_not_block_its_account() {
+    let setup = Setup {
+        ending: Ending::Stopped,
+        waiting: 0,
+        ..Setup::new(2 * ENDPOINT_MILLI, step(QUOTA_TASKS, WORK_MS))
+    };
+    let mut takeover = take_over(&setup);
+    assert_eq!(takeover.hidden_runs, 0);
+    let world = &mut takeover.world;
+    assert_eq!(stored_rows(world, HIDDEN_JOB), (None, true));
+    world.run(LIST_READ_MS);
+    submit(world, NEW_JOB, step(QUOTA_TASKS, 300));
+    world.run(STARTS_WITHIN_MS);
+    let quota = QUOTA_TASKS as usize;
+    assert_eq!(new_starts(world), quota, "tasks that were started");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against an earlier version that inherits the row of a cancelled job beyond its account's
+/// share, and counts it as an open job from then on.
+#[test]
+fn the_row_of_a_cancelled_job_is_not_counted_beyond_the_share() {
+    let mut world = open(ENDPOINT_MILLI, 1.0);
+    for endpoint in world.endpoints.values_mut().skip(1) {
+        endpoint.draining = true;
     }
+    world.run(2_000);
+    submit(&mut world, NEW_JOB, step(1, 100));
+    submit(&mut world, HIDDEN_JOB, step(2, WORK_MS));
+    let (row, _) = stored_rows(&world, HIDDEN_JOB);
+    let row = row.expect("a row");
+    assert!(row.beyond);
+    world.run(300);
+    cut_off(&mut world).cut_until_ms = u64::MAX;
+    cancel_hidden(&mut world);
+    let within_share = JobRow {
+        beyond: false,
+        ..row
+    };
+    let rows = stored_rows(&world, HIDDEN_JOB);
+    assert_eq!(rows, (Some(within_share), false));
+    replace_holder(&mut world);
+    world.run(CHECKED_MS);
+    assert_eq!(stored_rows(&world, HIDDEN_JOB), (None, true));
+    let absent = &world.store.absent_removals;
+    assert_eq!(absent, &Vec::<String>::new());
 }
