Call endpoints through followers where a holder has more than it carries

Cause: a holder makes every hold, start and stop itself, about 0.25 ms of processor time each. With 3,000 endpoints that is about as much as the half core that it has.

Change: policies.endpoint_relays, on by default. With more than 2 endpoints for each thousandth of a core of its size, the holder sends the orders of an endpoint to a follower in the endpoint's failure domain, chosen by rendezvous hashing. Orders are batched for the events that the control thread handles together, and timed out on its tick; no task is spawned and no timer is set for one order at the holder. Followers run orders concurrently and batch the answers for 2 ms. Messages are at most 16 KB unless a single order is larger, and texts of starts in flight to a relay at most 64 KB; the holder makes further starts itself. Hello has the new fields domain and relays; orders are sent only to a follower that says that it relays. Events of the planner are unchanged.

A follower does not begin an order that it received longer ago than the order's timeout, or of a term older than one that it has seen, and it ends a link on which a message arrives later than the silence after which the holder has given it up (it was suspended).

Ruled out: a timer for batches at the holder. At 14 orders a second and relay, 2 ms hardly ever join two orders, and the orders of one pass are joined without it.

What runs: a table test of the policy; jobs with starts, stops and holds on eight endpoints that all go through relays, in real processes. Red before: with the switch off, that test fails as no endpoint has a relay. Not covered yet: relays that are killed or suspended, older followers. The cost at the holder is not measured here.

--- a/crates/chervilfall_kernel/src/control_thread.rs
+++ b/crates/chervilfall_kernel/src/control_thread.rs
@@ -21,6 +21,9 @@
     /// Does what is due; called at least once an interval.
     fn tick(&mut self);
 
+    /// Does what is done once for all events that were handled together, or for a tick.
+    fn batch_handled(&mut self) {}
+
     /// Takes note of what the thread has just worked off.
     fn worked(&mut self, _work: Work) {}
 }
@@ -90,6 +93,7 @@
                 }
             }
         }
+        control.batch_handled();
         control.worked(Work {
             events: events.unwrap_or(0),
             waiting: receiver.len(),
--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -2,6 +2,8 @@
 //! actions.
 
 mod actions;
+mod orders;
+mod relays;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -10,8 +12,8 @@
 use chervilfall_kernel::{ControlLoop, Work};
 use chervilfall_planner::{
     AdviceAnswer, Answer, DomainName, EndpointEntry, Event, HandoverPolicy, HolderTerm, Limits,
-    LoadReport, NodeId, Planner, ReplyTo, Request, StartNote, StepDownReason, StoredGroup,
-    Takeover,
+    LoadReport, NodeId, Planner, RelayUse, ReplyTo, Request, StartNote, StepDownReason,
+    StoredGroup, Takeover,
 };
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -22,8 +24,11 @@
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
 use crate::link::{FollowerLink, ToFollower};
 use crate::load::ControlLoad;
+use crate::orders::{EndpointAnswer, OrderNumber};
 use crate::ports::Platform;
 
+use relays::Relays;
+
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
 
@@ -50,6 +55,8 @@
     UnstoredStarts(Vec<StartNote>),
     /// A call for advice was answered.
     Advised { number: u64, answer: AdviceAnswer },
+    /// A follower answers orders to endpoints.
+    EndpointAnswers(Vec<(OrderNumber, EndpointAnswer)>),
     /// An action of the planner of a term has completed.
     ActionCompleted { term: u64, event: Event },
     /// This node has claimed the group.
@@ -97,6 +104,7 @@
     /// This node is reading the rows of a group that it has claimed.
     recovering: bool,
     links: BTreeMap<NodeId, FollowerLink>,
+    relays: Relays,
     waiting: HashMap<u64, oneshot::Sender<Answer>>,
     next_request: u64,
     heartbeat_due_ms: u64,
@@ -118,6 +126,7 @@
         sender: mpsc::Sender<ControlEvent>,
         traffic: Handle,
     ) -> Self {
+        let relay_use = RelayUse::new(limits.policies.endpoint_relays, size_permille);
         Self {
             platform,
             group,
@@ -136,6 +145,7 @@
             planner_configuration_version: None,
             recovering: false,
             links: BTreeMap::new(),
+            relays: Relays::new(relay_use),
             waiting: HashMap::new(),
             next_request: 0,
             heartbeat_due_ms: 0,
@@ -164,6 +174,7 @@
             self.leadership.record_release();
         }
         self.waiting.clear();
+        self.relays.clear();
         self.drop_links();
         if matches!(self.leadership.current(), Leadership::Local) {
             self.leadership.set(Leadership::NoHolder);
@@ -172,6 +183,7 @@
     }
 
     fn claimed(&mut self, takeover: Takeover, stored: StoredGroup, claimed_ms: u64) {
+        self.leadership.note_term(takeover.row.term);
         let planner = Planner::new(self.limits.clone(), takeover, stored, claimed_ms);
         self.planner = Some(planner);
         self.handover = Some(HandoverPolicy::new(HolderTerm {
@@ -290,6 +302,8 @@
 
     fn link_down(&mut self, id: NodeId) {
         if self.links.remove(&id).is_some() {
+            self.update_relays();
+            self.end_orders_of(id);
             self.feed_nodes();
         }
     }
@@ -345,6 +359,7 @@
         }
         self.heartbeat_due_ms = now + self.heartbeat_ms;
         self.hand_over_if_due();
+        self.update_relays();
         // A full queue shows in the status even without a probe.
         drop(self.sender.try_send(ControlEvent::Probe(Instant::now())));
         self.waiting.retain(|_, waiter| !waiter.is_closed());
@@ -382,6 +397,7 @@
             ControlEvent::Advised { number, answer } => {
                 self.feed(Event::Advised { number, answer });
             }
+            ControlEvent::EndpointAnswers(answers) => self.handle_answers(answers),
             ControlEvent::ActionCompleted { term, event } => {
                 if self
                     .planner
@@ -401,11 +417,14 @@
                 read_ms,
                 entries,
                 evacuated,
-            } => self.feed(Event::Endpoints {
-                read_ms,
-                entries,
-                evacuated,
-            }),
+            } => {
+                self.set_endpoints(&entries);
+                self.feed(Event::Endpoints {
+                    read_ms,
+                    entries,
+                    evacuated,
+                });
+            }
             ControlEvent::Release => {
                 if let Some(planner) = &mut self.planner {
                     planner.release();
@@ -417,11 +436,16 @@
 
     fn tick(&mut self) {
         self.update_planner_configuration();
+        self.end_overdue_orders();
         self.feed(Event::Tick { unix_ms: unix_ms() });
         self.send_unstored_starts();
         self.send_heartbeats();
     }
 
+    fn batch_handled(&mut self) {
+        self.send_orders();
+    }
+
     fn worked(&mut self, work: Work) {
         self.load.add(work);
         let Some(status) = self.load.status(Instant::now()) else {
--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -9,61 +9,18 @@
 };
 
 use super::{Control, ControlEvent, LOCAL_NODE};
-use crate::clock::now_ms;
 use crate::link::ToFollower;
-use crate::ports::{Advisor, Endpoints, Platform, Store};
+use crate::orders::EndpointOrder;
+use crate::ports::{Advisor, Platform, Store};
 
 impl<P: Platform> Control<P> {
     pub(super) fn carry_out(&mut self, term: u64, action: Action) {
         match action {
             Action::Reply { to, answer } => self.reply(to, answer),
             Action::Commit(batch) => self.commit(term, batch),
-            Action::Start(order) => {
-                let (endpoints, key, task, run) = (
-                    self.platform.endpoints().clone(),
-                    order.endpoint,
-                    order.task,
-                    order.run,
-                );
-                self.spawn_order(term, async move {
-                    let answer = endpoints.start(order).await;
-                    Event::Started {
-                        endpoint: key,
-                        task,
-                        run,
-                        answer,
-                    }
-                });
-            }
-            Action::Stop(order) => {
-                let (endpoints, key, task, run) = (
-                    self.platform.endpoints().clone(),
-                    order.endpoint,
-                    order.task,
-                    order.run,
-                );
-                self.spawn_order(term, async move {
-                    let answer = endpoints.stop(order).await;
-                    Event::Stopped {
-                        endpoint: key,
-                        task,
-                        run,
-                        answer,
-                    }
-                });
-            }
-            Action::Hold(order) => {
-                let (endpoints, key) = (self.platform.endpoints().clone(), order.endpoint);
-                let sent_ms = now_ms();
-                self.spawn_order(term, async move {
-                    let answer = endpoints.hold(order).await;
-                    Event::Held {
-                        endpoint: key,
-                        sent_ms,
-                        answer,
-                    }
-                });
-            }
+            Action::Start(order) => self.carry_out_order(term, EndpointOrder::Start(order)),
+            Action::Stop(order) => self.carry_out_order(term, EndpointOrder::Stop(order)),
+            Action::Hold(order) => self.carry_out_order(term, EndpointOrder::Hold(order)),
             Action::LookUp(id) => self.look_up(term, id),
             Action::ReadText(id) => self.read_text(term, id),
             Action::Advise { node, order } => self.advise(node, order),
@@ -72,7 +29,7 @@
     }
 
     /// Runs an order on the traffic thread and feeds its result to the planner of the term.
-    fn spawn_order<F>(&self, term: u64, order: F)
+    pub(super) fn spawn_order<F>(&self, term: u64, order: F)
     where
         F: Future<Output = Event> + Send + 'static,
     {
--- a/crates/chervilfall_node/src/leadership.rs
+++ b/crates/chervilfall_node/src/leadership.rs
@@ -1,6 +1,6 @@
 //! Who holds the group, as this node sees it.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
 use chervilfall_planner::{Answer, Millis, Request};
@@ -26,6 +26,8 @@
     sender: watch::Sender<Leadership>,
     /// This node has released the group, and its claim watch has not been told yet.
     released: AtomicBool,
+    /// Highest term of a holder that this node has heard of.
+    latest_term: AtomicU64,
 }
 
 impl LeadershipState {
@@ -33,6 +35,7 @@
         Self {
             sender: watch::Sender::new(Leadership::NoHolder),
             released: AtomicBool::new(false),
+            latest_term: AtomicU64::new(0),
         }
     }
 
@@ -40,6 +43,11 @@
         self.sender.send_replace(leadership);
     }
 
+    /// Records a holder's term; returns false if a later one is known.
+    pub(crate) fn note_term(&self, term: u64) -> bool {
+        self.latest_term.fetch_max(term, Ordering::AcqRel) <= term
+    }
+
     /// Records that this node has released the group.
     pub(crate) fn record_release(&self) {
         self.released.store(true, Ordering::Release);
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -13,6 +13,7 @@
 mod link;
 mod load;
 mod node;
+mod orders;
 pub mod ports;
 mod routes;
 mod settings;
--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -19,7 +19,8 @@
 use crate::link::frames::{read, write, LinkEnd, QUEUE_CAPACITY};
 use crate::link::message::{ConfigurationPiece, ToFollower, ToHolder};
 use crate::link::pieces::Pieces;
-use crate::ports::Advisor;
+use crate::link::relay::{send_answers, Relay};
+use crate::ports::{Advisor, Endpoints, Platform};
 use crate::routes::RouteTable;
 use crate::settings::Settings;
 
@@ -96,12 +97,12 @@
 }
 
 /// Opens a link to the holder and serves it until it ends.
-pub(crate) async fn dial<A: Advisor>(
+pub(crate) async fn dial<P: Platform>(
     address: SocketAddr,
     settings: &Settings,
     front: &Arc<Front>,
     leadership: &Arc<LeadershipState>,
-    advisor: &A,
+    platform: &P,
 ) -> DialError {
     let timings = &settings.timings;
     let silence = Duration::from_millis(timings.silence_ms);
@@ -122,17 +123,35 @@
     let hello = ToHolder::Hello {
         node: settings.node.clone(),
         cpu_permille: settings.size_permille(),
+        domain: settings.domain.clone(),
+        relays: settings.policies.endpoint_relays,
     };
     // The queue is new and empty, so this does not fail.
     drop(link.queue.try_send(hello));
     let writer = write(sink, receiver, silence);
     let beats = heartbeats(link.queue.clone(), timings.heartbeat_ms);
+    let endpoints = platform.endpoints().clone();
+    let (mut relay, answers) = Relay::new(endpoints, Arc::clone(leadership), silence);
+    let answering = send_answers(answers, link.queue.clone());
     let reader = async {
         let mut pieces = Pieces::default();
+        let advisor = platform.advisor();
         loop {
             match read::<ToFollower>(&mut stream, silence).await {
                 Ok(message) => {
-                    if !handle_message(message, &mut pieces, &link, front, leadership, advisor) {
+                    if !relay.note_message() {
+                        return LinkEnd::Silent;
+                    }
+                    let lasts = handle_message(
+                        message,
+                        &mut pieces,
+                        &mut relay,
+                        &link,
+                        front,
+                        leadership,
+                        advisor,
+                    );
+                    if !lasts {
                         return LinkEnd::Closed;
                     }
                 }
@@ -144,6 +163,7 @@
         end = writer => end,
         end = reader => end,
         end = beats => end,
+        end = answering => end,
     };
     if let Leadership::Remote(current) = leadership.current() {
         if Arc::ptr_eq(&current, &link) {
@@ -182,9 +202,10 @@
 }
 
 /// Handles a message; returns false if the peer is not the holder.
-fn handle_message<A: Advisor>(
+fn handle_message<A: Advisor, E: Endpoints>(
     message: ToFollower,
     pieces: &mut Pieces,
+    relay: &mut Relay<E>,
     link: &Arc<HolderLink>,
     front: &Arc<Front>,
     leadership: &Arc<LeadershipState>,
@@ -198,6 +219,7 @@
         } => {
             front.set_claim_age(claim_age_ms);
             front.configuration().note_remote_version(configuration);
+            leadership.note_term(term);
             let health = HolderHealth { term, claim_age_ms };
             mark_holder_found(link, leadership, health);
         }
@@ -220,6 +242,7 @@
                 drop(link.queue.try_send(ToHolder::Advised { number, answer }));
             });
         }
+        ToFollower::EndpointOrders { term, orders } => relay.carry_out(term, orders),
         ToFollower::NotHolder => return false,
     }
     true
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilfall_planner::{LinkedNode, NodeId};
+use chervilfall_planner::{DomainName, LinkedNode, NodeId, RelayCandidate};
 use futures_util::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -22,6 +22,15 @@
 pub(crate) struct FollowerLink {
     pub(crate) queue: mpsc::Sender<ToFollower>,
     pub(crate) node: LinkedNode,
+    /// Set if the follower relays orders to endpoints.
+    pub(crate) relay: Option<LinkedRelay>,
+}
+
+/// A follower that relays orders.
+#[derive(Debug)]
+pub(crate) struct LinkedRelay {
+    pub(crate) domain: DomainName,
+    pub(crate) candidate: RelayCandidate,
 }
 
 /// Number of the next link; 0 is the node itself.
@@ -69,7 +78,13 @@
         .map_err(|_| LinkEnd::Silent)?
         .map_err(|error| broken(error.to_string()))?;
     let (sink, mut stream) = socket.split();
-    let ToHolder::Hello { node, cpu_permille } = read(&mut stream, silence).await? else {
+    let ToHolder::Hello {
+        node,
+        cpu_permille,
+        domain,
+        relays,
+    } = read(&mut stream, silence).await?
+    else {
         return Err(LinkEnd::Malformed(
             "the first message names no node".to_owned(),
         ));
@@ -83,6 +98,10 @@
             size_permille: cpu_permille,
             since_ms: now_ms(),
         },
+        relay: relays.then(|| LinkedRelay {
+            domain,
+            candidate: RelayCandidate::new(id, &node),
+        }),
     };
     let up = ControlEvent::LinkUp { id, node, link };
     control.send(up).await.map_err(|_| LinkEnd::Closed)?;
@@ -116,6 +135,7 @@
                     teller.handle_taken(asked_ms);
                     continue;
                 }
+                ToHolder::EndpointAnswers(answers) => ControlEvent::EndpointAnswers(answers),
                 ToHolder::UnstoredStarts(starts) => ControlEvent::UnstoredStarts(starts),
             };
             if control.send(event).await.is_err() {
--- a/crates/chervilfall_node/src/link/message.rs
+++ b/crates/chervilfall_node/src/link/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::link::octets;
+use crate::orders::{EndpointAnswer, EndpointOrder, OrderNumber};
 use crate::routes::RouteTable;
 
 /// From a follower to the holder.
@@ -19,6 +20,12 @@
         /// sent its CPU.
         #[serde(default)]
         cpu_permille: u64,
+        /// Failure domain of the node.
+        #[serde(default)]
+        domain: String,
+        /// The follower relays orders to endpoints.
+        #[serde(default)]
+        relays: bool,
     },
     /// A caller's request.
     Request {
@@ -53,6 +60,8 @@
         /// When the configuration was asked for.
         asked_ms: Millis,
     },
+    /// Answers to orders.
+    EndpointAnswers(Vec<(OrderNumber, EndpointAnswer)>),
 }
 
 /// From the holder to a follower.
@@ -92,6 +101,13 @@
     },
     /// Asks the follower to call the advice service.
     Advise(AdviceOrder),
+    /// Orders that the follower makes at endpoints. Sent only to a follower that relays them.
+    EndpointOrders {
+        /// Term of the holder's claim.
+        term: u64,
+        /// The orders with their numbers.
+        orders: Vec<(OrderNumber, EndpointOrder)>,
+    },
     /// The sender does not hold the group.
     NotHolder,
 }
--- a/crates/chervilfall_node/src/link/mod.rs
+++ b/crates/chervilfall_node/src/link/mod.rs
@@ -6,6 +6,7 @@
 mod message;
 mod octets;
 mod pieces;
+mod relay;
 mod teller;
 
 pub(crate) use follower::{dial, DialError, HolderLink};
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -194,6 +194,9 @@
     ) -> impl Future<Output = Result<ConfigurationReading, StoreError>> + Send;
 }
 
+/// Timeout of a start or a stop, in milliseconds: many times what a healthy endpoint needs to answer.
+pub const ORDER_TIMEOUT_MS: Millis = 500;
+
 /// Sends orders to endpoints.
 pub trait Endpoints: Clone + Send + Sync + 'static {
     /// Starts a run.
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -325,13 +325,10 @@
             return;
         };
         let (settings, front) = (Arc::clone(&self.settings), Arc::clone(&self.front));
-        let (leadership, advisor) = (
-            Arc::clone(&self.leadership),
-            self.platform.advisor().clone(),
-        );
+        let (leadership, platform) = (Arc::clone(&self.leadership), self.platform.clone());
         let (ended, end) = oneshot::channel();
         let task = tokio::spawn(async move {
-            let error = dial(address, &settings, &front, &leadership, &advisor).await;
+            let error = dial(address, &settings, &front, &leadership, &platform).await;
             // The claim watch runs until the process ends.
             drop(ended.send(error));
         });
--- a/crates/chervilfall_planner/src/action.rs
+++ b/crates/chervilfall_planner/src/action.rs
@@ -70,9 +70,10 @@
 }
 
 /// Order to start a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
-    /// Key of the endpoint.
+    /// Key of the endpoint, which has a meaning only in the planner that made it.
+    #[serde(skip)]
     pub endpoint: EndpointKey,
     /// Name of the endpoint.
     pub id: EndpointId,
@@ -95,9 +96,10 @@
 }
 
 /// Order to stop a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StopOrder {
-    /// Key of the endpoint.
+    /// Key of the endpoint, which has a meaning only in the planner that made it.
+    #[serde(skip)]
     pub endpoint: EndpointKey,
     /// Name of the endpoint.
     pub id: EndpointId,
@@ -112,9 +114,10 @@
 }
 
 /// Order to renew the lease of an endpoint's runs and to read its lists of runs.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldOrder {
-    /// Key of the endpoint.
+    /// Key of the endpoint, which has a meaning only in the planner that made it.
+    #[serde(skip)]
     pub endpoint: EndpointKey,
     /// Name of the endpoint.
     pub id: EndpointId,
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -82,7 +82,7 @@
 }
 
 /// Why an endpoint refused an order without carrying it out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// It has seen a higher fencing token.
     Fence,
@@ -101,7 +101,7 @@
 }
 
 /// Answer to a start.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
     /// The run is on the endpoint.
     Accepted,
@@ -114,7 +114,7 @@
 }
 
 /// Answer to a stop.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StopAnswer {
     /// The run is being stopped, or will never start there.
     Accepted,
@@ -129,7 +129,7 @@
 }
 
 /// Why a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndReason {
     /// It completed.
     Done,
@@ -146,7 +146,7 @@
 }
 
 /// A run in progress.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningRun {
     /// The task.
     pub task: TaskKey,
@@ -157,7 +157,7 @@
 }
 
 /// A run that has ended and whose end is not yet acknowledged.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRun {
     /// Number of the end in this incarnation.
     pub number: u64,
@@ -172,7 +172,7 @@
 }
 
 /// Runs in progress on an endpoint, and ends that are not yet acknowledged.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldReport {
     /// When the answering incarnation started, by its own wall clock; none if endpoints do not
     /// report it.
@@ -189,7 +189,7 @@
 }
 
 /// Answer to a hold.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HoldAnswer {
     /// The lists.
     Report(HoldReport),
--- a/crates/chervilfall_planner/src/ids.rs
+++ b/crates/chervilfall_planner/src/ids.rs
@@ -54,7 +54,7 @@
 }
 
 /// Identifies a task of a step in one occurrence of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskKey {
     /// The job.
     pub job: JobId,
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -58,6 +58,7 @@
 pub use policy::handover::{HandoverPolicy, HandoverReason, HolderTerm, LinkedNode, LoadReport};
 pub use policy::node_size::NodeResources;
 pub use policy::overdue::{has_worth, Claims};
+pub use policy::relays::{CallPath, RelayCandidate, RelayChoice, RelayHealth, RelayUse};
 pub use policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
 pub use policy::switches::Policies;
 pub use record::{
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -11,6 +11,9 @@
     pub admission_forecast: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
+    /// A holder with more endpoints than its size carries calls them through followers. A follower
+    /// relays orders only if this is on.
+    pub endpoint_relays: bool,
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
@@ -33,6 +36,7 @@
         Self {
             admission_forecast: false,
             commit_order: true,
+            endpoint_relays: true,
             fair_share: false,
             headroom: true,
             overdue_last: true,
