--- a/crates/chervilfall_node/src/link/relay.rs
+++ b/crates/chervilfall_node/src/link/relay.rs
@@ -57,9 +57,9 @@
         (relay, receiver)
     }
 
-    /// Records that a message has arrived; returns false if it arrived so long after the one before
-    /// that the holder has given the link up, which a process that was suspended does not notice
-    /// otherwise.
+    /// Records that a message has arrived; returns false if it was read so long after the one before
+    /// that the holder has given the link up. Timers stand while the machine is suspended, so the
+    /// timeout of reading does not show this.
     pub(super) fn note_message(&mut self) -> bool {
         let now = now_ms();
         let before_ms = std::mem::replace(&mut self.last_message_ms, now);
