Share the tables and rows that planner tests build

slow_commits, idle_holds, first_holds and unconfirmed_usage each built claims, rosters, configurations, answers and rows of jobs. These are now in tests/world/tables.rs.

--- a/crates/chervilfall_planner/tests/first_holds.rs
+++ b/crates/chervilfall_planner/tests/first_holds.rs
@@ -4,58 +4,21 @@
 //! holder's CPU busy for over a second and delayed the renewals of its claim; the next node claimed
 //! the group and did the same.
 
+mod world;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use chervilfall_planner::{
-    Action, CommitOutcome, Configuration, EndpointId, Event, HoldAnswer, HoldReport, HolderRow,
-    Limits, Planner, RosterEntry, StoredGroup, Takeover,
-};
+use chervilfall_planner::{Action, Configuration, Event, HoldAnswer, Limits, Planner};
+use world::tables::{claim_after, group_with_roster, idle_report, stored};
 
 const ENDPOINTS: usize = 3_000;
 /// Maximum number of first holds that are sent at one moment.
 const MAX_FIRST_HOLDS: usize = 128;
 
-fn takeover() -> Takeover {
-    let row = HolderRow {
-        term: 2,
-        node: "successor".to_owned(),
-        incarnation: 2,
-        address: "127.0.0.1:1".to_owned(),
-        number: 0,
-        released: false,
-        settled: false,
-        cpu_permille: 500,
-        recovering: true,
-        wanted_permille: 0,
-        standstill_ms: 0,
-        written_store_ms: 0,
-    };
-    Takeover {
-        row,
-        fence: 100,
-        version: 100,
-        predecessor_seen_ms: Some(9_000),
-        predecessor_written_store_ms: 0,
-        predecessor_gone_ms: None,
-    }
-}
-
 /// Returns the time from a hold to its answer by endpoint number; none if it does not answer.
 type AnswerDelay = fn(usize) -> Option<u64>;
 
-/// Returns the roster with all endpoints.
-fn roster() -> Vec<RosterEntry> {
-    let roster = (0..ENDPOINTS).map(|number| RosterEntry {
-        id: EndpointId(format!("{number}")),
-        born_ms: None,
-        address: format!("{number}:1"),
-        lapses_store_ms: None,
-        capacity: None,
-    });
-    roster.collect()
-}
-
 #[test]
 fn endpoints_are_reached_a_few_at_a_time() {
     struct Case {
@@ -77,11 +40,8 @@
         },
     ];
     for case in cases {
-        let stored = StoredGroup {
-            roster: roster(),
-            ..StoredGroup::default()
-        };
-        let mut planner = Planner::new(Limits::default(), takeover(), stored, 10_000);
+        let group = group_with_roster(ENDPOINTS);
+        let mut planner = Planner::new(Limits::default(), claim_after(9_000), group, 10_000);
         planner.handle(
             10_000,
             Event::Configured(Arc::new(Configuration::default())),
@@ -107,17 +67,7 @@
             for event in events {
                 for action in planner.handle(now, event) {
                     match action {
-                        Action::Commit(batch) => answers.push((
-                            now + 10,
-                            Event::Committed {
-                                number: batch.number,
-                                copy: batch.copy,
-                                outcome: CommitOutcome::Stored {
-                                    version: 100 + batch.number,
-                                    store_ms: now,
-                                },
-                            },
-                        )),
+                        Action::Commit(batch) => answers.push((now + 10, stored(&batch, now))),
                         Action::Hold(order) => {
                             let number: usize = order.id.0.parse().expect("a number");
                             first_holds += usize::from(not_reached.contains(&number));
@@ -131,15 +81,7 @@
                                 continue;
                             };
                             not_reached.remove(&number);
-                            let report = HoldReport {
-                                clock_ms: now,
-                                ..HoldReport::default()
-                            };
-                            let event = Event::Held {
-                                endpoint: order.endpoint,
-                                sent_ms: now,
-                                answer: HoldAnswer::Report(report),
-                            };
+                            let event = idle_report(&order, now, now);
                             answers.push((now + delay_ms, event));
                         }
                         _ => {}
--- a/crates/chervilfall_planner/tests/idle_holds.rs
+++ b/crates/chervilfall_planner/tests/idle_holds.rs
@@ -3,13 +3,13 @@
 //! Guards against a holder whose processor and connections are taken by endpoints that have nothing
 //! to report: their holds would grow with the fleet.
 
+mod world;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use chervilfall_planner::{
-    Action, Batch, CommitOutcome, Configuration, EndpointId, EndpointKey, Event, HoldAnswer,
-    HoldOrder, HoldReport, HolderRow, Limits, Planner, RosterEntry, StoredGroup, Takeover,
-};
+use chervilfall_planner::{Action, Configuration, EndpointKey, Event, Limits, Planner};
+use world::tables::{first_claim, group_with_roster, idle_report, stored};
 
 /// When the holder takes over.
 const BEGIN_MS: u64 = 10_000;
@@ -23,54 +23,6 @@
 /// that is lost, and half of that, as the times are spread.
 const MAX_PAUSE_MS: u64 = 7_500;
 
-fn takeover() -> Takeover {
-    let row = HolderRow {
-        term: 1,
-        node: "holder".to_owned(),
-        incarnation: 1,
-        address: "127.0.0.1:1".to_owned(),
-        number: 0,
-        released: false,
-        settled: false,
-        cpu_permille: 1_000,
-        recovering: true,
-        wanted_permille: 0,
-        standstill_ms: 0,
-        written_store_ms: 0,
-    };
-    Takeover {
-        row,
-        fence: 100,
-        version: 100,
-        predecessor_seen_ms: None,
-        predecessor_written_store_ms: 0,
-        predecessor_gone_ms: None,
-    }
-}
-
-fn stored(batch: &Batch, now: u64) -> Event {
-    Event::Committed {
-        number: batch.number,
-        copy: batch.copy,
-        outcome: CommitOutcome::Stored {
-            version: 100 + batch.number,
-            store_ms: now,
-        },
-    }
-}
-
-fn idle_report(order: &HoldOrder, sent_ms: u64, now: u64) -> Event {
-    let report = HoldReport {
-        clock_ms: now,
-        ..HoldReport::default()
-    };
-    Event::Held {
-        endpoint: order.endpoint,
-        sent_ms,
-        answer: HoldAnswer::Report(report),
-    }
-}
-
 /// Holds that were sent within the counted time.
 #[derive(Default)]
 struct Counts {
@@ -82,18 +34,8 @@
 
 /// Plays a holder of endpoints that run nothing and answer each hold after its wait.
 fn count_holds(endpoints: usize) -> Counts {
-    let roster = (0..endpoints).map(|number| RosterEntry {
-        id: EndpointId(format!("{number}")),
-        born_ms: None,
-        address: format!("{number}:1"),
-        lapses_store_ms: None,
-        capacity: None,
-    });
-    let group = StoredGroup {
-        roster: roster.collect(),
-        ..StoredGroup::default()
-    };
-    let mut planner = Planner::new(Limits::default(), takeover(), group, BEGIN_MS);
+    let group = group_with_roster(endpoints);
+    let mut planner = Planner::new(Limits::default(), first_claim(), group, BEGIN_MS);
     let configuration = Arc::new(Configuration::default());
     planner.handle(BEGIN_MS, Event::Configured(configuration));
     let mut due: BTreeMap<(u64, u64), Event> = BTreeMap::new();
--- a/crates/chervilfall_planner/tests/slow_commits.rs
+++ b/crates/chervilfall_planner/tests/slow_commits.rs
@@ -7,12 +7,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
-use std::sync::Arc;
 
-use chervilfall_planner::{
-    decode_text, Answer, Asker, Configuration, EndReason, JobId, JobRow, JobSpec, JobState,
-    Policies, Request,
-};
+use chervilfall_planner::{Answer, Asker, EndReason, JobId, JobSpec, JobState, Policies, Request};
+use world::tables::JobTables;
 use world::{step, World};
 
 /// Additional time of a transaction, with which it takes 570 ms from its sending to its answer.
@@ -180,12 +177,7 @@
     world.queue.attempts = 10;
     world.queue.stretch = 2.0;
     world.queue.target_latency_ms = TARGET_LATENCY_MS;
-    let queues = BTreeMap::from([(world.queue.name.clone(), world.queue.clone())]);
-    let config = Configuration {
-        queues,
-        ..Configuration::clone(&world.config)
-    };
-    world.config = Arc::new(config);
+    world.configure([]);
     world.run(3_000);
     world
 }
@@ -381,11 +373,8 @@
             ..short_job()
         };
         assert_eq!(world.submit(1, spec), Answer::Accepted, "{}", case.name);
-        let key = JobId(1).to_string();
-        let (_, row) = world.store.row("jobs", &key);
-        let row = JobRow::decode(&row.expect("a row")).expect("a job");
-        let text = world.store.row("texts", &key).1;
-        let text = text.map(|text| decode_text(&text).expect("a text"));
+        let JobTables { job, text, .. } = world.job_tables(1);
+        let row = job.expect("a row");
         let in_job_row = row.spec.spec == case.text && text.is_none();
         let in_own_row = row.spec.spec.is_empty() && text == Some(case.text);
         assert_eq!(
--- a/crates/chervilfall_planner/tests/unconfirmed_usage.rs
+++ b/crates/chervilfall_planner/tests/unconfirmed_usage.rs
@@ -2,14 +2,11 @@
 
 mod world;
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
 use chervilfall_planner::{
-    Account, Answer, Asker, Configuration, JobId, JobRow, JobSpec, JobState, Planner, ProgressRow,
-    Request, Resources, Step,
+    Account, Answer, Asker, JobId, JobRow, JobSpec, JobState, Planner, Request, Resources, Step,
 };
 use ciborium::value::Value;
+use world::tables::JobTables;
 use world::{step, World};
 
 const LIMITED: &str = "limited";
@@ -106,7 +103,6 @@
             endpoint.cpu_milli = cut_off_milli;
         }
     }
-    let queues = BTreeMap::from([(world.queue.name.clone(), world.queue.clone())]);
     let account = Account {
         name: LIMITED.to_owned(),
         weight,
@@ -115,12 +111,7 @@
             ..Resources::default()
         },
     };
-    world.config = Arc::new(Configuration {
-        queues,
-        version: 2,
-        accounts: BTreeMap::from([(account.name.clone(), account)]),
-        ..Configuration::clone(&world.config)
-    });
+    world.configure([account]);
     world.run(1_500);
     world
 }
@@ -207,10 +198,11 @@
         Ending::None | Ending::Stopped | Ending::CancelledAfterTakeover => {}
         Ending::Cancelled => cancel_hidden(&mut world),
         Ending::Failed => world.run_until(1_500, |world| {
-            let (_, row) = world.store.row("progress", &JobId(HIDDEN_JOB).to_string());
-            let row = row.map(|row| ProgressRow::decode(&row).expect("a row"));
-            let (_, ended) = world.store.row("ended", &JobId(HIDDEN_JOB).to_string());
-            ended.is_some() || row.is_some_and(|row| row.outcome == Some(JobState::Failed))
+            let JobTables {
+                progress, ended, ..
+            } = world.job_tables(HIDDEN_JOB);
+            let row = ended.or(progress);
+            row.is_some_and(|row| row.outcome == Some(JobState::Failed))
         }),
     }
     replace_holder(&mut world);
@@ -225,10 +217,8 @@
 
 /// Returns a job's own row, and whether it has a row of its end.
 fn stored_rows(world: &World, job: u64) -> (Option<JobRow>, bool) {
-    let key = JobId(job).to_string();
-    let (_, row) = world.store.row("jobs", &key);
-    let row = row.map(|row| JobRow::decode(&row).expect("a job"));
-    (row, world.store.row("ended", &key).1.is_some())
+    let JobTables { job, ended, .. } = world.job_tables(job);
+    (job, ended.is_some())
 }
 
 /// Returns how many tasks of the job submitted after the takeover were started.
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 pub mod random;
 pub mod store;
+pub mod tables;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
