Move work off endpoints that have announced their departure

Cause: a draining endpoint reports for how much longer it will exist at least (remaining_ms), but the planner did not read the field. Everything that ran there when it left lost its work.

Ruled out: one time of departure. The list is read every 0.5 s, so a report may have waited that long. With the earliest time for both decisions, a run that ended by itself 100 ms before the announced departure was stopped; with the announced time for both, a stop of 900 ms can be too late.

Change: policy/departures.rs decides. A run that by its estimate and its endpoint's speed outlasts the announced time is stopped one second before the earliest departure if it saves checkpoints. One that cannot save is restarted while it has run for less than a tenth of its estimate and resources elsewhere are free. Past its estimate, the median of what is left up to twice the estimate is expected. A gang is stopped as a whole, and never while the barrier is up or a member is not known to run. A long-running task moves if its step's max_unavailable allows it and resources elsewhere are free. Stops go through begin_stop and abort_gang; an end by a stop is no failed attempt. The switch is policies.departures. A remaining_ms that is no number is ignored.

Not done: a service whose tasks may overlap (allow_duplicates) is not started elsewhere before it is stopped, because a task has one placement. A service with max_unavailable 0 stays.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -10,6 +10,7 @@
 use crate::limits::Limits;
 use crate::placed_run::{PlacedRun, RunPhase};
 use crate::policy::crashes::NEW_RUN_MS;
+use crate::policy::departures::LeaveTime;
 use crate::policy::quarantine::{Quarantine, QuarantineState};
 use crate::policy::speed::Speed;
 use crate::resources::Resources;
@@ -51,8 +52,15 @@
     /// When the reporting incarnation started, by its own wall clock; none if endpoints do not
     /// report it.
     pub born_ms: Option<UnixMillis>,
+    /// For how much longer a draining endpoint will exist at least, when it wrote the report; none
+    /// if it does not say.
+    pub remaining_ms: Option<Millis>,
 }
 
+/// Maximum time that a report is assumed to have waited to be read: the list is read twice a
+/// second.
+const REPORT_WAIT_MS: Millis = 500;
+
 /// State of one incarnation of an endpoint; the next incarnation gets a record of its own.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -81,6 +89,10 @@
     pub(crate) rostered_capacity: Option<Resources>,
     /// When its latest status report was first read.
     reported_ms: Millis,
+    /// When the list of endpoints was last read with it.
+    seen_ms: Millis,
+    /// When it may leave, by its latest report.
+    leave: Option<LeaveTime>,
     /// It refuses starts that exceed its capacity.
     pub(crate) enforces_capacity: bool,
     /// It has answered a hold of this planner and therefore refuses orders of earlier holders.
@@ -134,6 +146,8 @@
             lapses_store_ms: None,
             rostered_capacity: None,
             reported_ms: 0,
+            seen_ms: 0,
+            leave: None,
             enforces_capacity: false,
             contacted: false,
             lists_incomplete: false,
@@ -174,6 +188,8 @@
         next.draining = next.entry_is_of_incarnation() && next.entry.draining;
         if next.entry_is_of_incarnation() {
             next.reported_ms = before.reported_ms;
+            next.seen_ms = before.seen_ms;
+            next.leave = before.leave;
         }
         next
     }
@@ -210,12 +226,35 @@
         if is_new_report || self.reported_ms == 0 {
             self.reported_ms = read_ms;
         }
+        if is_new_report || entry.remaining_ms != self.entry.remaining_ms || self.seen_ms == 0 {
+            let written_ms = self.report_written_ms(read_ms);
+            self.leave = entry.remaining_ms.map(|left_ms| LeaveTime {
+                earliest_ms: written_ms + left_ms,
+                announced_ms: read_ms + left_ms,
+            });
+        }
+        self.seen_ms = read_ms;
         self.entry = entry;
         if self.entry_is_of_incarnation() {
             self.draining = self.entry.draining;
         }
     }
 
+    /// Returns a lower bound of when a report was written that was first read at `read_ms`: the
+    /// previous reading did not contain it.
+    fn report_written_ms(&self, read_ms: Millis) -> Millis {
+        if self.seen_ms == 0 {
+            return read_ms;
+        }
+        self.seen_ms.max(read_ms.saturating_sub(REPORT_WAIT_MS))
+    }
+
+    /// Returns when it may leave; none unless it is draining and says so.
+    pub(crate) fn leave(&self) -> Option<LeaveTime> {
+        let known = self.draining && self.entry_is_of_incarnation();
+        self.leave.filter(|_| known)
+    }
+
     /// Returns whether its reported capacity is recent enough to start runs, because the capacity
     /// may have shrunk since the report.
     pub(crate) fn capacity_is_known(&self, now: Millis, limits: &Limits) -> bool {
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -77,6 +77,11 @@
         .set(seconds(for_ms.unwrap_or(0)));
 }
 
+/// Counts a run that was stopped because its endpoint departs.
+pub(crate) fn departure_stop(step: &'static str) {
+    counter!("chervilfall_departure_stops_total", "kind" => step).increment(1);
+}
+
 /// Counts a start.
 pub(crate) fn start() {
     counter!("chervilfall_starts_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -33,6 +33,7 @@
             labels: BTreeSet::new(),
             report: 0,
             born_ms: rostered.born_ms,
+            remaining_ms: None,
         };
         let key = self.add_endpoint(entry, false);
         if let Some(endpoint) = self.endpoints.get_mut(key) {
@@ -114,7 +115,7 @@
         endpoint.enforces_capacity = self.config.enforces_capacity(&entry.service);
         endpoint.update_entry(read_ms, entry);
         if endpoint.draining && !was_draining {
-            log::info!(endpoint:% = endpoint.entry.id, tasks = endpoint.placed.len(); "endpoint is draining");
+            log::info!(endpoint:% = endpoint.entry.id, tasks = endpoint.placed.len(), remaining_ms:? = endpoint.entry.remaining_ms; "endpoint is draining");
         }
         if endpoint.entry.born_ms != known_ms && !endpoint.entry_is_of_incarnation() {
             // Only the endpoint's own lists show which incarnation is running.
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -18,9 +18,15 @@
         self.update_quarantine(key, end);
         let placed_there = self.endpoints[key].placed.get(&task);
         if let Some(placed) = placed_there.filter(|placed| placed.run == end.run) {
-            let since_ms = placed.confirmed_ms.filter(|_| !placed.resumed);
-            if let (EndReason::Done, Some(since_ms)) = (end.how, since_ms) {
-                self.record_duration(key, task, since_ms);
+            let (confirmed_ms, resumed) = (placed.confirmed_ms, placed.resumed);
+            match (end.how, confirmed_ms) {
+                (EndReason::Done, Some(since_ms)) if !resumed => {
+                    self.record_duration(key, task, since_ms);
+                }
+                (EndReason::Stopped, Some(since_ms)) => {
+                    self.note_saved_work(task, since_ms, &end.checkpoint);
+                }
+                _ => {}
             }
             self.release_run(key, task);
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -9,6 +9,7 @@
 mod batch;
 mod commits;
 mod crashes;
+mod departures;
 mod endpoints;
 mod ends;
 mod evacuations;
@@ -54,6 +55,7 @@
 use advise::AdviceCall;
 use barrier::Barrier;
 use commits::InFlightCommit;
+use departures::Departures;
 use evacuations::Evacuations;
 use fair_shares::FairShares;
 use gangs::GangDeadlines;
@@ -107,6 +109,7 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     endpoint_keys: BTreeMap<EndpointId, EndpointKey>,
     evacuations: Evacuations,
+    departures: Departures,
     open: OpenSteps,
     history: History,
     accounts: Accounts,
@@ -183,6 +186,7 @@
             endpoints: SlotMap::with_key(),
             endpoint_keys: BTreeMap::new(),
             evacuations: Evacuations::default(),
+            departures: Departures::default(),
             open: OpenSteps::default(),
             history: History::default(),
             accounts: Accounts::default(),
@@ -375,6 +379,7 @@
         self.refuse_overdue(counted);
         self.expire_advice_calls();
         self.schedule_if_due();
+        self.clear_departing_endpoints();
         self.report_waiting();
         self.send_stops();
         self.send_holds();
--- a/crates/chervilfall_planner/src/policy/speed.rs
+++ b/crates/chervilfall_planner/src/policy/speed.rs
@@ -65,6 +65,13 @@
         self.speed_class = SpeedClass(steps);
     }
 
+    /// Returns how long work that takes `usual_ms` at the usual speed takes at this one.
+    // Durations are far below the precision limit of a float, and the speed is positive.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(crate) fn duration_ms(self, usual_ms: Millis) -> Millis {
+        (usual_ms as f64 / self.relative) as Millis
+    }
+
     /// Returns the speed class.
     pub(crate) const fn speed_class(self) -> SpeedClass {
         self.speed_class
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -11,6 +11,9 @@
     pub admission_forecast: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
+    /// Runs that an endpoint's announced departure would end are stopped with a checkpoint, or
+    /// restarted elsewhere while they are young.
+    pub departures: bool,
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
@@ -33,6 +36,7 @@
         Self {
             admission_forecast: false,
             commit_order: true,
+            departures: true,
             fair_share: false,
             headroom: true,
             overdue_last: true,
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -37,6 +37,8 @@
     pub(crate) state: TaskState,
     pub(crate) last_run: Run,
     pub(crate) checkpoint: String,
+    /// Duration of the runs whose work is in the checkpoint, as far as this holder knows.
+    pub(crate) saved_ms: Millis,
     pub(crate) failed: Vec<Run>,
     /// Runs that may have crashed their endpoints.
     pub(crate) exposures: Vec<Exposure>,
@@ -67,6 +69,7 @@
             state: TaskState::Waiting,
             last_run: 0,
             checkpoint: String::new(),
+            saved_ms: 0,
             failed: Vec::new(),
             exposures: Vec::new(),
         };
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -208,6 +208,7 @@
         labels: BTreeSet::new(),
         report: 1,
         born_ms: None,
+        remaining_ms: None,
     }
 }
 
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -4,7 +4,8 @@
 
 use chervilfall_planner::{
     EndReason, EndedRun, EndpointEntry, EndpointId, EndpointKey, HoldAnswer, HoldOrder, HoldReport,
-    JobSpec, Refusal, Run, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder, TaskKey,
+    JobId, JobSpec, Refusal, Run, RunningRun, StartAnswer, StartOrder, StopAnswer, StopOrder,
+    TaskKey,
 };
 
 use super::random::Random;
@@ -95,6 +96,8 @@
     pub cpu_milli: u32,
     pub listed: bool,
     pub draining: bool,
+    /// When it leaves, of which it gives notice while it drains.
+    pub leaves_ms: Option<u64>,
     pub dead: bool,
     /// When it crashed, and the task that caused the crash, if one did.
     pub crashed: Option<(u64, Option<TaskKey>)>,
@@ -128,6 +131,8 @@
     pub fails_all: bool,
     /// Percentage of runs that fail.
     pub fail_percent: u64,
+    /// Work takes between half of its estimate and twice of it.
+    pub rough_estimates: bool,
     /// Speed of its work in percent of the normal speed.
     pub speed_percent: u64,
     pub rack: Option<String>,
@@ -161,6 +166,7 @@
             cpu_milli,
             listed: true,
             draining: false,
+            leaves_ms: None,
             dead: false,
             crashed: None,
             past_crashes: Vec::new(),
@@ -180,6 +186,7 @@
             domain: 0,
             fails_all: false,
             fail_percent: 2,
+            rough_estimates: false,
             speed_percent: 100,
             rack: None,
             labels: BTreeSet::new(),
@@ -200,7 +207,7 @@
         }
     }
 
-    pub fn entry(&self) -> EndpointEntry {
+    pub fn entry(&self, now: u64) -> EndpointEntry {
         EndpointEntry {
             id: self.id.clone(),
             address: self.address.clone(),
@@ -214,6 +221,7 @@
             labels: self.labels.clone(),
             report: self.reports,
             born_ms: self.born_ms,
+            remaining_ms: self.leaves_ms.map(|at_ms| at_ms.saturating_sub(now)),
         }
     }
 
@@ -240,7 +248,7 @@
             self.next_report_ms = now + REPORT_INTERVAL_MS;
             self.last_report_ms = now;
             self.reports += 1;
-            self.reported = Some(self.entry());
+            self.reported = Some(self.entry(now));
         }
         if now >= self.last_report_ms + 3 * REPORT_INTERVAL_MS && !store_down {
             self.reported = None;
@@ -336,6 +344,11 @@
     }
 
     pub fn advance(&mut self, now: u64, violations: &mut Vec<String>) {
+        if !self.dead && self.leaves_ms.is_some_and(|at_ms| now >= at_ms) {
+            self.crash(now, None);
+            self.listed = false;
+            self.replaced = true;
+        }
         let culprit = self
             .running
             .iter()
@@ -426,7 +439,12 @@
         }
         self.extend(now, order.until_ms);
         let step = spec.and_then(|spec| spec.steps.get(order.task.step as usize));
-        let work_ms = step.map_or(1_000, |step| step.estimate_ms);
+        let estimate_ms = step.map_or(1_000, |step| step.estimate_ms);
+        let work_ms = if self.rough_estimates {
+            estimate_ms * work_percent(order.task.job) / 100
+        } else {
+            estimate_ms
+        };
         let resumed_ms: Option<u64> = order.checkpoint.parse().ok();
         let left_ms = resumed_ms.map_or(work_ms, |saved_ms| {
             RESTORE_MS + work_ms.saturating_sub(saved_ms)
@@ -583,6 +601,13 @@
     }
 }
 
+/// Returns the work of a job's tasks in percent of its estimate, which is off by up to a factor of
+/// two.
+pub fn work_percent(job: JobId) -> u64 {
+    const PERCENT: [u64; 5] = [50, 71, 100, 141, 200];
+    PERCENT[usize::try_from(job.0 % 5).expect("small")]
+}
+
 /// Returns the name of a failure domain.
 pub fn domain_name(domain: usize) -> String {
     format!("domain-{domain}")
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -52,7 +52,7 @@
                     let report = self.now;
                     let entry = |endpoint: &FakeEndpoint| EndpointEntry {
                         report,
-                        ..endpoint.entry()
+                        ..endpoint.entry(report)
                     };
                     entries.map(entry).collect()
                 };
