Quarantine endpoints that fail part of their runs

Cause: an endpoint is quarantined after three failed runs of several jobs without a completed one in between. One that fails half of its runs rarely shows that, and a job has two or three attempts.

Ruled out: a lower threshold of the existing rule (a sound endpoint reaches two failures in a row once in 400 runs). Evaluating the whole pool at each failed run: a fleet of thousands would pay for it, so the pool is visited only if the endpoint itself is quarantined or unsound.

Change: policy/failure_share.rs counts the last 16 ends of an endpoint, and the failures of one job once. It is unsound if a sound one, which fails one run in twenty, would show as many failures less than once in 8,000 times (6 of 16). Of a service's endpoints at most a fifth is quarantined by this rule, the worst first, and none if more than half are unsound. Pauses and trials are those of the other rule, but three trials in a row must complete. A step that has failed prefers endpoints with few recent failures. The switch is policies.failure_share.

Tests: failure_share, departures, planner, crashes and histories pass.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -11,6 +11,7 @@
 use crate::placed_run::{PlacedRun, RunPhase};
 use crate::policy::crashes::NEW_RUN_MS;
 use crate::policy::departures::LeaveTime;
+use crate::policy::failure_share::FailureShare;
 use crate::policy::quarantine::{Quarantine, QuarantineState};
 use crate::policy::speed::Speed;
 use crate::resources::Resources;
@@ -127,6 +128,7 @@
     pub(crate) next_hold_ms: Millis,
     pub(crate) paused_until_ms: Millis,
     pub(crate) quarantine: Quarantine,
+    pub(crate) failure_share: FailureShare,
     pub(crate) speed: Speed,
     /// Its clock and the leases granted to it.
     pub(crate) leases: Leases,
@@ -168,6 +170,7 @@
             next_hold_ms: 0,
             paused_until_ms: 0,
             quarantine: Quarantine::default(),
+            failure_share: FailureShare::default(),
             speed: Speed::default(),
             leases: Leases::default(),
         }
@@ -354,9 +357,18 @@
             && self.capacity_is_known(now, limits)
     }
 
+    /// Returns the stricter of its two quarantine states.
+    fn quarantine_state(&self, now: Millis) -> QuarantineState {
+        match (self.quarantine.state(now), self.failure_share.state(now)) {
+            (QuarantineState::Paused, _) | (_, QuarantineState::Paused) => QuarantineState::Paused,
+            (QuarantineState::Trial, _) | (_, QuarantineState::Trial) => QuarantineState::Trial,
+            (QuarantineState::Sound, QuarantineState::Sound) => QuarantineState::Sound,
+        }
+    }
+
     /// Returns whether its quarantine state permits giving it a task.
     fn passes_quarantine(&self, now: Millis) -> bool {
-        match self.quarantine.state(now) {
+        match self.quarantine_state(now) {
             QuarantineState::Sound => true,
             QuarantineState::Trial => self.placed.is_empty(),
             QuarantineState::Paused => false,
@@ -365,7 +377,7 @@
 
     /// Returns the maximum number of tasks that it may be given at once.
     pub(crate) fn max_new_tasks(&self, now: Millis) -> u32 {
-        match self.quarantine.state(now) {
+        match self.quarantine_state(now) {
             QuarantineState::Sound => u32::MAX,
             QuarantineState::Trial | QuarantineState::Paused => 1,
         }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -55,6 +55,7 @@
     WaitingSubmission,
 };
 pub use policy::departures::{departure_step, DepartureStep, LeaveTime, RunOutlook};
+pub use policy::failure_share::is_unsound;
 pub use policy::fair_share::{FairShare, ShareLevel, UsageByStart};
 pub use policy::handover::{HandoverPolicy, HandoverReason, HolderTerm, LinkedNode, LoadReport};
 pub use policy::node_size::NodeResources;
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -82,6 +82,11 @@
     counter!("chervilfall_departure_stops_total", "kind" => step).increment(1);
 }
 
+/// Counts an endpoint that was quarantined because it fails part of its runs.
+pub(crate) fn quarantined_by_share() {
+    counter!("chervilfall_quarantines_by_share_total").increment(1);
+}
+
 /// Counts a start.
 pub(crate) fn start() {
     counter!("chervilfall_starts_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -16,6 +16,7 @@
         let task = end.task;
         metrics::ended(end.how);
         self.update_quarantine(key, end);
+        self.update_failure_share(key, end);
         let placed_there = self.endpoints[key].placed.get(&task);
         if let Some(placed) = placed_there.filter(|placed| placed.run == end.run) {
             let (confirmed_ms, resumed) = (placed.confirmed_ms, placed.resumed);
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -13,6 +13,7 @@
 mod endpoints;
 mod ends;
 mod evacuations;
+mod failure_shares;
 mod fair_shares;
 mod gangs;
 mod gap;
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -291,7 +291,11 @@
         let failed_on = &progress.failed_on;
         let offers = usable.filter_map(|(endpoint_key, endpoint)| {
             let failed = failed_on.contains(&endpoint_key);
-            self.offer(endpoint_key, endpoint, key, request.step(), failed)
+            let mut offer = self.offer(endpoint_key, endpoint, key, request.step(), failed)?;
+            if !failed_on.is_empty() {
+                offer.recent_failures = endpoint.failure_share.failures();
+            }
+            Some(offer)
         });
         offers.collect()
     }
@@ -328,6 +332,7 @@
             free: endpoint.free(),
             max_new_tasks,
             failed,
+            recent_failures: 0,
             near,
             speed_class: self.speed_class(endpoint),
         })
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod commit_order;
 pub(crate) mod crashes;
 pub(crate) mod departures;
+pub(crate) mod failure_share;
 pub(crate) mod fair_share;
 pub(crate) mod handover;
 pub(crate) mod headroom;
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -62,6 +62,8 @@
     pub(crate) max_new_tasks: u32,
     /// A run of the step has failed there.
     pub(crate) failed: bool,
+    /// Number of jobs of which a run has failed there recently; 0 unless the step has failed.
+    pub(crate) recent_failures: u32,
     /// The step's data is on its rack, or the step does not request a rack.
     pub(crate) near: bool,
     /// Speed class of the endpoint.
@@ -81,7 +83,7 @@
 }
 
 /// Picks endpoints for up to `count` tasks. Prefers endpoints where the step has not failed, then
-/// near ones, then those of the preferred speed class, then those with the least free CPU, which
+/// for a step that has failed those with the fewest recent failures, then near ones, then those of the preferred speed class, then those with the least free CPU, which
 /// preserves large free capacity for wide tasks.
 pub(crate) fn pick_endpoints(
     offers: &mut [Offer],
@@ -97,6 +99,7 @@
         let best = fitting.min_by_key(|offer| {
             (
                 offer.failed,
+                offer.recent_failures,
                 !offer.near,
                 latency_class.rank(offer.speed_class),
                 offer.free.cpu_milli,
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -14,6 +14,9 @@
     /// Runs that an endpoint's announced departure would end are stopped with a checkpoint, or
     /// restarted elsewhere while they are young.
     pub departures: bool,
+    /// Endpoints that fail many of their latest runs are quarantined, and tasks that have failed
+    /// prefer endpoints without recent failures.
+    pub failure_share: bool,
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
@@ -37,6 +40,7 @@
             admission_forecast: false,
             commit_order: true,
             departures: true,
+            failure_share: true,
             fair_share: false,
             headroom: true,
             overdue_last: true,
