--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -10,6 +10,8 @@
 use crate::limits::Limits;
 use crate::placed_run::{PlacedRun, RunPhase};
 use crate::policy::crashes::NEW_RUN_MS;
+use crate::policy::departures::LeaveTime;
+use crate::policy::failure_share::FailureShare;
 use crate::policy::quarantine::{Quarantine, QuarantineState};
 use crate::policy::speed::Speed;
 use crate::resources::Resources;
@@ -51,8 +53,15 @@
     /// When the reporting incarnation started, by its own wall clock; none if endpoints do not
     /// report it.
     pub born_ms: Option<UnixMillis>,
+    /// For how much longer a draining endpoint will exist at least, when it wrote the report; none
+    /// if it does not say.
+    pub remaining_ms: Option<Millis>,
 }
 
+/// Maximum time that a report is assumed to have waited to be read: the list is read twice a
+/// second.
+const REPORT_WAIT_MS: Millis = 500;
+
 /// State of one incarnation of an endpoint; the next incarnation gets a record of its own.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -81,6 +90,10 @@
     pub(crate) rostered_capacity: Option<Resources>,
     /// When its latest status report was first read.
     reported_ms: Millis,
+    /// When the list of endpoints was last read with it.
+    seen_ms: Millis,
+    /// When it may leave, by its latest report.
+    leave: Option<LeaveTime>,
     /// It refuses starts that exceed its capacity.
     pub(crate) enforces_capacity: bool,
     /// It has answered a hold of this planner and therefore refuses orders of earlier holders.
@@ -115,6 +128,7 @@
     pub(crate) next_hold_ms: Millis,
     pub(crate) paused_until_ms: Millis,
     pub(crate) quarantine: Quarantine,
+    pub(crate) failure_share: FailureShare,
     pub(crate) speed: Speed,
     /// Its clock and the leases granted to it.
     pub(crate) leases: Leases,
@@ -134,6 +148,8 @@
             lapses_store_ms: None,
             rostered_capacity: None,
             reported_ms: 0,
+            seen_ms: 0,
+            leave: None,
             enforces_capacity: false,
             contacted: false,
             lists_incomplete: false,
@@ -154,6 +170,7 @@
             next_hold_ms: 0,
             paused_until_ms: 0,
             quarantine: Quarantine::default(),
+            failure_share: FailureShare::default(),
             speed: Speed::default(),
             leases: Leases::default(),
         }
@@ -174,6 +191,8 @@
         next.draining = next.entry_is_of_incarnation() && next.entry.draining;
         if next.entry_is_of_incarnation() {
             next.reported_ms = before.reported_ms;
+            next.seen_ms = before.seen_ms;
+            next.leave = before.leave;
         }
         next
     }
@@ -210,12 +229,35 @@
         if is_new_report || self.reported_ms == 0 {
             self.reported_ms = read_ms;
         }
+        if is_new_report || entry.remaining_ms != self.entry.remaining_ms || self.seen_ms == 0 {
+            let written_ms = self.report_written_ms(read_ms);
+            self.leave = entry.remaining_ms.map(|left_ms| LeaveTime {
+                earliest_ms: written_ms + left_ms,
+                announced_ms: read_ms + left_ms,
+            });
+        }
+        self.seen_ms = read_ms;
         self.entry = entry;
         if self.entry_is_of_incarnation() {
             self.draining = self.entry.draining;
         }
     }
 
+    /// Returns a lower bound of when a report was written that was first read at `read_ms`: the
+    /// previous reading did not contain it.
+    fn report_written_ms(&self, read_ms: Millis) -> Millis {
+        if self.seen_ms == 0 {
+            return read_ms;
+        }
+        self.seen_ms.max(read_ms.saturating_sub(REPORT_WAIT_MS))
+    }
+
+    /// Returns when it may leave; none unless it is draining and says so.
+    pub(crate) fn leave(&self) -> Option<LeaveTime> {
+        let known = self.draining && self.entry_is_of_incarnation();
+        self.leave.filter(|_| known)
+    }
+
     /// Returns whether its reported capacity is recent enough to start runs, because the capacity
     /// may have shrunk since the report.
     pub(crate) fn capacity_is_known(&self, now: Millis, limits: &Limits) -> bool {
@@ -315,9 +357,18 @@
             && self.capacity_is_known(now, limits)
     }
 
+    /// Returns the stricter of its two quarantine states.
+    fn quarantine_state(&self, now: Millis) -> QuarantineState {
+        match (self.quarantine.state(now), self.failure_share.state(now)) {
+            (QuarantineState::Paused, _) | (_, QuarantineState::Paused) => QuarantineState::Paused,
+            (QuarantineState::Trial, _) | (_, QuarantineState::Trial) => QuarantineState::Trial,
+            (QuarantineState::Sound, QuarantineState::Sound) => QuarantineState::Sound,
+        }
+    }
+
     /// Returns whether its quarantine state permits giving it a task.
     fn passes_quarantine(&self, now: Millis) -> bool {
-        match self.quarantine.state(now) {
+        match self.quarantine_state(now) {
             QuarantineState::Sound => true,
             QuarantineState::Trial => self.placed.is_empty(),
             QuarantineState::Paused => false,
@@ -326,7 +377,7 @@
 
     /// Returns the maximum number of tasks that it may be given at once.
     pub(crate) fn max_new_tasks(&self, now: Millis) -> u32 {
-        match self.quarantine.state(now) {
+        match self.quarantine_state(now) {
             QuarantineState::Sound => u32::MAX,
             QuarantineState::Trial | QuarantineState::Paused => 1,
         }
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -14,6 +14,12 @@
     /// A holder with more endpoints than its size carries calls them through followers. A follower
     /// relays orders only if this is on.
     pub endpoint_relays: bool,
+    /// Runs that an endpoint's announced departure would end are stopped with a checkpoint, or
+    /// restarted elsewhere while they are young.
+    pub departures: bool,
+    /// Endpoints that fail many of their latest runs are quarantined, and tasks that have failed
+    /// prefer endpoints without recent failures.
+    pub failure_share: bool,
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
@@ -39,6 +45,8 @@
             admission_forecast: false,
             commit_order: true,
             endpoint_relays: true,
+            departures: true,
+            failure_share: true,
             fair_share: false,
             headroom: true,
             name_least_free: true,
