Size calls for advice by the tasks that wait

Cause: a call names eight endpoints for each waiting task, at least 30, and takes longer with each of them. A node makes one call at a time, so nodes are busy with calls while cores are free.

The holder learns for each queue which share of the endpoints is granted, from answers about endpoints that were not asked about for the step before. From 200 such answers on, a call names endpoints in the order of before until the expected number of tasks that fit on granted endpoints, less one standard deviation, covers the tasks that wait; at least 10 and at most as many as before. Calls in flight count as well.

The switch is policies.advice_call_size, on by default.

--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -83,6 +83,11 @@
         self.asking.values().map(Vec::len).sum()
     }
 
+    /// Returns the endpoints named by calls in flight.
+    pub(crate) fn asked_endpoints(&self) -> impl Iterator<Item = EndpointKey> + '_ {
+        self.asking.values().flatten().copied()
+    }
+
     /// Returns whether there is neither an answer nor a call in flight for the endpoint.
     pub(crate) fn is_unasked(&self, endpoint: EndpointKey) -> bool {
         let entry = self.entries.get(endpoint);
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -125,6 +125,21 @@
     histogram!("chervilfall_advice_seconds", "outcome" => outcome).record(seconds(took_ms));
 }
 
+/// Counts the endpoints that a call for advice names.
+pub(crate) fn advice_endpoints_named(endpoints: usize) {
+    counter!("chervilfall_advice_endpoints_total", "kind" => "named").increment(endpoints as u64);
+}
+
+/// Counts the endpoints that a call for advice leaves out, because the tasks do not need them.
+pub(crate) fn advice_endpoints_spared(endpoints: usize) {
+    counter!("chervilfall_advice_endpoints_total", "kind" => "spared").increment(endpoints as u64);
+}
+
+/// Sets the gauge for the share of the endpoints that the advice service grants steps of a queue.
+pub(crate) fn advice_granted_share(queue: &str, share: f64) {
+    gauge!("chervilfall_advice_granted_share", "queue" => queue.to_owned()).set(share);
+}
+
 /// Counts a gang whose deadline has passed, by width and by whether and why it was missed.
 pub(crate) fn gang_deadline(width: &'static str, deadline: &'static str, outcome: &'static str) {
     counter!(
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -3,7 +3,7 @@
 //! The service handles one call at a time per calling node, so a slow call delays all calls queued
 //! behind it. Each node has at most one call in flight; slow calls may use only some of the nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::action::{Action, AdviceOrder};
 use crate::advice::Permission;
@@ -13,6 +13,7 @@
 use crate::ids::{EndpointId, Millis};
 use crate::metrics;
 use crate::planner::Planner;
+use crate::policy::advice_size::GrantShare;
 use crate::tasks::StepKey;
 
 /// Share of the nodes that slow calls may use, as a fraction. With one half, wide gangs on 350
@@ -120,6 +121,7 @@
             endpoints,
             timeout_ms,
         };
+        metrics::advice_endpoints_named(order.endpoints.len());
         self.actions.push(Action::Advise { node, order });
         true
     }
@@ -165,6 +167,11 @@
         // which the service can have begun to answer, shortly before now.
         let valid_until_ms =
             self.now + call.valid_ms - self.limits.ticket_margin_ms.min(call.valid_ms);
+        let keys = call.endpoints.values().copied();
+        let unknown: BTreeSet<EndpointKey> = keys
+            .filter(|key| progress.advice.is_unasked(*key))
+            .collect();
+        let mut newly_granted = 0;
         for key in call.endpoints.values() {
             if self.endpoints.contains_key(*key) {
                 progress.advice.record_permission(*key, Permission::Denied);
@@ -173,12 +180,40 @@
         for (id, ticket) in granted {
             let key = call.endpoints.get(&id);
             if let Some(key) = key.filter(|key| self.endpoints.contains_key(**key)) {
+                newly_granted += usize::from(unknown.contains(key));
                 progress
                     .advice
                     .record_permission(*key, Permission::Granted(ticket, valid_until_ms));
             }
         }
+        self.note_grants(call.step, unknown.len(), newly_granted);
         self.note_gang_answer(call.step);
         self.schedule_due = true;
     }
+
+    /// Learns from the answers about endpoints that were not asked about for the step before.
+    fn note_grants(&mut self, step: StepKey, answers: usize, granted: usize) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        let queue = &job.queue.name;
+        if !self.grant_shares.contains_key(queue) {
+            self.grant_shares
+                .insert(queue.clone(), GrantShare::default());
+        }
+        let Some(grants) = self.grant_shares.get_mut(queue) else {
+            return;
+        };
+        let was_known = grants.share().is_some();
+        // A call names at most a few hundred endpoints.
+        let narrow = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        grants.record(narrow(answers), narrow(granted));
+        let Some(share) = grants.share() else {
+            return;
+        };
+        metrics::advice_granted_share(queue, share);
+        if !was_known && self.limits.policies.advice_call_size {
+            log::info!(queue = queue.as_str(), granted_share = share; "advice calls are sized by need");
+        }
+    }
 }
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -5,10 +5,12 @@
 use crate::advice::Advice;
 use crate::endpoint::EndpointKey;
 use crate::job::Step;
+use crate::metrics;
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
+use crate::policy::advice_size::{call_size, CallNeed, GrantShare};
 use crate::resources::Resources;
-use crate::tasks::StepKey;
+use crate::tasks::{StepKey, StepProgress};
 
 /// Minimum number of endpoints named in a step's first call for advice, if there are that many.
 const MIN_ENDPOINTS_PER_CALL: u32 = 30;
@@ -83,11 +85,59 @@
         if calls_in_flight > 0 && left < MIN_ENDPOINTS_PER_CALL as usize {
             return false;
         }
-        let named =
+        let left = left.min(self.limits.advice_endpoints);
+        let mut named =
             self.unknown_by_free_capacity(pool, &progress.advice, request, left, free_resources);
+        let size = self.call_size(key, &progress.advice, request.step(), &usable, &named);
+        metrics::advice_endpoints_spared(named.len() - size);
+        named.truncate(size);
         !named.is_empty() && self.request_advice(key, timings, &named)
     }
 
+    /// Returns how many of the endpoints in `named` a call for a step names. `granted` are the
+    /// granted endpoints with free resources.
+    fn call_size(
+        &self,
+        key: StepKey,
+        advice: &Advice,
+        step: &Step,
+        granted: &[EndpointKey],
+        named: &[EndpointKey],
+    ) -> usize {
+        if !self.limits.policies.advice_call_size {
+            return named.len();
+        }
+        let Some(job) = self.jobs.get(&key.job) else {
+            return named.len();
+        };
+        let grants = self.grant_shares.get(&job.queue.name);
+        let Some(share) = grants.and_then(GrantShare::share) else {
+            return named.len();
+        };
+        let need = Resources::of_step(step);
+        let waiting = job.step_progress(key).map_or(0, StepProgress::waiting);
+        let max_on_one = match step.max_per_endpoint {
+            0 => waiting,
+            limit => limit.min(waiting),
+        };
+        let fitting = |key: &EndpointKey| {
+            let endpoint = self.endpoints.get(*key);
+            endpoint.map_or(0, |endpoint| {
+                endpoint.free().max_fitting(need).min(max_on_one)
+            })
+        };
+        let unknown = advice.asked_endpoints().filter(|key| !advice.allowed(*key));
+        let in_flight: Vec<u32> = unknown.map(|key| fitting(&key)).collect();
+        let candidates: Vec<u32> = named.iter().map(fitting).collect();
+        call_size(&CallNeed {
+            share,
+            waiting,
+            granted: granted.iter().map(fitting).sum(),
+            in_flight: &in_flight,
+            candidates: &candidates,
+        })
+    }
+
     /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
     /// enough free resources, then those whose speed class suits the latency class, then those with
     /// the most free CPU.
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -36,13 +36,14 @@
 use slotmap::SlotMap;
 
 use crate::action::{Action, Answer, StepDownReason};
-use crate::config::{Configuration, ServiceName};
+use crate::config::{Configuration, QueueName, ServiceName};
 use crate::election::{HolderRow, Takeover, LARGEST_RETENTION_MS};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::event::{Event, NodeId};
 use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, Run, TaskKey};
 use crate::limits::Limits;
 use crate::metrics;
+use crate::policy::advice_size::GrantShare;
 use crate::policy::headroom::Headroom;
 use crate::policy::stall_timeout::CommitGaps;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
@@ -145,6 +146,8 @@
     nodes: Vec<NodeId>,
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
+    /// Share of the endpoints that the advice service grants, by queue.
+    grant_shares: BTreeMap<QueueName, GrantShare>,
     finished: VecDeque<(Millis, JobId)>,
     /// Position of the last jittered idle hold interval within its range.
     idle_jitter_permille: u64,
@@ -209,6 +212,7 @@
             nodes: Vec::new(),
             advice_calls: BTreeMap::new(),
             next_advice: 0,
+            grant_shares: BTreeMap::new(),
             finished: VecDeque::new(),
             idle_jitter_permille: 0,
             pre_cancelled_jobs: 0,
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -9,6 +9,9 @@
     /// A job that cannot complete while it still has worth is refused when it is submitted. Off by
     /// default, because under a slow store it also refuses jobs that could be stored in time.
     pub admission_forecast: bool,
+    /// A call for advice names as many endpoints as the waiting tasks need by the share of
+    /// endpoints that were granted before.
+    pub advice_call_size: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
@@ -32,6 +35,7 @@
     fn default() -> Self {
         Self {
             admission_forecast: false,
+            advice_call_size: true,
             commit_order: true,
             fair_share: false,
             headroom: true,
