Keep a gang's capacity while a call renews its tickets

Cause: a gang asks for new tickets when its allowed endpoints have enough free capacity. The call takes 0.5 to 1.5 s, other work takes the capacity meanwhile, and the gang asks again.

While such a call is in flight, the capacity for which it was made is kept from latency-tolerant work of lower rank, and from no other work. The hold ends with the call, also if the call fails. At most a tenth of the pool's capacity is kept at a time; a gang that needs more than what is left of it is served as before. While capacity is kept for a gang, no other call is made for it.

The switch is policies.gang_call_hold, on by default.

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -56,6 +56,7 @@
     WaitingSubmission,
 };
 pub use policy::fair_share::{FairShare, ShareLevel, UsageByStart};
+pub use policy::gang_call_hold::{may_keep, CallHold, CallHolds};
 pub use policy::handover::{HandoverPolicy, HandoverReason, HolderTerm, LinkedNode, LoadReport};
 pub use policy::node_size::NodeResources;
 pub use policy::overdue::{has_worth, Claims};
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -140,6 +140,17 @@
     gauge!("chervilfall_advice_granted_share", "queue" => queue.to_owned()).set(share);
 }
 
+/// Counts a call for which a gang's capacity was to be kept, by outcome.
+pub(crate) fn gang_call_hold(outcome: &'static str) {
+    counter!("chervilfall_gang_call_holds_total", "outcome" => outcome).increment(1);
+}
+
+/// Sets the gauge for the CPU that is kept in a pool while calls renew the tickets of gangs.
+pub(crate) fn gang_call_held(service: &str, cpu_milli: u64) {
+    gauge!("chervilfall_gang_call_held_cpu_milli", "service" => service.to_owned())
+        .set(cpu_milli as f64);
+}
+
 /// Counts a gang whose deadline has passed, by width and by whether and why it was missed.
 pub(crate) fn gang_deadline(width: &'static str, deadline: &'static str, outcome: &'static str) {
     counter!(
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -12,6 +12,7 @@
 use crate::event::{AdviceAnswer, NodeId};
 use crate::ids::{EndpointId, Millis};
 use crate::metrics;
+use crate::planner::call_holds::HoldOutcome;
 use crate::planner::Planner;
 use crate::policy::advice_size::GrantShare;
 use crate::tasks::StepKey;
@@ -143,20 +144,32 @@
         };
         let took_ms = self.now.saturating_sub(call.sent_ms);
         metrics::advice(took_ms, answer != AdviceAnswer::Failed);
+        let outcome = self.record_advice(number, &call, answer);
+        self.end_call_hold(number, outcome);
+    }
+
+    /// Records the answer to a call for its step; returns what it means for capacity kept for it.
+    fn record_advice(
+        &mut self,
+        number: u64,
+        call: &AdviceCall,
+        answer: AdviceAnswer,
+    ) -> HoldOutcome {
+        let took_ms = self.now.saturating_sub(call.sent_ms);
         let Some(job) = self.jobs.get_mut(&call.step.job) else {
-            return;
+            return HoldOutcome::Failed;
         };
         let job_ended = job.outcome.is_some();
         let Some(progress) = job.step_progress_mut(call.step) else {
-            return;
+            return HoldOutcome::Failed;
         };
         progress.advice.end_call(number);
         if job_ended || progress.complete() {
-            return;
+            return HoldOutcome::Failed;
         }
         let AdviceAnswer::Granted(granted) = answer else {
             log::info!(step:% = call.step, caller = call.node, took_ms = took_ms; "advice failed");
-            return;
+            return HoldOutcome::Failed;
         };
         log::info!(
             step:% = call.step, caller = call.node, took_ms = took_ms,
@@ -187,8 +200,13 @@
             }
         }
         self.note_grants(call.step, unknown.len(), newly_granted);
-        self.note_gang_answer(call.step);
+        let fits = self.note_gang_answer(call.step);
         self.schedule_due = true;
+        if fits {
+            HoldOutcome::Fits
+        } else {
+            HoldOutcome::Taken
+        }
     }
 
     /// Learns from the answers about endpoints that were not asked about for the step before.
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -59,7 +59,7 @@
             1
         };
         let free_resources = |endpoint: EndpointKey| self.endpoints[endpoint].free();
-        let usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
+        let mut usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
         let max_tasks = |keys: &[EndpointKey]| -> u64 {
             keys.iter()
                 .map(|key| u64::from(free_resources(*key).max_fitting(need)))
@@ -76,7 +76,16 @@
             let stale = usable
                 .iter()
                 .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
-            return stale && self.request_advice(key, timings, &usable);
+            if !stale || !self.request_advice(key, timings, &usable) {
+                return false;
+            }
+            usable.truncate(self.limits.advice_endpoints);
+            self.keep_for_gang(pass, key, request, usable);
+            return true;
+        }
+        // The call that the hold is for names enough endpoints.
+        if self.has_call_hold(key) {
+            return false;
         }
         let max_endpoints =
             (waiting * ENDPOINTS_PER_WAITING_TASK).max(MIN_ENDPOINTS_PER_CALL) as usize;
--- a/crates/chervilfall_planner/src/planner/gangs.rs
+++ b/crates/chervilfall_planner/src/planner/gangs.rs
@@ -104,17 +104,19 @@
         );
     }
 
-    /// Records how many members of a gang the endpoints with a valid ticket could hold.
-    pub(super) fn note_gang_answer(&mut self, key: StepKey) {
+    /// Records how many members of a gang the endpoints with a valid ticket could hold. Returns
+    /// whether all waiting members fit there now; false if the step is no gang.
+    pub(super) fn note_gang_answer(&mut self, key: StepKey) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
-            return;
+            return false;
         };
         let Some(step) = job.spec.steps.get(key.step as usize) else {
-            return;
+            return false;
         };
         let Some(progress) = job.step_progress(key).filter(|_| step.gang) else {
-            return;
+            return false;
         };
+        let waiting = progress.waiting();
         let need = Resources::of_step(step);
         let max_on_one = match step.max_per_endpoint {
             0 => u32::MAX,
@@ -133,6 +135,7 @@
         if let Some(wait) = self.gang_wait_mut(key) {
             wait.note_answer(ticketed, fitting);
         }
+        fitting >= waiting
     }
 
     /// Records that all members of a gang were placed.
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -7,6 +7,7 @@
 mod ask;
 mod barrier;
 mod batch;
+mod call_holds;
 mod commits;
 mod crashes;
 mod endpoints;
@@ -54,6 +55,7 @@
 use admission::Admission;
 use advise::AdviceCall;
 use barrier::Barrier;
+use call_holds::GangCallHolds;
 use commits::InFlightCommit;
 use evacuations::Evacuations;
 use fair_shares::FairShares;
@@ -148,6 +150,7 @@
     next_advice: u64,
     /// Share of the endpoints that the advice service grants, by queue.
     grant_shares: BTreeMap<QueueName, GrantShare>,
+    call_holds: GangCallHolds,
     finished: VecDeque<(Millis, JobId)>,
     /// Position of the last jittered idle hold interval within its range.
     idle_jitter_permille: u64,
@@ -213,6 +216,7 @@
             advice_calls: BTreeMap::new(),
             next_advice: 0,
             grant_shares: BTreeMap::new(),
+            call_holds: GangCallHolds::default(),
             finished: VecDeque::new(),
             idle_jitter_permille: 0,
             pre_cancelled_jobs: 0,
--- a/crates/chervilfall_planner/src/planner/open.rs
+++ b/crates/chervilfall_planner/src/planner/open.rs
@@ -59,6 +59,11 @@
         self.ranks.contains_key(&key)
     }
 
+    /// Returns the rank of a step when it was last ranked.
+    pub(crate) fn rank(&self, key: StepKey) -> Option<Rank> {
+        self.ranks.get(&key).copied()
+    }
+
     /// Returns whether a step ranked as overdue when it was last ranked.
     pub(crate) fn is_overdue(&self, key: StepKey) -> bool {
         self.ranks.get(&key).is_some_and(Rank::is_overdue)
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -269,7 +269,7 @@
         ticketed.unwrap_or_default()
     }
 
-    fn usable_offers(
+    pub(super) fn usable_offers(
         &self,
         candidates: Vec<EndpointKey>,
         key: StepKey,
@@ -289,9 +289,14 @@
             fits.then_some((endpoint_key, endpoint))
         });
         let failed_on = &progress.failed_on;
+        let holds = self.holds_before(key, request);
         let offers = usable.filter_map(|(endpoint_key, endpoint)| {
             let failed = failed_on.contains(&endpoint_key);
-            self.offer(endpoint_key, endpoint, key, request.step(), failed)
+            let mut offer = self.offer(endpoint_key, endpoint, key, request.step(), failed)?;
+            for hold in &holds {
+                offer.free = offer.free.minus(hold.on(endpoint_key));
+            }
+            offer.free.can_fit(need).then_some(offer)
         });
         offers.collect()
     }
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod commit_order;
 pub(crate) mod crashes;
 pub(crate) mod fair_share;
+pub(crate) mod gang_call_hold;
 pub(crate) mod handover;
 pub(crate) mod headroom;
 pub(crate) mod node_size;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -17,6 +17,9 @@
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
+    /// While a call renews the tickets of a gang, the capacity for which it was made is kept from
+    /// latency-tolerant work of lower rank.
+    pub gang_call_hold: bool,
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
     /// Work past three times its objective starts only on capacity that no other step can use.
@@ -38,6 +41,7 @@
             advice_call_size: true,
             commit_order: true,
             fair_share: false,
+            gang_call_hold: true,
             headroom: true,
             overdue_last: true,
             overload_handover: true,
