--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -50,6 +50,7 @@
 pub use policy::admission::{
     refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing, SubmissionTimes,
 };
+pub use policy::advice_size::{call_size, CallNeed, GrantShare};
 pub use policy::commit_order::{
     CommitOrder, CommitPlan, JobTiming, ProgressKind, WaitingChanges, WaitingProgress,
     WaitingSubmission,
@@ -57,6 +58,7 @@
 pub use policy::departures::{departure_step, DepartureStep, LeaveTime, RunOutlook};
 pub use policy::failure_share::is_unsound;
 pub use policy::fair_share::{FairShare, ShareLevel, UsageByStart};
+pub use policy::gang_call_hold::{may_keep, CallHold, CallHolds};
 pub use policy::handover::{HandoverPolicy, HandoverReason, HolderTerm, LinkedNode, LoadReport};
 pub use policy::naming::{NamingCandidate, NamingOrder, NamingRank};
 pub use policy::node_size::NodeResources;
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -3,11 +3,13 @@
 use crate::advice::Advice;
 use crate::endpoint::EndpointKey;
 use crate::job::Step;
+use crate::metrics;
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
+use crate::policy::advice_size::{call_size, CallNeed, GrantShare};
 use crate::policy::naming::{NamingCandidate, NamingOrder, NamingRank};
 use crate::resources::Resources;
-use crate::tasks::StepKey;
+use crate::tasks::{StepKey, StepProgress};
 
 /// Minimum number of endpoints named in a step's first call for advice, if there are that many.
 const MIN_ENDPOINTS_PER_CALL: u32 = 30;
@@ -56,7 +58,7 @@
             1
         };
         let free_resources = |endpoint: EndpointKey| self.endpoints[endpoint].free();
-        let usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
+        let mut usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
         let max_tasks = |keys: &[EndpointKey]| -> u64 {
             keys.iter()
                 .map(|key| u64::from(free_resources(*key).max_fitting(need)))
@@ -73,7 +75,16 @@
             let stale = usable
                 .iter()
                 .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
-            return stale && self.request_advice(key, timings, &usable);
+            if !stale || !self.request_advice(key, timings, &usable) {
+                return false;
+            }
+            usable.truncate(self.limits.advice_endpoints);
+            self.keep_for_gang(pass, key, request, usable);
+            return true;
+        }
+        // The call that the hold is for names enough endpoints.
+        if self.has_call_hold(key) {
+            return false;
         }
         let max_endpoints =
             (waiting * ENDPOINTS_PER_WAITING_TASK).max(MIN_ENDPOINTS_PER_CALL) as usize;
@@ -82,11 +93,59 @@
         if calls_in_flight > 0 && left < MIN_ENDPOINTS_PER_CALL as usize {
             return false;
         }
-        let named =
+        let left = left.min(self.limits.advice_endpoints);
+        let mut named =
             self.unknown_by_free_capacity(pool, &progress.advice, request, left, free_resources);
+        let size = self.call_size(key, &progress.advice, request.step(), &usable, &named);
+        metrics::advice_endpoints_spared(named.len() - size);
+        named.truncate(size);
         !named.is_empty() && self.request_advice(key, timings, &named)
     }
 
+    /// Returns how many of the endpoints in `named` a call for a step names. `granted` are the
+    /// granted endpoints with free resources.
+    fn call_size(
+        &self,
+        key: StepKey,
+        advice: &Advice,
+        step: &Step,
+        granted: &[EndpointKey],
+        named: &[EndpointKey],
+    ) -> usize {
+        if !self.limits.policies.advice_call_size {
+            return named.len();
+        }
+        let Some(job) = self.jobs.get(&key.job) else {
+            return named.len();
+        };
+        let grants = self.grant_shares.get(&job.queue.name);
+        let Some(share) = grants.and_then(GrantShare::share) else {
+            return named.len();
+        };
+        let need = Resources::of_step(step);
+        let waiting = job.step_progress(key).map_or(0, StepProgress::waiting);
+        let max_on_one = match step.max_per_endpoint {
+            0 => waiting,
+            limit => limit.min(waiting),
+        };
+        let fitting = |key: &EndpointKey| {
+            let endpoint = self.endpoints.get(*key);
+            endpoint.map_or(0, |endpoint| {
+                endpoint.free().max_fitting(need).min(max_on_one)
+            })
+        };
+        let unknown = advice.asked_endpoints().filter(|key| !advice.allowed(*key));
+        let in_flight: Vec<u32> = unknown.map(|key| fitting(&key)).collect();
+        let candidates: Vec<u32> = named.iter().map(fitting).collect();
+        call_size(&CallNeed {
+            share,
+            waiting,
+            granted: granted.iter().map(fitting).sum(),
+            in_flight: &in_flight,
+            candidates: &candidates,
+        })
+    }
+
     /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
     /// enough free resources, then those whose speed class suits the latency class, then by free CPU.
     fn unknown_by_free_capacity(
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -7,6 +7,7 @@
 mod ask;
 mod barrier;
 mod batch;
+mod call_holds;
 mod commits;
 mod crashes;
 mod departures;
@@ -38,13 +39,14 @@
 use slotmap::SlotMap;
 
 use crate::action::{Action, Answer, StepDownReason};
-use crate::config::{Configuration, ServiceName};
+use crate::config::{Configuration, QueueName, ServiceName};
 use crate::election::{HolderRow, Takeover, LARGEST_RETENTION_MS};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::event::{Event, NodeId};
 use crate::ids::{EndpointId, Fence, JobId, Millis, RowVersion, Run, TaskKey};
 use crate::limits::Limits;
 use crate::metrics;
+use crate::policy::advice_size::GrantShare;
 use crate::policy::headroom::Headroom;
 use crate::policy::stall_timeout::CommitGaps;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
@@ -55,6 +57,7 @@
 use admission::Admission;
 use advise::AdviceCall;
 use barrier::Barrier;
+use call_holds::GangCallHolds;
 use commits::InFlightCommit;
 use departures::Departures;
 use evacuations::Evacuations;
@@ -149,6 +152,9 @@
     nodes: Vec<NodeId>,
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
+    /// Share of the endpoints that the advice service grants, by queue.
+    grant_shares: BTreeMap<QueueName, GrantShare>,
+    call_holds: GangCallHolds,
     finished: VecDeque<(Millis, JobId)>,
     /// Position of the last jittered idle hold interval within its range.
     idle_jitter_permille: u64,
@@ -214,6 +220,8 @@
             nodes: Vec::new(),
             advice_calls: BTreeMap::new(),
             next_advice: 0,
+            grant_shares: BTreeMap::new(),
+            call_holds: GangCallHolds::default(),
             finished: VecDeque::new(),
             idle_jitter_permille: 0,
             pre_cancelled_jobs: 0,
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -1,11 +1,13 @@
 //! Scheduling policies, one per file.
 
 pub(crate) mod admission;
+pub(crate) mod advice_size;
 pub(crate) mod commit_order;
 pub(crate) mod crashes;
 pub(crate) mod departures;
 pub(crate) mod failure_share;
 pub(crate) mod fair_share;
+pub(crate) mod gang_call_hold;
 pub(crate) mod handover;
 pub(crate) mod headroom;
 pub(crate) mod naming;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -9,6 +9,9 @@
     /// A job that cannot complete while it still has worth is refused when it is submitted. Off by
     /// default, because under a slow store it also refuses jobs that could be stored in time.
     pub admission_forecast: bool,
+    /// A call for advice names as many endpoints as the waiting tasks need by the share of
+    /// endpoints that were granted before.
+    pub advice_call_size: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
     /// A holder with more endpoints than its size carries calls them through followers. A follower
@@ -23,6 +26,9 @@
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
+    /// While a call renews the tickets of a gang, the capacity for which it was made is kept from
+    /// latency-tolerant work of lower rank.
+    pub gang_call_hold: bool,
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
     /// Fast calls for advice name the endpoints with the least free capacity that fits.
@@ -43,11 +49,13 @@
     fn default() -> Self {
         Self {
             admission_forecast: false,
+            advice_call_size: true,
             commit_order: true,
             endpoint_relays: true,
             departures: true,
             failure_share: true,
             fair_share: false,
+            gang_call_hold: true,
             headroom: true,
             name_least_free: true,
             overdue_last: true,
