Forecast the wait for the store from what commits have room for

Cause: the forecast took the rate of jobs stored while others waited for the rate of the store. A wave of ends takes two thirds of several batches in a row, and jobs that the store would have taken were refused. Most of them were refused because the forecast said that their commit comes too late; the store then recovered, and took all that still waited at once.

Now: - The rate follows from the rows that jobs used or could have used in the last eight commits, and from the shortest interval of the last three. - Only jobs that go into a commit before the new one count as ahead of it, and the commit in flight and the job's own commit count with their duration. - A wait for the store counts only after each commit has left jobs over for store_recovery_ms (9 s, the outages that claim_cover_ms outlasts). Until then a waiting job costs no commit, and is stored if the store recovers.

The loss is what waits for the store when it recovers, so no estimate of the rate avoids it.

The admission test's loads do not last for 9 s, so it sets the time to 0; its bounds are unchanged. A test with the default time is added: no early refusal in the first 7 s, nine of ten refusals early after 11 s.

Half of an estimate is now computed in one place, policy/estimates.rs.

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -59,6 +59,7 @@
 pub use policy::node_size::NodeResources;
 pub use policy::overdue::{has_worth, Claims};
 pub use policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
+pub use policy::store_capacity::{StoreCapacity, StoredCommit};
 pub use policy::switches::Policies;
 pub use record::{
     decode_text, JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS,
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -41,6 +41,9 @@
     /// Bytes of a commit's values that a link is expected to carry in a millisecond. Another copy
     /// is sent only when the one before has had the time to arrive, since they share the link.
     pub commit_bytes_per_ms: usize,
+    /// Time within which a store that has become slow usually recovers. It is as long as the outages
+    /// of the store that `claim_cover_ms` outlasts.
+    pub store_recovery_ms: Millis,
     /// Maximum number of submissions that wait for the store; further ones are refused immediately.
     pub accept_queue: usize,
     /// How long an endpoint may delay its answer to a hold while no run ends.
@@ -161,6 +164,7 @@
             commit_rows: 95,
             commit_bytes: 150_000,
             commit_bytes_per_ms: 600,
+            store_recovery_ms: 9_000,
             accept_queue: 1_000,
             hold_wait_ms: 600,
             hold_answer_ms: 350,
--- a/crates/chervilfall_planner/src/planner/admission.rs
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -10,11 +10,13 @@
 use crate::planner::requests::RETRY_MS;
 use crate::planner::Planner;
 use crate::policy::admission::{
-    refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing,
-    SubmissionTimes, TERM_START_MS,
+    refusal, Forecast, ForecastRefusal, RefusalCause, Stage, Standing, SubmissionTimes,
+    TERM_START_MS,
 };
+use crate::policy::commit_order::{sort_submissions, WaitingSubmission};
 use crate::policy::order::{prospect_of, Prospect};
 use crate::policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
+use crate::policy::store_capacity::{StoreCapacity, StoredCommit};
 use crate::resources::Resources;
 use crate::tasks::{Job, StepKey};
 
@@ -24,8 +26,7 @@
 /// Observations that forecasts are made from. A new holder starts without any.
 #[derive(Debug, Default)]
 pub(super) struct Admission {
-    /// Jobs stored.
-    commits: ServiceRate,
+    store: StoreCapacity,
     /// First starts of jobs, by queue.
     starts: BTreeMap<QueueName, Stage>,
     /// CPU that accounts free while work of theirs waits for it, by account.
@@ -43,14 +44,18 @@
 }
 
 impl Planner {
-    /// Records that a batch was built. If new jobs are left over, commits are the bottleneck.
+    /// Records that a batch was built. If it leaves new jobs over, commits are the bottleneck.
     pub(super) fn note_batch_built(&mut self) {
-        let waiting = !self.unsaved.new_jobs.is_empty();
-        self.admission.commits.note_waiting(self.now, waiting);
+        let left_over = !self.unsaved.new_jobs.is_empty();
+        self.admission.store.note_left_over(self.now, left_over);
     }
 
-    pub(super) fn note_job_stored(&mut self) {
-        self.admission.commits.note_served(self.now, 1);
+    /// Records that a commit is stored, and how many rows new jobs used or could have used.
+    pub(super) fn note_commit_stored(&mut self, took_ms: Millis, rows_for_jobs: usize) {
+        self.admission.store.note(StoredCommit {
+            interval_ms: took_ms.max(self.limits.commit_gap_ms),
+            rows_for_jobs,
+        });
     }
 
     /// Records the first start of a job, and how far its forecast was off.
@@ -167,19 +172,19 @@
         WaitsFor::Start
     }
 
-    /// Forecasts when a job that is not in a commit yet can first start. `commits_ahead` jobs go
-    /// into commits before it.
-    fn forecast(&self, job: &Job, commits_ahead: usize, times: SubmissionTimes) -> Forecast {
+    /// Forecasts when a job that is not in a commit yet can first start. Jobs with `rows_ahead` rows
+    /// go into commits before it.
+    fn forecast(&self, job: &Job, rows_ahead: usize, times: SubmissionTimes) -> Forecast {
         let in_term_ms = self.now.saturating_sub(self.claimed_ms);
         if !self.limits.policies.admission_forecast || in_term_ms < TERM_START_MS {
             return Forecast::default();
         }
         let admission = &self.admission;
-        let commit_ms = admission.commits.wait_ms(self.now, commits_ahead as u64);
+        let (commit_ms, storing_ms) = self.store_forecast(rows_ahead);
         let wait_ms = |stage: Option<&Stage>, slack_ms| {
             stage.map_or(0, |stage| stage.wait_ms(self.now, standing(job), slack_ms))
         };
-        let slack_ms = times.slack_ms().saturating_sub(commit_ms);
+        let slack_ms = times.slack_ms().saturating_sub(commit_ms + storing_ms);
         let start_ms = wait_ms(admission.starts.get(&job.queue.name), slack_ms);
         let quota = job
             .account
@@ -188,11 +193,56 @@
         let quota_ms = wait_ms(quota, slack_ms.saturating_sub(start_ms));
         Forecast {
             commit_ms,
+            storing_ms,
             start_ms,
             quota_ms,
         }
     }
 
+    /// Forecasts the wait until a job is in a commit behind jobs with `rows_ahead` rows, and the
+    /// duration of that commit.
+    fn store_forecast(&self, rows_ahead: usize) -> (Millis, Millis) {
+        let store = &self.admission.store;
+        if !store.stays_short(self.now, self.limits.store_recovery_ms) {
+            return (0, 0);
+        }
+        match self.commit_wait_ms(rows_ahead) {
+            0 => (0, 0),
+            commit_ms => (commit_ms, store.interval_ms()),
+        }
+    }
+
+    /// Returns how long a job waits until it is in a commit behind jobs with `rows_ahead` rows.
+    fn commit_wait_ms(&self, rows_ahead: usize) -> Millis {
+        let sent_ms = self.in_flight.as_ref().map(|commit| commit.first_sent_ms);
+        let in_flight_ms = sent_ms.map(|sent_ms| self.now.saturating_sub(sent_ms));
+        self.admission.store.wait_ms(in_flight_ms, rows_ahead)
+    }
+
+    /// Returns the rows of the waiting jobs that go into commits before one that is submitted now.
+    fn rows_ahead(&self, job: &Job) -> usize {
+        let arriving = self.waiting_submission(job);
+        let order = self.commit_order();
+        let waiting = self.uncommitted_jobs();
+        let ahead =
+            waiting.filter(|waiting| waiting.precedes(&arriving, order, self.commit_duration_ms));
+        ahead.map(|waiting| waiting.rows).sum()
+    }
+
+    /// Returns the jobs that wait for a commit, in order of arrival.
+    fn uncommitted_jobs(&self) -> impl Iterator<Item = WaitingSubmission> + '_ {
+        let jobs = self.unsaved.new_jobs.iter();
+        let jobs = jobs.filter_map(|id| self.jobs.get(id));
+        jobs.map(|job| self.waiting_submission(job))
+    }
+
+    /// Returns the jobs that wait for a commit, those that go into one first first.
+    pub(super) fn jobs_in_commit_order(&self) -> Vec<WaitingSubmission> {
+        let mut waiting: Vec<WaitingSubmission> = self.uncommitted_jobs().collect();
+        sort_submissions(&mut waiting, self.commit_order(), self.commit_duration_ms);
+        waiting
+    }
+
     /// Returns whether an account's quota lets none of the job's first steps start beside what
     /// already waits.
     fn quota_is_used_up(&self, account: AccountKey, job: &Job) -> bool {
@@ -256,11 +306,8 @@
     }
 
     /// Returns a refusal because the store does not take a job in time.
-    pub(super) fn store_refusal(&self, commits_ahead: usize) -> ForecastRefusal {
-        let wait_ms = self
-            .admission
-            .commits
-            .wait_ms(self.now, commits_ahead as u64);
+    pub(super) fn store_refusal(&self, rows_ahead: usize) -> ForecastRefusal {
+        let wait_ms = self.commit_wait_ms(rows_ahead);
         ForecastRefusal {
             cause: RefusalCause::Store,
             passes_ms: if wait_ms == 0 { RETRY_MS } else { wait_ms },
@@ -270,23 +317,23 @@
     /// Decides about a job that was just submitted, and records its forecast.
     pub(super) fn check_submission(&self, job: &mut Job) -> Option<ForecastRefusal> {
         let times = self.submission_times(job);
-        let forecast = self.forecast(job, self.unsaved.new_jobs.len(), times);
+        let forecast = self.forecast(job, self.rows_ahead(job), times);
         let known = self.limits.policies.admission_forecast;
         job.forecast_ms = known.then_some(forecast.total_ms());
         refusal(forecast, times).filter(|_| !job.retried_as_told)
     }
 
-    /// Decides again about a job that waits for a commit behind `commits_ahead` others.
+    /// Decides again about a job that waits for a commit behind jobs with `rows_ahead` rows.
     pub(super) fn recheck_submission(
         &self,
         job: &Job,
-        commits_ahead: usize,
+        rows_ahead: usize,
     ) -> Option<ForecastRefusal> {
         if job.retried_as_told {
             return None;
         }
         let times = self.submission_times(job);
-        let forecast = self.forecast(job, commits_ahead, times);
+        let forecast = self.forecast(job, rows_ahead, times);
         refusal(forecast.for_recheck(), times)
     }
 
--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -29,6 +29,8 @@
     pub(super) value_bytes: usize,
     pub(super) changes: Vec<RowChange>,
     pub(super) new_jobs: BTreeSet<JobId>,
+    /// Rows that new jobs use or could have used.
+    pub(super) rows_for_jobs: usize,
     pub(super) progress: Vec<WrittenProgress>,
     pub(super) announced: Vec<(TaskKey, EndpointKey, Run)>,
     pub(super) grantable: BTreeSet<EndpointKey>,
@@ -44,6 +46,7 @@
             value_bytes: 0,
             changes: Vec::new(),
             new_jobs: BTreeSet::new(),
+            rows_for_jobs: 0,
             progress: Vec::new(),
             announced: Vec::new(),
             grantable: BTreeSet::new(),
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -36,6 +36,8 @@
     /// When another copy is due.
     next_copy_ms: Millis,
     new_jobs: BTreeSet<JobId>,
+    /// Rows that new jobs use or could have used.
+    rows_for_jobs: usize,
     progress: Vec<WrittenProgress>,
     acknowledgements: BTreeMap<EndpointKey, u64>,
     /// Starts that may be ordered once the batch is stored.
@@ -121,6 +123,7 @@
             sent_ms: vec![self.now],
             next_copy_ms: self.now + self.commit_copy_interval_ms(builder.value_bytes),
             new_jobs: builder.new_jobs,
+            rows_for_jobs: builder.rows_for_jobs,
             progress: builder.progress,
             acknowledgements,
             announced: builder.announced,
@@ -271,6 +274,7 @@
             log::warn!(number = commit.batch.number, took_ms = took_ms; "commit was slow");
         }
         metrics::commit(took_ms);
+        self.note_commit_stored(took_ms, commit.rows_for_jobs);
         self.version = version;
         self.start_ring.stored();
         self.claim_confirmed_ms = commit.first_sent_ms;
@@ -324,7 +328,6 @@
         for to in submitters {
             self.reply(to, Answer::Accepted);
         }
-        self.note_job_stored();
         self.record_resumption(ServiceMilestone::Accepted);
         self.activate(id);
     }
--- a/crates/chervilfall_planner/src/planner/job_rows.rs
+++ b/crates/chervilfall_planner/src/planner/job_rows.rs
@@ -7,6 +7,7 @@
 use crate::policy::commit_order::{
     CommitOrder, JobTiming, ProgressKind, WaitingChanges, WaitingProgress, WaitingSubmission,
 };
+use crate::policy::order::min_remaining_ms;
 use crate::record::{encode, Owner, ENDED, JOBS, PROGRESS, TEXTS};
 use crate::tasks::{Job, OpenRows};
 
@@ -15,9 +16,6 @@
 const MAX_TEXT_IN_JOB_ROW_BYTES: usize = 1_024;
 /// Interval between log lines that say that more waits than a batch holds.
 const PRESSURE_LOG_INTERVAL_MS: Millis = 1_000;
-/// Divisor of the estimated chain of work of a job that has not started. Estimates are off by up to
-/// a factor of about two, so half of it is certain.
-const CERTAIN_CHAIN_DIVISOR: Millis = 2;
 
 /// Rows that a job's progress is written to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,18 +55,25 @@
 impl Planner {
     /// Adds changes of jobs, as far as they fit.
     pub(super) fn add_job_changes(&mut self, builder: &mut BatchBuilder) {
-        let order = if self.limits.policies.commit_order {
-            CommitOrder::Urgency
-        } else {
-            CommitOrder::Arrival
-        };
         let waiting = self.waiting_changes();
-        let plan = waiting.choose(order, builder.rows_left(), self.commit_duration_ms);
+        let submissions = waiting.submissions.len();
+        let plan = waiting.choose(
+            self.commit_order(),
+            builder.rows_left(),
+            self.commit_duration_ms,
+        );
+        let rows_before = builder.rows_left();
         for id in plan.submissions {
             if !self.add_new_job(builder, id) {
                 break;
             }
         }
+        builder.rows_for_jobs = if builder.new_jobs.len() < submissions {
+            // The bytes of a batch may have limited them more than its rows.
+            rows_before - builder.rows_left()
+        } else {
+            plan.submission_rows
+        };
         for id in plan.progress {
             if !self.add_progress(builder, id, plan.under_pressure) {
                 break;
@@ -85,20 +90,34 @@
         self.add_removals(builder);
     }
 
-    /// Returns the changes of jobs that wait for a batch. A job that was cancelled before any batch
-    /// contained it has no row of its own; its end is all that is stored.
-    fn waiting_changes(&self) -> WaitingChanges {
-        let jobs = |id: JobId| self.jobs.get(&id);
-        let submissions = self.unsaved.new_jobs.iter().copied().filter_map(jobs);
-        let submissions = submissions.filter(|job| job.outcome.is_none());
-        let submissions = submissions.map(|job| WaitingSubmission {
+    /// Returns the order in which changes go into batches.
+    pub(super) const fn commit_order(&self) -> CommitOrder {
+        if self.limits.policies.commit_order {
+            CommitOrder::Urgency
+        } else {
+            CommitOrder::Arrival
+        }
+    }
+
+    /// Returns a submission that waits for a batch.
+    pub(super) fn waiting_submission(&self, job: &Job) -> WaitingSubmission {
+        WaitingSubmission {
             id: job.id,
             beyond: job.beyond,
             priority: job.queue.priority,
             timing: self.timing(job),
             rows: 1 + usize::from(!self.stores_text_in_job_row(job)),
             missed_commits: self.unsaved.missed_submissions.of(job.id),
-        });
+        }
+    }
+
+    /// Returns the changes of jobs that wait for a batch. A job that was cancelled before any batch
+    /// contained it has no row of its own; its end is all that is stored.
+    fn waiting_changes(&self) -> WaitingChanges {
+        let jobs = |id: JobId| self.jobs.get(&id);
+        let submissions = self.unsaved.new_jobs.iter().copied().filter_map(jobs);
+        let submissions = submissions.filter(|job| job.outcome.is_none());
+        let submissions = submissions.map(|job| self.waiting_submission(job));
         let progress = self.unsaved.progress.iter().filter_map(jobs);
         let progress = progress.map(|job| WaitingProgress {
             id: job.id,
@@ -115,10 +134,10 @@
     }
 
     fn timing(&self, job: &Job) -> JobTiming {
-        let min_remaining_ms = if job.started || job.outcome.is_some() {
+        let min_remaining_ms = if job.outcome.is_some() {
             0
         } else {
-            job.chain_ms / CERTAIN_CHAIN_DIVISOR
+            min_remaining_ms(job)
         };
         JobTiming {
             age_ms: self.now.saturating_sub(job.accepted_ms),
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -1,6 +1,6 @@
 //! Handling of callers' requests.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::account::AccountName;
@@ -126,6 +126,7 @@
             .map(|name| self.accounts.key(name, self.now));
         let mut job = Job::new(id, row, self.now);
         job.account = account;
+        job.text = Some(text);
         job.refuse_at_ms = self.now + wait_ms;
         job.retried_as_told = self.is_retried_as_told(id);
         if let Some(refusal) = self.check_submission(&mut job) {
@@ -148,7 +149,6 @@
                 return;
             }
         }
-        job.text = Some(text);
         job.submitters.push(to);
         self.queue_new_job(job);
     }
@@ -195,24 +195,47 @@
     /// Refuses submissions that did not get into a batch in time and, with `recheck`, those that by
     /// a new forecast cannot complete in time. None of them is in a commit.
     pub(super) fn refuse_overdue(&mut self, recheck: bool) {
-        let mut kept = VecDeque::with_capacity(self.unsaved.new_jobs.len());
-        for id in std::mem::take(&mut self.unsaved.new_jobs) {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let refusal = if self.now >= job.refuse_at_ms {
-                Some(self.store_refusal(kept.len()))
-            } else if recheck && job.outcome.is_none() {
-                self.recheck_submission(job, kept.len())
-            } else {
-                None
-            };
-            match refusal {
-                Some(refusal) => self.refuse_waiting(id, refusal),
-                None => kept.push_back(id),
+        let mut new_jobs = self.unsaved.new_jobs.iter();
+        let is_overdue = |id| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| self.now >= job.refuse_at_ms)
+        };
+        if !recheck && !new_jobs.any(is_overdue) {
+            return;
+        }
+        let mut refusals = BTreeMap::new();
+        let mut rows_ahead = 0;
+        for waiting in self.jobs_in_commit_order() {
+            match self.refusal_of_waiting(waiting.id, rows_ahead, recheck) {
+                Some(refusal) => {
+                    refusals.insert(waiting.id, refusal);
+                }
+                None => rows_ahead += waiting.rows,
             }
         }
-        self.unsaved.new_jobs = kept;
+        let new_jobs = &mut self.unsaved.new_jobs;
+        new_jobs.retain(|id| !refusals.contains_key(id));
+        for (id, refusal) in refusals {
+            self.refuse_waiting(id, refusal);
+        }
+    }
+
+    /// Returns why a submission that waits for a commit behind jobs with `rows_ahead` rows is
+    /// refused, if it is.
+    fn refusal_of_waiting(
+        &self,
+        id: JobId,
+        rows_ahead: usize,
+        recheck: bool,
+    ) -> Option<ForecastRefusal> {
+        let job = self.jobs.get(&id)?;
+        if self.now >= job.refuse_at_ms {
+            return Some(self.store_refusal(rows_ahead));
+        }
+        if !recheck || job.outcome.is_some() {
+            return None;
+        }
+        self.recheck_submission(job, rows_ahead)
     }
 
     /// Refuses a submission that waits for a commit.
--- a/crates/chervilfall_planner/src/policy/admission.rs
+++ b/crates/chervilfall_planner/src/policy/admission.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::ids::Millis;
+use crate::policy::estimates::certain_ms;
 use crate::policy::order::OVERDUE_FACTOR;
 
 /// Time over which a rate is measured: several commits of a store that answers slowly.
@@ -19,8 +20,6 @@
 const SLOT_MS: Millis = 50;
 /// Time at the beginning of a term in which there is no forecast.
 pub(crate) const TERM_START_MS: Millis = 2_000;
-/// Estimates of work are off by a factor of up to two, so half of one is certain.
-const ESTIMATE_DIVISOR: Millis = 2;
 /// While a submission waits it is checked many times, and one low reading of a rate must not
 /// refuse it. Later forecasts are therefore divided by this.
 const RECHECK_DIVISOR: Millis = 2;
@@ -188,8 +187,10 @@
 /// Forecast of when a job can first start, as the sum of its waits.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Forecast {
-    /// Wait for its commit.
+    /// Wait until it is in a commit.
     pub commit_ms: Millis,
+    /// Duration of that commit.
+    pub storing_ms: Millis,
     /// Wait for its first start behind others.
     pub start_ms: Millis,
     /// Wait for its account's quota.
@@ -200,15 +201,21 @@
     /// Returns the time until the first start.
     #[must_use]
     pub const fn total_ms(self) -> Millis {
-        self.commit_ms
+        self.stored_ms()
             .saturating_add(self.start_ms)
             .saturating_add(self.quota_ms)
     }
 
+    /// Returns the time until it is stored.
+    #[must_use]
+    pub const fn stored_ms(self) -> Millis {
+        self.commit_ms.saturating_add(self.storing_ms)
+    }
+
     /// Returns the cause of the longest wait, and the wait.
     fn longest(self) -> (RefusalCause, Millis) {
         let waits = [
-            (RefusalCause::Store, self.commit_ms),
+            (RefusalCause::Store, self.stored_ms()),
             (RefusalCause::Starts, self.start_ms),
             (RefusalCause::Quota, self.quota_ms),
         ];
@@ -221,6 +228,7 @@
     pub const fn for_recheck(self) -> Self {
         Self {
             commit_ms: self.commit_ms / RECHECK_DIVISOR,
+            storing_ms: self.storing_ms / RECHECK_DIVISOR,
             start_ms: self.start_ms / RECHECK_DIVISOR,
             quota_ms: self.quota_ms / RECHECK_DIVISOR,
         }
@@ -245,7 +253,7 @@
     #[must_use]
     pub fn slack_ms(&self) -> Millis {
         self.objective_ms.map_or(Millis::MAX, |objective_ms| {
-            objective_ms.saturating_sub(self.waited_ms + self.chain_ms / ESTIMATE_DIVISOR)
+            objective_ms.saturating_sub(self.waited_ms + certain_ms(self.chain_ms))
         })
     }
 }
@@ -272,7 +280,7 @@
     let worthless_ms = times.objective_ms?.saturating_mul(OVERDUE_FACTOR);
     let end_ms = forecast
         .total_ms()
-        .saturating_add(times.waited_ms + times.chain_ms / ESTIMATE_DIVISOR);
+        .saturating_add(times.waited_ms + certain_ms(times.chain_ms));
     let (cause, passes_ms) = forecast.longest();
     // Without a wait there is nothing that a later attempt could avoid.
     let refused = end_ms > worthless_ms && passes_ms > 0;
--- a/crates/chervilfall_planner/src/policy/commit_order.rs
+++ b/crates/chervilfall_planner/src/policy/commit_order.rs
@@ -118,6 +118,8 @@
 pub struct CommitPlan {
     /// Jobs whose submissions are stored.
     pub submissions: Vec<JobId>,
+    /// Rows that submissions could use if more waited than the commit holds.
+    pub submission_rows: usize,
     /// Jobs whose progress is stored.
     pub progress: Vec<JobId>,
     /// More waits than the commit holds, so ends take as few rows as possible.
@@ -156,6 +158,12 @@
 }
 
 impl WaitingSubmission {
+    /// Returns whether it goes into a commit before or with a submission that arrives now.
+    #[must_use]
+    pub fn precedes(&self, arriving: &Self, order: CommitOrder, commit_ms: Millis) -> bool {
+        order == CommitOrder::Arrival || self.rank(commit_ms) <= arriving.rank(commit_ms)
+    }
+
     fn rank(&self, commit_ms: Millis) -> SubmissionRank {
         if self.missed_commits >= MAX_MISSED_COMMITS {
             return SubmissionRank::Starved;
@@ -168,6 +176,17 @@
     }
 }
 
+/// Sorts submissions that arrived in this order by when they go into a commit under pressure.
+pub fn sort_submissions(
+    submissions: &mut [WaitingSubmission],
+    order: CommitOrder,
+    commit_ms: Millis,
+) {
+    if order == CommitOrder::Urgency {
+        submissions.sort_by_key(|waiting| waiting.rank(commit_ms));
+    }
+}
+
 impl WaitingChanges {
     /// Returns whether more waits than a commit of `rows` rows holds. A change that has missed a
     /// commit shows the same, also if the bytes of a commit are what limits it.
@@ -181,14 +200,29 @@
         needed > rows || waiting.any(|(_, missed_commits)| missed_commits > 0)
     }
 
+    /// Returns how many of `rows` rows are reserved for progress if each change of it takes
+    /// `progress_rows`.
+    fn reserved_rows(
+        &self,
+        order: CommitOrder,
+        rows: usize,
+        progress_rows: impl Fn(&WaitingProgress) -> usize,
+    ) -> usize {
+        let wanted: usize = match order {
+            CommitOrder::Arrival if self.progress.is_empty() => 0,
+            CommitOrder::Arrival => rows,
+            CommitOrder::Urgency => self.progress.iter().map(progress_rows).sum(),
+        };
+        wanted.min(rows * PROGRESS_THIRDS / 3)
+    }
+
     /// Chooses the changes of a commit that has room for `rows` rows and is expected to take
     /// `commit_ms`.
     #[must_use]
     pub fn choose(mut self, order: CommitOrder, rows: usize, commit_ms: Millis) -> CommitPlan {
         let under_pressure = order == CommitOrder::Urgency && self.exceed(rows);
         if under_pressure {
-            self.submissions
-                .sort_by_key(|waiting| waiting.rank(commit_ms));
+            sort_submissions(&mut self.submissions, order, commit_ms);
             self.progress.sort_by_key(|waiting| waiting.rank(commit_ms));
         }
         let progress_rows = |waiting: &WaitingProgress| {
@@ -198,12 +232,9 @@
                 waiting.rows
             }
         };
-        let wanted: usize = match order {
-            CommitOrder::Arrival if self.progress.is_empty() => 0,
-            CommitOrder::Arrival => rows,
-            CommitOrder::Urgency => self.progress.iter().map(progress_rows).sum(),
-        };
-        let reserved = wanted.min(rows * PROGRESS_THIRDS / 3);
+        let reserved = self.reserved_rows(order, rows, progress_rows);
+        let reserved_under_pressure = self.reserved_rows(order, rows, |waiting| waiting.min_rows);
+        let submission_rows = rows - reserved_under_pressure;
         let mut left = rows - reserved;
         let submissions = self.submissions.iter();
         let submissions = submissions.take_while(|waiting| take(&mut left, waiting.rows));
@@ -213,6 +244,7 @@
         let progress = progress.take_while(|waiting| take(&mut left, progress_rows(waiting)));
         CommitPlan {
             submissions,
+            submission_rows,
             progress: progress.map(|waiting| waiting.id).collect(),
             under_pressure,
         }
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod admission;
 pub(crate) mod commit_order;
 pub(crate) mod crashes;
+pub(crate) mod estimates;
 pub(crate) mod fair_share;
 pub(crate) mod handover;
 pub(crate) mod headroom;
@@ -15,4 +16,5 @@
 pub(crate) mod share;
 pub(crate) mod speed;
 pub(crate) mod stall_timeout;
+pub(crate) mod store_capacity;
 pub(crate) mod switches;
--- a/crates/chervilfall_planner/src/policy/order.rs
+++ b/crates/chervilfall_planner/src/policy/order.rs
@@ -7,6 +7,7 @@
 //! others was requested only after their objective had passed.
 
 use crate::ids::Millis;
+use crate::policy::estimates::certain_ms;
 use crate::policy::fair_share::ShareLevel;
 use crate::policy::overdue::has_worth;
 use crate::policy::placement::LatencyClass;
@@ -111,13 +112,12 @@
     }
 }
 
-/// Returns a lower bound for the remaining time of a job. Estimates are off by up to a factor of
-/// about two, so half of the estimate is certain. For a job that has started, the remaining work is
-/// not considered.
-fn min_remaining_ms(job: &Job) -> Millis {
+/// Returns a lower bound for the remaining time of a job. For a job that has started, the remaining
+/// work is not considered.
+pub(crate) fn min_remaining_ms(job: &Job) -> Millis {
     if job.started {
         0
     } else {
-        job.chain_ms / 2
+        certain_ms(job.chain_ms)
     }
 }
--- a/crates/chervilfall_planner/tests/admission.rs
+++ b/crates/chervilfall_planner/tests/admission.rs
@@ -11,8 +11,8 @@
 
 use chervilfall_planner::{
     no_holder_retry_ms, refusal, retry_ms, Account, Answer, Attempt, Configuration, Forecast,
-    JobId, JobSpec, RefusalCause, RefusalMemory, Request, Resources, ServiceRate, Stage, Standing,
-    SubmissionTimes,
+    JobId, JobSpec, Limits, RefusalCause, RefusalMemory, Request, Resources, ServiceRate, Stage,
+    Standing, StoreCapacity, StoredCommit, SubmissionTimes,
 };
 use world::{step, World};
 
@@ -35,6 +35,7 @@
         commit_ms,
         start_ms,
         quota_ms,
+        ..Forecast::default()
     };
     let case = |name, forecast, cause| Case {
         name,
@@ -165,6 +166,8 @@
         // With these, the store would take the whole load.
         world.limits.policies.texts_in_job_rows = false;
         world.limits.policies.commit_order = false;
+        // A slow store does not recover while these loads last.
+        world.limits.store_recovery_ms = 0;
         world.queue.advice = None;
         world.queue.priority = 0;
         world.queue.stretch = 1.5;
@@ -372,6 +375,107 @@
     }
 }
 
+/// Guards against refusals of jobs that a store which recovers could have taken, and against callers
+/// who wait in vain for one that does not.
+#[test]
+fn a_slow_store_is_counted_on_to_recover_for_a_limited_time() {
+    const SECOND_MS: u64 = 1_000;
+    let mut load = Load::new(true, 10);
+    load.world.limits.store_recovery_ms = Limits::default().store_recovery_ms;
+    load.take_over();
+    load.world.store.slow_ms = 300;
+    let begin_ms = load.world.now;
+    load.submit_for(14 * SECOND_MS, 100, false);
+    load.run(3 * SECOND_MS);
+    load.check();
+    let early = |sent: &&Sent| {
+        let answer = sent.answer.filter(|_| sent.is_refused());
+        answer.is_some_and(|(_, at_ms)| at_ms < sent.at_ms + WAIT_MS)
+    };
+    let submitted = |from_s: u64, to_s: u64| {
+        let times = begin_ms + from_s * SECOND_MS..begin_ms + to_s * SECOND_MS;
+        let sent = load.sent.iter();
+        sent.filter(move |sent| times.contains(&sent.at_ms))
+    };
+    assert_eq!(submitted(0, 7).filter(early).count(), 0);
+    let refused = submitted(11, 14).filter(|sent| sent.is_refused()).count();
+    let early = submitted(11, 14).filter(early).count();
+    assert!(
+        early > 90 && early * 10 >= refused * 9,
+        "{early} of {refused}"
+    );
+}
+
+#[test]
+fn the_store_takes_as_many_jobs_as_recent_commits_had_room_for() {
+    struct Case {
+        name: &'static str,
+        /// Intervals and rows for new jobs of the commits, from the oldest on.
+        commits: Vec<(u64, usize)>,
+        in_flight_ms: Option<u64>,
+        rows_ahead: usize,
+        wait_ms: u64,
+    }
+    let case = |name, commits: &[(u64, usize)], rows_ahead, wait_ms| Case {
+        name,
+        commits: commits.to_vec(),
+        in_flight_ms: None,
+        rows_ahead,
+        wait_ms,
+    };
+    let slow = [(500, 30); 8];
+    let cases = [
+        case("too few commits", &slow[..2], 90, 0),
+        case("no room at all", &[(500, 0); 8], 90, 0),
+        case("all fit the next commit", &slow, 29, 0),
+        case("the next commit is full", &slow, 30, 500),
+        case("three commits ahead", &slow, 95, 1_500),
+        case(
+            "one commit that no ends took rows of",
+            &[&slow[..6], &[(500, 90)], &slow[..1]].concat(),
+            95,
+            1_000,
+        ),
+        case(
+            "the same long ago",
+            &[&[(500, 90)], &slow[..]].concat(),
+            95,
+            1_500,
+        ),
+        case(
+            "one fast commit",
+            &[&slow[..], &[(20, 30)]].concat(),
+            95,
+            60,
+        ),
+        case(
+            "one slow commit",
+            &[&[(20, 30); 8][..], &[(500, 30)]].concat(),
+            95,
+            60,
+        ),
+        Case {
+            in_flight_ms: Some(200),
+            ..case("a commit in flight", &slow, 95, 1_800)
+        },
+        Case {
+            in_flight_ms: Some(900),
+            ..case("an overdue commit in flight", &slow, 95, 1_500)
+        },
+    ];
+    for case in cases {
+        let mut store = StoreCapacity::default();
+        for (interval_ms, rows_for_jobs) in case.commits {
+            store.note(StoredCommit {
+                interval_ms,
+                rows_for_jobs,
+            });
+        }
+        let wait_ms = store.wait_ms(case.in_flight_ms, case.rows_ahead);
+        assert_eq!(wait_ms, case.wait_ms, "{}", case.name);
+    }
+}
+
 /// Guards against a new holder that refuses by rates which it has not observed.
 #[test]
 fn a_new_holder_accepts_until_it_has_observed_enough() {
--- a/crates/chervilfall_planner/tests/commit_order.rs
+++ b/crates/chervilfall_planner/tests/commit_order.rs
@@ -221,3 +221,21 @@
         ),
     ]);
 }
+
+/// Guards against a forecast that counts only the rows which submissions have used.
+#[test]
+fn submissions_may_use_what_progress_does_not_reserve() {
+    let cases = [
+        ("nothing waits", 0, 9),
+        ("few ends", 2, 7),
+        ("ends in plenty", 20, 3),
+    ];
+    for (name, ends, submission_rows) in cases {
+        let waiting = WaitingChanges {
+            submissions: Vec::new(),
+            progress: (1..=ends).map(|id| ended(id, 0)).collect(),
+        };
+        let plan = waiting.choose(CommitOrder::Urgency, 9, COMMIT_MS);
+        assert_eq!(plan.submission_rows, submission_rows, "{name}");
+    }
+}
--- a/crates/chervilfall_planner/tests/slow_commits.rs
+++ b/crates/chervilfall_planner/tests/slow_commits.rs
@@ -262,6 +262,22 @@
     }
 }
 
+/// Guards against a forecast that takes the rate of jobs stored so far for the rate of the store, and
+/// refuses jobs that the store could take in time.
+#[test]
+fn the_forecast_loses_nothing_while_the_store_is_slow() {
+    let [with, without] = [true, false].map(|admission_forecast| {
+        play(Policies {
+            admission_forecast,
+            ..Policies::default()
+        })
+    });
+    println!("with the forecast: {with:?}");
+    println!("without it: {without:?}");
+    assert!(with.accepted >= without.accepted, "{with:?}, {without:?}");
+    assert!(with.in_time >= without.in_time, "{with:?}, {without:?}");
+}
+
 /// Time for which a finished job can be asked for in the tests of rows.
 const STATUS_MS: u64 = 3_000;
 
