--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -65,6 +65,7 @@
 pub use policy::overdue::{has_worth, Claims};
 pub use policy::relays::{CallPath, RelayCandidate, RelayChoice, RelayHealth, RelayUse};
 pub use policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
+pub use policy::store_capacity::{StoreCapacity, StoredCommit};
 pub use policy::switches::Policies;
 pub use record::{
     decode_text, JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS,
