--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -10,7 +10,8 @@
     /// default, because under a slow store it also refuses jobs that could be stored in time.
     pub admission_forecast: bool,
     /// A call for advice names as many endpoints as the waiting tasks need by the share of
-    /// endpoints that were granted before.
+    /// endpoints that were granted before. Off by default, because shorter calls also let
+    /// latency-tolerant work take capacity that gangs wait for.
     pub advice_call_size: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
@@ -49,7 +50,7 @@
     fn default() -> Self {
         Self {
             admission_forecast: false,
-            advice_call_size: true,
+            advice_call_size: false,
             commit_order: true,
             endpoint_relays: true,
             departures: true,
