Decide on departing gangs by their first departure, and count saved work at the usual speed

Cause, found by review: a gang on two departing endpoints was decided on by the one that came first in the arena, so that it stayed when another of its endpoints left first. The time saved before a stop counted as time at the usual speed although the endpoint may be faster or slower. A report seen at the first reading counted as written just then, and a huge remaining_ms overflowed.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -232,8 +232,8 @@
         if is_new_report || entry.remaining_ms != self.entry.remaining_ms || self.seen_ms == 0 {
             let written_ms = self.report_written_ms(read_ms);
             self.leave = entry.remaining_ms.map(|left_ms| LeaveTime {
-                earliest_ms: written_ms + left_ms,
-                announced_ms: read_ms + left_ms,
+                earliest_ms: written_ms.saturating_add(left_ms),
+                announced_ms: read_ms.saturating_add(left_ms),
             });
         }
         self.seen_ms = read_ms;
@@ -243,12 +243,9 @@
         }
     }
 
-    /// Returns a lower bound of when a report was written that was first read at `read_ms`: the
-    /// previous reading did not contain it.
+    /// Returns when a report that was first read at `read_ms` was written at the earliest, if
+    /// readings of the list are at most `REPORT_WAIT_MS` apart.
     fn report_written_ms(&self, read_ms: Millis) -> Millis {
-        if self.seen_ms == 0 {
-            return read_ms;
-        }
         self.seen_ms.max(read_ms.saturating_sub(REPORT_WAIT_MS))
     }
 
--- a/crates/chervilfall_planner/src/planner/departures.rs
+++ b/crates/chervilfall_planner/src/planner/departures.rs
@@ -82,7 +82,10 @@
                 leave,
             })
         });
-        runs.collect()
+        let mut candidates: Vec<Candidate> = runs.collect();
+        // A gang is decided on by its first candidate, so the earliest departure comes first.
+        candidates.sort_by_key(|candidate| candidate.leave.earliest_ms);
+        candidates
     }
 
     /// Returns the step of a run, if the run is its task's current one and its job goes on.
@@ -241,14 +244,21 @@
         }
     }
 
-    /// Records how long a run worked whose work is in a checkpoint.
-    pub(super) fn note_saved_work(&mut self, task: TaskKey, since_ms: Millis, checkpoint: &str) {
+    /// Records the work of a run on an endpoint that is in a checkpoint.
+    pub(super) fn note_saved_work(
+        &mut self,
+        key: EndpointKey,
+        task: TaskKey,
+        since_ms: Millis,
+        checkpoint: &str,
+    ) {
         let ran_ms = self.now.saturating_sub(since_ms);
+        let worked_ms = self.endpoints[key].speed.usual_ms(ran_ms);
         let job = self.jobs.get_mut(&task.job);
         let progress = job.and_then(|job| job.step_progress_mut(task.step_key()));
         let entry = progress.and_then(|progress| progress.tasks.get_mut(task.index as usize));
         if let Some(entry) = entry.filter(|_| !checkpoint.is_empty()) {
-            entry.saved_ms += ran_ms;
+            entry.saved_ms += worked_ms;
         }
     }
 }
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -25,7 +25,7 @@
                     self.record_duration(key, task, since_ms);
                 }
                 (EndReason::Stopped, Some(since_ms)) => {
-                    self.note_saved_work(task, since_ms, &end.checkpoint);
+                    self.note_saved_work(key, task, since_ms, &end.checkpoint);
                 }
                 _ => {}
             }
--- a/crates/chervilfall_planner/src/policy/speed.rs
+++ b/crates/chervilfall_planner/src/policy/speed.rs
@@ -72,6 +72,13 @@
         (usual_ms as f64 / self.relative) as Millis
     }
 
+    /// Returns how long work that takes `own_ms` at this speed takes at the usual one.
+    // Durations are far below the precision limit of a float, and the speed is positive.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(crate) fn usual_ms(self, own_ms: Millis) -> Millis {
+        (own_ms as f64 * self.relative) as Millis
+    }
+
     /// Returns the speed class.
     pub(crate) const fn speed_class(self) -> SpeedClass {
         self.speed_class
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -37,7 +37,7 @@
     pub(crate) state: TaskState,
     pub(crate) last_run: Run,
     pub(crate) checkpoint: String,
-    /// Duration of the runs whose work is in the checkpoint, as far as this holder knows.
+    /// Work in the checkpoint, as time at the usual speed, as far as this holder knows.
     pub(crate) saved_ms: Millis,
     pub(crate) failed: Vec<Run>,
     /// Runs that may have crashed their endpoints.
--- a/crates/chervilfall_planner/tests/departures.rs
+++ b/crates/chervilfall_planner/tests/departures.rs
@@ -236,6 +236,26 @@
     }
 }
 
+/// Guards against a gang that is kept until the last of its endpoints leaves, and loses its work when
+/// the first one does.
+#[test]
+fn a_gang_is_saved_before_the_first_of_its_endpoints_leaves() {
+    let mut world = open(4, true);
+    let gang = Step {
+        checkpointing: true,
+        gang: true,
+        ..step(8, 9_000)
+    };
+    assert_eq!(world.submit(1, job(gang)), Answer::Accepted);
+    world.run(500);
+    announce(&mut world, 2, 3_000);
+    announce(&mut world, 1, 7_000);
+    world.run(3_500);
+    assert_eq!(ends(&world, Some(EndReason::Stopped)).0, 8);
+    assert_eq!(ends(&world, None).0, 0);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 #[test]
 fn services_move_as_far_as_their_rule_of_unavailability_allows() {
     for (max_unavailable, lost) in [(0, 4), (1, 0), (2, 0)] {
