Prefer warm endpoints for latency-sensitive work

Cause: an endpoint reports for how much longer it is slow after its start (cold_left_ms), but the field was not used. Short work went to cold endpoints while warm ones had room.

Ruled out: a lower speed class for cold endpoints. Latency-tolerant work prefers slow endpoints, so it would have been drawn to them.

Change: for latency-sensitive work a cold endpoint ranks after all warm ones that are not lagging, in the place of the speed class. Other work ranks endpoints as before. The switch is policies.warm_endpoints. The order in which advice calls name endpoints is unchanged.

Tests: speed_and_headroom, fleet and histories of the planner, entries and drains of the adapter pass.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -56,6 +56,8 @@
     /// For how much longer a draining endpoint will exist at least, when it wrote the report; none
     /// if it does not say.
     pub remaining_ms: Option<Millis>,
+    /// For how much longer the endpoint was slow after its start, when it wrote the report.
+    pub cold_left_ms: Millis,
 }
 
 /// Maximum time that a report is assumed to have waited to be read: the list is read twice a
@@ -94,6 +96,8 @@
     seen_ms: Millis,
     /// When it may leave, by its latest report.
     leave: Option<LeaveTime>,
+    /// Until when it is slow after its start, by its latest report.
+    cold_until_ms: Millis,
     /// It refuses starts that exceed its capacity.
     pub(crate) enforces_capacity: bool,
     /// It has answered a hold of this planner and therefore refuses orders of earlier holders.
@@ -150,6 +154,7 @@
             reported_ms: 0,
             seen_ms: 0,
             leave: None,
+            cold_until_ms: 0,
             enforces_capacity: false,
             contacted: false,
             lists_incomplete: false,
@@ -193,6 +198,7 @@
             next.reported_ms = before.reported_ms;
             next.seen_ms = before.seen_ms;
             next.leave = before.leave;
+            next.cold_until_ms = before.cold_until_ms;
         }
         next
     }
@@ -228,6 +234,7 @@
             (entry.born_ms, entry.report) != (self.entry.born_ms, self.entry.report);
         if is_new_report || self.reported_ms == 0 {
             self.reported_ms = read_ms;
+            self.cold_until_ms = read_ms + entry.cold_left_ms;
         }
         if is_new_report || entry.remaining_ms != self.entry.remaining_ms || self.seen_ms == 0 {
             let written_ms = self.report_written_ms(read_ms);
@@ -258,6 +265,11 @@
         self.leave.filter(|_| known)
     }
 
+    /// Returns whether it is still slow after its start.
+    pub(crate) const fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until_ms
+    }
+
     /// Returns whether its reported capacity is recent enough to start runs, because the capacity
     /// may have shrunk since the report.
     pub(crate) fn capacity_is_known(&self, now: Millis, limits: &Limits) -> bool {
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -34,6 +34,7 @@
             report: 0,
             born_ms: rostered.born_ms,
             remaining_ms: None,
+            cold_left_ms: 0,
         };
         let key = self.add_endpoint(entry, false);
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -335,6 +335,7 @@
             recent_failures: 0,
             near,
             speed_class: self.speed_class(endpoint),
+            cold: self.limits.policies.warm_endpoints && endpoint.is_cold(self.now),
         })
     }
 
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -12,6 +12,9 @@
 /// Objective from which work is latency-tolerant: it completes in time even on a slow endpoint.
 const TOLERANT_PERCENT: u64 = 350;
 
+/// Rank of a cold endpoint for latency-sensitive work: the last before lagging endpoints.
+const COLD_RANK: i8 = i8::MAX - 1;
+
 /// Latency class of a job, which determines the preferred speed of its endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LatencyClass {
@@ -68,6 +71,8 @@
     pub(crate) near: bool,
     /// Speed class of the endpoint.
     pub(crate) speed_class: SpeedClass,
+    /// The endpoint is slow after its start.
+    pub(crate) cold: bool,
 }
 
 impl Offer {
@@ -76,6 +81,17 @@
         self.max_new_tasks -= 1;
     }
 
+    /// Returns the rank of its speed; the lowest rank is preferred. For latency-sensitive work a
+    /// cold endpoint ranks after all warm ones that are not lagging.
+    fn speed_rank(&self, latency_class: LatencyClass) -> i8 {
+        let rank = latency_class.rank(self.speed_class);
+        if self.cold && latency_class == LatencyClass::Sensitive {
+            rank.max(COLD_RANK)
+        } else {
+            rank
+        }
+    }
+
     /// Returns the maximum number of tasks that it can be given.
     pub(crate) fn max_fitting(&self, need: Resources) -> u32 {
         self.free.max_fitting(need).min(self.max_new_tasks)
@@ -101,7 +117,7 @@
                 offer.failed,
                 offer.recent_failures,
                 !offer.near,
-                latency_class.rank(offer.speed_class),
+                offer.speed_rank(latency_class),
                 offer.free.cpu_milli,
                 offer.free.memory_mb,
             )
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -32,6 +32,8 @@
     pub spread_retries: bool,
     /// Short texts are stored in the rows of their jobs.
     pub texts_in_job_rows: bool,
+    /// Latency-sensitive work prefers endpoints that are not slow after their start.
+    pub warm_endpoints: bool,
 }
 
 impl Default for Policies {
@@ -48,6 +50,7 @@
             speed: true,
             spread_retries: true,
             texts_in_job_rows: true,
+            warm_endpoints: true,
         }
     }
 }
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -209,6 +209,7 @@
         report: 1,
         born_ms: None,
         remaining_ms: None,
+        cold_left_ms: 0,
     }
 }
 
--- a/crates/chervilfall_planner/tests/speed_and_headroom.rs
+++ b/crates/chervilfall_planner/tests/speed_and_headroom.rs
@@ -217,3 +217,63 @@
     let waits = waits_ms(&world, &submitted);
     assert!(waits[0] <= 250, "{waits:?}");
 }
+
+/// Guards against short work on endpoints that have just started while warm ones have room.
+#[test]
+fn short_work_prefers_warm_endpoints_where_there_is_room() {
+    struct Case {
+        name: &'static str,
+        warm_endpoints: bool,
+        /// Cores that the short jobs of one moment need; the warm endpoints have 24.
+        cores: u32,
+        /// Time for which the cold endpoints say to be cold.
+        cold_ms: u64,
+        /// Fewest and most of the starts on cold endpoints, in percent.
+        cold_percent: [usize; 2],
+    }
+    let case = |name, warm_endpoints, cores, cold_ms, cold_percent| Case {
+        name,
+        warm_endpoints,
+        cores,
+        cold_ms,
+        cold_percent,
+    };
+    let cases = [
+        case("room on warm ones", true, 2, 60_000, [0, 0]),
+        case("without the policy", false, 2, 60_000, [50, 100]),
+        case("warm again", true, 2, 1_000, [50, 100]),
+        case("no room on warm ones", true, 36, 60_000, [30, 40]),
+    ];
+    for case in cases {
+        let mut world = World::new(3, ENDPOINTS, 3);
+        world.limits.policies.warm_endpoints = case.warm_endpoints;
+        world.queue = latency_sensitive_queue(&world.queue);
+        // Without a difference the first endpoints are preferred.
+        let cold_until_ms = world.now + case.cold_ms;
+        for endpoint in world.endpoints.values_mut().take(3) {
+            endpoint.cold_until_ms = cold_until_ms;
+        }
+        world.run(2_500);
+        for id in FIRST_SHORT..FIRST_SHORT + 5 {
+            assert_eq!(
+                world.submit(id, job(step(case.cores, SHORT_MS))),
+                Answer::Accepted
+            );
+            world.run(1_500);
+        }
+        let starts = |cold: bool| -> usize {
+            let endpoints = world.endpoints.values();
+            let such = endpoints.filter(|endpoint| (endpoint.cold_until_ms > 0) == cold);
+            such.map(|endpoint| endpoint.starts.len()).sum()
+        };
+        let percent = starts(true) * 100 / (starts(true) + starts(false));
+        println!("{}: {percent}% of the starts on cold endpoints", case.name);
+        let [least, most] = case.cold_percent;
+        assert!(
+            (least..=most).contains(&percent),
+            "{}: {percent}%",
+            case.name
+        );
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -131,6 +131,8 @@
     pub fails_all: bool,
     /// Percentage of runs that fail.
     pub fail_percent: u64,
+    /// Until when it says that it is slow after its start.
+    pub cold_until_ms: u64,
     /// Work takes between half of its estimate and twice of it.
     pub rough_estimates: bool,
     /// Speed of its work in percent of the normal speed.
@@ -186,6 +188,7 @@
             domain: 0,
             fails_all: false,
             fail_percent: 2,
+            cold_until_ms: 0,
             rough_estimates: false,
             speed_percent: 100,
             rack: None,
@@ -222,6 +225,7 @@
             report: self.reports,
             born_ms: self.born_ms,
             remaining_ms: self.leaves_ms.map(|at_ms| at_ms.saturating_sub(now)),
+            cold_left_ms: self.cold_until_ms.saturating_sub(now),
         }
     }
 
