--- a/crates/chervilfall_node/src/control/relays.rs
+++ b/crates/chervilfall_node/src/control/relays.rs
@@ -19,7 +19,8 @@
 /// Size of an order without its texts, in bytes.
 const ORDER_BYTES: usize = 256;
 /// Time beyond an order's own timeout after which it counts as not answered: orders and answers
-/// are on a link for 0.05 s each if it is busy, and a small relay is scheduled late.
+/// are on a link for 0.05 s each if it is busy, and a small relay is scheduled late. The relay may
+/// still begin the order after this; the planner treats it as one that may be carried out late.
 const TRANSIT_MS: Millis = 150;
 
 /// Followers that can relay orders, by failure domain.
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -28,4 +28,6 @@
 pub use routes::{Route, RouteTable};
 pub use settings::{changed_fields, read_text, Settings, SettingsError, TightBound, Timings};
 pub use wait_bounds::WaitBounds;
+// Public for the test of a reading that begins with its process.
+#[doc(hidden)]
 pub use watch::readings::{HedgedReads, ReadEvent, ReadingTimes};
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -194,7 +194,8 @@
     ) -> impl Future<Output = Result<ConfigurationReading, StoreError>> + Send;
 }
 
-/// Timeout of a start or a stop, in milliseconds: many times what a healthy endpoint needs to answer.
+/// Timeout of a start or a stop, in milliseconds: many times what a healthy endpoint needs to
+/// answer.
 pub const ORDER_TIMEOUT_MS: Millis = 500;
 
 /// Sends orders to endpoints.
--- a/crates/chervilfall_node/tests/readings.rs
+++ b/crates/chervilfall_node/tests/readings.rs
@@ -9,9 +9,9 @@
     max_arrival_ms: 400,
 };
 
-/// Guards against an answer that is discarded because its reading began in the first millisecond of the process: a node
-/// whose other readings are not answered then never has a configuration. This is the only test of its process, so that
-/// its reading begins there.
+/// Guards against an answer that is discarded because its reading began in the first millisecond of
+/// the process: a node whose other readings are not answered then never has a configuration. This is
+/// the only test of its process, so that its reading begins there.
 #[tokio::test]
 async fn a_reading_of_the_first_millisecond_is_answered() {
     let mut readings = HedgedReads::new("configuration", TIMES);
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -94,7 +94,7 @@
     Room,
     /// The ticket is not valid.
     Ticket,
-    /// It is unhealthy or overloaded.
+    /// It is unhealthy or overloaded, or the order was not sent to it.
     Unhealthy,
     /// It considers the order malformed.
     Malformed,
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -147,7 +147,8 @@
     }
 
     /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
-    /// enough free resources, then those whose speed class suits the latency class, then by free CPU.
+    /// enough free resources, then those whose speed class suits the latency class, then by free
+    /// CPU.
     fn unknown_by_free_capacity(
         &self,
         pool: &[EndpointKey],
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -98,9 +98,10 @@
     }
 }
 
-/// Picks endpoints for up to `count` tasks. Prefers endpoints where the step has not failed, then
-/// for a step that has failed those with the fewest recent failures, then near ones, then those of the preferred speed class, then those with the least free CPU, which
-/// preserves large free capacity for wide tasks.
+/// Picks endpoints for up to `count` tasks. Prefers endpoints where the step has not failed, then,
+/// for a step that has failed, those with the fewest recent failures, then near ones, then those of
+/// the preferred speed class, then those with the least free CPU, which preserves large free
+/// capacity for wide tasks.
 pub(crate) fn pick_endpoints(
     offers: &mut [Offer],
     need: Resources,
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -15,12 +15,12 @@
     pub advice_call_size: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
-    /// A holder with more endpoints than its size carries calls them through followers. A follower
-    /// relays orders only if this is on.
-    pub endpoint_relays: bool,
     /// Runs that an endpoint's announced departure would end are stopped with a checkpoint, or
     /// restarted elsewhere while they are young.
     pub departures: bool,
+    /// A holder with more endpoints than its size carries calls them through followers. A follower
+    /// relays orders only if this is on.
+    pub endpoint_relays: bool,
     /// Endpoints that fail many of their latest runs are quarantined, and tasks that have failed
     /// prefer endpoints without recent failures.
     pub failure_share: bool,
@@ -54,8 +54,8 @@
             admission_forecast: false,
             advice_call_size: false,
             commit_order: true,
-            endpoint_relays: true,
             departures: true,
+            endpoint_relays: true,
             failure_share: true,
             fair_share: false,
             gang_call_hold: true,
--- a/crates/chervilfall_planner/tests/naming.rs
+++ b/crates/chervilfall_planner/tests/naming.rs
@@ -113,8 +113,8 @@
     }
 }
 
-/// Guards against a stream of short requests that takes a little of every empty endpoint although there is room beside
-/// other work, so that no gang finds endpoints with room for several members.
+/// Guards against a stream of short requests that takes a little of every empty endpoint although
+/// there is room beside other work, so that no gang finds endpoints with room for several members.
 #[test]
 fn a_stream_of_short_requests_leaves_empty_endpoints_empty() {
     struct Case {
