Rank relays with a cheap mix of hashes

Cause: when a follower joins or leaves, the control thread ranks all followers of its domain for all endpoints there. After a takeover the followers become steady one after the other, so this happens several times.

Change: names are hashed as before, and a pair is mixed with two multiplications.

Tests run: planner relays 3 (the one that asks for even shares and few moves included) and handover 6, adapter relays 3, link_versions 4; all pass.

--- a/crates/chervilfall_planner/src/policy/relays.rs
+++ b/crates/chervilfall_planner/src/policy/relays.rs
@@ -24,6 +24,9 @@
 /// which the next relay is used then.
 const NEXT_RELAY_MS: Millis = 10_000;
 
+/// Odd multiplier of a multiplicative hash: 2^64 divided by the golden ratio.
+const HASH_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Determines whether the holder uses relays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayUse {
@@ -84,7 +87,7 @@
 
     /// Returns the rank for an endpoint. A node that has two links is reached over the later one.
     fn rank(&self, endpoint_hash: u64) -> (u64, NodeId) {
-        (hash(&(self.name_hash, endpoint_hash)), self.link)
+        (mix(self.name_hash ^ endpoint_hash), self.link)
     }
 }
 
@@ -129,6 +132,13 @@
     }
 }
 
+/// Spreads the difference of two hashes over all bits. Ranks of all endpoints and followers of a
+/// domain are compared whenever a follower joins or leaves, so this is cheaper than a hasher.
+const fn mix(value: u64) -> u64 {
+    let value = value.wrapping_mul(HASH_MULTIPLIER);
+    (value ^ (value >> 32)).wrapping_mul(HASH_MULTIPLIER)
+}
+
 fn hash<T: Hash + ?Sized>(value: &T) -> u64 {
     let mut hasher = DefaultHasher::new();
     value.hash(&mut hasher);
