--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -18,7 +18,7 @@
     lapse_ms: Millis,
     /// Endpoints that have not reported their runs yet.
     missing: BTreeMap<EndpointKey, MissingEndpoint>,
-    /// Inherited jobs that have ended, with the steps that their runs belong to.
+    /// Inherited jobs that have ended and whose steps are known. Their runs may still be in progress.
     ended_jobs: BTreeSet<JobId>,
 }
 
