Tell refused callers a time that follows from the cause, and log all refusals alike

Cause: submissions refused because a job could not be looked up were told a constant 1 s, also when the group was given up, and those that the store did not take in time were told 1 s plus jitter if nothing was known of its rate. The former and those refused at the end of a term were neither counted nor logged. The line "too many wait for the store" had no account and forecast.

- A refusal for the store is told at least the time that the store has not answered, with the jitter of policy/retry_time.rs.
- All these refusals are counted by reason and logged with account, cause and, if forecasts are on, forecast.
Two new lines: "refused, the job could not be looked up" and "refused, the group is given up"; burn rates count them.
- chervilfall_forecast_error_seconds leaves out forecasts of 0, which are counted in chervilfall_forecasts_without_wait_total.
- submit is split; one hash of a job's id serves retry times and the sample of jobs whose waits are logged.

The new test of retry times was red with the constant as the base: 1,023 to 1,172 ms for a store that had not answered for 465 ms.

The forecast stays off by default.

Left: the adapter still tells 1 s when it has no configuration or cannot confirm it (platform/src/callers.rs).

--- a/crates/chervilfall_planner/src/ids.rs
+++ b/crates/chervilfall_planner/src/ids.rs
@@ -17,10 +17,21 @@
 /// Number of a run of a task. It increases with every start of that task.
 pub type Run = u64;
 
+/// Odd multiplier of a multiplicative hash: 2^64 divided by the golden ratio.
+const HASH_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Identifier of a job, chosen by its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(pub u64);
 
+impl JobId {
+    /// Returns a hash that is the same at all nodes. Its high bits are evenly spread, also those of
+    /// consecutive identifiers.
+    pub(crate) const fn spread_hash(self) -> u64 {
+        self.0.wrapping_mul(HASH_MULTIPLIER)
+    }
+}
+
 /// Error for a text that is not a valid job identifier.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -42,11 +42,17 @@
         .record(seconds(waited_ms));
 }
 
-/// Records by how much the forecast of a job's first start was off, by the queue's priority.
-pub(crate) fn forecast_error(priority: u32, error_ms: Millis) {
+/// Records by how much the forecast of a job's first start was off, by the queue's priority. A
+/// forecast of 0 is counted only: nothing was known to wait for, and its small error would hide the
+/// errors of the others.
+pub(crate) fn forecast(priority: u32, forecast_ms: Millis, waited_ms: Millis) {
     let priority = priority.to_string();
+    if forecast_ms == 0 {
+        counter!("chervilfall_forecasts_without_wait_total", "priority" => priority).increment(1);
+        return;
+    }
     histogram!("chervilfall_forecast_error_seconds", "priority" => priority)
-        .record(seconds(error_ms));
+        .record(seconds(forecast_ms.abs_diff(waited_ms)));
 }
 
 /// Maximum number of accounts shown in metrics, because each adds time series of its own.
--- a/crates/chervilfall_planner/src/planner/admission.rs
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -68,7 +68,7 @@
         }
         if let Some(forecast_ms) = job.forecast_ms {
             let waited_ms = self.now.saturating_sub(job.accepted_ms);
-            metrics::forecast_error(job.queue.priority, forecast_ms.abs_diff(waited_ms));
+            metrics::forecast(job.queue.priority, forecast_ms, waited_ms);
         }
     }
 
@@ -220,7 +220,7 @@
     }
 
     /// Returns the rows of the waiting jobs that go into commits before one that is submitted now.
-    fn rows_ahead(&self, job: &Job) -> usize {
+    pub(super) fn rows_ahead(&self, job: &Job) -> usize {
         let arriving = self.waiting_submission(job);
         let order = self.commit_order();
         let waiting = self.uncommitted_jobs();
@@ -276,8 +276,9 @@
         }
     }
 
-    /// Returns when the caller of a job should retry that this holder refuses because it ends.
-    pub(super) fn step_down_retry_ms(&self, id: JobId) -> Millis {
+    /// Returns when the caller of a job should retry that this holder does not answer, because it
+    /// ends or cannot look up the job.
+    pub(super) fn unanswered_retry_ms(&self, id: JobId) -> Millis {
         if self.limits.policies.spread_retries {
             no_holder_retry_ms(id)
         } else {
@@ -307,17 +308,22 @@
 
     /// Returns a refusal because the store does not take a job in time.
     pub(super) fn store_refusal(&self, rows_ahead: usize) -> ForecastRefusal {
-        let wait_ms = self.commit_wait_ms(rows_ahead);
+        // A store that does not answer is expected to take as long again as it has until now.
+        let unanswered_ms = self.claim_age_ms(self.now);
         ForecastRefusal {
             cause: RefusalCause::Store,
-            passes_ms: if wait_ms == 0 { RETRY_MS } else { wait_ms },
+            passes_ms: self.commit_wait_ms(rows_ahead).max(unanswered_ms),
         }
     }
 
     /// Decides about a job that was just submitted, and records its forecast.
-    pub(super) fn check_submission(&self, job: &mut Job) -> Option<ForecastRefusal> {
+    pub(super) fn check_submission(
+        &self,
+        job: &mut Job,
+        rows_ahead: usize,
+    ) -> Option<ForecastRefusal> {
         let times = self.submission_times(job);
-        let forecast = self.forecast(job, self.rows_ahead(job), times);
+        let forecast = self.forecast(job, rows_ahead, times);
         let known = self.limits.policies.admission_forecast;
         job.forecast_ms = known.then_some(forecast.total_ms());
         refusal(forecast, times).filter(|_| !job.retried_as_told)
--- a/crates/chervilfall_planner/src/planner/history.rs
+++ b/crates/chervilfall_planner/src/planner/history.rs
@@ -11,8 +11,9 @@
 use crate::action::{Action, Answer, ReplyTo};
 use crate::event::Request;
 use crate::ids::{JobId, Millis};
-use crate::planner::requests::RETRY_MS;
+use crate::planner::requests::record_unknown_refusal;
 use crate::planner::Planner;
+use crate::policy::admission::RefusalCause;
 use crate::record::ProgressRow;
 
 /// Upper limit on the texts that are read ahead of the others at the same time.
@@ -86,7 +87,8 @@
             }
             LookupResult::Failed => {
                 for (to, request) in waiting {
-                    self.reply(to, lookup_failed_answer(&request));
+                    let answer = self.lookup_failed_answer(id, &request);
+                    self.reply(to, answer);
                 }
                 return;
             }
@@ -96,6 +98,18 @@
         }
     }
 
+    /// Returns the answer to a request about a job that the store could not look up.
+    fn lookup_failed_answer(&mut self, id: JobId, request: &Request) -> Answer {
+        let passes_ms = self.claim_age_ms(self.now);
+        let retry_ms = match request {
+            Request::Submit { queue, .. } => self.told_retry_ms(id, queue.priority, passes_ms),
+            _ => self.unanswered_retry_ms(id),
+        };
+        let event = "refused, the job could not be looked up";
+        record_unknown_refusal(request, RefusalCause::Store.label(), retry_ms, event);
+        not_looked_up_answer(request, retry_ms)
+    }
+
     /// Restores finished jobs from their rows.
     pub(super) fn restore_ended(&mut self, rows: Vec<(JobId, ProgressRow)>) {
         for (id, row) in rows {
@@ -161,11 +175,11 @@
     }
 }
 
-/// Returns the answer to a request about a job that could not be looked up; nothing was changed.
-pub(super) const fn lookup_failed_answer(request: &Request) -> Answer {
+/// Returns the answer to a request about a job that was not looked up; nothing was changed.
+pub(super) const fn not_looked_up_answer(request: &Request, retry_ms: Millis) -> Answer {
     match request {
-        Request::Submit { .. } => Answer::Refused { retry_ms: RETRY_MS },
-        Request::Cancel { .. } => Answer::NotCancelled { retry_ms: RETRY_MS },
+        Request::Submit { .. } => Answer::Refused { retry_ms },
+        Request::Cancel { .. } => Answer::NotCancelled { retry_ms },
         Request::State { .. } | Request::Waiting { .. } => Answer::Undecided,
     }
 }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -61,10 +61,15 @@
 use history::History;
 pub use history::LookupResult;
 use open::OpenSteps;
+use requests::{record_unknown_refusal, RETRY_MS};
 use stopping::Stopping;
 use unsaved::UnsavedChanges;
 use waiting::WaitingSteps;
 
+/// Label of the metric, and log line, of submissions that are refused when the group is given up.
+const NO_HOLDER: &str = "no_holder";
+const GIVEN_UP_EVENT: &str = "refused, the group is given up";
+
 /// State of a group, as read from its rows in the store.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct StoredGroup {
@@ -464,7 +469,11 @@
     /// outcome of all others is undecided.
     fn answer_on_step_down(&mut self) {
         for (to, request) in self.history.take_waiting() {
-            let answer = history::lookup_failed_answer(&request);
+            let retry_ms = request
+                .job()
+                .map_or(RETRY_MS, |id| self.unanswered_retry_ms(id));
+            record_unknown_refusal(&request, NO_HOLDER, retry_ms, GIVEN_UP_EVENT);
+            let answer = history::not_looked_up_answer(&request, retry_ms);
             self.actions.push(Action::Reply { to, answer });
         }
         let sent = self.in_flight.as_ref();
@@ -473,9 +482,11 @@
             let answer = if in_flight || job.stored {
                 Answer::Undecided
             } else {
-                Answer::Refused {
-                    retry_ms: self.step_down_retry_ms(job.id),
+                let retry_ms = self.unanswered_retry_ms(job.id);
+                if !job.submitters.is_empty() {
+                    self.record_refusal(job, NO_HOLDER, retry_ms, GIVEN_UP_EVENT);
                 }
+                Answer::Refused { retry_ms }
             };
             for to in &job.submitters {
                 self.actions.push(Action::Reply { to: *to, answer });
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -12,15 +12,49 @@
 use crate::job::JobSpec;
 use crate::metrics;
 use crate::planner::Planner;
-use crate::policy::admission::{ForecastRefusal, RefusalCause};
+use crate::policy::admission::ForecastRefusal;
 use crate::policy::share::ShareAdmission;
 use crate::record::{encode, JobRow};
 use crate::tasks::{Job, TaskState};
 
-/// Time after which a refused caller should retry: about the length of a takeover or a short
-/// outage.
+/// Time after which a refused caller should retry if retries are not spread: about the length of a
+/// takeover or a short outage.
 pub(super) const RETRY_MS: Millis = 1_000;
 
+/// Records the refusal of a submission that no job was made of, so that there is no forecast.
+pub(super) fn record_unknown_refusal(
+    request: &Request,
+    cause: &'static str,
+    retry_ms: Millis,
+    event: &'static str,
+) {
+    let Request::Submit {
+        queue, id, account, ..
+    } = request
+    else {
+        return;
+    };
+    metrics::refused(cause);
+    log::info!(
+        job:% = id, queue = queue.name.as_str(), account = account.as_deref(), cause = cause,
+        retry_ms = retry_ms;
+        "{event}"
+    );
+}
+
+/// Log line of a refusal that a forecast decides.
+const FORECAST_EVENT: &str = "refused by forecast";
+
+/// A job as its caller submits it.
+struct Submission {
+    queue: Queue,
+    id: JobId,
+    spec: JobSpec,
+    /// How long it may wait for a commit.
+    wait_ms: Millis,
+    account: Option<AccountName>,
+}
+
 impl Planner {
     pub(super) fn handle_request(&mut self, to: ReplyTo, request: Request) {
         if self.defer_until_looked_up(to, &request) {
@@ -33,7 +67,16 @@
                 spec,
                 wait_ms,
                 account,
-            } => self.submit(to, queue, id, spec, wait_ms, account),
+            } => {
+                let submission = Submission {
+                    queue,
+                    id,
+                    spec,
+                    wait_ms,
+                    account,
+                };
+                self.submit(to, submission);
+            }
             Request::State { id, asker } if self.is_foreign_job(id, &asker) => {
                 self.reply(to, Answer::Unknown);
             }
@@ -66,111 +109,149 @@
         self.actions.push(Action::Reply { to, answer });
     }
 
-    fn submit(
-        &mut self,
-        to: ReplyTo,
-        queue: Queue,
-        id: JobId,
-        mut spec: JobSpec,
-        wait_ms: Millis,
-        account: Option<AccountName>,
-    ) {
+    fn submit(&mut self, to: ReplyTo, submission: Submission) {
+        let id = submission.id;
         let asker = Asker {
-            account: account.clone(),
-            queue: queue.name.clone(),
+            account: submission.account.clone(),
+            queue: submission.queue.name.clone(),
         };
         if self.is_foreign_job(id, &asker) {
             log::info!(job:% = id; "refused, another account has a job of this name");
             self.reply(to, Answer::NameTaken);
             return;
         }
-        if let Some(job) = self.jobs.get_mut(&id) {
-            if job.pre_cancelled {
-                self.accept_pre_cancelled(to, id);
-            } else if job.stored && job.submitters.is_empty() {
-                self.reply(to, Answer::Accepted);
-            } else {
+        if self.jobs.contains_key(&id) {
+            self.submit_known_job(to, id);
+            return;
+        }
+        match self.admit(submission) {
+            Ok(mut job) => {
                 job.submitters.push(to);
+                self.queue_new_job(job);
             }
+            Err(answer) => self.reply(to, answer),
+        }
+    }
+
+    fn submit_known_job(&mut self, to: ReplyTo, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
             return;
+        };
+        if job.pre_cancelled {
+            self.accept_pre_cancelled(to, id);
+        } else if job.stored && job.submitters.is_empty() {
+            self.reply(to, Answer::Accepted);
+        } else {
+            job.submitters.push(to);
         }
+    }
+
+    /// Decides whether a new job is accepted.
+    ///
+    /// # Errors
+    ///
+    /// The answer to its caller if it is not.
+    fn admit(&mut self, submission: Submission) -> Result<Job, Answer> {
+        let mut job = self.new_job(submission)?;
+        let rows_ahead = self.rows_ahead(&job);
+        let refusal = self.check_submission(&mut job, rows_ahead);
         if self.unsaved.new_jobs.len() >= self.limits.accept_queue {
-            metrics::refused(RefusalCause::Store.label());
-            log::info!(job:% = id, queue = queue.name.as_str(), claim_age_ms = self.claim_age_ms(self.now); "refused, too many wait for the store");
-            let passes_ms = self.store_refusal(self.unsaved.new_jobs.len()).passes_ms;
-            let retry_ms = self.told_retry_ms(id, queue.priority, passes_ms);
-            self.reply(to, Answer::Refused { retry_ms });
-            return;
+            let refusal = self.store_refusal(rows_ahead);
+            let event = "refused, too many wait for the store";
+            return Err(self.refuse(&job, refusal, event));
         }
-        let Some(queue) = self.newest_queue(queue) else {
-            self.reply(to, Answer::NoQueue);
-            return;
-        };
+        if let Some(refusal) = refusal {
+            return Err(self.refuse(&job, refusal, FORECAST_EVENT));
+        }
+        self.charge_account(&mut job)?;
+        if job.beyond {
+            // It ranks behind more jobs than those that were counted.
+            let rows_ahead = self.rows_ahead(&job);
+            if let Some(refusal) = self.check_submission(&mut job, rows_ahead) {
+                self.end_share(&job);
+                return Err(self.refuse(&job, refusal, FORECAST_EVENT));
+            }
+        }
+        Ok(job)
+    }
+
+    /// Returns the job of a submission.
+    ///
+    /// # Errors
+    ///
+    /// The answer to its caller if there is no such queue, or the job is too large.
+    fn new_job(&mut self, submission: Submission) -> Result<Job, Answer> {
+        let Submission {
+            queue,
+            id,
+            mut spec,
+            wait_ms,
+            account: name,
+        } = submission;
+        let queue = self.newest_queue(queue).ok_or(Answer::NoQueue)?;
         let text: Arc<str> = Arc::from(std::mem::take(&mut spec.spec));
         let row = JobRow {
             queue,
             spec,
             accepted_unix_ms: self.unix_ms,
-            account,
+            account: name.clone(),
             beyond: false,
         };
         let bytes = encode(&row).len().max(encode(&text.as_ref()).len());
         if bytes > self.limits.row_bytes {
-            log::info!(job:% = id, bytes = bytes; "refused, too large for a row");
-            self.reply(to, Answer::TooLarge);
-            return;
+            log::info!(job:% = id, account = name.as_deref(), bytes = bytes; "refused, too large for a row");
+            return Err(Answer::TooLarge);
         }
-        let name = row.account.clone();
-        let account = name
-            .as_deref()
-            .map(|name| self.accounts.key(name, self.now));
         let mut job = Job::new(id, row, self.now);
-        job.account = account;
+        job.account = name.map(|name| self.accounts.key(&name, self.now));
         job.text = Some(text);
         job.refuse_at_ms = self.now + wait_ms;
         job.retried_as_told = self.is_retried_as_told(id);
-        if let Some(refusal) = self.check_submission(&mut job) {
-            self.refuse_submission(to, &job, refusal);
-            return;
-        }
-        let admission = self.charge_share(account);
-        if let ShareAdmission::Refused { retry_ms } = admission {
-            let retry_ms = self.spread_share_retry_ms(&job, retry_ms);
-            metrics::refused("share");
-            log::info!(job:% = id, account = name.as_deref(), retry_ms = retry_ms; "refused, the account exceeds its share");
-            self.reply(to, Answer::OverShare { retry_ms });
-            return;
-        }
+        Ok(job)
+    }
+
+    /// Charges a job to its account's share.
+    ///
+    /// # Errors
+    ///
+    /// The answer to its caller if the account exceeds its share.
+    fn charge_account(&mut self, job: &mut Job) -> Result<(), Answer> {
+        let admission = self.charge_share(job.account);
         job.beyond = admission == ShareAdmission::OverShare;
-        if job.beyond {
-            if let Some(refusal) = self.check_submission(&mut job) {
-                self.end_share(&job);
-                self.refuse_submission(to, &job, refusal);
-                return;
-            }
-        }
-        job.submitters.push(to);
-        self.queue_new_job(job);
+        let ShareAdmission::Refused { retry_ms } = admission else {
+            return Ok(());
+        };
+        let retry_ms = self.spread_share_retry_ms(job, retry_ms);
+        let event = "refused, the account exceeds its share";
+        self.record_refusal(job, "share", retry_ms, event);
+        Err(Answer::OverShare { retry_ms })
     }
 
-    /// Refuses a submission by its forecast, before it costs a commit.
-    fn refuse_submission(&mut self, to: ReplyTo, job: &Job, refusal: ForecastRefusal) {
+    /// Refuses a job that is in no commit, and returns the answer to its callers.
+    fn refuse(&mut self, job: &Job, refusal: ForecastRefusal, event: &'static str) -> Answer {
         let retry_ms = self.told_retry_ms(job.id, job.queue.priority, refusal.passes_ms);
-        self.record_refusal(job, refusal.cause, retry_ms);
-        self.reply(to, Answer::Refused { retry_ms });
+        self.record_refusal(job, refusal.cause.label(), retry_ms, event);
+        Answer::Refused { retry_ms }
     }
 
-    fn record_refusal(&self, job: &Job, cause: RefusalCause, retry_ms: Millis) {
-        metrics::refused(cause.label());
+    /// Records a refusal with the facts that it follows from.
+    pub(super) fn record_refusal(
+        &self,
+        job: &Job,
+        cause: &'static str,
+        retry_ms: Millis,
+        event: &'static str,
+    ) {
+        metrics::refused(cause);
         log::info!(
             job:% = job.id, queue = job.queue.name.as_str(),
             account = job.account.map(|account| self.accounts.name(account)),
-            cause = cause.label(), forecast_ms = job.forecast_ms,
+            cause = cause, forecast_ms = job.forecast_ms,
             chain_ms = job.chain_ms, objective_ms = job.objective_ms,
             waited_ms = self.now.saturating_sub(job.accepted_ms),
             may_wait_ms = job.refuse_at_ms.saturating_sub(job.accepted_ms),
             claim_age_ms = self.claim_age_ms(self.now), retry_ms = retry_ms;
-            "refused by forecast"
+            "{event}"
         );
     }
 
@@ -245,33 +326,20 @@
             return;
         };
         self.unsaved.progress.remove(id);
-        let retry_ms = self.told_retry_ms(id, job.queue.priority, refusal.passes_ms);
-        if self.now >= job.refuse_at_ms {
-            self.record_unanswered(&job, retry_ms);
+        let event = if self.now >= job.refuse_at_ms {
+            "refused, the store does not answer"
         } else {
-            self.record_refusal(&job, refusal.cause, retry_ms);
-        }
+            FORECAST_EVENT
+        };
+        let answer = self.refuse(&job, refusal, event);
         for to in job.submitters {
-            self.reply(to, Answer::Refused { retry_ms });
+            self.reply(to, answer);
         }
         for to in job.cancellers {
             self.cancel(to, id);
         }
     }
 
-    /// Records the refusal of a submission that the store did not take in time.
-    fn record_unanswered(&self, job: &Job, retry_ms: Millis) {
-        metrics::refused(RefusalCause::Store.label());
-        log::info!(
-            job:% = job.id, queue = job.queue.name.as_str(),
-            account = job.account.map(|account| self.accounts.name(account)),
-            cause = RefusalCause::Store.label(), forecast_ms = job.forecast_ms,
-            waited_ms = self.now.saturating_sub(job.accepted_ms),
-            claim_age_ms = self.claim_age_ms(self.now), retry_ms = retry_ms;
-            "refused, the store does not answer"
-        );
-    }
-
     fn answer_state(&mut self, to: ReplyTo, id: JobId) {
         let answer = match self.jobs.get(&id) {
             Some(job) if job.pre_cancelled => Answer::Unknown,
--- a/crates/chervilfall_planner/src/planner/waiting.rs
+++ b/crates/chervilfall_planner/src/planner/waiting.rs
@@ -18,8 +18,6 @@
 /// One of two to the power of this many jobs is sampled, which keeps 500 open steps below 100 lines
 /// a second.
 const SAMPLE_BITS: u32 = 3;
-/// Odd multiplier of a multiplicative hash: 2^64 divided by the golden ratio.
-const HASH_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
 
 /// Why a pass could not place all tasks of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -136,7 +134,7 @@
 
 /// Returns whether lines are written about a job's waits. All holders sample the same jobs.
 const fn is_sampled(job: JobId) -> bool {
-    job.0.wrapping_mul(HASH_MULTIPLIER) >> (u64::BITS - SAMPLE_BITS) == 0
+    job.spread_hash() >> (u64::BITS - SAMPLE_BITS) == 0
 }
 
 impl Planner {
--- a/crates/chervilfall_planner/src/policy/retry_time.rs
+++ b/crates/chervilfall_planner/src/policy/retry_time.rs
@@ -4,7 +4,6 @@
 //! again. Each is therefore told a time of its own, and is accepted if it keeps to it.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::ids::{JobId, Millis};
 
@@ -26,9 +25,7 @@
 
 /// Returns a number below `range` that depends on the job only.
 fn spread(id: JobId, range: Millis) -> Millis {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish() % range.max(1)
+    (id.spread_hash() >> u32::BITS) % range.max(1)
 }
 
 /// Returns when a refused caller should retry, for a cause that passes after `passes_ms`. The more
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -7,7 +7,8 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Policies {
     /// A job that cannot complete while it still has worth is refused when it is submitted. Off by
-    /// default, because under a slow store it also refuses jobs that could be stored in time.
+    /// default, because if a store that has been slow for long recovers, it would have stored some of
+    /// the jobs that were refused.
     pub admission_forecast: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
--- a/crates/chervilfall_planner/tests/admission.rs
+++ b/crates/chervilfall_planner/tests/admission.rs
@@ -5,7 +5,7 @@
 
 mod world;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
@@ -528,6 +528,42 @@
     );
 }
 
+/// Guards against one constant time for all callers, however long the store has not answered.
+#[test]
+fn callers_are_told_a_time_that_follows_from_the_store() {
+    const SILENT_MS: u64 = 4_000;
+    /// The times are told within this of the measurement.
+    const STEP_MS: u64 = 10;
+    const REFUSED: usize = 20;
+    let mut load = Load::new(false, 10);
+    load.world.limits.accept_queue = 1;
+    load.take_over();
+    load.world.store.slow_ms = 3 * SILENT_MS;
+    load.submit(None);
+    load.run(SILENT_MS);
+    let first = load.sent.len();
+    for _ in 0..=REFUSED {
+        load.submit(None);
+    }
+    let holder = load.world.holder().expect("a holder");
+    let planner = load.world.nodes[holder].planner.as_ref();
+    let silent_ms = planner.expect("a planner").claim_age_ms(load.world.now);
+    load.run(5);
+    let told = load.sent[first..]
+        .iter()
+        .filter_map(|sent| match sent.answer {
+            Some((Answer::Refused { retry_ms }, _)) => Some(retry_ms),
+            _ => None,
+        });
+    let told: Vec<u64> = told.collect();
+    let different: BTreeSet<&u64> = told.iter().collect();
+    assert!(told.len() >= REFUSED, "{told:?}");
+    let bounds = silent_ms - STEP_MS..=(silent_ms + STEP_MS) * 5 / 4;
+    let follow = told.iter().all(|ms| bounds.contains(ms));
+    assert!(follow, "{silent_ms}: {told:?}");
+    assert!(different.len() > REFUSED / 2, "{told:?}");
+}
+
 /// Checks that times lie within bounds, and that no tenth of the range has twice its share.
 fn assert_spread(times: Vec<u64>, bounds: &RangeInclusive<u64>) {
     let mut tenths = [0; 10];
--- a/crates/chervilfall_story/src/burn.rs
+++ b/crates/chervilfall_story/src/burn.rs
@@ -22,8 +22,10 @@
 /// 100 %, in thousandths.
 const WHOLE_PERMILLE: u64 = 1_000;
 /// Log events of a refused submission, one for each time that it was sent.
-const REFUSED: [&str; 3] = [
+const REFUSED: [&str; 5] = [
     "refused by forecast",
+    "refused, the group is given up",
+    "refused, the job could not be looked up",
     "refused, the store does not answer",
     "refused, too many wait for the store",
 ];
