--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -7,7 +7,8 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Policies {
     /// A job that cannot complete while it still has worth is refused when it is submitted. Off by
-    /// default, because under a slow store it also refuses jobs that could be stored in time.
+    /// default, because if a store that has been slow for long recovers, it would have stored some of
+    /// the jobs that were refused.
     pub admission_forecast: bool,
     /// A call for advice names as many endpoints as the waiting tasks need by the share of
     /// endpoints that were granted before. Off by default, because shorter calls also let
