--- a/crates/chervilfall_planner/src/planner/activation.rs
+++ b/crates/chervilfall_planner/src/planner/activation.rs
@@ -41,7 +41,8 @@
                 continue;
             };
             let next = occurrence + 1;
-            if next < job.spec.occurrences() {
+            let goes_on = job.outcome.is_none() || self.barrier.is_some();
+            if goes_on && next < job.spec.occurrences() {
                 self.due_occurrences
                     .insert((job.spec.due_unix_ms(next), id, next));
             }
--- a/crates/chervilfall_planner/src/planner/admission.rs
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -236,7 +236,7 @@
         jobs.map(|job| self.waiting_submission(job))
     }
 
-    /// Returns the jobs that wait for a commit, those that go into one first first.
+    /// Returns the jobs that wait for a commit, in the order in which commits take them.
     pub(super) fn jobs_in_commit_order(&self) -> Vec<WaitingSubmission> {
         let mut waiting: Vec<WaitingSubmission> = self.uncommitted_jobs().collect();
         sort_submissions(&mut waiting, self.commit_order(), self.commit_duration_ms);
@@ -317,15 +317,13 @@
     }
 
     /// Decides about a job that was just submitted, and records its forecast.
-    pub(super) fn check_submission(
-        &self,
-        job: &mut Job,
-        rows_ahead: usize,
-    ) -> Option<ForecastRefusal> {
+    pub(super) fn check_submission(&self, job: &mut Job) -> Option<ForecastRefusal> {
+        if !self.limits.policies.admission_forecast {
+            return None;
+        }
         let times = self.submission_times(job);
-        let forecast = self.forecast(job, rows_ahead, times);
-        let known = self.limits.policies.admission_forecast;
-        job.forecast_ms = known.then_some(forecast.total_ms());
+        let forecast = self.forecast(job, self.rows_ahead(job), times);
+        job.forecast_ms = Some(forecast.total_ms());
         refusal(forecast, times).filter(|_| !job.retried_as_told)
     }
 
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -57,7 +57,12 @@
         } else {
             1
         };
-        let free_resources = |endpoint: EndpointKey| self.endpoints[endpoint].free();
+        let holds = self.holds_before(key, request);
+        let free_resources = |endpoint: EndpointKey| {
+            let free = self.endpoints[endpoint].free();
+            let held = holds.iter().map(|hold| hold.on(endpoint));
+            held.fold(free, Resources::minus)
+        };
         let mut usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
         let max_tasks = |keys: &[EndpointKey]| -> u64 {
             keys.iter()
@@ -97,9 +102,13 @@
         let mut named =
             self.unknown_by_free_capacity(pool, &progress.advice, request, left, free_resources);
         let size = self.call_size(key, &progress.advice, request.step(), &usable, &named);
-        metrics::advice_endpoints_spared(named.len() - size);
+        let spared = named.len() - size;
         named.truncate(size);
-        !named.is_empty() && self.request_advice(key, timings, &named)
+        let called = !named.is_empty() && self.request_advice(key, timings, &named);
+        if called {
+            metrics::advice_endpoints_spared(spared);
+        }
+        called
     }
 
     /// Returns how many of the endpoints in `named` a call for a step names. `granted` are the
@@ -128,8 +137,8 @@
             0 => waiting,
             limit => limit.min(waiting),
         };
-        let fitting = |key: &EndpointKey| {
-            let endpoint = self.endpoints.get(*key);
+        let fitting = |endpoint: &EndpointKey| {
+            let endpoint = self.endpoints.get(*endpoint);
             endpoint.map_or(0, |endpoint| {
                 endpoint.free().max_fitting(need).min(max_on_one)
             })
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -153,10 +153,9 @@
     /// The answer to its caller if it is not.
     fn admit(&mut self, submission: Submission) -> Result<Job, Answer> {
         let mut job = self.new_job(submission)?;
-        let rows_ahead = self.rows_ahead(&job);
-        let refusal = self.check_submission(&mut job, rows_ahead);
+        let refusal = self.check_submission(&mut job);
         if self.unsaved.new_jobs.len() >= self.limits.accept_queue {
-            let refusal = self.store_refusal(rows_ahead);
+            let refusal = self.store_refusal(self.rows_ahead(&job));
             let event = "refused, too many wait for the store";
             return Err(self.refuse(&job, refusal, event));
         }
@@ -166,8 +165,7 @@
         self.charge_account(&mut job)?;
         if job.beyond {
             // It ranks behind more jobs than those that were counted.
-            let rows_ahead = self.rows_ahead(&job);
-            if let Some(refusal) = self.check_submission(&mut job, rows_ahead) {
+            if let Some(refusal) = self.check_submission(&mut job) {
                 self.end_share(&job);
                 return Err(self.refuse(&job, refusal, FORECAST_EVENT));
             }
@@ -295,7 +293,8 @@
             }
         }
         let new_jobs = &mut self.unsaved.new_jobs;
-        new_jobs.retain(|id| !refusals.contains_key(id));
+        let jobs = &self.jobs;
+        new_jobs.retain(|id| jobs.contains_key(id) && !refusals.contains_key(id));
         for (id, refusal) in refusals {
             self.refuse_waiting(id, refusal);
         }
--- a/crates/chervilfall_planner/src/policy/gang_call_hold.rs
+++ b/crates/chervilfall_planner/src/policy/gang_call_hold.rs
@@ -2,7 +2,8 @@
 //!
 //! A gang asks for new tickets when its allowed endpoints have enough free capacity. The call takes
 //! 0.5 to 1.5 s. If other work takes the capacity meanwhile, the gang has to ask again. So the
-//! capacity is kept from latency-tolerant work of lower rank until the call ends.
+//! capacity is kept from latency-tolerant work of lower rank until the call ends. These holds are
+//! unrelated to hold orders, which renew leases.
 
 use std::collections::BTreeMap;
 
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -14,6 +14,9 @@
     /// endpoints that were granted before. Off by default, because shorter calls also let
     /// latency-tolerant work take capacity that gangs wait for.
     pub advice_call_size: bool,
+    /// A node whose calls for advice fail while those of other nodes succeed makes no calls for some
+    /// time.
+    pub advice_node_health: bool,
     /// If more waits than one commit holds, urgent changes are stored first and with few rows.
     pub commit_order: bool,
     /// Runs that an endpoint's announced departure would end are stopped with a checkpoint, or
@@ -28,9 +31,6 @@
     /// Work of the same priority starts in the order of its accounts' fair shares. Off by default,
     /// because only the platform knows whether its accounts compete for capacity.
     pub fair_share: bool,
-    /// A node whose calls for advice fail while those of other nodes succeed makes no calls for some
-    /// time.
-    pub advice_node_health: bool,
     /// While a call renews the tickets of a gang, the capacity for which it was made is kept from
     /// latency-tolerant work of lower rank.
     pub gang_call_hold: bool,
@@ -57,7 +57,6 @@
         Self {
             admission_forecast: false,
             advice_call_size: false,
-            advice_call_size: true,
             advice_node_health: true,
             commit_order: true,
             departures: true,
