--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -234,7 +234,7 @@
             (entry.born_ms, entry.report) != (self.entry.born_ms, self.entry.report);
         if is_new_report || self.reported_ms == 0 {
             self.reported_ms = read_ms;
-            self.cold_until_ms = read_ms + entry.cold_left_ms;
+            self.cold_until_ms = read_ms.saturating_add(entry.cold_left_ms);
         }
         if is_new_report || entry.remaining_ms != self.entry.remaining_ms || self.seen_ms == 0 {
             let written_ms = self.report_written_ms(read_ms);
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -73,6 +73,17 @@
     pub max_unavailable: u32,
 }
 
+impl Step {
+    /// Returns the maximum number of tasks of the step on one endpoint.
+    pub(crate) const fn max_on_one_endpoint(&self) -> u32 {
+        if self.max_per_endpoint == 0 {
+            u32::MAX
+        } else {
+            self.max_per_endpoint
+        }
+    }
+}
+
 /// A job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -133,10 +133,7 @@
         };
         let need = Resources::of_step(step);
         let waiting = job.step_progress(key).map_or(0, StepProgress::waiting);
-        let max_on_one = match step.max_per_endpoint {
-            0 => waiting,
-            limit => limit.min(waiting),
-        };
+        let max_on_one = step.max_on_one_endpoint().min(waiting);
         let fitting = |endpoint: &EndpointKey| {
             let endpoint = self.endpoints.get(*endpoint);
             endpoint.map_or(0, |endpoint| {
--- a/crates/chervilfall_planner/src/planner/departures.rs
+++ b/crates/chervilfall_planner/src/planner/departures.rs
@@ -190,10 +190,7 @@
         };
         let mut left = if step.gang { step.count } else { 1 };
         let need = Resources::of_step(step);
-        let max_on_one = match step.max_per_endpoint {
-            0 => u32::MAX,
-            limit => limit,
-        };
+        let max_on_one = step.max_on_one_endpoint();
         let mut claimed = pool.clone();
         for (key, free) in &mut claimed {
             let endpoint = &self.endpoints[*key];
--- a/crates/chervilfall_planner/src/planner/gangs.rs
+++ b/crates/chervilfall_planner/src/planner/gangs.rs
@@ -118,10 +118,7 @@
         };
         let waiting = progress.waiting();
         let need = Resources::of_step(step);
-        let max_on_one = match step.max_per_endpoint {
-            0 => u32::MAX,
-            limit => limit,
-        };
+        let max_on_one = step.max_on_one_endpoint();
         let (mut ticketed, mut fitting) = (0_u32, 0_u32);
         for endpoint in progress.advice.ticketed(self.now) {
             let Some(endpoint) = self.endpoints.get(endpoint) else {
--- a/crates/chervilfall_planner/src/policy/failure_share.rs
+++ b/crates/chervilfall_planner/src/policy/failure_share.rs
@@ -6,18 +6,15 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use crate::ids::{JobId, Millis};
-use crate::policy::quarantine::QuarantineState;
+use crate::policy::quarantine::{pause_ms, QuarantineState};
 
-/// Number of latest ends that count.
+/// Number of latest ends that count: enough to tell an endpoint that fails half of its runs.
 const WINDOW: usize = 16;
 /// Share of the runs that fail on a sound endpoint.
 const SOUND_FAILURE_SHARE: f64 = 0.05;
-/// An endpoint is unsound if a sound one would show its failures less often than this.
+/// An endpoint is unsound if a sound one would show its failures less often than this, as in
+/// [`crate::policy::quarantine`].
 const MAX_SOUND_PROBABILITY: f64 = 1.0 / 8_000.0;
-/// First pause, which doubles with each failed trial.
-const FIRST_PAUSE_MS: Millis = 2_000;
-/// Longest pause.
-const MAX_PAUSE_MS: Millis = 16_000;
 /// Number of completed trials in a row that end the quarantine. An endpoint that fails half of its
 /// runs passes this once in eight times.
 const TRIALS: u32 = 3;
@@ -81,7 +78,7 @@
 
     /// Begins a pause, and returns its length.
     fn pause(&mut self, now: Millis) -> Millis {
-        let pause_ms = (FIRST_PAUSE_MS << self.pauses.min(8)).min(MAX_PAUSE_MS);
+        let pause_ms = pause_ms(self.pauses);
         self.pauses += 1;
         self.until_ms = now + pause_ms;
         self.completed_trials = 0;
@@ -118,6 +115,10 @@
 
     /// Returns whether it is quarantined or should be.
     pub(crate) fn is_candidate(&self) -> bool {
+        // Most endpoints of a pool are sound, and this is asked of all of them.
+        if self.failures < 2 {
+            return self.is_quarantined();
+        }
         let (ends, failures) = self.counts();
         self.is_quarantined() || is_unsound(ends, failures)
     }
--- a/crates/chervilfall_planner/src/policy/quarantine.rs
+++ b/crates/chervilfall_planner/src/policy/quarantine.rs
@@ -10,6 +10,11 @@
 /// Longest pause.
 const MAX_PAUSE_MS: Millis = 16_000;
 
+/// Returns the pause after a number of earlier ones.
+pub(crate) fn pause_ms(earlier: u32) -> Millis {
+    (FIRST_PAUSE_MS << earlier.min(8)).min(MAX_PAUSE_MS)
+}
+
 /// Quarantine state of an endpoint, derived from the ends of its runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum QuarantineState {
@@ -47,7 +52,7 @@
         if self.failures < FAILURE_THRESHOLD {
             return None;
         }
-        let pause_ms = (FIRST_PAUSE_MS << self.pauses.min(8)).min(MAX_PAUSE_MS);
+        let pause_ms = pause_ms(self.pauses);
         self.pauses += 1;
         self.until_ms = now + pause_ms;
         Some(pause_ms)
