Let followers relay from their first moment

A new holder of many endpoints has the most calls to make in its first second, in which no link counted as steady, so that it made them all itself.

--- a/crates/chervilfall_node/src/control/orders.rs
+++ b/crates/chervilfall_node/src/control/orders.rs
@@ -93,9 +93,10 @@
         if self.planner.is_none() {
             return;
         }
-        let now = now_ms();
         let mut candidates = Candidates::new();
-        for link in self.links.values().filter(|link| link.node.is_steady(now)) {
+        // A new holder of many endpoints has the most calls to make while its links are new, so it
+        // does not wait for them to last.
+        for link in self.links.values() {
             let Some(relay) = &link.relay else {
                 continue;
             };
