--- a/crates/chervilfall_planner/src/policy/failure_share.rs
+++ b/crates/chervilfall_planner/src/policy/failure_share.rs
@@ -100,13 +100,7 @@
     }
 
     pub(crate) const fn state(&self, now: Millis) -> QuarantineState {
-        if self.pauses == 0 {
-            QuarantineState::Sound
-        } else if now < self.until_ms {
-            QuarantineState::Paused
-        } else {
-            QuarantineState::Trial
-        }
+        QuarantineState::after(self.pauses, self.until_ms, now)
     }
 
     const fn is_quarantined(&self) -> bool {
--- a/crates/chervilfall_planner/src/policy/quarantine.rs
+++ b/crates/chervilfall_planner/src/policy/quarantine.rs
@@ -26,6 +26,19 @@
     Trial,
 }
 
+impl QuarantineState {
+    /// Returns the state after a number of pauses, of which the last ends at `until_ms`.
+    pub(crate) const fn after(pauses: u32, until_ms: Millis, now: Millis) -> Self {
+        if pauses == 0 {
+            Self::Sound
+        } else if now < until_ms {
+            Self::Paused
+        } else {
+            Self::Trial
+        }
+    }
+}
+
 /// Failure count and pauses of an endpoint.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Quarantine {
@@ -59,12 +72,6 @@
     }
 
     pub(crate) const fn state(&self, now: Millis) -> QuarantineState {
-        if self.pauses == 0 {
-            QuarantineState::Sound
-        } else if now < self.until_ms {
-            QuarantineState::Paused
-        } else {
-            QuarantineState::Trial
-        }
+        QuarantineState::after(self.pauses, self.until_ms, now)
     }
 }
