Say how long a gang that misses a deadline has waited, and for what

To tell apart whether wide gangs wait for capacity, for a node that calls the advice service or for answers, the line and a new counter name the time waited for each, and the line the job's work.

--- a/crates/chervilfall_planner/src/gang_wait.rs
+++ b/crates/chervilfall_planner/src/gang_wait.rs
@@ -17,6 +17,12 @@
     pub(crate) starts: u32,
     /// Times that a run was withdrawn or lost, so that the gang began anew.
     pub(crate) restarts: u32,
+    /// How long it waited for a node that calls the advice service.
+    pub(crate) node_ms: Millis,
+    /// How long it waited for an answer of the advice service.
+    pub(crate) call_ms: Millis,
+    /// How long it waited for capacity.
+    pub(crate) capacity_ms: Millis,
 }
 
 /// State of a gang at a deadline.
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -8,6 +8,9 @@
 /// Endpoints in the advice call that the objective allows for per step of the chain.
 const OBJECTIVE_ADVICE: usize = 30;
 
+/// Thousandths of a core in a core.
+const MILLI: u64 = 1_000;
+
 /// Returns whether a field can be omitted from a row. Most steps use only a few of the fields.
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
@@ -82,6 +85,12 @@
             self.max_per_endpoint
         }
     }
+
+    /// Returns the estimated work of all tasks, in core-milliseconds.
+    fn core_ms(&self) -> u64 {
+        let cpu_milli = u64::from(self.count) * u64::from(self.cpu_milli);
+        cpu_milli.saturating_mul(self.estimate_ms) / MILLI
+    }
 }
 
 /// A job.
@@ -110,6 +119,13 @@
         self.repeat_count.max(1)
     }
 
+    /// Returns the estimated work of one occurrence, in core-milliseconds.
+    #[must_use]
+    pub fn core_ms(&self) -> u64 {
+        let steps = self.steps.iter().map(Step::core_ms);
+        steps.sum()
+    }
+
     /// Returns the longest chain of estimated work.
     #[must_use]
     pub fn chain_ms(&self) -> Millis {
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -181,6 +181,12 @@
     .increment(1);
 }
 
+/// Adds the time that a gang had waited for a cause when it missed a deadline, by width.
+pub(crate) fn gang_wait(width: &'static str, cause: &'static str, waited_ms: Millis) {
+    counter!("chervilfall_gang_wait_milliseconds_total", "width" => width, "cause" => cause)
+        .increment(waited_ms);
+}
+
 /// Counts an endpoint whose leases have lapsed.
 pub(crate) fn lapsed() {
     counter!("chervilfall_endpoints_lapsed_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/gangs.rs
+++ b/crates/chervilfall_planner/src/planner/gangs.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeSet;
 
 use crate::gang_wait::{width_class, Deadline, GangState, GangWait};
-use crate::ids::UnixMillis;
+use crate::ids::{Millis, UnixMillis};
 use crate::metrics;
+use crate::planner::waiting::WaitCause;
 use crate::planner::Planner;
 use crate::resources::Resources;
 use crate::tasks::{StepKey, StepProgress};
@@ -95,15 +96,38 @@
         let cause = wait.miss_cause(state).label();
         let failed_runs = progress.tasks.first().map_or(0, |task| task.failed.len());
         metrics::gang_deadline(width_class(width), deadline.label(), cause);
+        let waits = [
+            (WaitCause::AdviceNode, wait.node_ms),
+            (WaitCause::AdviceCall, wait.call_ms),
+            (WaitCause::Capacity, wait.capacity_ms),
+        ];
+        for (waited_for, for_ms) in waits {
+            metrics::gang_wait(width_class(width), waited_for.label(), for_ms);
+        }
         log::info!(
             step:% = key, queue = job.queue.name.as_str(), width = width, deadline = deadline.label(),
             cause = cause, placed = progress.placed, answered_calls = wait.answered_calls,
             most_ticketed = wait.most_ticketed, most_fitting = wait.most_fitting, starts = wait.starts,
-            restarts = wait.restarts, failed_runs = failed_runs, objective_ms = job.objective_ms;
+            restarts = wait.restarts, failed_runs = failed_runs, objective_ms = job.objective_ms,
+            job_core_ms = job.spec.core_ms(), node_ms = wait.node_ms, call_ms = wait.call_ms,
+            capacity_ms = wait.capacity_ms;
             "gang not complete at its deadline"
         );
     }
 
+    /// Records that a gang has waited for a cause.
+    pub(super) fn note_gang_wait(&mut self, key: StepKey, cause: WaitCause, for_ms: Millis) {
+        let Some(wait) = self.gang_wait_mut(key) else {
+            return;
+        };
+        match cause {
+            WaitCause::AdviceNode => wait.node_ms += for_ms,
+            WaitCause::AdviceCall => wait.call_ms += for_ms,
+            WaitCause::Capacity => wait.capacity_ms += for_ms,
+            WaitCause::Quota | WaitCause::Reservation | WaitCause::Barrier | WaitCause::Text => {}
+        }
+    }
+
     /// Records how many members of a gang the endpoints with a valid ticket could hold. Returns
     /// whether all waiting members fit there now; false if the step is no gang.
     pub(super) fn note_gang_answer(&mut self, key: StepKey) -> bool {
--- a/crates/chervilfall_planner/src/planner/waiting.rs
+++ b/crates/chervilfall_planner/src/planner/waiting.rs
@@ -39,7 +39,7 @@
 }
 
 impl WaitCause {
-    const fn label(self) -> &'static str {
+    pub(super) const fn label(self) -> &'static str {
         match self {
             Self::Quota => "quota",
             Self::Reservation => "reservation",
@@ -104,6 +104,12 @@
         Some(*wait)
     }
 
+    /// Returns how long a step has waited since a pass last recorded it, and the cause then.
+    fn since_seen(&self, now: Millis, key: StepKey) -> Option<(WaitCause, Millis)> {
+        let wait = self.steps.get(&key)?;
+        Some((wait.cause, now.saturating_sub(wait.seen_ms)))
+    }
+
     /// Forgets steps that no pass has recorded since the last report, and jobs without lines since
     /// then.
     fn retain_recent(&mut self, now: Millis, is_open: impl Fn(StepKey) -> bool) {
@@ -140,6 +146,9 @@
 impl Planner {
     /// Records why a pass could not place a step.
     pub(super) fn note_wait(&mut self, key: StepKey, cause: WaitCause) {
+        if let Some((cause, for_ms)) = self.waiting.since_seen(self.now, key) {
+            self.note_gang_wait(key, cause, for_ms);
+        }
         if let Some(wait) = self.waiting.record(self.now, key, cause) {
             log::info!(
                 step:% = key, cause = cause.label(),
