--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -107,6 +107,7 @@
                 exclusive,
             },
         );
+        self.note_placed_beside(key, task, resources);
         true
     }
 
