--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -60,9 +60,6 @@
 pub use policy::failure_share::is_unsound;
 pub use policy::fair_share::{FairShare, ShareLevel, UsageByStart};
 pub use policy::gang_call_hold::{may_keep, CallHold, CallHolds};
-pub use policy::gang_reservation::{
-    earliest_room, may_reserve, Backfill, EndpointForecast, GangNeed, Room,
-};
 pub use policy::handover::{HandoverPolicy, HandoverReason, HolderTerm, LinkedNode, LoadReport};
 pub use policy::naming::{NamingCandidate, NamingOrder, NamingRank};
 pub use policy::node_size::NodeResources;
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -167,17 +167,6 @@
         .set(cpu_milli as f64);
 }
 
-/// Counts a reservation of room for a gang that has ended, by outcome.
-pub(crate) fn gang_reservation(outcome: &'static str) {
-    counter!("chervilfall_gang_reservations_total", "outcome" => outcome).increment(1);
-}
-
-/// Sets the gauge for the CPU that is reserved for gangs in a pool.
-pub(crate) fn gang_reserved(service: &str, cpu_milli: u64) {
-    gauge!("chervilfall_gang_reserved_cpu_milli", "service" => service.to_owned())
-        .set(cpu_milli as f64);
-}
-
 /// Counts an ejection of a node whose advice calls fail.
 pub(crate) fn advice_node_ejected() {
     counter!("chervilfall_advice_node_ejections_total").increment(1);
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -40,10 +40,6 @@
         let (Some(timings), Some(pool)) = (request.advice, pass.pools.get(&request.service)) else {
             return false;
         };
-        let reserved = self.has_reservation(key);
-        if reserved && self.request_reserved_advice(pass, key, request, timings) {
-            return true;
-        }
         let Some(progress) = self
             .jobs
             .get(&key.job)
@@ -63,7 +59,7 @@
         };
         let holds = self.holds_before(key, request);
         let free_resources = |endpoint: EndpointKey| {
-            let free = self.free_for(endpoint, key, request);
+            let free = self.endpoints[endpoint].free();
             let held = holds.iter().map(|hold| hold.on(endpoint));
             held.fold(free, Resources::minus)
         };
@@ -78,7 +74,7 @@
             return false;
         }
         if max_tasks(&usable) >= enough {
-            if calls_in_flight > 0 || reserved {
+            if calls_in_flight > 0 {
                 return false;
             }
             let stale = usable
@@ -125,7 +121,7 @@
         granted: &[EndpointKey],
         named: &[EndpointKey],
     ) -> usize {
-        if !self.limits.policies.advice_call_size && !self.advice_nodes_scarce {
+        if !self.limits.policies.advice_call_size {
             return named.len();
         }
         let Some(job) = self.jobs.get(&key.job) else {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -16,7 +16,6 @@
 mod evacuations;
 mod failure_shares;
 mod fair_shares;
-mod gang_reservations;
 mod gangs;
 mod gap;
 mod history;
@@ -65,7 +64,6 @@
 use departures::Departures;
 use evacuations::Evacuations;
 use fair_shares::FairShares;
-use gang_reservations::GangReservations;
 use gangs::GangDeadlines;
 use gap::TakeoverGap;
 use history::History;
@@ -162,13 +160,9 @@
     advice_calls: BTreeMap<u64, AdviceCall>,
     next_advice: u64,
     node_health: NodeHealth,
-    /// Whether a step with worth waited for a node to call the advice service in the last full
-    /// pass.
-    advice_nodes_scarce: bool,
     /// Share of the endpoints that the advice service grants, by queue.
     grant_shares: BTreeMap<QueueName, GrantShare>,
     call_holds: GangCallHolds,
-    gang_reservations: GangReservations,
     finished: VecDeque<(Millis, JobId)>,
     /// Position of the last jittered idle hold interval within its range.
     idle_jitter_permille: u64,
@@ -235,10 +229,8 @@
             advice_calls: BTreeMap::new(),
             next_advice: 0,
             node_health: NodeHealth::default(),
-            advice_nodes_scarce: false,
             grant_shares: BTreeMap::new(),
             call_holds: GangCallHolds::default(),
-            gang_reservations: GangReservations::default(),
             finished: VecDeque::new(),
             idle_jitter_permille: 0,
             pre_cancelled_jobs: 0,
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -107,7 +107,6 @@
                 exclusive,
             },
         );
-        self.note_placed_beside(key, task, resources);
         true
     }
 
--- a/crates/chervilfall_planner/src/planner/quota_reservations.rs
+++ b/crates/chervilfall_planner/src/planner/quota_reservations.rs
@@ -128,7 +128,7 @@
 
     /// Returns how long a run should still take: one that takes longer than estimated, as long again
     /// as it is over its estimate.
-    pub(super) fn expected_rest_ms(&self, task: TaskKey, run: &PlacedRun) -> Millis {
+    fn expected_rest_ms(&self, task: TaskKey, run: &PlacedRun) -> Millis {
         let long_running = self.jobs.get(&task.job).is_some_and(|job| job.long_running);
         if long_running {
             return Millis::MAX;
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -92,7 +92,6 @@
         let keys = if full {
             self.last_full_pass_ms = self.now;
             self.rank_open_steps();
-            self.update_gang_reservations(&pass);
             self.open.keys()
         } else {
             self.open.first(SHORT_PASS_STEPS)
@@ -104,9 +103,6 @@
         for key in keys {
             self.schedule_step(&mut pass, key);
         }
-        if full {
-            self.advice_nodes_scarce = pass.node_wanted;
-        }
     }
 
     fn begin_pass(&mut self) -> Pass {
@@ -215,8 +211,12 @@
             self.note_unplaced(key, call_possible && !leaves_nodes);
             return;
         }
-        let Some(request) = self.step_request(key) else {
-            return;
+        let request = StepRequest {
+            spec: Arc::clone(&job.spec),
+            step_index: key.step as usize,
+            service: job.queue.service.clone(),
+            advice,
+            latency_class: LatencyClass::of(job),
         };
         if placeable {
             self.place_step(pass, key, &request, startable);
@@ -231,19 +231,6 @@
         self.note_unplaced(key, call_possible && !leaves_nodes);
     }
 
-    /// Returns what is needed to place a step.
-    pub(super) fn step_request(&self, key: StepKey) -> Option<StepRequest> {
-        let job = self.jobs.get(&key.job)?;
-        job.spec.steps.get(key.step as usize)?;
-        Some(StepRequest {
-            spec: Arc::clone(&job.spec),
-            step_index: key.step as usize,
-            service: job.queue.service.clone(),
-            advice: job.queue.advice,
-            latency_class: LatencyClass::of(job),
-        })
-    }
-
     /// Returns the endpoints that the step may use now.
     fn offers(&self, pass: &Pass, key: StepKey, request: &StepRequest) -> Vec<Offer> {
         let Some(pool) = pass.pools.get(&request.service) else {
@@ -296,7 +283,7 @@
         let need = request.required_resources();
         let usable = candidates.into_iter().filter_map(|endpoint_key| {
             let endpoint = self.endpoints.get(endpoint_key)?;
-            let fits = self.free_for(endpoint_key, key, request).can_fit(need)
+            let fits = endpoint.free().can_fit(need)
                 && endpoint.entry.service == request.service
                 && accepts(endpoint, self.now, &self.limits);
             fits.then_some((endpoint_key, endpoint))
@@ -306,7 +293,6 @@
         let offers = usable.filter_map(|(endpoint_key, endpoint)| {
             let failed = failed_on.contains(&endpoint_key);
             let mut offer = self.offer(endpoint_key, endpoint, key, request.step(), failed)?;
-            offer.free = self.free_for(endpoint_key, key, request);
             for hold in &holds {
                 offer.free = offer.free.minus(hold.on(endpoint_key));
             }
@@ -318,7 +304,7 @@
         offers.collect()
     }
 
-    pub(super) fn offer(
+    fn offer(
         &self,
         endpoint_key: EndpointKey,
         endpoint: &Endpoint,
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -10,7 +10,6 @@
 pub(crate) mod failure_share;
 pub(crate) mod fair_share;
 pub(crate) mod gang_call_hold;
-pub(crate) mod gang_reservation;
 pub(crate) mod handover;
 pub(crate) mod headroom;
 pub(crate) mod naming;
--- a/crates/chervilfall_planner/src/policy/switches.rs
+++ b/crates/chervilfall_planner/src/policy/switches.rs
@@ -34,9 +34,6 @@
     /// While a call renews the tickets of a gang, the capacity for which it was made is kept from
     /// latency-tolerant work of lower rank.
     pub gang_call_hold: bool,
-    /// Room is reserved for waiting gangs from the time at which it should be free, and their calls
-    /// for advice are made so that the tickets arrive then.
-    pub gang_reservation: bool,
     /// Latency-tolerant work leaves headroom for latency-sensitive work.
     pub headroom: bool,
     /// Fast calls for advice name the endpoints with the least free capacity that fits.
@@ -70,7 +67,6 @@
             failure_share: true,
             fair_share: false,
             gang_call_hold: true,
-            gang_reservation: true,
             headroom: true,
             name_least_free: true,
             overdue_last: true,
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -53,8 +53,6 @@
     pub(crate) advice: Advice,
     /// All members of the gang's run are being withdrawn.
     pub(crate) aborting: bool,
-    /// When room for the gang may be sought again.
-    pub(crate) room_search_ms: Millis,
     /// What it met while it waited, if it is a gang.
     pub(crate) gang_wait: GangWait,
     /// Endpoints on which a run of the step has failed; others are preferred.
@@ -81,7 +79,6 @@
             placed: 0,
             advice: Advice::default(),
             aborting: false,
-            room_search_ms: 0,
             gang_wait: GangWait::default(),
             failed_on: Vec::new(),
             durations: Vec::new(),
