--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod schedule;
+mod services;
 mod unlisted_ends;
 
 use std::path::Path;
@@ -17,6 +18,7 @@
 ) -> Result<Verdict, String> {
     match case {
         "schedule" => schedule::play(trouble, settings, record),
+        "services" => services::play(trouble, settings, record),
         "unlisted-ends" => unlisted_ends::play(trouble, settings, record),
         _ => Err(format!("there is no case {case}")),
     }
--- a/review/standins/src/cases/schedule.rs
+++ b/review/standins/src/cases/schedule.rs
@@ -1,11 +1,12 @@
-//! A job that recurs often, beside other jobs.
+//! A job that recurs often, beside other jobs, of which one is cancelled.
 
 use std::path::Path;
 use std::time::Duration;
 
 use crate::cell::Cell;
-use crate::client::{job, Clients, Schedule, Step};
+use crate::client::{job, Clients, Schedule, Step, Work};
 use crate::record::Record;
+use crate::worker::Run;
 use crate::Verdict;
 
 /// The job that recurs.
@@ -19,19 +20,32 @@
 const STEP: Step = Step {
     count: 1,
     cpu: 500,
-    work_ms: 50,
+    work: Work::Batch { work_ms: 50 },
 };
 /// The other jobs: two tasks of a core that work for a second, one job a second.
 const OTHER: Step = Step {
     count: 2,
     cpu: 1_000,
-    work_ms: 1_000,
+    work: Work::Batch { work_ms: 1_000 },
 };
 const OTHERS_INTERVAL: Duration = Duration::from_millis(900);
+/// The job that is cancelled: four tasks of a core that work for a minute.
+const CANCELLED_ID: &str = "973377b91a630fb6";
+const CANCELLED: Step = Step {
+    count: 4,
+    cpu: 1_000,
+    work: Work::Batch { work_ms: 60_000 },
+};
+/// When it is cancelled.
+const CANCEL_AT_MS: u64 = 44_000;
+/// How often its client asks for that.
+const CANCEL_ATTEMPTS: usize = 4;
 /// Until when jobs are handed in.
-const TRAFFIC_MS: u64 = 64_000;
-/// Time from the end of the traffic until jobs are asked for: `finish_s`.
-const FINISH: Duration = Duration::from_secs(14);
+const TRAFFIC_MS: u64 = 70_000;
+/// Bounds of the site: `ack_ms`, `cancel_ms` and `stop_ms`.
+const ACK_MS: u64 = 4_000;
+const CANCEL_MS: u64 = 3_000;
+const STOP_MS: u64 = 200;
 
 pub fn play(trouble: bool, settings: &Path, record: &Record) -> Result<Verdict, String> {
     let mut cell = Cell::open(settings, record, 3, 4)?;
@@ -40,43 +54,58 @@
         count: if trouble { MANY } else { FEW },
         interval_ms: INTERVAL_MS,
     };
-    if !clients.submit(ID, &job(&STEP, Some(&schedule)), 10) {
-        return Err("the job is not accepted".to_owned());
+    let accepted = clients.submit(ID, &job(&STEP, Some(&schedule)), 10)
+        && clients.submit(CANCELLED_ID, &job(&CANCELLED, None), 10);
+    if !accepted {
+        return Err("the first jobs are not accepted".to_owned());
     }
-    let mut accepted = vec![ID.to_owned()];
-    let mut asked = 1;
+    let canceller = clients.clone();
+    let clock = record.clone();
+    let cancel = std::thread::spawn(move || {
+        let wait_ms = CANCEL_AT_MS.saturating_sub(clock.now_ms());
+        std::thread::sleep(Duration::from_millis(wait_ms));
+        let sent_ms = clock.now_ms();
+        clock.say(&format!("{CANCELLED_ID} is cancelled"));
+        let acknowledged = canceller.cancel(CANCELLED_ID, CANCEL_ATTEMPTS);
+        clock.say(&format!("acknowledged: {acknowledged}"));
+        let noted_ms = if acknowledged {
+            clock.now_ms()
+        } else {
+            sent_ms + ACK_MS
+        };
+        noted_ms.min(sent_ms + ACK_MS)
+    });
+    hand_in_others(&cell, &clients, record);
+    let cancelled_ms = cancel.join().map_err(|_| "the client ends".to_owned())?;
+    let ran = cell.nodes.iter_mut().all(|node| node.runs());
+    let state = clients.state(ID, 3);
+    record.say(&format!(
+        "all processes run: {ran}; {ID} is shown as {state:?}"
+    ));
+    let runs = cell.workers.iter().flat_map(|worker| worker.runs());
+    let ended = runs.filter(|run| run.ended_ms.is_some()).count();
+    record.say(&format!(
+        "{} of {ended} ends that the workers list are not taken note of",
+        waiting_ends(&cell)
+    ));
+    Ok(check_cancelled(&cell, cancelled_ms, record))
+}
+
+fn hand_in_others(cell: &Cell, clients: &Clients, record: &Record) {
+    let (mut asked, mut accepted) = (0, 0);
     while record.now_ms() < TRAFFIC_MS {
-        let id = format!("{:016x}", 0xa000 + asked);
         asked += 1;
-        if clients.submit(&id, &job(&OTHER, None), 2) {
-            accepted.push(id);
-        }
+        let id = format!("{:016x}", 0xa000 + asked);
+        accepted += u64::from(clients.submit(&id, &job(&OTHER, None), 2));
         if asked % 5 == 0 {
             record.say(&format!(
-                "{} of {asked} jobs accepted, longest row of progress {} bytes, {} ends not taken note of",
-                accepted.len(),
+                "{accepted} of {asked} other jobs accepted, longest row of progress {} bytes, {} ends not taken note of",
                 cell.store.longest_value("progress"),
-                waiting_ends(&cell),
+                waiting_ends(cell),
             ));
         }
         std::thread::sleep(OTHERS_INTERVAL);
     }
-    std::thread::sleep(FINISH);
-    let ran = cell.nodes.iter_mut().all(|node| node.runs());
-    record.say(&format!("all processes run: {ran}"));
-    let states = accepted.iter().map(|id| (id, clients.state(id, 3)));
-    let open: Vec<_> = states
-        .filter(|(_, state)| state.as_deref() != Some("completed"))
-        .collect();
-    for (id, state) in open.iter().take(5) {
-        record.say(&format!("{id} is shown as {state:?}"));
-    }
-    record.say(&format!(
-        "{asked} jobs handed in, {} accepted, {} of these not completed",
-        accepted.len(),
-        open.len()
-    ));
-    Ok(check_acks(&cell, record))
 }
 
 /// Returns the number of ends that the workers list and that are not taken note of.
@@ -87,18 +116,36 @@
         .sum()
 }
 
-/// Checks the rule Acks: no more than a fifth of the ends that the workers list are not taken note
-/// of, after a stretch without disruption of more than `ack_ms`.
-fn check_acks(cell: &Cell, record: &Record) -> Verdict {
+/// Checks the rule UNASKED for the job that was cancelled: none of its tasks starts later than
+/// `cancel_ms` after the cancelling was acknowledged or had waited `ack_ms` for that, and none runs
+/// on `stop_ms` after that.
+fn check_cancelled(cell: &Cell, cancelled_ms: u64, record: &Record) -> Verdict {
+    let from_ms = cancelled_ms + CANCEL_MS;
     let runs = cell.workers.iter().flat_map(|worker| worker.runs());
-    let listed = runs.filter(|run| run.ended_ms.is_some()).count();
-    let waiting = waiting_ends(cell);
+    let runs: Vec<Run> = runs
+        .filter(|run| run.task.starts_with(CANCELLED_ID))
+        .collect();
+    let late = runs.iter().filter(|run| {
+        let runs_on = run
+            .ended_ms
+            .is_none_or(|ended_ms| ended_ms > from_ms + STOP_MS);
+        run.began_ms > from_ms || runs_on
+    });
+    let late: Vec<&Run> = late.collect();
+    for run in late.iter().take(8) {
+        record.say(&format!(
+            "UNASKED: {} run {} on {} from {} to {:?}, later than {from_ms}",
+            run.task, run.run, run.worker, run.began_ms, run.ended_ms
+        ));
+    }
     record.say(&format!(
-        "{waiting} of {listed} ends that the workers list are not taken note of"
+        "{} runs of the cancelled job, {} of them break UNASKED",
+        runs.len(),
+        late.len()
     ));
-    if waiting * 5 > listed {
-        Verdict::Broken
-    } else {
+    if late.is_empty() {
         Verdict::Held
+    } else {
+        Verdict::Broken
     }
 }
--- a/review/standins/src/cases/unlisted_ends.rs
+++ b/review/standins/src/cases/unlisted_ends.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::cell::Cell;
-use crate::client::{job, Clients, Step};
+use crate::client::{job, Clients, Step, Work};
 use crate::record::Record;
 use crate::store::Health;
 use crate::worker::Run;
@@ -18,7 +18,7 @@
 const STEP: Step = Step {
     count: 8_000,
     cpu: 100,
-    work_ms: 100,
+    work: Work::Batch { work_ms: 100 },
 };
 const ID: &str = "5c0e7a21d94b36f8";
 /// Breaks of the rule that are shown, and those that are written to the record.
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -23,7 +23,15 @@
     pub count: u64,
     /// In thousandths of a core.
     pub cpu: u64,
-    pub work_ms: u64,
+    pub work: Work,
+}
+
+/// What the tasks of a step do.
+pub enum Work {
+    /// They work for this time and are done.
+    Batch { work_ms: u64 },
+    /// They last until the job is cancelled, and fail after about this time; never if it is 0.
+    Service { fails_ms: u64 },
 }
 
 /// A job that recurs.
@@ -34,15 +42,24 @@
 
 /// Returns the body that hands in a job of one step.
 pub fn job(step: &Step, schedule: Option<&Schedule>) -> Json {
-    let task = Json::map(vec![
+    let mut task = vec![
         ("count", Json::number(step.count)),
         ("cpu", Json::number(step.cpu)),
         ("mem_mb", Json::number(16)),
-        ("estimate_ms", Json::number(step.work_ms)),
-    ]);
+    ];
+    let spec = match step.work {
+        Work::Batch { work_ms } => {
+            task.push(("estimate_ms", Json::number(work_ms)));
+            format!("work_ms={work_ms}")
+        }
+        Work::Service { fails_ms } => {
+            task.push(("long_running", Json::Bool(true)));
+            format!("fails_ms={fails_ms}")
+        }
+    };
     let mut members = vec![
-        ("spec", Json::text(&format!("work_ms={}", step.work_ms))),
-        ("steps", Json::List(vec![task])),
+        ("spec", Json::text(&spec)),
+        ("steps", Json::List(vec![Json::map(task)])),
     ];
     if let Some(schedule) = schedule {
         let now = std::time::SystemTime::now();
@@ -91,6 +108,17 @@
         false
     }
 
+    /// Cancels a job, at one node after another; returns whether that was acknowledged.
+    pub fn cancel(&self, id: &str, attempts: usize) -> bool {
+        for attempt in 0..attempts {
+            if let Some((200..=299 | 410, _)) = self.send(attempt, "DELETE", id, "") {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        false
+    }
+
     /// Asks for a job's state, at one node after another; returns it, or the last answer's status,
     /// or none.
     pub fn state(&self, id: &str, attempts: usize) -> Option<String> {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -1,6 +1,8 @@
 //! A worker: runs tasks under leases, and answers starts, stops and holds.
 //!
-//! The text of a job says what its tasks do: `work_ms=N` is how long each works.
+//! The text of a job says what its tasks do: with `work_ms=N` each works for that long and ends
+//! `done`; with `fails_ms=N` each fails after between half of that and one and a half times as much,
+//! or never if that is 0.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -41,7 +43,8 @@
 }
 
 struct Running {
-    ends_ms: u64,
+    /// When it ends by itself, and how; none if it does not.
+    ends: Option<(u64, &'static str)>,
     stops_ms: Option<u64>,
     /// Position in the list of all runs.
     index: usize,
@@ -151,8 +154,8 @@
                 "lapsed"
             } else if stopped {
                 "stopped"
-            } else if now >= running.ends_ms && running.stops_ms.is_none() {
-                "done"
+            } else if running.stops_ms.is_none() {
+                running.ends.filter(|(at_ms, _)| now >= *at_ms)?.1
             } else {
                 return None;
             };
@@ -223,9 +226,9 @@
             state.extend(until_ms, now);
         }
         if answer == Ok(true) {
-            let work_ms = body.str("spec").rsplit('=').next();
-            let work_ms: u64 = work_ms.and_then(|ms| ms.parse().ok()).unwrap_or(100);
-            state.begin(task.clone(), run, now, work_ms);
+            let ends = own_end(body.str("spec"), &task, run);
+            let ends = ends.map(|(after_ms, how)| (now + after_ms, how));
+            state.begin(task.clone(), run, now, ends);
         }
         let told = answer.map_or_else(|reason| reason, |_| "accepted");
         let text = format!("worker {}: start {task}/{run}: {told}", state.id);
@@ -319,7 +322,7 @@
         }
     }
 
-    fn begin(&mut self, task: String, run: u64, now: u64, work_ms: u64) {
+    fn begin(&mut self, task: String, run: u64, now: u64, ends: Option<(u64, &'static str)>) {
         self.runs.push(Run {
             task: task.clone(),
             run,
@@ -330,7 +333,7 @@
             acknowledged_ms: None,
         });
         let running = Running {
-            ends_ms: now + work_ms,
+            ends,
             stops_ms: None,
             index: self.runs.len() - 1,
         };
@@ -392,3 +395,20 @@
         }
     }
 }
+
+/// Returns after what time a run ends by itself, and how; none if it does not.
+fn own_end(spec: &str, task: &str, run: u64) -> Option<(u64, &'static str)> {
+    let (what, time_ms) = spec.split_once('=')?;
+    let time_ms: u64 = time_ms.parse().ok()?;
+    match what {
+        "work_ms" => Some((time_ms, "done")),
+        "fails_ms" if time_ms > 0 => {
+            let letters = task.bytes().chain(run.to_le_bytes());
+            let hash = letters.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+                (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+            });
+            Some((time_ms / 2 + (hash >> 20) % time_ms, "failed"))
+        }
+        _ => None,
+    }
+}
