--- a/review/standins/src/cases/schedule.rs
+++ b/review/standins/src/cases/schedule.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::cell::Cell;
-use crate::client::{job, Clients, Schedule, Step, Work};
+use crate::client::{chain, job, Clients, Schedule, Step, Work};
 use crate::record::Record;
 use crate::worker::Run;
 use crate::Verdict;
@@ -12,11 +12,13 @@
 /// The job that recurs.
 const ID: &str = "5c0e7a21d94b36f8";
 /// Its occurrences: in the case, and without the disruption.
-const MANY: u64 = 2_400;
-const FEW: u64 = 300;
+const MANY: u64 = 350;
+const FEW: u64 = 60;
 /// Time between two of them.
-const INTERVAL_MS: u64 = 25;
-/// Its only step: a task of half a core that works for 0.05 s.
+const INTERVAL_MS: u64 = 200;
+/// Its steps, one after the other.
+const STEPS: u64 = 8;
+/// Each of them: a task of half a core that works for 0.05 s.
 const STEP: Step = Step {
     count: 1,
     cpu: 500,
@@ -54,8 +56,8 @@
         count: if trouble { MANY } else { FEW },
         interval_ms: INTERVAL_MS,
     };
-    let accepted = clients.submit(ID, &job(&STEP, Some(&schedule)), 10)
-        && clients.submit(CANCELLED_ID, &job(&CANCELLED, None), 10);
+    let accepted = clients.submit(ID, &chain(&STEP, STEPS, Some(&schedule)), 10)
+        && clients.submit(CANCELLED_ID, &job(&CANCELLED), 10);
     if !accepted {
         return Err("the first jobs are not accepted".to_owned());
     }
@@ -96,7 +98,7 @@
     while record.now_ms() < TRAFFIC_MS {
         asked += 1;
         let id = format!("{:016x}", 0xa000 + asked);
-        accepted += u64::from(clients.submit(&id, &job(&OTHER, None), 2));
+        accepted += u64::from(clients.submit(&id, &job(&OTHER), 2));
         if asked % 5 == 0 {
             record.say(&format!(
                 "{accepted} of {asked} other jobs accepted, longest row of progress {} bytes, {} ends not taken note of",
--- a/review/standins/src/cases/services.rs
+++ b/review/standins/src/cases/services.rs
@@ -35,7 +35,7 @@
     let ids = (0..SERVICES).map(|number| format!("{:016x}", 0x5c0e_7a21 + number));
     let ids: Vec<String> = ids.collect();
     for id in &ids {
-        if !clients.submit(id, &job(&step, None), 10) {
+        if !clients.submit(id, &job(&step), 10) {
             return Err(format!("service {id} is not accepted"));
         }
     }
--- a/review/standins/src/cases/unlisted_ends.rs
+++ b/review/standins/src/cases/unlisted_ends.rs
@@ -30,7 +30,7 @@
 pub fn play(trouble: bool, settings: &Path, record: &Record) -> Result<Verdict, String> {
     let cell = Cell::open(settings, record, 3, WORKERS)?;
     let clients = Clients::of(&cell);
-    if !clients.submit(ID, &job(&STEP, None), 10) {
+    if !clients.submit(ID, &job(&STEP), 10) {
         return Err("the job is not accepted".to_owned());
     }
     std::thread::sleep(Duration::from_millis(1_000));
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -41,7 +41,12 @@
 }
 
 /// Returns the body that hands in a job of one step.
-pub fn job(step: &Step, schedule: Option<&Schedule>) -> Json {
+pub fn job(step: &Step) -> Json {
+    chain(step, 1, None)
+}
+
+/// Returns the body that hands in a job of so many such steps, one after the other.
+pub fn chain(step: &Step, steps: u64, schedule: Option<&Schedule>) -> Json {
     let mut task = vec![
         ("count", Json::number(step.count)),
         ("cpu", Json::number(step.cpu)),
@@ -57,9 +62,16 @@
             format!("fails_ms={fails_ms}")
         }
     };
+    let steps = (0..steps).map(|position| {
+        let mut task = task.clone();
+        if let Some(earlier) = position.checked_sub(1) {
+            task.push(("after", Json::List(vec![Json::number(earlier)])));
+        }
+        Json::map(task)
+    });
     let mut members = vec![
         ("spec", Json::text(&spec)),
-        ("steps", Json::List(vec![Json::map(task)])),
+        ("steps", Json::List(steps.collect())),
     ];
     if let Some(schedule) = schedule {
         let now = std::time::SystemTime::now();
