Log what a list held when it lacks a run

The line "run is missing from the list of its endpoint" could not tell a run that its endpoint has lost from one whose end did not fit into the list, nor either from an end that was acknowledged and not recorded. It now says how many runs and ends the list held and up to which end all were acknowledged.

--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -425,7 +425,8 @@
             let endpoint = &self.endpoints[key];
             log::info!(
                 task:% = task, run = run, endpoint:% = endpoint.entry.id, born_ms:? = endpoint.born_ms,
-                taken_in = endpoint.last_end_received;
+                taken_in = endpoint.last_end_received, acknowledged = endpoint.acknowledged,
+                listed_runs = report.running.len(), listed_ends = report.ended.len();
                 "run is missing from the list of its endpoint"
             );
             metrics::run_missing();
