Take no run for lost whose end may not have fitted into a list

Cause: an endpoint lists the ends that are not acknowledged 500 at a time, and nothing can be acknowledged while the store is down. A run that ends after the first 500 is then neither among the listed runs nor among the listed ends, and the planner took it for lost and requeued its task.

Change: a list with as many ends as fit into one may lack some. Until a list with fewer arrives, no run is taken for lost and a new holder's barrier still waits for the endpoint. The endpoint gets work as before: its list of runs is whole, and runs whose end is not listed yet still count as running. A counter and a log line show such lists.

--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -15,7 +15,7 @@
 use crate::front::{Front, Revocation};
 use crate::leadership::LeadershipState;
 use crate::link::{accept_links, ConfigurationSource};
-use crate::ports::Platform;
+use crate::ports::{Endpoints, Platform};
 use crate::settings::Settings;
 use crate::watch;
 
@@ -91,6 +91,7 @@
             max_idle_hold_interval_ms: settings.listed_ms(),
             evacuations_age_ms: settings.evacuations_age_ms(),
             status_ms: settings.status_s * 1_000 + 30_000,
+            max_listed_ends: P::Endpoints::MAX_LISTED_ENDS,
             row_bytes: settings.row_bytes * 3 / 4 - 1_024,
             policies: settings.policies,
             ..Limits::default()
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -200,6 +200,10 @@
 
 /// Sends orders to endpoints.
 pub trait Endpoints: Clone + Send + Sync + 'static {
+    /// Maximum number of ends in the answer to a hold; further ones follow once these are
+    /// acknowledged.
+    const MAX_LISTED_ENDS: usize;
+
     /// Starts a run.
     fn start(&self, order: StartOrder) -> impl Future<Output = StartAnswer> + Send;
 
--- a/crates/chervilfall_node/tests/authority.rs
+++ b/crates/chervilfall_node/tests/authority.rs
@@ -104,6 +104,8 @@
 }
 
 impl Endpoints for Silent {
+    const MAX_LISTED_ENDS: usize = 500;
+
     async fn start(&self, _: StartOrder) -> StartAnswer {
         StartAnswer::Unanswered
     }
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -5,9 +5,11 @@
 use slotmap::new_key_type;
 
 use crate::config::ServiceName;
+use crate::event::HoldReport;
 use crate::ids::{EndpointId, Fence, Millis, RowVersion, TaskKey, UnixMillis};
 use crate::leases::Leases;
 use crate::limits::Limits;
+use crate::metrics;
 use crate::placed_run::{PlacedRun, RunPhase};
 use crate::policy::crashes::NEW_RUN_MS;
 use crate::policy::departures::LeaveTime;
@@ -104,6 +106,8 @@
     pub(crate) contacted: bool,
     /// Its last lists could not be read completely, so it may have unknown runs.
     pub(crate) lists_incomplete: bool,
+    /// Its last list held as many ends as a list can, so it may have further ones.
+    pub(crate) may_have_unlisted_ends: bool,
     /// All its leases have lapsed since its last contact, or its incarnation has ended.
     pub(crate) defunct: bool,
     /// When its leases were first found to have lapsed while it was silent.
@@ -158,6 +162,7 @@
             enforces_capacity: false,
             contacted: false,
             lists_incomplete: false,
+            may_have_unlisted_ends: false,
             defunct: false,
             lapsed_ms: None,
             placed: BTreeMap::new(),
@@ -284,6 +289,24 @@
         self.leases.assume_granted(lease_ms, limits);
     }
 
+    /// Records whether a report may lack ends, and returns it. Its list of runs is whole in any case,
+    /// so the capacity in use is known.
+    pub(crate) fn note_listed_ends(&mut self, report: &HoldReport, limits: &Limits) -> bool {
+        let may_lack_ends = report.ended.len() >= limits.max_listed_ends;
+        if may_lack_ends {
+            metrics::list_cut_off();
+        }
+        let before = std::mem::replace(&mut self.may_have_unlisted_ends, may_lack_ends);
+        if before != may_lack_ends {
+            log::info!(
+                endpoint:% = self.entry.id, may_lack_ends = may_lack_ends, listed_ends = report.ended.len(),
+                acknowledged = self.acknowledged;
+                "endpoint reaches or leaves the number of ends that a list holds"
+            );
+        }
+        may_lack_ends
+    }
+
     /// Returns the number of the end up to which a hold may acknowledge. A hold that follows an
     /// unanswered one, or is sent while the entry is from another incarnation, acknowledges
     /// nothing: a new incarnation numbers its ends from 1 and would discard ends that were never
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -181,7 +181,8 @@
     pub clock_ms: Millis,
     /// Runs in progress, including those that are being stopped.
     pub running: Vec<RunningRun>,
-    /// Ends that are not acknowledged, up to the first that could not be read.
+    /// Ends that are not acknowledged, up to the first that could not be read: at most as many as
+    /// fit into a list.
     pub ended: Vec<EndedRun>,
     /// Rows of the lists could not be read: a run that is not listed may be running or may have
     /// ended.
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -73,6 +73,9 @@
     pub idle_endpoints_per_ms: usize,
     /// Pause before the hold that follows an unanswered one.
     pub hold_retry_ms: Millis,
+    /// Maximum number of ends in an endpoint's list. Further ones are listed once these are
+    /// acknowledged, so a list with as many may lack some.
+    pub max_listed_ends: usize,
     /// An endpoint that has been silent for this long, and thus has left a hold unanswered, gets no
     /// starts and no further leases.
     pub silent_ms: Millis,
@@ -176,6 +179,7 @@
             max_idle_hold_interval_ms: 4_500,
             idle_endpoints_per_ms: 2,
             hold_retry_ms: 200,
+            max_listed_ends: 500,
             silent_ms: 950,
             report_age_ms: 3_800,
             evacuations_age_ms: None,
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -202,6 +202,11 @@
     counter!("chervilfall_runs_not_there_total").increment(1);
 }
 
+/// Counts a list that may lack ends.
+pub(crate) fn list_cut_off() {
+    counter!("chervilfall_lists_cut_off_total").increment(1);
+}
+
 /// Counts a run lost with its endpoint.
 pub(crate) fn run_lost(reason: LossReason) {
     counter!("chervilfall_runs_lost_total", "reason" => reason.label()).increment(1);
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -223,12 +223,17 @@
             endpoint.contacted = true;
         }
         endpoint.lists_incomplete = report.partial;
+        let may_lack_ends = endpoint.note_listed_ends(report, &self.limits);
         self.record_lists(key, report);
-        if !report.partial {
+        if report.partial {
+            return;
+        }
+        // A run that is not listed may have ended beyond the ends that the list holds.
+        if !may_lack_ends {
             self.settle_missing_runs(key, sent_ms, report);
             self.remove_from_barrier(key);
-            self.roster_capacity(key);
         }
+        self.roster_capacity(key);
     }
 
     /// Records the ends and runs that an endpoint lists.
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -19,6 +19,8 @@
 const SHRINK_GRACE_MS: u64 = 3_000 + REPORT_INTERVAL_MS;
 /// Maximum lease in milliseconds; longer ones are shortened to this.
 const LONGEST_LEASE_MS: u64 = 6_000;
+/// Maximum number of ends in a list; further ones are listed once these are acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
 /// Milliseconds that a run needs to resume from a checkpoint.
 const RESTORE_MS: u64 = 600;
 
@@ -320,6 +322,11 @@
         });
     }
 
+    /// Returns the number of ends that are not acknowledged, listed or not.
+    pub fn unacknowledged_ends(&self) -> usize {
+        self.ended.len()
+    }
+
     /// Returns its monotonic clock, which runs two percent slow and counts from its start plus an
     /// offset.
     fn clock(&self, now: u64) -> u64 {
@@ -571,7 +578,7 @@
                     checkpoint: String::new(),
                 })
                 .collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
             partial: false,
         };
         let answers = ready.into_iter().map(|hold| AnsweredHold {
--- a/crates/chervilfall_planner/tests/world/oracle.rs
+++ b/crates/chervilfall_planner/tests/world/oracle.rs
@@ -38,7 +38,8 @@
     {
         match how {
             EndReason::Done => {
-                done.insert(*task, *at_ms);
+                let first_ms = done.entry(*task).or_insert(*at_ms);
+                *first_ms = (*first_ms).min(*at_ms);
             }
             EndReason::Failed => {
                 failed.entry(*task).or_default().insert(*run, *at_ms);
