Keep inherited tasks waiting while an endpoint still lists old ends

The barrier of a new holder ends for an endpoint once the leases of the predecessor have lapsed. That holds for an endpoint that has not been reached.

Now such an endpoint is waited for until it has listed all its ends, or until it has fallen silent and its leases have lapsed. That cannot take for good: each hold acknowledges the ends that were stored, and lists the next. An endpoint whose rows cannot be read is treated as before, since nothing says that it would ever become readable.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -307,6 +307,11 @@
         may_lack_ends
     }
 
+    /// Returns whether further lists may show ends from before its last one.
+    pub(crate) const fn may_list_more_ends(&self) -> bool {
+        self.may_have_unlisted_ends && !self.defunct
+    }
+
     /// Returns the number of the end up to which a hold may acknowledge. A hold that follows an
     /// unanswered one, or is sent while the entry is from another incarnation, acknowledges
     /// nothing: a new incarnation numbers its ends from 1 and would discard ends that were never
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -1,10 +1,10 @@
 //! Barrier after a takeover: inherited tasks wait until every run of an earlier holder is either
-//! known or has certainly lost its lease.
+//! known, with its end if it has ended, or has certainly lost its lease.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::election::Takeover;
-use crate::endpoint::EndpointKey;
+use crate::endpoint::{Endpoint, EndpointKey};
 use crate::ids::{JobId, Millis};
 use crate::limits::Limits;
 use crate::planner::Planner;
@@ -16,13 +16,13 @@
 #[derive(Debug)]
 pub(crate) struct Barrier {
     lapse_ms: Millis,
-    /// Endpoints that have not reported their runs yet.
+    /// Endpoints that have not reported all their runs and ends yet.
     missing: BTreeMap<EndpointKey, MissingEndpoint>,
     /// Inherited jobs that have ended and whose steps are known. Their runs may still be in progress.
     ended_jobs: BTreeSet<JobId>,
 }
 
-/// What the roster states of an endpoint that has not reported its runs yet.
+/// What the roster states of an endpoint that has not reported all its runs and ends yet.
 #[derive(Debug)]
 struct MissingEndpoint {
     /// If the predecessor marked it as silent, the time by the store's clock at which its leases
@@ -79,20 +79,19 @@
     pub(crate) fn ended_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
         self.ended_jobs.iter().copied()
     }
+}
 
-    /// Removes endpoints whose leases had lapsed at `store_ms`. A commit of this holder was stored
-    /// then, so no successor had granted them new leases.
-    fn remove_lapsed(&mut self, store_ms: Millis) {
-        self.missing.retain(|_, missing| {
-            missing
-                .lapses_store_ms
-                .is_none_or(|lapses| store_ms < lapses)
-        });
+impl MissingEndpoint {
+    /// Returns whether the leases of a silent endpoint had lapsed at `store_ms`. A commit of this
+    /// holder was stored then, so no successor had granted new ones.
+    fn had_lapsed(&self, store_ms: Millis) -> bool {
+        self.lapses_store_ms
+            .is_some_and(|lapses| lapses <= store_ms)
     }
 }
 
 impl Planner {
-    /// Removes an endpoint that has reported its runs, or whose incarnation has been replaced.
+    /// Removes an endpoint that has reported all its runs and ends, or whose incarnation has been replaced.
     pub(super) fn remove_from_barrier(&mut self, endpoint: EndpointKey) {
         if let Some(barrier) = &mut self.barrier {
             barrier.missing.remove(&endpoint);
@@ -123,16 +122,23 @@
         let Some(barrier) = &mut self.barrier else {
             return;
         };
-        if let Some((store_ms, _)) = self.store_clock {
-            barrier.remove_lapsed(store_ms);
-        }
         // The lapse counts only once a later commit shows that no successor has extended leases.
         let lapsed = self.claim_confirmed_ms >= barrier.lapse_ms;
-        if !barrier.missing.is_empty() && !lapsed {
+        let store_ms = self.store_clock.map(|(store_ms, _)| store_ms);
+        let endpoints = &self.endpoints;
+        let unreported = barrier.missing.len();
+        barrier.missing.retain(|key, missing| {
+            // This holder has renewed the leases of an endpoint that has begun to list its ends.
+            let lists_more = endpoints
+                .get(*key)
+                .is_some_and(Endpoint::may_list_more_ends);
+            let over = lapsed || store_ms.is_some_and(|store_ms| missing.had_lapsed(store_ms));
+            lists_more || !over
+        });
+        if !barrier.missing.is_empty() {
             return;
         }
-        let missing = barrier.missing.len();
         self.barrier = None;
-        log::info!(lapsed = lapsed, missing = missing; "inherited tasks may start");
+        log::info!(lapsed = lapsed, missing = unreported; "inherited tasks may start");
     }
 }
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -38,6 +38,12 @@
 
 impl Successor {
     fn open() -> Self {
+        Self::open_after_silence(None)
+    }
+
+    /// Opens a holder whose predecessor has marked the endpoint of the failed run as silent, with
+    /// the time by the store's clock at which its leases lapse.
+    fn open_after_silence(lapses_store_ms: Option<u64>) -> Self {
         let queue = Queue {
             name: "batch".to_owned(),
             service: "pool".to_owned(),
@@ -67,7 +73,7 @@
             id: EndpointId(name.to_owned()),
             born_ms: None,
             address: format!("{name}:1"),
-            lapses_store_ms: None,
+            lapses_store_ms: lapses_store_ms.filter(|_| name == FAILED_RUN_ENDPOINT),
             capacity: None,
         });
         let stored = StoredGroup {
@@ -89,15 +95,23 @@
             ..Configuration::default()
         };
         successor.handle_event(Event::Configured(Arc::new(configuration)));
-        let entries = [FAILED_RUN_ENDPOINT, NEXT_RUN_ENDPOINT].map(entry).to_vec();
-        let read_ms = successor.now;
-        successor.handle_event(Event::Endpoints {
+        successor.read_endpoints();
+        successor.advance(10);
+        successor
+    }
+
+    /// Reads the list of endpoints, with a new report of each.
+    fn read_endpoints(&mut self) {
+        let read_ms = self.now;
+        let entries = [FAILED_RUN_ENDPOINT, NEXT_RUN_ENDPOINT].map(|name| EndpointEntry {
+            report: read_ms,
+            ..entry(name)
+        });
+        self.handle_event(Event::Endpoints {
             read_ms,
-            entries,
+            entries: entries.to_vec(),
             evacuated: BTreeSet::new(),
         });
-        successor.advance(10);
-        successor
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -135,6 +149,34 @@
 
     /// Answers the hold of an endpoint with its lists, once the holder has sent one.
     fn answer_hold(&mut self, name: &str, running: &[Run], ended: &[(u64, Run, EndReason)]) {
+        let ended = ended.iter().map(|(number, run, how)| EndedRun {
+            number: *number,
+            task: TASK,
+            run: *run,
+            how: *how,
+            checkpoint: String::new(),
+        });
+        self.answer_hold_with_ends(name, running, ended.collect());
+    }
+
+    /// Answers the hold of an endpoint, which runs nothing, with as many ends of other jobs as fit
+    /// into a list, after `end_number` others.
+    fn answer_hold_with_full_list(&mut self, name: &str, end_number: u64) {
+        let numbers = (end_number + 1..).take(Limits::default().max_listed_ends);
+        let ended = numbers.map(|number| EndedRun {
+            number,
+            task: TaskKey {
+                job: JobId(8),
+                ..TASK
+            },
+            run: 1,
+            how: EndReason::Done,
+            checkpoint: String::new(),
+        });
+        self.answer_hold_with_ends(name, &[], ended.collect());
+    }
+
+    fn answer_hold_with_ends(&mut self, name: &str, running: &[Run], ended: Vec<EndedRun>) {
         let mut waited_ms = 0;
         while !self.holds.remove(name) {
             self.advance(10);
@@ -146,18 +188,11 @@
             run: *run,
             checkpoint: String::new(),
         });
-        let ended = ended.iter().map(|(number, run, how)| EndedRun {
-            number: *number,
-            task: TASK,
-            run: *run,
-            how: *how,
-            checkpoint: String::new(),
-        });
         let report = HoldReport {
             born_ms: None,
             clock_ms: self.now,
             running: running.collect(),
-            ended: ended.collect(),
+            ended,
             partial: false,
         };
         let answer = HoldAnswer::Report(report);
@@ -268,3 +303,49 @@
     successor.advance(100);
     assert_eq!(successor.starts.len(), 1);
 }
+
+// Guards against a done task that runs again because its end is listed after the leases of the
+// earlier holder would have lapsed.
+#[test]
+fn an_inherited_task_waits_until_its_endpoint_has_listed_all_ends() {
+    struct Case {
+        name: &'static str,
+        /// When the leases lapse of the endpoint, if it is marked as silent.
+        lapses_store_ms: Option<u64>,
+        /// How long the lists of the endpoint hold as many ends as they can.
+        listing_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "listed before the leases lapse",
+            lapses_store_ms: None,
+            listing_ms: 1_000,
+        },
+        Case {
+            name: "listed after the leases of a silent endpoint would have lapsed",
+            lapses_store_ms: Some(10_500),
+            listing_ms: 1_000,
+        },
+        Case {
+            name: "listed after all leases would have lapsed",
+            lapses_store_ms: None,
+            listing_ms: 15_000,
+        },
+    ];
+    for case in cases {
+        let mut successor = Successor::open_after_silence(case.lapses_store_ms);
+        let until_ms = successor.now + case.listing_ms;
+        let mut end_number = 0;
+        while successor.now < until_ms {
+            successor.read_endpoints();
+            successor.answer_hold(NEXT_RUN_ENDPOINT, &[], &[]);
+            successor.answer_hold_with_full_list(FAILED_RUN_ENDPOINT, end_number);
+            end_number += Limits::default().max_listed_ends as u64;
+            successor.advance(50);
+        }
+        let last = (end_number + 1, 1, EndReason::Done);
+        successor.answer_hold(FAILED_RUN_ENDPOINT, &[], &[last]);
+        successor.advance(100);
+        assert_eq!(successor.starts, Vec::<Run>::new(), "{}", case.name);
+    }
+}
