Keep runs that may have ended on the next incarnation of an endpoint

Starts that were on their way when it crashed reach its next incarnation. The first lists of that one decide which of the earlier runs it has, and all others were given up at once. With more ends than a list holds, those not listed were given up although they had ended done, and their tasks were started again elsewhere. A new holder also stopped waiting for such an endpoint.

Now all runs are kept until a list shows all ends, and the barrier waits for the next incarnation in place of the earlier one.

Seen on the way and not mended here: runs that are kept are recorded as exposures to a crash in the row of their job.

--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -98,6 +98,16 @@
         }
     }
 
+    /// Lets the barrier wait for the next incarnation of an endpoint in place of the earlier one.
+    pub(super) fn replace_in_barrier(&mut self, old: EndpointKey, new: EndpointKey) {
+        let Some(barrier) = &mut self.barrier else {
+            return;
+        };
+        if let Some(missing) = barrier.missing.remove(&old) {
+            barrier.missing.insert(new, missing);
+        }
+    }
+
     /// Remembers an inherited job that has ended, because the stops of its runs may not have reached
     /// their endpoints. Returns whether it may have runs that have not been found yet.
     pub(super) fn watch_ended_job(&mut self, id: JobId) -> bool {
--- a/crates/chervilfall_planner/src/planner/incarnations.rs
+++ b/crates/chervilfall_planner/src/planner/incarnations.rs
@@ -42,6 +42,7 @@
         next.leases.read_clock(self.now, report.clock_ms);
         next.last_contact_ms = Some(self.limits.last_contact_ms(self.now, sent_ms));
         next.assume_granted(&self.limits);
+        let may_lack_ends = next.note_listed_ends(report, &self.limits);
         let id = endpoint.entry.id.clone();
         let (before_ms, draining) = (endpoint.born_ms, endpoint.draining);
         self.unsaved.roster.insert(RosterBucket::of(&id));
@@ -57,11 +58,16 @@
         }
         let now = self.now;
         self.move_runs(old_key, new_key, |_, placed| {
-            in_flight_run(placed, sent_ms, now)
+            let may_be_there = may_lack_ends || may_be_in_flight(placed, sent_ms);
+            may_be_there.then(|| unseen_run(placed, now)).flatten()
         });
         self.remove_replaced_record(old_key);
         self.record_lists(new_key, report);
-        self.remove_from_barrier(old_key);
+        if may_lack_ends {
+            self.replace_in_barrier(old_key, new_key);
+        } else {
+            self.remove_from_barrier(old_key);
+        }
     }
 
     /// Moves the runs for which `kept` returns a record to the next incarnation.
@@ -125,17 +131,21 @@
     running.any(|seen| seen == (task, run)) || ended.any(|seen| seen == (task, run))
 }
 
-/// Returns the record of a run whose start may still reach the next incarnation, or was answered
-/// after the lists were requested. The next lists must show it.
-fn in_flight_run(placed: &PlacedRun, sent_ms: Millis, now: Millis) -> Option<PlacedRun> {
-    let in_flight = placed.phase == RunPhase::Starting || placed.unanswered > 0;
+/// Returns whether the start of a run may still reach the next incarnation, or was answered after
+/// the lists were requested.
+fn may_be_in_flight(placed: &PlacedRun, sent_ms: Millis) -> bool {
+    let unanswered = placed.phase == RunPhase::Starting || placed.unanswered > 0;
     let answered_since = placed
         .confirmed_ms
         .is_some_and(|confirmed_ms| confirmed_ms >= sent_ms);
-    if placed.phase == RunPhase::Announced || !(in_flight || answered_since) {
-        return None;
-    }
+    unanswered || answered_since
+}
+
+/// Returns the record of a run that may be on the next incarnation without being listed; none if it
+/// was never sent. The next lists must show it.
+fn unseen_run(placed: &PlacedRun, now: Millis) -> Option<PlacedRun> {
     let phase = match placed.phase {
+        RunPhase::Announced => return None,
         RunPhase::Starting => RunPhase::Running,
         other => other,
     };
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -30,6 +30,8 @@
 struct Successor {
     planner: Planner,
     now: u64,
+    /// When all endpoints were started, if they say so.
+    born_ms: Option<u64>,
     keys: BTreeMap<String, EndpointKey>,
     holds: BTreeSet<String>,
     starts: Vec<Run>,
@@ -38,12 +40,13 @@
 
 impl Successor {
     fn open() -> Self {
-        Self::open_after_silence(None)
+        Self::open_with(None, false)
     }
 
-    /// Opens a holder whose predecessor has marked the endpoint of the failed run as silent, with
-    /// the time by the store's clock at which its leases lapse.
-    fn open_after_silence(lapses_store_ms: Option<u64>) -> Self {
+    /// Opens a holder whose predecessor may have marked the endpoint of the failed run as silent,
+    /// with the time by the store's clock at which its leases lapse. All endpoints may have
+    /// `restarted` since.
+    fn open_with(lapses_store_ms: Option<u64>, restarted: bool) -> Self {
         let queue = Queue {
             name: "batch".to_owned(),
             service: "pool".to_owned(),
@@ -71,7 +74,7 @@
         };
         let roster = [FAILED_RUN_ENDPOINT, NEXT_RUN_ENDPOINT].map(|name| RosterEntry {
             id: EndpointId(name.to_owned()),
-            born_ms: None,
+            born_ms: restarted.then_some(1),
             address: format!("{name}:1"),
             lapses_store_ms: lapses_store_ms.filter(|_| name == FAILED_RUN_ENDPOINT),
             capacity: None,
@@ -84,6 +87,7 @@
         let mut successor = Self {
             planner: Planner::new(Limits::default(), takeover(), stored, 10_000),
             now: 10_000,
+            born_ms: restarted.then_some(2),
             keys: BTreeMap::new(),
             holds: BTreeSet::new(),
             starts: Vec::new(),
@@ -105,6 +109,7 @@
         let read_ms = self.now;
         let entries = [FAILED_RUN_ENDPOINT, NEXT_RUN_ENDPOINT].map(|name| EndpointEntry {
             report: read_ms,
+            born_ms: self.born_ms,
             ..entry(name)
         });
         self.handle_event(Event::Endpoints {
@@ -189,7 +194,7 @@
             checkpoint: String::new(),
         });
         let report = HoldReport {
-            born_ms: None,
+            born_ms: self.born_ms,
             clock_ms: self.now,
             running: running.collect(),
             ended,
@@ -312,6 +317,8 @@
         name: &'static str,
         /// When the leases lapse of the endpoint, if it is marked as silent.
         lapses_store_ms: Option<u64>,
+        /// The endpoint has restarted since the earlier holder wrote the roster.
+        restarted: bool,
         /// How long the lists of the endpoint hold as many ends as they can.
         listing_ms: u64,
     }
@@ -319,21 +326,30 @@
         Case {
             name: "listed before the leases lapse",
             lapses_store_ms: None,
+            restarted: false,
             listing_ms: 1_000,
         },
         Case {
             name: "listed after the leases of a silent endpoint would have lapsed",
             lapses_store_ms: Some(10_500),
+            restarted: false,
+            listing_ms: 1_000,
+        },
+        Case {
+            name: "listed by the next incarnation",
+            lapses_store_ms: None,
+            restarted: true,
             listing_ms: 1_000,
         },
         Case {
             name: "listed after all leases would have lapsed",
             lapses_store_ms: None,
+            restarted: false,
             listing_ms: 15_000,
         },
     ];
     for case in cases {
-        let mut successor = Successor::open_after_silence(case.lapses_store_ms);
+        let mut successor = Successor::open_with(case.lapses_store_ms, case.restarted);
         let until_ms = successor.now + case.listing_ms;
         let mut end_number = 0;
         while successor.now < until_ms {
