--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -106,7 +106,8 @@
     pub(crate) contacted: bool,
     /// Its last lists could not be read completely, so it may have unknown runs.
     pub(crate) lists_incomplete: bool,
-    /// Its last list held as many ends as a list can, so it may have further ones.
+    /// Its last list held as many ends as a list can, so it may have further ones. It gets work
+    /// nevertheless, because its list of runs is complete.
     pub(crate) may_have_unlisted_ends: bool,
     /// All its leases have lapsed since its last contact, or its incarnation has ended.
     pub(crate) defunct: bool,
@@ -289,25 +290,25 @@
         self.leases.assume_granted(lease_ms, limits);
     }
 
-    /// Records whether a report may lack ends, and returns it. Its list of runs is whole in any case,
-    /// so the capacity in use is known.
+    /// Records whether a report may lack ends, and returns it.
     pub(crate) fn note_listed_ends(&mut self, report: &HoldReport, limits: &Limits) -> bool {
         let may_lack_ends = report.ended.len() >= limits.max_listed_ends;
         if may_lack_ends {
             metrics::list_cut_off();
         }
         let before = std::mem::replace(&mut self.may_have_unlisted_ends, may_lack_ends);
-        if before != may_lack_ends {
+        if may_lack_ends && !before {
             log::info!(
-                endpoint:% = self.entry.id, may_lack_ends = may_lack_ends, listed_ends = report.ended.len(),
-                acknowledged = self.acknowledged;
-                "endpoint reaches or leaves the number of ends that a list holds"
+                endpoint:% = self.entry.id, listed_ends = report.ended.len(), acknowledged = self.acknowledged;
+                "endpoint may have more ends than it lists"
             );
+        } else if before && !may_lack_ends {
+            log::info!(endpoint:% = self.entry.id; "endpoint lists all its ends again");
         }
         may_lack_ends
     }
 
-    /// Returns whether further lists may show ends from before its last one.
+    /// Returns whether its next lists may show ends that are older than its last list.
     pub(crate) const fn may_list_more_ends(&self) -> bool {
         self.may_have_unlisted_ends && !self.defunct
     }
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -91,7 +91,8 @@
 }
 
 impl Planner {
-    /// Removes an endpoint that has reported all its runs and ends, or whose incarnation has been replaced.
+    /// Removes an endpoint that has reported all its runs and ends, or whose incarnation has been
+    /// replaced.
     pub(super) fn remove_from_barrier(&mut self, endpoint: EndpointKey) {
         if let Some(barrier) = &mut self.barrier {
             barrier.missing.remove(&endpoint);
@@ -128,6 +129,11 @@
         self.stopping.contains_job(job.id) || (unfound && job.ready_steps().next().is_some())
     }
 
+    /// Removes the barrier once no endpoint is missing.
+    ///
+    /// An endpoint is no longer waited for once the leases of earlier holders have lapsed, unless it
+    /// has begun to list its ends: this holder has renewed its leases since, so its runs did not
+    /// lapse.
     pub(super) fn check_barrier(&mut self) {
         let Some(barrier) = &mut self.barrier else {
             return;
@@ -138,12 +144,11 @@
         let endpoints = &self.endpoints;
         let unreported = barrier.missing.len();
         barrier.missing.retain(|key, missing| {
-            // This holder has renewed the leases of an endpoint that has begun to list its ends.
             let lists_more = endpoints
                 .get(*key)
                 .is_some_and(Endpoint::may_list_more_ends);
-            let over = lapsed || store_ms.is_some_and(|store_ms| missing.had_lapsed(store_ms));
-            lists_more || !over
+            let runs_over = lapsed || store_ms.is_some_and(|store_ms| missing.had_lapsed(store_ms));
+            lists_more || !runs_over
         });
         if !barrier.missing.is_empty() {
             return;
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -1,5 +1,7 @@
-//! A new holder finds two runs of one task, because the second started between its first lists of
-//! the two endpoints.
+//! What a new holder makes of the runs and ends that endpoints list.
+//!
+//! It may find two runs of one task, because the second started between its first lists of the two
+//! endpoints.
 //!
 //! Guards against two runs of a task at the same time, 0.6 s after a takeover. The earlier holder,
 //! whose commits the store already refused, learned of a failed run and started the next one on an
--- a/crates/chervilfall_planner/tests/cut_lists.rs
+++ b/crates/chervilfall_planner/tests/cut_lists.rs
@@ -12,7 +12,7 @@
 
 /// Time that a holder needs to know the intervals between its commits.
 const WARM_UP_MS: u64 = 12_000;
-/// Time from the submission to the outage.
+/// Time from a submission to what happens next.
 const HEAD_START_MS: u64 = 1_000;
 /// How long the store is down.
 const DOWN_MS: u64 = 4_000;
