--- a/crates/chervilfall_planner/tests/cut_lists.rs
+++ b/crates/chervilfall_planner/tests/cut_lists.rs
@@ -2,12 +2,9 @@
 
 mod world;
 
-use std::collections::BTreeMap;
-
-use chervilfall_planner::{
-    Action, Answer, Asker, JobId, JobSpec, JobState, Request, Step, TaskKey,
-};
+use chervilfall_planner::{Action, Answer, Asker, JobId, JobSpec, JobState, Request, Step};
 use world::endpoint::FakeEndpoint;
+use world::oracle::restarted_tasks;
 use world::{step, ScheduledEvent, World};
 
 /// Time that a holder needs to know the intervals between its commits.
@@ -80,7 +77,7 @@
     let bound_ms = world.now + JOB_MS;
     while !is_completed(world) {
         if world.now >= bound_ms {
-            let restarted = restarted_tasks(world);
+            let restarted = restarted_tasks(world.endpoints.values(), JobId(JOB));
             return vec![format!("not completed, {restarted} tasks started again")];
         }
         world.run(50);
@@ -89,24 +86,13 @@
     world.run(ACKNOWLEDGED_MS);
     world.check_history();
     let mut wrong: Vec<String> = world.violations.iter().take(1).cloned().collect();
-    let restarted = restarted_tasks(world);
+    let restarted = restarted_tasks(world.endpoints.values(), JobId(JOB));
     if restarted > 0 {
         wrong.push(format!("{restarted} tasks started again"));
     }
     wrong
 }
 
-/// Returns how many tasks of the job have started more than once.
-fn restarted_tasks(world: &World) -> usize {
-    let endpoints = world.endpoints.values();
-    let starts = endpoints.flat_map(|endpoint| &endpoint.starts);
-    let mut counts: BTreeMap<TaskKey, usize> = BTreeMap::new();
-    for (_, task, _) in starts.filter(|(_, task, _)| task.job == JobId(JOB)) {
-        *counts.entry(*task).or_default() += 1;
-    }
-    counts.values().filter(|count| **count > 1).count()
-}
-
 // Guards against done tasks that run again because their ends did not fit into a list.
 #[test]
 fn a_task_whose_end_did_not_fit_into_a_list_is_not_started_again() {
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -62,6 +62,8 @@
     slow_store: bool,
     /// Several jobs are submitted at a time, and a commit holds only few of their rows.
     small_commits: bool,
+    /// Endpoints list only few ends at a time.
+    short_lists: bool,
 }
 
 /// Faults that end before the leases granted under a claim do.
@@ -72,6 +74,7 @@
     keeps_names: false,
     slow_store: false,
     small_commits: false,
+    short_lists: false,
 };
 /// Faults that outlast the leases granted under a claim, with most orders late.
 const LONG_FAULTS: FaultProfile = FaultProfile {
@@ -81,6 +84,7 @@
     keeps_names: false,
     slow_store: false,
     small_commits: false,
+    short_lists: false,
 };
 /// Short faults, a slow store and takeovers whose renewals are not answered.
 const SLOW_STORE: FaultProfile = FaultProfile {
@@ -92,7 +96,14 @@
     small_commits: true,
     ..SLOW_STORE
 };
-/// Rows of a commit in these histories.
+/// The same, with more ends than lists hold.
+const SHORT_LISTS: FaultProfile = FaultProfile {
+    short_lists: true,
+    ..SMALL_COMMITS
+};
+/// Ends of a list in these histories.
+const SHORT_LIST_ENDS: usize = 2;
+/// Rows of a commit in histories with small commits.
 const SMALL_COMMIT_ROWS: usize = 12;
 /// Jobs that are submitted at a time in these histories.
 const BURST_JOBS: u64 = 8;
@@ -110,6 +121,12 @@
     ..CRASHES
 };
 
+/// The same, with more ends than lists hold.
+const RESTARTS_WITH_SHORT_LISTS: FaultProfile = FaultProfile {
+    short_lists: true,
+    ..RESTARTS
+};
+
 /// Minimum number of endpoint crashes during runs of one task before its job may be given up,
 /// whatever caused them. In these histories whole racks crash every few seconds in addition, so no
 /// holder can always tell which task is at fault.
@@ -261,6 +278,12 @@
     if profile.small_commits {
         world.limits.commit_rows = SMALL_COMMIT_ROWS;
     }
+    if profile.short_lists {
+        world.limits.max_listed_ends = SHORT_LIST_ENDS;
+        for endpoint in world.endpoints.values_mut() {
+            endpoint.max_listed_ends = SHORT_LIST_ENDS;
+        }
+    }
     let mut requests = Vec::new();
     world.run(1_500);
     for round in 0..ROUNDS {
@@ -427,3 +450,11 @@
     let seeds = RESTART_REGRESSIONS.into_iter().chain(first..first + count);
     run_histories(seeds, RESTARTS);
 }
+
+#[test]
+fn histories_with_short_lists_violate_no_invariant() {
+    let first = env_number("CHERVILFALL_SEED", 0);
+    let count = env_number("CHERVILFALL_HISTORIES", HISTORIES);
+    run_histories(first..first + count, SHORT_LISTS);
+    run_histories(first..first + count, RESTARTS_WITH_SHORT_LISTS);
+}
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -19,7 +19,7 @@
 const SHRINK_GRACE_MS: u64 = 3_000 + REPORT_INTERVAL_MS;
 /// Maximum lease in milliseconds; longer ones are shortened to this.
 const LONGEST_LEASE_MS: u64 = 6_000;
-/// Maximum number of ends in a list; further ones are listed once these are acknowledged.
+/// Maximum number of ends in a list.
 const MAX_LISTED_ENDS: usize = 500;
 /// Milliseconds that a run needs to resume from a checkpoint.
 const RESTORE_MS: u64 = 600;
@@ -152,6 +152,8 @@
     /// All runs that it has reported as failed, acknowledged or not.
     pub failed: Vec<(TaskKey, Run)>,
     ended: Vec<EndedRun>,
+    /// Maximum number of ends in a list; further ones are listed once these are acknowledged.
+    pub max_listed_ends: usize,
     /// Times of ends by number; cleared when the lease lapses.
     ends_under_lease: BTreeMap<u64, u64>,
     next_end: u64,
@@ -202,6 +204,7 @@
             acknowledged_ends: Vec::new(),
             failed: Vec::new(),
             ended: Vec::new(),
+            max_listed_ends: MAX_LISTED_ENDS,
             ends_under_lease: BTreeMap::new(),
             next_end: 1,
             fence: 0,
@@ -269,6 +272,7 @@
             domain: self.domain,
             rack: self.rack.clone(),
             labels: self.labels.clone(),
+            max_listed_ends: self.max_listed_ends,
             ..Self::new(number, self.cpu_milli)
         }
     }
@@ -322,6 +326,11 @@
         });
     }
 
+    fn listed_ends(&self) -> Vec<EndedRun> {
+        let ended = self.ended.iter().take(self.max_listed_ends);
+        ended.cloned().collect()
+    }
+
     /// Returns the number of ends that are not acknowledged, listed or not.
     pub fn unacknowledged_ends(&self) -> usize {
         self.ended.len()
@@ -578,7 +587,7 @@
                     checkpoint: String::new(),
                 })
                 .collect(),
-            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            ended: self.listed_ends(),
             partial: false,
         };
         let answers = ready.into_iter().map(|hold| AnsweredHold {
--- a/crates/chervilfall_planner/tests/world/oracle.rs
+++ b/crates/chervilfall_planner/tests/world/oracle.rs
@@ -69,6 +69,16 @@
     }
 }
 
+/// Returns how many tasks of a job have started more than once.
+pub fn restarted_tasks<'a>(endpoints: impl Iterator<Item = &'a FakeEndpoint>, job: JobId) -> usize {
+    let starts = endpoints.flat_map(|endpoint| &endpoint.starts);
+    let mut counts: BTreeMap<TaskKey, usize> = BTreeMap::new();
+    for (_, task, _) in starts.filter(|(_, task, _)| task.job == job) {
+        *counts.entry(*task).or_default() += 1;
+    }
+    counts.values().filter(|count| **count > 1).count()
+}
+
 /// Number of crashes caused by a task after which only a few more starts are allowed.
 const CRASH_THRESHOLD: usize = 3;
 /// Number of starts after these crashes that is too many, counting starts by undisturbed nodes.
