Let two tests of cut lists share the table of how an outage ends

cut_lists.rs and many_ends.rs played the same two cases, each from a table of its own: one in virtual time, one with real nodes. The table now stands once beside the simulated endpoints that both use.

--- a/crates/chervilfall_planner/tests/cut_lists.rs
+++ b/crates/chervilfall_planner/tests/cut_lists.rs
@@ -5,6 +5,7 @@
 use chervilfall_planner::{Action, Answer, Asker, JobId, JobSpec, JobState, Request, Step};
 use world::endpoint::FakeEndpoint;
 use world::oracle::restarted_tasks;
+use world::outages::OUTAGE_ENDS;
 use world::{step, ScheduledEvent, World};
 
 /// Time that a holder needs to know the intervals between its commits.
@@ -96,23 +97,8 @@
 // Guards against done tasks that run again because their ends did not fit into a list.
 #[test]
 fn a_task_whose_end_did_not_fit_into_a_list_is_not_started_again() {
-    struct Case {
-        name: &'static str,
-        /// The holder is lost as the store comes back.
-        holder_lost: bool,
-    }
-    let cases = [
-        Case {
-            name: "the holder stays",
-            holder_lost: false,
-        },
-        Case {
-            name: "the next holder finds the ends",
-            holder_lost: true,
-        },
-    ];
     let mut wrong = Vec::new();
-    for case in cases {
+    for case in OUTAGE_ENDS {
         let mut world = world(3);
         assert_eq!(
             world.submit(JOB, job(8_000, 100)),
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -9,6 +9,7 @@
 mod nodes;
 pub mod oracle;
 mod orders;
+pub mod outages;
 pub mod random;
 pub mod store;
 pub mod tables;
