Name status updates of attempts by the field's term in the older core

The older core called them news, which was told, and a module, functions and comments followed that picture. They are status updates that are sent. Messages keep their form: only names in the code change.

--- a/crates/chervilfall_core/src/engine/messages.rs
+++ b/crates/chervilfall_core/src/engine/messages.rs
@@ -29,12 +29,22 @@
             } => {
                 let mut context = context!(self, now);
                 if shard.is_some() {
-                    self.ledger
-                        .attempt_news(&mut context, &mut self.rng, from, &attempt, state);
+                    self.ledger.handle_status_update(
+                        &mut context,
+                        &mut self.rng,
+                        from,
+                        &attempt,
+                        state,
+                    );
                 } else {
                     let mut around = around_front!(self);
-                    self.front
-                        .attempt_news(&mut context, &mut around, from, &attempt, state);
+                    self.front.handle_status_update(
+                        &mut context,
+                        &mut around,
+                        from,
+                        &attempt,
+                        state,
+                    );
                 }
             }
             PeerMessage::Cancel(key) => {
--- a/crates/chervilfall_core/src/engine/mod.rs
+++ b/crates/chervilfall_core/src/engine/mod.rs
@@ -206,7 +206,7 @@
         }
         if now >= self.next_summary {
             self.next_summary = now.after(self.settings.summary_interval_ms);
-            self.tell_summary(now);
+            self.send_summary(now);
         }
     }
 
@@ -232,7 +232,7 @@
         }
     }
 
-    fn tell_summary(&mut self, now: Instant) {
+    fn send_summary(&mut self, now: Instant) {
         let summary = self.summary();
         let mut context = context!(self, now);
         for peer in self.members.connected_peers(context.me()) {
@@ -305,6 +305,6 @@
         let mut context = context!(self, now);
         self.owner.stop(&mut context, &self.members);
         self.members.summary(self.me(), self.summary());
-        self.tell_summary(now);
+        self.send_summary(now);
     }
 }
--- a/crates/chervilfall_core/src/front/call.rs
+++ b/crates/chervilfall_core/src/front/call.rs
@@ -196,8 +196,8 @@
         self.finish(context, around, key, answer);
     }
 
-    /// Takes news of an attempt at a call.
-    pub(crate) fn attempt_news(
+    /// Handles a status update of an attempt at a call.
+    pub(crate) fn handle_status_update(
         &mut self,
         context: &mut Context<'_>,
         around: &mut Surroundings<'_>,
--- a/crates/chervilfall_core/src/front/mod.rs
+++ b/crates/chervilfall_core/src/front/mod.rs
@@ -241,7 +241,8 @@
             self.place(context, around, key, None);
         } else if let Some(holder) = holder {
             taken.phase = FrontPhase::Claiming;
-            self.outcomes.tell_last(context, around.members, key);
+            self.outcomes
+                .send_last_outcome(context, around.members, key);
             let message = PeerMessage::Claim {
                 key: key.clone(),
                 digest: taken.digest,
--- a/crates/chervilfall_core/src/front/outcomes.rs
+++ b/crates/chervilfall_core/src/front/outcomes.rs
@@ -13,7 +13,7 @@
 use crate::policy::shard_map::shard_of;
 use crate::timers::Timers;
 
-/// How often an outcome is told again, in milliseconds.
+/// Interval at which an outcome is sent again, in milliseconds.
 const AGAIN_MS: u64 = 1_000;
 
 /// An outcome that has not been confirmed.
@@ -47,18 +47,18 @@
         let until = context.now.after(context.settings.ledger_retention_ms);
         let unrecorded = Unrecorded { answer, until };
         self.unrecorded.insert(key.clone(), unrecorded);
-        self.tell(context, members, &key);
+        self.send_outcome(context, members, &key);
     }
 
-    /// Tells an outcome for the last time, before its key is claimed again: told after the claim
+    /// Sends an outcome for the last time, before its key is claimed again: sent after the claim
     /// it would be taken for the outcome of the new call.
-    pub(super) fn tell_last(
+    pub(super) fn send_last_outcome(
         &mut self,
         context: &mut Context<'_>,
         members: &Members,
         key: &RequestKey,
     ) {
-        self.tell(context, members, key);
+        self.send_outcome(context, members, key);
         self.unrecorded.remove(key);
     }
 
@@ -80,11 +80,11 @@
     /// Tells outcomes again that were not confirmed.
     pub(super) fn tick(&mut self, context: &mut Context<'_>, members: &Members) {
         while let Some(key) = self.timers.pop(context.now) {
-            self.tell(context, members, &key);
+            self.send_outcome(context, members, &key);
         }
     }
 
-    fn tell(&mut self, context: &mut Context<'_>, members: &Members, key: &RequestKey) {
+    fn send_outcome(&mut self, context: &mut Context<'_>, members: &Members, key: &RequestKey) {
         let Some(unrecorded) = self.unrecorded.get(key) else {
             return;
         };
--- a/crates/chervilfall_core/src/ledger/claims.rs
+++ b/crates/chervilfall_core/src/ledger/claims.rs
@@ -78,7 +78,7 @@
                     claim.outcome = Some(answer.clone());
                     shard.push(Record::Outcome(answer.clone()), then);
                 }
-                self.tell_watchers(context, &key, answer);
+                self.notify_watchers(context, &key, answer);
             }
             Some(claim) if claim.by == by && !shard.image.has_outcome(&key) => {
                 // The first word is on its way into the log, and is confirmed when it is there.
--- a/crates/chervilfall_core/src/ledger/mod.rs
+++ b/crates/chervilfall_core/src/ledger/mod.rs
@@ -10,11 +10,11 @@
 mod holders;
 mod image;
 mod job;
-mod news;
 mod record;
 mod recovery;
 mod shard;
 mod snapshot;
+mod status_updates;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -165,7 +165,7 @@
     }
 
     /// Returns the shards that are held, those that are being given back included: until they are
-    /// given back, news of their tasks belongs here.
+    /// given back, status updates of their tasks belong here.
     pub(crate) fn claims(&self) -> Vec<ShardClaim> {
         self.shards
             .values()
@@ -237,11 +237,11 @@
                 waited_ms: answer.waited_ms.unwrap_or(0),
             });
         }
-        self.tell_watchers(context, key, &answer);
+        self.notify_watchers(context, key, &answer);
     }
 
     /// Tells instances that wait for the final answer of a request.
-    fn tell_watchers(&mut self, context: &mut Context<'_>, key: &RequestKey, answer: &Answer) {
+    fn notify_watchers(&mut self, context: &mut Context<'_>, key: &RequestKey, answer: &Answer) {
         for watcher in self.watchers.remove(key).unwrap_or_default() {
             let fetched = Fetched {
                 key: key.clone(),
--- a/crates/chervilfall_core/src/ledger/status_updates.rs
+++ b/crates/chervilfall_core/src/ledger/status_updates.rs
@@ -1,4 +1,4 @@
-//! News of attempts at tasks, and what follows from them.
+//! Status updates of attempts at tasks, and what follows from them.
 
 use chervilfall_types::{
     AttemptKey, EndpointName, EntryId, Epoch, RequestKey, ShardId, TaskKey, WorkClass,
@@ -24,8 +24,8 @@
 }
 
 impl Ledger {
-    /// Takes news of an attempt at a task.
-    pub(crate) fn attempt_news(
+    /// Handles a status update of an attempt at a task.
+    pub(crate) fn handle_status_update(
         &mut self,
         context: &mut Context<'_>,
         rng: &mut SmallRng,
@@ -42,7 +42,7 @@
             return;
         }
         let Some(job) = shard.jobs.get_mut(key) else {
-            refuse_news(context, from, attempt, &state);
+            refuse_status_update(context, from, attempt, &state);
             return;
         };
         let index = attempt.task.index as usize;
@@ -52,7 +52,7 @@
             .is_none_or(|task| !may_concern(task, attempt))
         {
             if !shard.awaits_commit_of(attempt) {
-                refuse_news(context, from, attempt, &state);
+                refuse_status_update(context, from, attempt, &state);
             }
             return;
         }
@@ -260,7 +260,7 @@
     }
 }
 
-/// Returns whether news of an attempt may concern a task: the attempt is the one that is out, or
+/// Returns whether a status update of an attempt may concern a task: the attempt is the one that is out, or
 /// none is known to be.
 fn may_concern(task: &Task, attempt: &AttemptKey) -> bool {
     match &task.phase {
@@ -271,7 +271,7 @@
 }
 
 /// Has an owner forget an attempt that no longer matters, or stop it.
-fn refuse_news(
+fn refuse_status_update(
     context: &mut Context<'_>,
     from: EntryId,
     attempt: &AttemptKey,
--- a/crates/chervilfall_core/src/owner/attempt.rs
+++ b/crates/chervilfall_core/src/owner/attempt.rs
@@ -71,7 +71,7 @@
     }
 }
 
-/// Returns the state that a requester is told, if there is news in it.
+/// Returns the state of an attempt to report to its requester, if it is known.
 ///
 /// Only the holder of an endpoint's lease that has read its list may say what runs there; before
 /// that an attempt that was sent to the endpoint is astray.
--- a/crates/chervilfall_core/src/owner/attempts.rs
+++ b/crates/chervilfall_core/src/owner/attempts.rs
@@ -313,7 +313,7 @@
         for id in ids {
             if matches!(self.attempts[id].phase, AttemptPhase::Sent { .. }) {
                 let state = AttemptState::Astray(name.clone());
-                self.tell(context, members, id, state);
+                self.send_state(context, members, id, state);
             }
             self.remove_attempt(id);
         }
@@ -345,14 +345,14 @@
         }
     }
 
-    /// Tells the requester of an attempt the news, if it can be reached.
+    /// Sends the state of an attempt to its requester, if it can be reached.
     pub(super) fn report(&mut self, context: &mut Context<'_>, members: &Members, id: AttemptId) {
         if let Some(state) = self.state(context.now, id) {
-            self.tell(context, members, id, state);
+            self.send_state(context, members, id, state);
         }
     }
 
-    /// Tells one entry instance the news of an attempt.
+    /// Sends the state of an attempt to one entry instance.
     pub(super) fn report_to(&mut self, context: &mut Context<'_>, id: AttemptId, to: EntryId) {
         let Some(state) = self.state(context.now, id) else {
             return;
@@ -370,7 +370,7 @@
         state_of(&self.attempts[id], &self.endpoints, now)
     }
 
-    fn tell(
+    fn send_state(
         &mut self,
         context: &mut Context<'_>,
         members: &Members,
--- a/crates/chervilfall_core/src/owner/sync.rs
+++ b/crates/chervilfall_core/src/owner/sync.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Takes the news that an attempt ended on an endpoint.
+    /// Handles the end of an attempt on an endpoint.
     pub(super) fn agent_event(
         &mut self,
         context: &mut Context<'_>,
--- a/crates/chervilfall_fuzz/src/outside.rs
+++ b/crates/chervilfall_fuzz/src/outside.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Has an agent carry out a call; a poll without news is answered with nothing yet.
+    /// Has an agent carry out a call; a poll without a change is answered with nothing yet.
     pub(crate) fn call_agent(
         &mut self,
         endpoint: usize,
@@ -128,7 +128,7 @@
         })
     }
 
-    /// Ends a poll: with news, or because its wait is over.
+    /// Ends a poll: with a change, or because its wait is over.
     pub(crate) fn end_poll(
         &mut self,
         endpoint: usize,
--- a/crates/chervilfall_node/src/link/teller.rs
+++ b/crates/chervilfall_node/src/link/teller.rs
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Handles the news that the follower has taken a piece of what it asked for at `asked_ms`.
+    /// Handles the report that the follower has taken a piece of what it asked for at `asked_ms`.
     pub(super) fn handle_taken(&self, asked_ms: u64) {
         if let Some(taken) = &self.taken {
             // A transfer that has ended needs no answer.
--- a/crates/chervilfall_standin/src/endpoints.rs
+++ b/crates/chervilfall_standin/src/endpoints.rs
@@ -45,7 +45,7 @@
 #[derive(Debug)]
 struct Hosted {
     agent: Mutex<Agent>,
-    news: Notify,
+    changes: Notify,
 }
 
 impl Hosted {
@@ -68,7 +68,7 @@
             let agent = Agent::new(name.clone(), limits, base_us);
             let hosted = Hosted {
                 agent: Mutex::new(agent),
-                news: Notify::new(),
+                changes: Notify::new(),
             };
             (name.as_str().to_owned(), hosted)
         };
@@ -108,7 +108,7 @@
                 agent.advance(now);
                 next_ms = agent.next_end_ms().map_or(next_ms, |at| at.min(next_ms));
                 if agent.journal.len() > before {
-                    hosted.news.notify_waiters();
+                    hosted.changes.notify_waiters();
                 }
             }
             sleep(Duration::from_millis(
@@ -181,7 +181,7 @@
         agent.advance(host.now());
         answer
     };
-    hosted.news.notify_waiters();
+    hosted.changes.notify_waiters();
     Ok(reply(answer))
 }
 
@@ -209,17 +209,17 @@
         return Ok(reply(Err(stale)));
     }
     let wait = Duration::from_millis(ask.wait_ms);
-    let news = async {
+    let changes = async {
         loop {
-            let notified = hosted.news.notified();
+            let notified = hosted.changes.notified();
             if hosted.lock().has_events(ask.after) {
                 return;
             }
             notified.await;
         }
     };
-    // Without news the poll ends with an empty answer.
-    let _ = timeout(wait, news).await;
+    // Without a change the poll ends with an empty answer.
+    let _ = timeout(wait, changes).await;
     let hosted = host.enter(name).await?;
     let answer = hosted.lock().poll(host.now(), &ask);
     Ok(reply(answer))
--- a/crates/chervilfall_wire/src/attempt.rs
+++ b/crates/chervilfall_wire/src/attempt.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// News of an attempt.
+/// State of an attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptState {
     /// It waits at the sender.
@@ -101,7 +101,7 @@
     Running {
         /// The endpoint.
         endpoint: EndpointName,
-        /// Epoch of the sender's lease; news under an older one is out of date.
+        /// Epoch of the sender's lease; a state under an older one is out of date.
         epoch: Epoch,
     },
     /// It was sent to this endpoint, which the sender has lost; whoever owns the endpoint next
--- a/crates/chervilfall_wire/src/message.rs
+++ b/crates/chervilfall_wire/src/message.rs
@@ -23,13 +23,13 @@
     PlaceGang(Box<GangPlacement>),
     /// Takes an attempt back: it is dropped from the queue, or stopped if it runs.
     Withdraw(AttemptKey),
-    /// News of an attempt, from its owner to its requester.
+    /// Status update of an attempt, from its owner to its requester.
     Update {
         /// The attempt.
         attempt: AttemptKey,
         /// Shard of the requester, if the requester is a shard.
         shard: Option<ShardId>,
-        /// The news.
+        /// The state.
         state: AttemptState,
     },
     /// The requester has kept the end of an attempt; the endpoint may forget it.
