Keep services that fail from quarantining sound endpoints

Callers saw services whose tasks fail now and then stay without a run for good, on sound endpoints that were empty or nearly so.

Cause: only a run that ends as done resets an endpoint's count of failures, and lasting runs never do. After three failures of different jobs the endpoint was paused, and after the pause it took one task only while it was empty, which an endpoint with services rarely is. The failure of that one task doubled the pause.

Ruled out: a larger threshold (it takes longer, and the count still only rises); not counting lasting runs at all (an endpoint that fails all of its services would then be found only by its other work).

Change, three parts of one rule, what a lasting run says of its endpoint: - One that has been at work for 3 s since the last failure there shows, once, that the endpoint is sound, like a run that is done. - The failure of one counts only if the step has not failed on another endpoint too; otherwise the work is at fault. - An endpoint on trial takes a task beside what runs there, one trial at a time.

The tests failure_share, planner and crashes, which bound the runs that endpoints at fault get, pass unchanged.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -121,6 +121,8 @@
     pub(crate) sensitive_runs: u32,
     /// Number of runs that exclude any other start.
     exclusive_runs: u32,
+    /// Number of runs that were started while it was on trial.
+    trial_runs: u32,
     /// Step for which the endpoint is reserved, and until when.
     reserved: Option<(StepKey, Millis)>,
     /// Number of the last end received.
@@ -171,6 +173,7 @@
             size_unknown_runs: 0,
             sensitive_runs: 0,
             exclusive_runs: 0,
+            trial_runs: 0,
             reserved: None,
             last_end_received: 0,
             acknowledged: 0,
@@ -412,11 +415,16 @@
         }
     }
 
+    /// Returns whether it is on trial after a quarantine.
+    pub(crate) fn is_on_trial(&self, now: Millis) -> bool {
+        self.quarantine_state(now) == QuarantineState::Trial
+    }
+
     /// Returns whether its quarantine state permits giving it a task.
     fn passes_quarantine(&self, now: Millis) -> bool {
         match self.quarantine_state(now) {
             QuarantineState::Sound => true,
-            QuarantineState::Trial => self.placed.is_empty(),
+            QuarantineState::Trial => self.trial_runs == 0,
             QuarantineState::Paused => false,
         }
     }
@@ -470,6 +478,7 @@
         self.size_unknown_runs += usize::from(placed.size_unknown);
         self.sensitive_runs += u32::from(placed.latency_sensitive);
         self.exclusive_runs += u32::from(placed.exclusive);
+        self.trial_runs += u32::from(placed.on_trial);
         self.placed.insert(task, placed);
         replaced
     }
@@ -480,6 +489,7 @@
         self.size_unknown_runs -= usize::from(placed.size_unknown);
         self.sensitive_runs -= u32::from(placed.latency_sensitive);
         self.exclusive_runs -= u32::from(placed.exclusive);
+        self.trial_runs -= u32::from(placed.on_trial);
         Some(placed)
     }
 
--- a/crates/chervilfall_planner/src/placed_run.rs
+++ b/crates/chervilfall_planner/src/placed_run.rs
@@ -46,6 +46,8 @@
     pub(crate) latency_sensitive: bool,
     /// It may crash the endpoint, so nothing else is started there.
     pub(crate) exclusive: bool,
+    /// It was started while the endpoint was on trial.
+    pub(crate) on_trial: bool,
 }
 
 /// Why an endpoint counts as lost.
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -299,6 +299,7 @@
                 self.confirm_start(task);
                 self.record_checkpoint(task, &running.checkpoint);
                 self.update_exposure_age(key, task);
+                self.note_at_work(key, task);
                 return;
             }
             // The lists order the runs of a task on one endpoint; an older one is about to end.
@@ -307,6 +308,22 @@
         self.adopt_or_stop(key, running);
     }
 
+    /// Records with the quarantine of its endpoint that a lasting run is at work.
+    fn note_at_work(&mut self, key: EndpointKey, task: TaskKey) {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.spec.steps.get(task.step as usize));
+        if !step.is_some_and(|step| step.long_running) {
+            return;
+        }
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let placed = endpoint.placed.get(&task);
+        if let Some(since_ms) = placed.and_then(|placed| placed.confirmed_ms) {
+            endpoint.quarantine.at_work(self.now, since_ms);
+        }
+    }
+
     /// Adopts a run that an earlier holder started, or stops it if it is not needed.
     fn adopt_or_stop(&mut self, key: EndpointKey, running: &RunningRun) {
         let task = running.task;
@@ -342,6 +359,7 @@
                 resumed: true,
                 latency_sensitive: false,
                 exclusive: false,
+                on_trial: false,
             },
         );
         log::info!(task:% = task, run = running.run, endpoint:% = id, wanted = wanted; "found an unrecorded run on an endpoint");
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -69,9 +69,11 @@
     }
 
     fn update_quarantine(&mut self, key: EndpointKey, end: &EndedRun) {
+        let work_at_fault = self.has_failed_elsewhere(key, end.task);
         let endpoint = &mut self.endpoints[key];
         match end.how {
             EndReason::Done => endpoint.quarantine.done(),
+            EndReason::Failed if work_at_fault => {}
             EndReason::Failed => {
                 if let Some(pause_ms) = endpoint.quarantine.failed(self.now, end.task.job) {
                     log::warn!(endpoint:% = endpoint.entry.id, pause_ms = pause_ms; "endpoint fails its runs, quarantined");
@@ -81,6 +83,18 @@
         }
     }
 
+    /// Returns whether runs of a lasting step have failed on other endpoints too, so that a failure
+    /// says nothing about the endpoint.
+    fn has_failed_elsewhere(&self, key: EndpointKey, task: TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let step = job.spec.steps.get(task.step as usize);
+        let progress = job.step_progress(task.step_key());
+        let elsewhere = |progress: &StepProgress| progress.failed_on.iter().any(|on| *on != key);
+        step.is_some_and(|step| step.long_running) && progress.is_some_and(elsewhere)
+    }
+
     /// Requeues a task whose run is gone, if that is the task's current run.
     pub(super) fn requeue(&mut self, task: TaskKey, endpoint: EndpointKey, run: Run) {
         let key = task.step_key();
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -65,9 +65,10 @@
         exclusive: bool,
     ) -> bool {
         let charge = self.charge(task);
-        if !self.endpoints.contains_key(key) {
+        let Some(endpoint) = self.endpoints.get(key) else {
             return false;
-        }
+        };
+        let on_trial = endpoint.is_on_trial(self.now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
@@ -105,6 +106,7 @@
                 resumed,
                 latency_sensitive,
                 exclusive,
+                on_trial,
             },
         );
         true
--- a/crates/chervilfall_planner/src/policy/quarantine.rs
+++ b/crates/chervilfall_planner/src/policy/quarantine.rs
@@ -1,4 +1,8 @@
 //! Quarantine of endpoints on which runs of several jobs fail.
+//!
+//! A completed run shows that an endpoint is sound. Lasting runs never complete, so one that has
+//! stayed up for some time shows the same, and one that fails is compared with the step's runs
+//! elsewhere.
 
 use crate::ids::{JobId, Millis};
 
@@ -9,6 +13,8 @@
 const FIRST_PAUSE_MS: Millis = 2_000;
 /// Longest pause.
 const MAX_PAUSE_MS: Millis = 16_000;
+/// Time for which a lasting run must be at work to show that its endpoint is sound.
+const STAYED_UP_MS: Millis = 3_000;
 
 /// Returns the pause after a number of earlier ones.
 pub(crate) fn pause_ms(earlier: u32) -> Millis {
@@ -44,6 +50,8 @@
 pub(crate) struct Quarantine {
     failures: u32,
     last_job: Option<JobId>,
+    /// When a run last failed.
+    failed_ms: Millis,
     pauses: u32,
     until_ms: Millis,
 }
@@ -54,9 +62,18 @@
         *self = Self::default();
     }
 
+    /// Records that a lasting run is at work since `since_ms`. Only a run that began after the last
+    /// failure counts, so each counts once.
+    pub(crate) fn at_work(&mut self, now: Millis, since_ms: Millis) {
+        if since_ms > self.failed_ms && now.saturating_sub(since_ms) >= STAYED_UP_MS {
+            self.done();
+        }
+    }
+
     /// Records a failed run; returns the pause if the endpoint is quarantined. Consecutive failures
     /// of one job count once, since the job may be at fault.
     pub(crate) fn failed(&mut self, now: Millis, job: JobId) -> Option<Millis> {
+        self.failed_ms = now;
         if self.last_job == Some(job) {
             return None;
         }
