Judge an endpoint for a step in one place, with a typed reason

Whether an endpoint accepts work, and whether a step may use it, was decided by a chain of bools in three places. A step that nothing was offered to could not say why, so neither could the log.

`Endpoint::exclusion` now names the reason for which an endpoint is given no work of any step, and `judge` in `planner/offers.rs` the reason for which a step passes over it; `accepts_work` and the lists of offers derive from them. The part moves out of `planner/schedule.rs`.

Behaviour is to be as before. An endpoint that holds the most tasks of a step that it may is still offered with no task left: leaving it out changes the search of endpoints for suspects, and is a change of its own.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! State that the planner tracks for each endpoint.
 
+mod exclusion;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use slotmap::new_key_type;
@@ -14,10 +16,11 @@
 use crate::policy::crashes::NEW_RUN_MS;
 use crate::policy::departures::LeaveTime;
 use crate::policy::failure_share::FailureShare;
-use crate::policy::quarantine::{Quarantine, QuarantineState};
+use crate::policy::quarantine::Quarantine;
 use crate::policy::speed::Speed;
 use crate::resources::Resources;
 use crate::tasks::StepKey;
+pub use exclusion::Exclusion;
 
 new_key_type! {
     /// Key of an endpoint's incarnation in the planner's arena.
@@ -381,54 +384,6 @@
         self.hold_unanswered || self.silent_for(now) > limits.silent_ms
     }
 
-    /// Returns whether it can be given new work of any step.
-    pub(crate) fn accepts_work(&self, now: Millis, limits: &Limits) -> bool {
-        self.reserved_for(now).is_none() && self.accepts_reserved_work(now, limits)
-    }
-
-    /// Returns whether it can be given new work of the step for which it is reserved.
-    pub(crate) fn accepts_reserved_work(&self, now: Millis, limits: &Limits) -> bool {
-        self.exclusive_runs == 0
-            && self.listed
-            && self.rostered
-            && self.contacted
-            && !self.lists_incomplete
-            && !self.defunct
-            && self.size_unknown_runs == 0
-            && self.entry_is_of_incarnation()
-            && !self.is_leaving()
-            && now >= self.paused_until_ms
-            && self.passes_quarantine(now)
-            && !self.is_silent(now, limits)
-            && self.capacity_is_known(now, limits)
-    }
-
-    /// Returns the stricter of its two quarantine states.
-    fn quarantine_state(&self, now: Millis) -> QuarantineState {
-        match (self.quarantine.state(now), self.failure_share.state(now)) {
-            (QuarantineState::Paused, _) | (_, QuarantineState::Paused) => QuarantineState::Paused,
-            (QuarantineState::Trial, _) | (_, QuarantineState::Trial) => QuarantineState::Trial,
-            (QuarantineState::Sound, QuarantineState::Sound) => QuarantineState::Sound,
-        }
-    }
-
-    /// Returns whether its quarantine state permits giving it a task.
-    fn passes_quarantine(&self, now: Millis) -> bool {
-        match self.quarantine_state(now) {
-            QuarantineState::Sound => true,
-            QuarantineState::Trial => self.placed.is_empty(),
-            QuarantineState::Paused => false,
-        }
-    }
-
-    /// Returns the maximum number of tasks that it may be given at once.
-    pub(crate) fn max_new_tasks(&self, now: Millis) -> u32 {
-        match self.quarantine_state(now) {
-            QuarantineState::Sound => u32::MAX,
-            QuarantineState::Trial | QuarantineState::Paused => 1,
-        }
-    }
-
     pub(crate) fn free(&self) -> Resources {
         let capacity = Resources::of_entry(&self.entry);
         let startable = self
--- /dev/null
+++ b/crates/chervilfall_planner/src/endpoint/exclusion.rs
@@ -0,0 +1,128 @@
+//! Why an endpoint is given no new work, whatever the step.
+
+use crate::endpoint::Endpoint;
+use crate::ids::Millis;
+use crate::limits::Limits;
+use crate::policy::quarantine::QuarantineState;
+use crate::tasks::StepKey;
+
+/// Why an endpoint is given no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Exclusion {
+    /// The platform does not list it.
+    NotListed,
+    /// The stored roster does not name it.
+    NotRostered,
+    /// It has not answered a hold of this holder.
+    NotContacted,
+    /// Its last lists could not be read completely.
+    ListsIncomplete,
+    /// All its leases have lapsed, or its incarnation has ended.
+    LeasesLapsed,
+    /// Its entry in the platform's list is from another incarnation.
+    OtherIncarnation,
+    /// It drains, or its failure domain is evacuated.
+    Leaving,
+    /// It has not answered for too long.
+    Silent,
+    /// Its reported capacity is too old.
+    CapacityNotKnown,
+    /// The resources that some of its runs use are unknown.
+    SizesNotKnown,
+    /// It has refused a start, and the pause after that has not passed.
+    StartPause,
+    /// It is quarantined.
+    Quarantined,
+    /// It is on trial after a quarantine and not empty.
+    OnTrial,
+    /// A run on it excludes any other start.
+    ExclusiveRun,
+    /// It is reserved for another step.
+    Reserved,
+}
+
+impl Endpoint {
+    /// Returns whether it can be given new work of any step.
+    pub(crate) fn accepts_work(&self, now: Millis, limits: &Limits) -> bool {
+        self.exclusion(now, limits).is_none()
+    }
+
+    /// Returns why it cannot be given new work of any step; none if it can.
+    pub(crate) fn exclusion(&self, now: Millis, limits: &Limits) -> Option<Exclusion> {
+        let reserved = self.reserved_for(now).map(|_| Exclusion::Reserved);
+        reserved.or_else(|| self.exclusion_if_reserved(now, limits))
+    }
+
+    /// Returns why it cannot be given new work of a step for which it may be reserved; none if it
+    /// can.
+    pub(crate) fn exclusion_for(
+        &self,
+        step: StepKey,
+        now: Millis,
+        limits: &Limits,
+    ) -> Option<Exclusion> {
+        let reserved_for_other = self.reserved_for(now).is_some_and(|own| own != step);
+        if reserved_for_other {
+            return Some(Exclusion::Reserved);
+        }
+        self.exclusion_if_reserved(now, limits)
+    }
+
+    /// Returns why it cannot be given new work even of the step for which it is reserved.
+    fn exclusion_if_reserved(&self, now: Millis, limits: &Limits) -> Option<Exclusion> {
+        let exclusion = if !self.listed {
+            Exclusion::NotListed
+        } else if !self.rostered {
+            Exclusion::NotRostered
+        } else if !self.contacted {
+            Exclusion::NotContacted
+        } else if self.lists_incomplete {
+            Exclusion::ListsIncomplete
+        } else if self.defunct {
+            Exclusion::LeasesLapsed
+        } else if !self.entry_is_of_incarnation() {
+            Exclusion::OtherIncarnation
+        } else if self.is_leaving() {
+            Exclusion::Leaving
+        } else if self.is_silent(now, limits) {
+            Exclusion::Silent
+        } else if !self.capacity_is_known(now, limits) {
+            Exclusion::CapacityNotKnown
+        } else if self.size_unknown_runs > 0 {
+            Exclusion::SizesNotKnown
+        } else if now < self.paused_until_ms {
+            Exclusion::StartPause
+        } else if self.exclusive_runs > 0 {
+            Exclusion::ExclusiveRun
+        } else {
+            return self.quarantine_exclusion(now);
+        };
+        Some(exclusion)
+    }
+
+    /// Returns why its quarantine state forbids giving it a task; none if it permits that.
+    fn quarantine_exclusion(&self, now: Millis) -> Option<Exclusion> {
+        match self.quarantine_state(now) {
+            QuarantineState::Sound => None,
+            QuarantineState::Trial => (!self.placed.is_empty()).then_some(Exclusion::OnTrial),
+            QuarantineState::Paused => Some(Exclusion::Quarantined),
+        }
+    }
+
+    /// Returns the stricter of its two quarantine states.
+    fn quarantine_state(&self, now: Millis) -> QuarantineState {
+        match (self.quarantine.state(now), self.failure_share.state(now)) {
+            (QuarantineState::Paused, _) | (_, QuarantineState::Paused) => QuarantineState::Paused,
+            (QuarantineState::Trial, _) | (_, QuarantineState::Trial) => QuarantineState::Trial,
+            (QuarantineState::Sound, QuarantineState::Sound) => QuarantineState::Sound,
+        }
+    }
+
+    /// Returns the maximum number of tasks that it may be given at once.
+    pub(crate) fn max_new_tasks(&self, now: Millis) -> u32 {
+        match self.quarantine_state(now) {
+            QuarantineState::Sound => u32::MAX,
+            QuarantineState::Trial | QuarantineState::Paused => 1,
+        }
+    }
+}
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -36,7 +36,7 @@
 pub use election::{
     Candidate, CandidateAction, HolderRow, Identity, RenewalOutcome, StallTimeouts, Takeover,
 };
-pub use endpoint::{DomainName, EndpointEntry, EndpointKey};
+pub use endpoint::{DomainName, EndpointEntry, EndpointKey, Exclusion};
 pub use event::{
     AdviceAnswer, Asker, EndReason, EndedRun, Event, HoldAnswer, HoldReport, NodeId, Refusal,
     Request, RunningRun, StartAnswer, StopAnswer, Ticket,
@@ -46,7 +46,7 @@
 };
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
-pub use planner::{Backlog, LookupResult, Planner, StoredGroup};
+pub use planner::{Backlog, LookupResult, PassedOver, Planner, StoredGroup};
 pub use policy::admission::{
     refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing, SubmissionTimes,
 };
--- a/crates/chervilfall_planner/src/planner/call_holds.rs
+++ b/crates/chervilfall_planner/src/planner/call_holds.rs
@@ -1,7 +1,8 @@
 //! Keeps capacity for gangs while calls renew their tickets.
 
-use crate::endpoint::{Endpoint, EndpointKey};
+use crate::endpoint::EndpointKey;
 use crate::metrics;
+use crate::planner::offers::Reservations;
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
 use crate::policy::gang_call_hold::{CallHold, CallHolds};
@@ -49,7 +50,7 @@
         let job = self.jobs.get(&key.job);
         let progress = job.and_then(|job| job.step_progress(key));
         let waiting = progress.map_or(0, StepProgress::waiting);
-        let mut offers = self.usable_offers(named, key, request, Endpoint::accepts_work);
+        let mut offers = self.usable_offers(named, key, request, Reservations::All);
         let picks = self.pick_gang(request, &mut offers, waiting);
         if picks.is_empty() {
             return;
--- /dev/null
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -0,0 +1,199 @@
+//! Judges which endpoints a step may use now, and why it passes over the others.
+
+use crate::endpoint::{Endpoint, EndpointKey, Exclusion};
+use crate::planner::schedule::{Pass, StepRequest};
+use crate::planner::Planner;
+use crate::policy::gang_call_hold::CallHold;
+use crate::policy::placement::Offer;
+use crate::policy::speed::SpeedClass;
+use crate::resources::Resources;
+use crate::tasks::{StepKey, StepProgress};
+
+/// Why a step passes over an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PassedOver {
+    /// The endpoint is gone.
+    Gone,
+    /// It belongs to another service.
+    OtherService,
+    /// It is given no new work of any step.
+    Excluded(Exclusion),
+    /// It lacks the label that the step requires.
+    Label,
+    /// A task does not fit into its free resources.
+    Room,
+    /// A task would fit, but the resources are kept for a gang's call for advice.
+    KeptForGang,
+}
+
+/// Whose reservations exclude an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reservations {
+    /// Those of all steps.
+    All,
+    /// Those of other steps.
+    OfOthers,
+}
+
+/// A step for which endpoints are judged.
+struct JudgedStep<'a> {
+    key: StepKey,
+    request: &'a StepRequest,
+    progress: &'a StepProgress,
+    reservations: Reservations,
+    /// Resources that the step must leave.
+    holds: Vec<&'a CallHold<StepKey>>,
+}
+
+impl Planner {
+    /// Returns the endpoints that the step may use now.
+    pub(super) fn offers(&self, pass: &Pass, key: StepKey, request: &StepRequest) -> Vec<Offer> {
+        let Some(pool) = pass.pools.get(&request.service) else {
+            return Vec::new();
+        };
+        let candidates = self.candidates(key, request, || pool.clone());
+        let mut offers = self.usable_offers(candidates, key, request, Reservations::All);
+        self.leave_claimed(pass, key, request, &mut offers);
+        offers
+    }
+
+    /// Returns the endpoints that the step may use now, including those reserved for it.
+    pub(super) fn offers_for_suspects(&self, key: StepKey, request: &StepRequest) -> Vec<Offer> {
+        let candidates = self.candidates(key, request, || self.endpoints.keys().collect());
+        self.usable_offers(candidates, key, request, Reservations::OfOthers)
+    }
+
+    /// Returns the endpoints for which the step has tickets, or `all` if it needs no tickets.
+    fn candidates(
+        &self,
+        key: StepKey,
+        request: &StepRequest,
+        all: impl FnOnce() -> Vec<EndpointKey>,
+    ) -> Vec<EndpointKey> {
+        if request.advice.is_none() {
+            return all();
+        }
+        let job = self.jobs.get(&key.job);
+        let progress = job.and_then(|job| job.step_progress(key));
+        let ticketed = progress.map(|progress| progress.advice.ticketed(self.now).collect());
+        ticketed.unwrap_or_default()
+    }
+
+    /// Returns those of the candidates that the step may use now, whether it has tickets or not.
+    pub(super) fn usable_offers(
+        &self,
+        candidates: Vec<EndpointKey>,
+        key: StepKey,
+        request: &StepRequest,
+        reservations: Reservations,
+    ) -> Vec<Offer> {
+        let Some(step) = self.judged_step(key, request, reservations) else {
+            return Vec::new();
+        };
+        let judged = candidates.into_iter();
+        let judged = judged.map(|endpoint| self.judge(&step, endpoint));
+        judged.filter_map(Result::ok).collect()
+    }
+
+    fn judged_step<'a>(
+        &'a self,
+        key: StepKey,
+        request: &'a StepRequest,
+        reservations: Reservations,
+    ) -> Option<JudgedStep<'a>> {
+        let progress = self.jobs.get(&key.job)?.step_progress(key)?;
+        Some(JudgedStep {
+            key,
+            request,
+            progress,
+            reservations,
+            holds: self.holds_before(key, request),
+        })
+    }
+
+    /// Judges whether a step may use an endpoint now, apart from tickets and claims.
+    fn judge(
+        &self,
+        judged: &JudgedStep<'_>,
+        endpoint_key: EndpointKey,
+    ) -> Result<Offer, PassedOver> {
+        let request = judged.request;
+        let endpoint = self.endpoints.get(endpoint_key).ok_or(PassedOver::Gone)?;
+        let need = request.required_resources();
+        // Most endpoints are full in most passes, so the cheapest condition comes first.
+        if !endpoint.free().can_fit(need) {
+            return Err(PassedOver::Room);
+        }
+        if endpoint.entry.service != request.service {
+            return Err(PassedOver::OtherService);
+        }
+        let exclusion = match judged.reservations {
+            Reservations::All => endpoint.exclusion(self.now, &self.limits),
+            Reservations::OfOthers => endpoint.exclusion_for(judged.key, self.now, &self.limits),
+        };
+        if let Some(exclusion) = exclusion {
+            return Err(PassedOver::Excluded(exclusion));
+        }
+        let label = request.step().required_label.as_ref();
+        if label.is_some_and(|label| !endpoint.entry.labels.contains(label)) {
+            return Err(PassedOver::Label);
+        }
+        let offer = self.offer(judged, endpoint_key, endpoint);
+        if !offer.free.can_fit(need) {
+            return Err(PassedOver::KeptForGang);
+        }
+        Ok(offer)
+    }
+
+    /// Returns what an endpoint offers to a step beside what is kept for gangs.
+    fn offer(
+        &self,
+        judged: &JudgedStep<'_>,
+        endpoint_key: EndpointKey,
+        endpoint: &Endpoint,
+    ) -> Offer {
+        let step = judged.request.step();
+        let failed_on = &judged.progress.failed_on;
+        let near = step
+            .affinity
+            .as_ref()
+            .is_none_or(|rack| endpoint.entry.rack.as_ref() == Some(rack));
+        let kept = judged.holds.iter().map(|hold| hold.on(endpoint_key));
+        Offer {
+            endpoint: endpoint_key,
+            free: kept.fold(endpoint.free(), Resources::minus),
+            max_new_tasks: self.max_new_tasks(judged, endpoint),
+            failed: failed_on.contains(&endpoint_key),
+            recent_failures: if failed_on.is_empty() {
+                0
+            } else {
+                endpoint.failure_share.failures()
+            },
+            near,
+            speed_class: self.speed_class(endpoint),
+            cold: self.limits.policies.warm_endpoints && endpoint.is_cold(self.now),
+        }
+    }
+
+    /// Returns the maximum number of further tasks of a step that an endpoint may be given.
+    fn max_new_tasks(&self, judged: &JudgedStep<'_>, endpoint: &Endpoint) -> u32 {
+        let max_new_tasks = endpoint.max_new_tasks(self.now);
+        let step = judged.request.step();
+        if step.max_per_endpoint == 0 {
+            return max_new_tasks;
+        }
+        let tasks = judged.key.task(0)..=judged.key.task(u32::MAX);
+        let placed = endpoint.placed.range(tasks).count();
+        let placed = u32::try_from(placed).unwrap_or(u32::MAX);
+        max_new_tasks.min(step.max_per_endpoint.saturating_sub(placed))
+    }
+
+    /// Returns an endpoint's speed class, or the default for all if the speed policy is off.
+    pub(super) fn speed_class(&self, endpoint: &Endpoint) -> SpeedClass {
+        if self.limits.policies.speed {
+            endpoint.speed.speed_class()
+        } else {
+            SpeedClass::default()
+        }
+    }
+}
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -9,11 +9,10 @@
 use std::sync::Arc;
 
 use crate::config::AdviceTimings;
-use crate::endpoint::{Endpoint, EndpointKey};
+use crate::endpoint::EndpointKey;
 use crate::event::Ticket;
 use crate::ids::{Millis, Run};
 use crate::job::{JobSpec, Step};
-use crate::limits::Limits;
 use crate::metrics;
 use crate::planner::ask::max_calls_in_flight;
 use crate::planner::quota_reservations::QuotaReservations;
@@ -26,7 +25,6 @@
 use crate::policy::placement::{
     pick_all_or_none, pick_endpoints, pick_keeping_headroom, LatencyClass, Offer,
 };
-use crate::policy::speed::SpeedClass;
 use crate::resources::Resources;
 use crate::tasks::{StepKey, StepProgress};
 
@@ -231,127 +229,6 @@
         self.note_unplaced(key, call_possible && !leaves_nodes);
     }
 
-    /// Returns the endpoints that the step may use now.
-    fn offers(&self, pass: &Pass, key: StepKey, request: &StepRequest) -> Vec<Offer> {
-        let Some(pool) = pass.pools.get(&request.service) else {
-            return Vec::new();
-        };
-        let candidates = self.candidates(key, request, || pool.clone());
-        let mut offers = self.usable_offers(candidates, key, request, Endpoint::accepts_work);
-        self.leave_claimed(pass, key, request, &mut offers);
-        offers
-    }
-
-    /// Returns the endpoints that the step may use now, including those reserved for it.
-    pub(super) fn offers_for_suspects(&self, key: StepKey, request: &StepRequest) -> Vec<Offer> {
-        let candidates = self.candidates(key, request, || self.endpoints.keys().collect());
-        let accepts = |endpoint: &Endpoint, now, limits: &Limits| {
-            let reserved_step = endpoint.reserved_for(now);
-            reserved_step.is_none_or(|step| step == key)
-                && endpoint.accepts_reserved_work(now, limits)
-        };
-        self.usable_offers(candidates, key, request, accepts)
-    }
-
-    /// Returns the endpoints for which the step has tickets, or `all` if it needs no tickets.
-    fn candidates(
-        &self,
-        key: StepKey,
-        request: &StepRequest,
-        all: impl FnOnce() -> Vec<EndpointKey>,
-    ) -> Vec<EndpointKey> {
-        if request.advice.is_none() {
-            return all();
-        }
-        let job = self.jobs.get(&key.job);
-        let progress = job.and_then(|job| job.step_progress(key));
-        let ticketed = progress.map(|progress| progress.advice.ticketed(self.now).collect());
-        ticketed.unwrap_or_default()
-    }
-
-    pub(super) fn usable_offers(
-        &self,
-        candidates: Vec<EndpointKey>,
-        key: StepKey,
-        request: &StepRequest,
-        accepts: impl Fn(&Endpoint, Millis, &Limits) -> bool,
-    ) -> Vec<Offer> {
-        let job = self.jobs.get(&key.job);
-        let Some(progress) = job.and_then(|job| job.step_progress(key)) else {
-            return Vec::new();
-        };
-        let need = request.required_resources();
-        let usable = candidates.into_iter().filter_map(|endpoint_key| {
-            let endpoint = self.endpoints.get(endpoint_key)?;
-            let fits = endpoint.free().can_fit(need)
-                && endpoint.entry.service == request.service
-                && accepts(endpoint, self.now, &self.limits);
-            fits.then_some((endpoint_key, endpoint))
-        });
-        let failed_on = &progress.failed_on;
-        let holds = self.holds_before(key, request);
-        let offers = usable.filter_map(|(endpoint_key, endpoint)| {
-            let failed = failed_on.contains(&endpoint_key);
-            let mut offer = self.offer(endpoint_key, endpoint, key, request.step(), failed)?;
-            for hold in &holds {
-                offer.free = offer.free.minus(hold.on(endpoint_key));
-            }
-            if !failed_on.is_empty() {
-                offer.recent_failures = endpoint.failure_share.failures();
-            }
-            offer.free.can_fit(need).then_some(offer)
-        });
-        offers.collect()
-    }
-
-    fn offer(
-        &self,
-        endpoint_key: EndpointKey,
-        endpoint: &Endpoint,
-        key: StepKey,
-        step: &Step,
-        failed: bool,
-    ) -> Option<Offer> {
-        let required = step.required_label.as_ref();
-        if required.is_some_and(|label| !endpoint.entry.labels.contains(label)) {
-            return None;
-        }
-        let mut max_new_tasks = endpoint.max_new_tasks(self.now);
-        if step.max_per_endpoint > 0 {
-            let placed_tasks = endpoint
-                .placed
-                .range(key.task(0)..=key.task(u32::MAX))
-                .count();
-            let left = step
-                .max_per_endpoint
-                .saturating_sub(u32::try_from(placed_tasks).unwrap_or(u32::MAX));
-            max_new_tasks = max_new_tasks.min(left);
-        }
-        let near = step
-            .affinity
-            .as_ref()
-            .is_none_or(|rack| endpoint.entry.rack.as_ref() == Some(rack));
-        Some(Offer {
-            endpoint: endpoint_key,
-            free: endpoint.free(),
-            max_new_tasks,
-            failed,
-            recent_failures: 0,
-            near,
-            speed_class: self.speed_class(endpoint),
-            cold: self.limits.policies.warm_endpoints && endpoint.is_cold(self.now),
-        })
-    }
-
-    /// Returns an endpoint's speed class, or the default for all if the speed policy is off.
-    pub(super) fn speed_class(&self, endpoint: &Endpoint) -> SpeedClass {
-        if self.limits.policies.speed {
-            endpoint.speed.speed_class()
-        } else {
-            SpeedClass::default()
-        }
-    }
-
     fn place_step(&mut self, pass: &mut Pass, key: StepKey, request: &StepRequest, startable: u32) {
         let mut waiting = self.waiting_tasks(key);
         if !request.step().gang {
