Count room for advice by the judgement of placement

Callers saw steps that need advice stand still while admitted endpoints were free.

Cause: two counts of the same room. A call for advice was decided by free resources alone; placement also wants the label, the most tasks per endpoint, trials and holds. A step that had enough by the first count and not by the second renewed the tickets of endpoints that it could not use, and asked about no others. And a renewal always named the same first 100 endpoints, so that a gang that needs more never had all tickets at once.

Change: advice counts and ranks endpoints by Planner::judge, as placement does, only without the ticket. Endpoints without the label are not named. A gang that needs more endpoints than a call names renews them in several calls at a time, as first calls do already. Steps that need no more than one call names renew as before.

steps_ask_about_endpoints_that_they_can_use: 5 of 7 cases failed before, none now. The test was wrong in two cases: with 120 endpoints, none of those with the label was admitted, so there was no room. With 400 there is, and these cases fail on the code before as well.

--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -88,6 +88,11 @@
         self.asking.values().flatten().copied()
     }
 
+    /// Returns whether a call in flight names the endpoint.
+    pub(crate) fn is_asking(&self, endpoint: EndpointKey) -> bool {
+        self.entries.get(endpoint).is_some_and(|entry| entry.asking)
+    }
+
     /// Returns whether there is neither an answer nor a call in flight for the endpoint.
     pub(crate) fn is_unasked(&self, endpoint: EndpointKey) -> bool {
         let entry = self.entries.get(endpoint);
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -1,5 +1,7 @@
 //! Specification of a job as submitted by a caller.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::config::Queue;
@@ -86,6 +88,12 @@
         }
     }
 
+    /// Returns whether an endpoint with these labels may run its tasks.
+    pub(crate) fn accepts_labels(&self, labels: &BTreeSet<String>) -> bool {
+        let required = self.required_label.as_ref();
+        required.is_none_or(|label| labels.contains(label))
+    }
+
     /// Returns the estimated work of all tasks, in core-milliseconds.
     fn core_ms(&self) -> u64 {
         let cpu_milli = u64::from(self.count) * u64::from(self.cpu_milli);
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -4,10 +4,12 @@
 use crate::endpoint::EndpointKey;
 use crate::job::Step;
 use crate::metrics;
+use crate::planner::offers::{JudgedStep, Reservations};
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
 use crate::policy::advice_size::{call_size, CallNeed, GrantShare};
 use crate::policy::naming::{NamingCandidate, NamingOrder, NamingRank};
+use crate::policy::placement::Offer;
 use crate::resources::Resources;
 use crate::tasks::{StepKey, StepProgress};
 
@@ -18,6 +20,8 @@
 /// Maximum number of calls in flight for one gang. Tickets are valid for little longer than a slow
 /// call takes, so a gang that needs the tickets of several calls must make them in parallel.
 const MAX_GANG_CALLS: usize = 3;
+/// Multiple of its room for which a gang renews tickets, because other work takes some meanwhile.
+const RENEWED_ROOM_FACTOR: u64 = 2;
 
 /// Returns how many calls for a step may be in flight.
 pub(super) const fn max_calls_in_flight(step: &Step) -> usize {
@@ -51,40 +55,27 @@
         if waiting == 0 {
             return false;
         }
-        let need = Resources::of_step(request.step());
+        let need = request.required_resources();
         let enough = if request.step().gang {
             u64::from(waiting)
         } else {
             1
         };
-        let holds = self.holds_before(key, request);
-        let free_resources = |endpoint: EndpointKey| {
-            let free = self.endpoints[endpoint].free();
-            let held = holds.iter().map(|hold| hold.on(endpoint));
-            held.fold(free, Resources::minus)
-        };
-        let mut usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
-        let max_tasks = |keys: &[EndpointKey]| -> u64 {
-            keys.iter()
-                .map(|key| u64::from(free_resources(*key).max_fitting(need)))
-                .sum()
-        };
+        let allowed = pool.iter().filter(|key| progress.advice.allowed(**key));
+        let allowed = allowed.copied().collect();
+        let mut usable = self.usable_offers(allowed, key, request, Reservations::All);
+        usable.retain(|offer| offer.max_fitting(need) > 0);
         let calls_in_flight = progress.advice.calls_in_flight();
         if calls_in_flight >= max_calls_in_flight(request.step()) {
             return false;
         }
-        if max_tasks(&usable) >= enough {
-            if calls_in_flight > 0 {
-                return false;
-            }
-            let stale = usable
-                .iter()
-                .any(|endpoint| progress.advice.ticket(*endpoint, self.now).is_none());
-            if !stale || !self.request_advice(key, timings, &usable) {
+        if room(&usable, need) >= enough {
+            let wanted = self.tickets_wanted(&usable, need, waiting);
+            let named = self.tickets_to_renew(&progress.advice, &wanted);
+            if named.is_empty() || !self.request_advice(key, timings, &named) {
                 return false;
             }
-            usable.truncate(self.limits.advice_endpoints);
-            self.keep_for_gang(pass, key, request, usable);
+            self.keep_for_gang(pass, key, request, named);
             return true;
         }
         // The call that the hold is for names enough endpoints.
@@ -99,8 +90,7 @@
             return false;
         }
         let left = left.min(self.limits.advice_endpoints);
-        let mut named =
-            self.unknown_by_free_capacity(pool, &progress.advice, request, left, free_resources);
+        let mut named = self.unknown_by_free_capacity(pool, &progress.advice, key, request, left);
         let size = self.call_size(key, &progress.advice, request.step(), &usable, &named);
         let spared = named.len() - size;
         named.truncate(size);
@@ -111,14 +101,44 @@
         called
     }
 
-    /// Returns how many of the endpoints in `named` a call for a step names. `granted` are the
-    /// granted endpoints with free resources.
+    /// Returns the endpoints of which a step needs valid tickets at the same time: as many as a call
+    /// names, or more for a gang that needs more.
+    fn tickets_wanted(&self, usable: &[Offer], need: Resources, waiting: u32) -> Vec<EndpointKey> {
+        let wanted_room = u64::from(waiting) * RENEWED_ROOM_FACTOR;
+        let mut wanted = Vec::new();
+        let mut room = 0;
+        for offer in usable {
+            if wanted.len() >= self.limits.advice_endpoints && room >= wanted_room {
+                break;
+            }
+            room += u64::from(offer.max_fitting(need));
+            wanted.push(offer.endpoint);
+        }
+        wanted
+    }
+
+    /// Returns the endpoints that the next call names to renew tickets; none if all are valid or asked
+    /// for.
+    fn tickets_to_renew(&self, advice: &Advice, wanted: &[EndpointKey]) -> Vec<EndpointKey> {
+        let lacks_ticket = |key: &EndpointKey| advice.ticket(*key, self.now).is_none();
+        // One call names all of them, so that their tickets expire together.
+        if wanted.len() <= self.limits.advice_endpoints {
+            let due = advice.calls_in_flight() == 0 && wanted.iter().any(lacks_ticket);
+            return if due { wanted.to_vec() } else { Vec::new() };
+        }
+        let left = wanted.iter().copied();
+        let left = left.filter(|key| lacks_ticket(key) && !advice.is_asking(*key));
+        left.take(self.limits.advice_endpoints).collect()
+    }
+
+    /// Returns how many of the endpoints in `named` a call for a step names. `granted` are what the
+    /// granted endpoints offer.
     fn call_size(
         &self,
         key: StepKey,
         advice: &Advice,
         step: &Step,
-        granted: &[EndpointKey],
+        granted: &[Offer],
         named: &[EndpointKey],
     ) -> usize {
         if !self.limits.policies.advice_call_size {
@@ -146,41 +166,35 @@
         call_size(&CallNeed {
             share,
             waiting,
-            granted: granted.iter().map(fitting).sum(),
+            granted: granted
+                .iter()
+                .map(|offer| offer.max_fitting(need).min(waiting))
+                .sum(),
             in_flight: &in_flight,
             candidates: &candidates,
         })
     }
 
-    /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those with
-    /// enough free resources, then those whose speed class suits the latency class, then by free
-    /// CPU.
+    /// Returns up to `max_endpoints` endpoints that were not asked about yet: first those that the step
+    /// could use now, then those whose speed class suits the latency class, then by free CPU.
     fn unknown_by_free_capacity(
         &self,
         pool: &[EndpointKey],
         advice: &Advice,
+        key: StepKey,
         request: &StepRequest,
         max_endpoints: usize,
-        free_resources: impl Fn(EndpointKey) -> Resources,
     ) -> Vec<EndpointKey> {
-        let need = Resources::of_step(request.step());
+        let Some(judged) = self.judged_step(key, request, Reservations::All) else {
+            return Vec::new();
+        };
         let slow_call = request.advice.is_some_and(|timings| timings.is_slow());
         let packs = self.limits.policies.name_least_free;
         let order = NamingOrder::new(slow_call || !packs);
         let unknown = pool.iter().filter(|key| advice.is_unasked(**key));
-        let able =
-            unknown.filter(|key| Resources::of_entry(&self.endpoints[**key].entry).can_fit(need));
+        let able = unknown.filter(|key| self.could_use(request, **key));
         let mut found: Vec<(NamingRank, EndpointKey)> = able
-            .map(|key| {
-                let free = free_resources(*key);
-                let speed_class = self.speed_class(&self.endpoints[*key]);
-                let candidate = NamingCandidate {
-                    fits: free.can_fit(need),
-                    speed_rank: request.latency_class.rank(speed_class),
-                    free_cpu_milli: free.cpu_milli,
-                };
-                (order.rank(candidate), *key)
-            })
+            .map(|key| (order.rank(self.naming_candidate(&judged, *key)), *key))
             .collect();
         // A call names a few of hundreds of endpoints, so only these are sorted.
         if max_endpoints < found.len() {
@@ -190,18 +204,32 @@
         found.sort_unstable();
         found.into_iter().map(|(_, key)| key).collect()
     }
+
+    /// Returns whether a step could use an endpoint if it were empty.
+    fn could_use(&self, request: &StepRequest, key: EndpointKey) -> bool {
+        let entry = &self.endpoints[key].entry;
+        let fits = Resources::of_entry(entry).can_fit(request.required_resources());
+        fits && request.step().accepts_labels(&entry.labels)
+    }
+
+    fn naming_candidate(&self, judged: &JudgedStep<'_>, key: EndpointKey) -> NamingCandidate {
+        let endpoint = &self.endpoints[key];
+        let request = judged.request;
+        let offer = self.judge(judged, key).ok();
+        let need = request.required_resources();
+        let free = offer.as_ref().map_or(endpoint.free(), |offer| offer.free);
+        NamingCandidate {
+            fits: offer.is_some_and(|offer| offer.max_fitting(need) > 0),
+            speed_rank: request.latency_class.rank(self.speed_class(endpoint)),
+            free_cpu_milli: free.cpu_milli,
+        }
+    }
 }
 
-/// Returns the endpoints that may run the step and have free resources for one of its tasks.
-fn allowed_with_capacity(
-    pool: &[EndpointKey],
-    advice: &Advice,
-    need: Resources,
-    free_resources: impl Fn(EndpointKey) -> Resources,
-) -> Vec<EndpointKey> {
-    let allowed = pool.iter().filter(|key| advice.allowed(**key));
-    allowed
-        .filter(|key| free_resources(**key).can_fit(need))
-        .copied()
-        .collect()
+/// Returns how many tasks the offers have room for.
+fn room(offers: &[Offer], need: Resources) -> u64 {
+    let tasks = offers
+        .iter()
+        .map(|offer| u64::from(offer.max_fitting(need)));
+    tasks.sum()
 }
--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -36,9 +36,9 @@
 }
 
 /// A step for which endpoints are judged.
-struct JudgedStep<'a> {
+pub(super) struct JudgedStep<'a> {
     key: StepKey,
-    request: &'a StepRequest,
+    pub(super) request: &'a StepRequest,
     progress: &'a StepProgress,
     reservations: Reservations,
     /// Resources that the step must leave.
@@ -95,7 +95,7 @@
         judged.filter_map(Result::ok).collect()
     }
 
-    fn judged_step<'a>(
+    pub(super) fn judged_step<'a>(
         &'a self,
         key: StepKey,
         request: &'a StepRequest,
@@ -112,7 +112,7 @@
     }
 
     /// Judges whether a step may use an endpoint now, apart from tickets and claims.
-    fn judge(
+    pub(super) fn judge(
         &self,
         judged: &JudgedStep<'_>,
         endpoint_key: EndpointKey,
@@ -134,8 +134,7 @@
         if let Some(exclusion) = exclusion {
             return Err(PassedOver::Excluded(exclusion));
         }
-        let label = request.step().required_label.as_ref();
-        if label.is_some_and(|label| !endpoint.entry.labels.contains(label)) {
+        if !request.step().accepts_labels(&endpoint.entry.labels) {
             return Err(PassedOver::Label);
         }
         let offer = self.offer(judged, endpoint_key, endpoint);
--- a/crates/chervilfall_planner/tests/standstill.rs
+++ b/crates/chervilfall_planner/tests/standstill.rs
@@ -289,7 +289,7 @@
     };
     let case = |name, step| Case {
         name,
-        endpoints: 120,
+        endpoints: 400,
         label_every: 10,
         advice_percent: 25,
         prepare: |_| {},
