Let soft limits give way for steps with room that have no run

Callers saw accepted jobs with nothing running for 3 s and more, with room for them twice over.

Cause, and class: a preference of a policy was enforced as a prohibition, with no bound on how long it passes a step over. Endpoints on trial took one task each, so that a gang wider than they are many never started, although all were sound and empty; nothing else ended the trials. Overdue steps left four times the need of any step with advice, started or not startable. Reservations, headroom and kept capacity had no bound either.

Ruled out: switching the quarantine off (it saves attempts while all runs fail), and a trial for a whole gang only (overdue work and reservations pass steps over as well).

Change: policy/soft_limits.rs says which limits are soft. A step that has had room within the hard ones for 1.5 s with nothing running is placed within these only: one task, all members of a gang, each waiting task of a lasting step. Calls for advice ask for such endpoints from 0.5 s on, and an overdue step then leaves no nodes to others. Endpoints within the soft limits are still used first.

Where at most a fifth of the endpoints that a step may use are quarantined, the quarantine is taken to be right: such an endpoint gets only one early trial at a time, 2 s after its last failure at the soonest. Otherwise a full pool would send all waiting tasks to the endpoints at fault.

--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -107,6 +107,10 @@
         matches!(self.permission(endpoint), Some(Permission::Granted(..)))
     }
 
+    pub(crate) fn is_denied(&self, endpoint: EndpointKey) -> bool {
+        matches!(self.permission(endpoint), Some(Permission::Denied))
+    }
+
     /// Returns whether any ticket may still be valid at `at_ms`.
     pub(crate) const fn any_ticket(&self, at_ms: Millis) -> bool {
         self.valid_until_ms > at_ms
--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -124,7 +124,7 @@
     pub(crate) sensitive_runs: u32,
     /// Number of runs that exclude any other start.
     exclusive_runs: u32,
-    /// Number of runs that were started while it was on trial.
+    /// Number of runs that were started while it was quarantined.
     trial_runs: u32,
     /// Step for which the endpoint is reserved, and until when.
     reserved: Option<(StepKey, Millis)>,
--- a/crates/chervilfall_planner/src/endpoint/exclusion.rs
+++ b/crates/chervilfall_planner/src/endpoint/exclusion.rs
@@ -49,8 +49,8 @@
 
     /// Returns why it cannot be given new work of any step; none if it can.
     pub(crate) fn exclusion(&self, now: Millis, limits: &Limits) -> Option<Exclusion> {
-        let reserved = self.reserved_for(now).map(|_| Exclusion::Reserved);
-        reserved.or_else(|| self.exclusion_if_reserved(now, limits))
+        let reserved = self.reserved_for(now).is_some();
+        self.exclusion_if(reserved, now, limits)
     }
 
     /// Returns why it cannot be given new work of a step for which it may be reserved; none if it
@@ -62,14 +62,12 @@
         limits: &Limits,
     ) -> Option<Exclusion> {
         let reserved_for_other = self.reserved_for(now).is_some_and(|own| own != step);
-        if reserved_for_other {
-            return Some(Exclusion::Reserved);
-        }
-        self.exclusion_if_reserved(now, limits)
+        self.exclusion_if(reserved_for_other, now, limits)
     }
 
-    /// Returns why it cannot be given new work even of the step for which it is reserved.
-    fn exclusion_if_reserved(&self, now: Millis, limits: &Limits) -> Option<Exclusion> {
+    /// Returns why it cannot be given new work if it is `reserved` for other work or not: the first
+    /// hard limit if there is one, so that a soft limit is returned only without any.
+    fn exclusion_if(&self, reserved: bool, now: Millis, limits: &Limits) -> Option<Exclusion> {
         let exclusion = if !self.listed {
             Exclusion::NotListed
         } else if !self.rostered {
@@ -94,6 +92,8 @@
             Exclusion::StartPause
         } else if self.exclusive_runs > 0 {
             Exclusion::ExclusiveRun
+        } else if reserved {
+            Exclusion::Reserved
         } else {
             return self.quarantine_exclusion(now);
         };
@@ -109,9 +109,15 @@
         }
     }
 
-    /// Returns whether it is on trial after a quarantine.
-    pub(crate) fn is_on_trial(&self, now: Millis) -> bool {
-        self.quarantine_state(now) == QuarantineState::Trial
+    /// Returns whether it is quarantined, so that any run on it is a trial.
+    pub(crate) fn is_quarantined(&self, now: Millis) -> bool {
+        self.quarantine_state(now) != QuarantineState::Sound
+    }
+
+    /// Returns whether a trial may begin before the pause has ended: one at a time, and after the
+    /// shortest pause.
+    pub(crate) fn early_trial_is_possible(&self, now: Millis) -> bool {
+        self.trial_runs == 0 && self.quarantine.first_pause_has_passed(now)
     }
 
     /// Returns the stricter of its two quarantine states.
--- a/crates/chervilfall_planner/src/placed_run.rs
+++ b/crates/chervilfall_planner/src/placed_run.rs
@@ -46,7 +46,7 @@
     pub(crate) latency_sensitive: bool,
     /// It may crash the endpoint, so nothing else is started there.
     pub(crate) exclusive: bool,
-    /// It was started while the endpoint was on trial.
+    /// It was started while the endpoint was quarantined.
     pub(crate) on_trial: bool,
 }
 
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -41,9 +41,10 @@
         key: StepKey,
         request: &StepRequest,
     ) -> bool {
-        let (Some(timings), Some(pool)) = (request.advice, pass.pools.get(&request.service)) else {
+        let Some(timings) = request.advice else {
             return false;
         };
+        let pool = pass.pool(request);
         let Some(progress) = self
             .jobs
             .get(&key.job)
@@ -185,7 +186,7 @@
         request: &StepRequest,
         max_endpoints: usize,
     ) -> Vec<EndpointKey> {
-        let Some(judged) = self.judged_step(key, request, Reservations::All) else {
+        let Some(judged) = self.judged_step(key, request, Reservations::All, pool) else {
             return Vec::new();
         };
         let slow_call = request.advice.is_some_and(|timings| timings.is_slow());
@@ -193,8 +194,8 @@
         let order = NamingOrder::new(slow_call || !packs);
         let unknown = pool.iter().filter(|key| advice.is_unasked(**key));
         let able = unknown.filter(|key| self.could_use(request, **key));
-        let mut found: Vec<(NamingRank, EndpointKey)> = able
-            .map(|key| (order.rank(self.naming_candidate(&judged, *key)), *key))
+        let mut found: Vec<(bool, NamingRank, EndpointKey)> = able
+            .map(|key| self.naming_rank(order, &judged, *key))
             .collect();
         // A call names a few of hundreds of endpoints, so only these are sorted.
         if max_endpoints < found.len() {
@@ -202,7 +203,7 @@
             found.truncate(max_endpoints);
         }
         found.sort_unstable();
-        found.into_iter().map(|(_, key)| key).collect()
+        found.into_iter().map(|(_, _, key)| key).collect()
     }
 
     /// Returns whether a step could use an endpoint if it were empty.
@@ -212,17 +213,26 @@
         fits && request.step().accepts_labels(&entry.labels)
     }
 
-    fn naming_candidate(&self, judged: &JudgedStep<'_>, key: EndpointKey) -> NamingCandidate {
+    /// Returns the position of an endpoint in a call: first those within soft limits.
+    fn naming_rank(
+        &self,
+        order: NamingOrder,
+        judged: &JudgedStep<'_>,
+        key: EndpointKey,
+    ) -> (bool, NamingRank, EndpointKey) {
         let endpoint = &self.endpoints[key];
         let request = judged.request;
-        let offer = self.judge(judged, key).ok();
         let need = request.required_resources();
+        let offer = self.judge(judged, key).ok();
+        let offer = offer.filter(|offer| offer.max_fitting(need) > 0);
         let free = offer.as_ref().map_or(endpoint.free(), |offer| offer.free);
-        NamingCandidate {
-            fits: offer.is_some_and(|offer| offer.max_fitting(need) > 0),
+        let rank = order.rank(NamingCandidate {
+            fits: offer.is_some(),
             speed_rank: request.latency_class.rank(self.speed_class(endpoint)),
             free_cpu_milli: free.cpu_milli,
-        }
+        });
+        let beyond_soft_limit = offer.is_some_and(|offer| offer.beyond_soft_limit);
+        (beyond_soft_limit, rank, key)
     }
 }
 
--- a/crates/chervilfall_planner/src/planner/call_holds.rs
+++ b/crates/chervilfall_planner/src/planner/call_holds.rs
@@ -105,7 +105,7 @@
         key: StepKey,
         request: &StepRequest,
     ) -> Vec<&CallHold<StepKey>> {
-        if request.latency_class != LatencyClass::Tolerant {
+        if request.latency_class != LatencyClass::Tolerant || !request.limits.include_soft() {
             return Vec::new();
         }
         let Some(own_rank) = self.open.rank(key) else {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -29,6 +29,7 @@
 mod quota_bounds;
 mod quota_reservations;
 mod requests;
+mod room_waits;
 mod schedule;
 mod stopping;
 mod suspects;
--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -5,6 +5,7 @@
 use crate::planner::Planner;
 use crate::policy::gang_call_hold::CallHold;
 use crate::policy::placement::Offer;
+use crate::policy::soft_limits::is_wide;
 use crate::policy::speed::SpeedClass;
 use crate::resources::Resources;
 use crate::tasks::{StepKey, StepProgress};
@@ -39,8 +40,10 @@
 pub(super) struct JudgedStep<'a> {
     key: StepKey,
     pub(super) request: &'a StepRequest,
-    progress: &'a StepProgress,
+    pub(super) progress: &'a StepProgress,
     reservations: Reservations,
+    /// So many endpoints that it may use are quarantined that these are not the cause.
+    widely_quarantined: bool,
     /// Resources that the step must leave.
     holds: Vec<&'a CallHold<StepKey>>,
 }
@@ -48,12 +51,11 @@
 impl Planner {
     /// Returns the endpoints that the step may use now.
     pub(super) fn offers(&self, pass: &Pass, key: StepKey, request: &StepRequest) -> Vec<Offer> {
-        let Some(pool) = pass.pools.get(&request.service) else {
-            return Vec::new();
-        };
-        let candidates = self.candidates(key, request, || pool.clone());
+        let candidates = self.candidates(key, request, || pass.pool(request).to_vec());
         let mut offers = self.usable_offers(candidates, key, request, Reservations::All);
-        self.leave_claimed(pass, key, request, &mut offers);
+        if request.limits.include_soft() {
+            self.leave_claimed(pass, key, request, &mut offers);
+        }
         offers
     }
 
@@ -87,7 +89,7 @@
         request: &StepRequest,
         reservations: Reservations,
     ) -> Vec<Offer> {
-        let Some(step) = self.judged_step(key, request, reservations) else {
+        let Some(step) = self.judged_step(key, request, reservations, &candidates) else {
             return Vec::new();
         };
         let judged = candidates.into_iter();
@@ -95,11 +97,13 @@
         judged.filter_map(Result::ok).collect()
     }
 
+    /// Returns a step for which the candidates are to be judged.
     pub(super) fn judged_step<'a>(
         &'a self,
         key: StepKey,
         request: &'a StepRequest,
         reservations: Reservations,
+        candidates: &[EndpointKey],
     ) -> Option<JudgedStep<'a>> {
         let progress = self.jobs.get(&key.job)?.step_progress(key)?;
         Some(JudgedStep {
@@ -107,10 +111,29 @@
             request,
             progress,
             reservations,
+            widely_quarantined: !request.limits.include_soft()
+                && self.are_widely_quarantined(request, candidates),
             holds: self.holds_before(key, request),
         })
     }
 
+    /// Returns whether more of the endpoints that a step may use are quarantined than a policy may
+    /// take out of a pool.
+    fn are_widely_quarantined(&self, request: &StepRequest, candidates: &[EndpointKey]) -> bool {
+        let endpoints = candidates.iter().filter_map(|key| self.endpoints.get(*key));
+        let usable = endpoints.filter(|endpoint| {
+            endpoint.listed
+                && endpoint.entry.service == request.service
+                && request.step().accepts_labels(&endpoint.entry.labels)
+        });
+        let (mut all, mut quarantined) = (0, 0);
+        for endpoint in usable {
+            all += 1;
+            quarantined += usize::from(endpoint.is_quarantined(self.now));
+        }
+        is_wide(quarantined, all)
+    }
+
     /// Judges whether a step may use an endpoint now, apart from tickets and claims.
     pub(super) fn judge(
         &self,
@@ -131,19 +154,28 @@
             Reservations::All => endpoint.exclusion(self.now, &self.limits),
             Reservations::OfOthers => endpoint.exclusion_for(judged.key, self.now, &self.limits),
         };
-        if let Some(exclusion) = exclusion {
+        if let Some(exclusion) = exclusion.filter(|why| !self.gives_way(judged, endpoint, *why)) {
             return Err(PassedOver::Excluded(exclusion));
         }
         if !request.step().accepts_labels(&endpoint.entry.labels) {
             return Err(PassedOver::Label);
         }
-        let offer = self.offer(judged, endpoint_key, endpoint);
+        let mut offer = self.offer(judged, endpoint_key, endpoint);
+        offer.beyond_soft_limit = exclusion.is_some();
         if !offer.free.can_fit(need) {
             return Err(PassedOver::KeptForGang);
         }
         Ok(offer)
     }
 
+    /// Returns whether an exclusion gives way for a step. Endpoints that are rightly quarantined get no
+    /// more than early trials.
+    fn gives_way(&self, judged: &JudgedStep<'_>, endpoint: &Endpoint, why: Exclusion) -> bool {
+        let sound = !endpoint.is_quarantined(self.now);
+        !judged.request.limits.exclude(why)
+            && (sound || judged.widely_quarantined || endpoint.early_trial_is_possible(self.now))
+    }
+
     /// Returns what an endpoint offers to a step beside what is kept for gangs.
     fn offer(
         &self,
@@ -162,6 +194,7 @@
             endpoint: endpoint_key,
             free: kept.fold(endpoint.free(), Resources::minus),
             max_new_tasks: self.max_new_tasks(judged, endpoint),
+            beyond_soft_limit: false,
             failed: failed_on.contains(&endpoint_key),
             recent_failures: if failed_on.is_empty() {
                 0
@@ -176,7 +209,11 @@
 
     /// Returns the maximum number of further tasks of a step that an endpoint may be given.
     fn max_new_tasks(&self, judged: &JudgedStep<'_>, endpoint: &Endpoint) -> u32 {
-        let max_new_tasks = endpoint.max_new_tasks(self.now);
+        let max_new_tasks = if judged.widely_quarantined {
+            u32::MAX
+        } else {
+            endpoint.max_new_tasks(self.now)
+        };
         let step = judged.request.step();
         if step.max_per_endpoint == 0 {
             return max_new_tasks;
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -9,6 +9,7 @@
 use crate::planner::gap::ServiceMilestone;
 use crate::planner::Planner;
 use crate::policy::placement::LatencyClass;
+use crate::policy::soft_limits::RoomWait;
 use crate::resources::Resources;
 use crate::tasks::{TaskState, RUNS_PER_TERM};
 
@@ -68,7 +69,7 @@
         let Some(endpoint) = self.endpoints.get(key) else {
             return false;
         };
-        let on_trial = endpoint.is_on_trial(self.now);
+        let on_trial = endpoint.is_quarantined(self.now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
@@ -76,6 +77,7 @@
             return false;
         };
         let resources = Resources::of_step(step);
+        let long_running = step.long_running;
         let latency_sensitive = LatencyClass::of(job) == LatencyClass::Sensitive;
         if latency_sensitive {
             let headroom = self.headrooms.entry(job.queue.service.clone());
@@ -91,6 +93,9 @@
         entry.state = TaskState::Placed(key, run);
         entry.last_run = run;
         progress.placed += 1;
+        if !progress.stands(long_running) {
+            progress.room_wait = RoomWait::default();
+        }
         self.record_run(
             key,
             task,
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -25,6 +25,7 @@
 use crate::policy::placement::{
     pick_all_or_none, pick_endpoints, pick_keeping_headroom, LatencyClass, Offer,
 };
+use crate::policy::soft_limits::AppliedLimits;
 use crate::resources::Resources;
 use crate::tasks::{StepKey, StepProgress};
 
@@ -40,6 +41,10 @@
 pub(super) struct Pass {
     /// Endpoints that accept work, by service.
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
+    /// The same without regard to soft limits.
+    wide_pools: BTreeMap<String, Vec<EndpointKey>>,
+    /// More than is free on any endpoint of these, by service.
+    most_free: BTreeMap<String, Resources>,
     /// Headroom that latency-tolerant work leaves free, by service.
     headroom_slots: BTreeMap<String, HeadroomSlots>,
     /// Quotas that better-ranked steps wait for.
@@ -56,6 +61,23 @@
     pub(super) node_wanted: bool,
 }
 
+impl Pass {
+    /// Returns the endpoints that accept work within the limits that apply to a step.
+    pub(super) fn pool(&self, request: &StepRequest) -> &[EndpointKey] {
+        let pools = match request.limits {
+            AppliedLimits::All => &self.pools,
+            AppliedLimits::Hard => &self.wide_pools,
+        };
+        pools.get(&request.service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns whether an endpoint of a step's pool may have room for a task of it.
+    pub(super) fn may_fit(&self, request: &StepRequest) -> bool {
+        let most_free = self.most_free.get(&request.service);
+        most_free.is_some_and(|free| free.can_fit(request.required_resources()))
+    }
+}
+
 /// What is needed to place a step, taken from its job.
 pub(super) struct StepRequest {
     spec: Arc<JobSpec>,
@@ -64,6 +86,7 @@
     pub(super) service: String,
     pub(super) advice: Option<AdviceTimings>,
     pub(super) latency_class: LatencyClass,
+    pub(super) limits: AppliedLimits,
 }
 
 impl StepRequest {
@@ -104,21 +127,26 @@
     }
 
     fn begin_pass(&mut self) -> Pass {
-        let mut pools: BTreeMap<String, Vec<EndpointKey>> = BTreeMap::new();
+        let mut pools = BTreeMap::new();
+        let mut wide_pools = BTreeMap::new();
+        let mut most_free = BTreeMap::new();
         for (key, endpoint) in &self.endpoints {
-            if !endpoint.accepts_work(self.now, &self.limits) {
+            let exclusion = endpoint.exclusion(self.now, &self.limits);
+            if exclusion.is_some_and(|exclusion| AppliedLimits::Hard.exclude(exclusion)) {
                 continue;
             }
-            match pools.get_mut(&endpoint.entry.service) {
-                Some(pool) => pool.push(key),
-                None => {
-                    pools.insert(endpoint.entry.service.clone(), vec![key]);
-                }
+            let service = &endpoint.entry.service;
+            add_to_pool(&mut wide_pools, service, key);
+            note_free(&mut most_free, service, endpoint.free());
+            if exclusion.is_none() {
+                add_to_pool(&mut pools, service, key);
             }
         }
         let headroom_slots = self.headroom_slots(&pools);
         Pass {
             pools,
+            wide_pools,
+            most_free,
             headroom_slots,
             quota_reservations: QuotaReservations::new(),
             fast_call_possible: self.can_call_advice(false),
@@ -192,6 +220,21 @@
             }
             return;
         }
+        let mut request = StepRequest {
+            spec: Arc::clone(&job.spec),
+            step_index: key.step as usize,
+            service: job.queue.service.clone(),
+            advice,
+            latency_class: LatencyClass::of(job),
+            limits: AppliedLimits::Hard,
+        };
+        let passed_over_ms = self.passed_over_ms(pass, key, &request);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let Some(progress) = job.step_progress(key) else {
+            return;
+        };
         let placeable = !blocked && (advice.is_none() || progress.advice.any_ticket(self.now));
         let call_possible = advice.is_some_and(|timings| {
             if timings.is_slow() {
@@ -200,25 +243,22 @@
                 pass.fast_call_possible
             }
         });
-        let leaves_nodes = pass.node_wanted && self.open.is_overdue(key);
+        let limits_for_advice = AppliedLimits::for_advice(passed_over_ms);
+        let leaves_nodes =
+            pass.node_wanted && self.open.is_overdue(key) && limits_for_advice.include_soft();
         let can_request_advice = call_possible
             && !leaves_nodes
-            && progress.advice.calls_in_flight() < max_calls_in_flight(step);
+            && progress.advice.calls_in_flight() < max_calls_in_flight(request.step());
         if !placeable && !can_request_advice {
             self.claim_capacity(pass, key, startable);
             self.note_unplaced(key, call_possible && !leaves_nodes);
             return;
         }
-        let request = StepRequest {
-            spec: Arc::clone(&job.spec),
-            step_index: key.step as usize,
-            service: job.queue.service.clone(),
-            advice,
-            latency_class: LatencyClass::of(job),
-        };
+        request.limits = AppliedLimits::for_starts(passed_over_ms);
         if placeable {
             self.place_step(pass, key, &request, startable);
         }
+        request.limits = limits_for_advice;
         if can_request_advice {
             while self.request_advice_for_step(pass, key, &request) {}
             pass.fast_call_possible = self.can_call_advice(false);
@@ -231,17 +271,24 @@
 
     fn place_step(&mut self, pass: &mut Pass, key: StepKey, request: &StepRequest, startable: u32) {
         let mut waiting = self.waiting_tasks(key);
-        if !request.step().gang {
+        let step = request.step();
+        if !step.gang {
             let most = startable.min(self.tasks_to_next_level(key));
             waiting.truncate(most as usize);
         }
+        // Soft limits give way until the step has a run.
+        let yields_to_step = !request.limits.include_soft();
+        if yields_to_step && !step.gang && !step.long_running {
+            waiting.truncate(1);
+        }
         if request.step().gang {
             if waiting.blocked == 0 {
                 self.place_gang(pass, key, request, &waiting);
             }
         } else {
             self.place_tasks(pass, key, request, &waiting.clear);
-            let yields = self.claims_before(pass, key, &request.service).is_some();
+            let claims = self.claims_before(pass, key, &request.service);
+            let yields = claims.is_some() && !yields_to_step;
             if !waiting.none_suspect() && !yields {
                 self.place_suspects(key, request, &waiting);
             }
@@ -288,7 +335,8 @@
         let last_run = waiting.startable().map(|(_, last_run)| *last_run).max();
         let run = self.next_run(last_run.unwrap_or(0));
         if !waiting.none_suspect() {
-            if self.claims_before(pass, key, &request.service).is_none() {
+            let claims = self.claims_before(pass, key, &request.service);
+            if claims.is_none() || !request.limits.include_soft() {
                 self.place_gang_with_suspects(key, request, waiting, run);
             }
             return;
@@ -326,7 +374,8 @@
     /// latency-tolerant and its job has slack.
     fn must_leave_headroom(&self, key: StepKey, request: &StepRequest) -> bool {
         let job = self.jobs.get(&key.job);
-        request.latency_class == LatencyClass::Tolerant
+        request.limits.include_soft()
+            && request.latency_class == LatencyClass::Tolerant
             && job.is_some_and(|job| has_slack(job, self.unix_ms))
     }
 
@@ -374,3 +423,25 @@
         }
     }
 }
+
+fn add_to_pool(
+    pools: &mut BTreeMap<String, Vec<EndpointKey>>,
+    service: &String,
+    endpoint: EndpointKey,
+) {
+    match pools.get_mut(service) {
+        Some(pool) => pool.push(endpoint),
+        None => {
+            pools.insert(service.clone(), vec![endpoint]);
+        }
+    }
+}
+
+fn note_free(most_free: &mut BTreeMap<String, Resources>, service: &String, free: Resources) {
+    match most_free.get_mut(service) {
+        Some(most) => *most = most.max(free),
+        None => {
+            most_free.insert(service.clone(), free);
+        }
+    }
+}
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod relays;
 pub(crate) mod retry_time;
 pub(crate) mod share;
+pub(crate) mod soft_limits;
 pub(crate) mod speed;
 pub(crate) mod stall_timeout;
 pub(crate) mod store_capacity;
--- a/crates/chervilfall_planner/src/policy/placement.rs
+++ b/crates/chervilfall_planner/src/policy/placement.rs
@@ -63,6 +63,8 @@
     pub(crate) free: Resources,
     /// Maximum number of further tasks of the step that the endpoint may be given.
     pub(crate) max_new_tasks: u32,
+    /// A soft limit has given way, so that others are used first.
+    pub(crate) beyond_soft_limit: bool,
     /// A run of the step has failed there.
     pub(crate) failed: bool,
     /// Number of jobs of which a run has failed there recently; 0 unless the step has failed.
@@ -98,8 +100,8 @@
     }
 }
 
-/// Picks endpoints for up to `count` tasks. Prefers endpoints where the step has not failed, then,
-/// for a step that has failed, those with the fewest recent failures, then near ones, then those of
+/// Picks endpoints for up to `count` tasks. Prefers endpoints within soft limits, then those where
+/// the step has not failed, then, for a step that has failed, those with the fewest recent failures, then near ones, then those of
 /// the preferred speed class, then those with the least free CPU, which preserves large free
 /// capacity for wide tasks.
 pub(crate) fn pick_endpoints(
@@ -115,6 +117,7 @@
             .filter(|offer| offer.max_fitting(need) > 0);
         let best = fitting.min_by_key(|offer| {
             (
+                offer.beyond_soft_limit,
                 offer.failed,
                 offer.recent_failures,
                 !offer.near,
--- a/crates/chervilfall_planner/src/policy/quarantine.rs
+++ b/crates/chervilfall_planner/src/policy/quarantine.rs
@@ -88,6 +88,11 @@
         Some(pause_ms)
     }
 
+    /// Returns whether the time of the shortest pause has passed since the last failure.
+    pub(crate) const fn first_pause_has_passed(&self, now: Millis) -> bool {
+        now.saturating_sub(self.failed_ms) >= FIRST_PAUSE_MS
+    }
+
     pub(crate) const fn state(&self, now: Millis) -> QuarantineState {
         QuarantineState::after(self.pauses, self.until_ms, now)
     }
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -13,6 +13,7 @@
 use crate::job::{JobSpec, Step};
 use crate::planner::AccountKey;
 use crate::policy::crashes::Exposure;
+use crate::policy::soft_limits::RoomWait;
 use crate::policy::speed::DurationSample;
 use crate::record::{ranges, JobRow, ProgressRow, StepRow};
 
@@ -59,6 +60,8 @@
     pub(crate) failed_on: Vec<EndpointKey>,
     /// Durations of completed runs that did not resume from a checkpoint.
     pub(crate) durations: Vec<DurationSample>,
+    /// How long it has had room without starting.
+    pub(crate) room_wait: RoomWait,
     /// Since when it has been looking for endpoints for exclusive runs.
     pub(crate) exclusive_since_ms: Option<Millis>,
 }
@@ -82,6 +85,7 @@
             gang_wait: GangWait::default(),
             failed_on: Vec::new(),
             durations: Vec::new(),
+            room_wait: RoomWait::default(),
             exclusive_since_ms: None,
         }
     }
@@ -90,6 +94,11 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Returns whether it waits with nothing running; each lasting task counts by itself.
+    pub(crate) fn stands(&self, long_running: bool) -> bool {
+        self.waiting() > 0 && (self.placed == 0 || long_running)
+    }
+
     pub(crate) fn waiting(&self) -> u32 {
         u32::try_from(self.tasks.len()).unwrap_or(u32::MAX) - self.done - self.placed
     }
