--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -88,6 +88,11 @@
         self.asking.values().flatten().copied()
     }
 
+    /// Returns whether a call in flight names the endpoint.
+    pub(crate) fn is_asking(&self, endpoint: EndpointKey) -> bool {
+        self.entries.get(endpoint).is_some_and(|entry| entry.asking)
+    }
+
     /// Returns whether there is neither an answer nor a call in flight for the endpoint.
     pub(crate) fn is_unasked(&self, endpoint: EndpointKey) -> bool {
         let entry = self.entries.get(endpoint);
@@ -102,6 +107,10 @@
         matches!(self.permission(endpoint), Some(Permission::Granted(..)))
     }
 
+    pub(crate) fn is_denied(&self, endpoint: EndpointKey) -> bool {
+        matches!(self.permission(endpoint), Some(Permission::Denied))
+    }
+
     /// Returns whether any ticket may still be valid at `at_ms`.
     pub(crate) const fn any_ticket(&self, at_ms: Millis) -> bool {
         self.valid_until_ms > at_ms
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -9,6 +9,7 @@
 use crate::planner::gap::ServiceMilestone;
 use crate::planner::Planner;
 use crate::policy::placement::LatencyClass;
+use crate::policy::soft_limits::RoomWait;
 use crate::resources::Resources;
 use crate::tasks::{TaskState, RUNS_PER_TERM};
 
@@ -65,9 +66,10 @@
         exclusive: bool,
     ) -> bool {
         let charge = self.charge(task);
-        if !self.endpoints.contains_key(key) {
+        let Some(endpoint) = self.endpoints.get(key) else {
             return false;
-        }
+        };
+        let on_trial = endpoint.is_quarantined(self.now);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
@@ -75,6 +77,7 @@
             return false;
         };
         let resources = Resources::of_step(step);
+        let long_running = step.long_running;
         let latency_sensitive = LatencyClass::of(job) == LatencyClass::Sensitive;
         if latency_sensitive {
             let headroom = self.headrooms.entry(job.queue.service.clone());
@@ -90,6 +93,9 @@
         entry.state = TaskState::Placed(key, run);
         entry.last_run = run;
         progress.placed += 1;
+        if !progress.stands(long_running) {
+            progress.room_wait = RoomWait::default();
+        }
         self.record_run(
             key,
             task,
@@ -105,6 +111,7 @@
                 resumed,
                 latency_sensitive,
                 exclusive,
+                on_trial,
             },
         );
         true
