Check in the simulation that no accepted job stands still

No check of ours knew the promise that an accepted job does not stand still: the oracle finds runs that are doubled, lost or late, and none that does not come.

World::check now judges each tenth of a second, by what endpoints run and have ended: a job stands still if for 3 s nothing of it runs though the turn of a task has come and there is room for it twice over (for a gang: for all its tasks twice, endpoint by endpoint, with free resources, the most per endpoint, the label and the admission by the advice service); a task that lasts by itself, from 6 s after its last run. Only calm times count: no fault in force, nor in the 4 s before. A node whose calls for advice fail counts as a fault, like a link that is cut.

Left out: cancelled jobs, tasks beyond the quota of their account, and jobs that a caller may be told have failed, since they have used up their attempts or crashed endpoints. Both are to be judged by tests of their own. A standstill that outlasts these times is a violation.

Tasks that last have no limit on attempts, so has_used_attempts passes over them. If their run fails, it does so within 5 s.

tests/standstill.rs shows that the check can fail: 13 cases in which all starts are dropped, and the same without that.

--- a/crates/chervilfall_planner/tests/world/callers.rs
+++ b/crates/chervilfall_planner/tests/world/callers.rs
@@ -34,6 +34,7 @@
         let id = JobId(id);
         self.jobs.insert(id, spec.clone());
         let queue = self.queue.clone();
+        self.standstill.note_submission(id, &queue, account);
         let answer = self.ask(Request::Submit {
             queue,
             id,
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -21,6 +21,8 @@
 const LONGEST_LEASE_MS: u64 = 6_000;
 /// Maximum number of ends in a list.
 const MAX_LISTED_ENDS: usize = 500;
+/// Maximum number of milliseconds to the failure of a run of a task that lasts, if it fails.
+const LASTING_FAILURE_MS: u64 = 5_000;
 /// Milliseconds that a run needs to resume from a checkpoint.
 const RESTORE_MS: u64 = 600;
 
@@ -110,6 +112,10 @@
     pub born_ms: Option<u64>,
     /// When this incarnation was started, in simulated time.
     pub started_ms: u64,
+    /// When it replaced a crashed incarnation with another name.
+    pub replaced_other_ms: u64,
+    /// When it was first seen dead.
+    died_ms: u64,
     /// Earlier CPU capacities, each with the time until which it applied.
     past_capacities: Vec<(u64, u32)>,
     /// The entry that it last wrote to the store, until it lapses.
@@ -133,6 +139,10 @@
     pub fails_all: bool,
     /// Percentage of runs that fail.
     pub fail_percent: u64,
+    /// Until then a fault makes more runs fail.
+    pub faulty_until_ms: u64,
+    /// Percentage of the runs that fail while the fault lasts.
+    pub faulty_percent: u64,
     /// Until when it says that it is slow after its start.
     pub cold_until_ms: u64,
     /// Work takes between half of its estimate and twice of it.
@@ -178,6 +188,8 @@
             past_crashes: Vec::new(),
             born_ms: None,
             started_ms: 0,
+            replaced_other_ms: 0,
+            died_ms: 0,
             past_capacities: Vec::new(),
             reported: None,
             next_report_ms: 0,
@@ -192,6 +204,8 @@
             domain: 0,
             fails_all: false,
             fail_percent: 2,
+            faulty_until_ms: 0,
+            faulty_percent: 0,
             cold_until_ms: 0,
             rough_estimates: false,
             speed_percent: 100,
@@ -301,6 +315,26 @@
         self.past_crashes.iter().copied().chain(self.crashed)
     }
 
+    /// Returns when a fault of it or of its connections was last in force.
+    pub fn last_disturbed_ms(&self) -> u64 {
+        let died_ms = if self.leaves_ms.is_some() {
+            0
+        } else {
+            self.died_ms
+        };
+        let resized_ms = self.past_capacities.last().map_or(0, |(at_ms, _)| *at_ms);
+        let times_ms = [
+            self.cut_until_ms,
+            self.store_cut_until_ms,
+            self.faulty_until_ms,
+            self.started_ms,
+            self.replaced_other_ms,
+            died_ms,
+            resized_ms,
+        ];
+        times_ms.into_iter().max().unwrap_or(0)
+    }
+
     /// Crashes: all runs are lost, and no ends are reported.
     pub fn crash(&mut self, now: u64, culprit: Option<TaskKey>) {
         if !self.dead {
@@ -378,6 +412,9 @@
             self.crash(now, culprit);
         }
         if self.dead {
+            if self.died_ms <= self.started_ms {
+                self.died_ms = now;
+            }
             self.running.clear();
             return;
         }
@@ -470,6 +507,18 @@
             RESTORE_MS + work_ms.saturating_sub(saved_ms)
         });
         let saves = step.is_some_and(|step| step.checkpointing);
+        let fail_percent = if now < self.faulty_until_ms {
+            self.faulty_percent
+        } else {
+            self.fail_percent
+        };
+        let fails = random.percent(fail_percent);
+        let lasts = step.is_some_and(|step| step.long_running);
+        let left_ms = if lasts && fails {
+            left_ms.min(LASTING_FAILURE_MS)
+        } else {
+            left_ms
+        };
         self.starts.push((now, order.task, order.run));
         let used: u32 = self.running.values().map(|run| run.cpu_milli).sum();
         let used = used + step.map_or(0, |step| step.cpu_milli);
@@ -490,7 +539,7 @@
                 begun_ms: now,
                 ends_ms: now + left_ms * 100 / self.speed_percent,
                 saved_ms: saves.then_some(resumed_ms.unwrap_or(0)),
-                fails: random.percent(self.fail_percent),
+                fails,
                 stops_ms: None,
                 broken: false,
                 crashes_ms: crashing
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -10,6 +10,7 @@
 pub mod oracle;
 mod orders;
 pub mod random;
+pub mod standstill;
 pub mod store;
 pub mod tables;
 
@@ -24,6 +25,7 @@
 
 use endpoint::{CrashBehavior, FakeEndpoint};
 use random::Random;
+use standstill::Standstill;
 use store::FakeStore;
 
 /// One-way network delay of an order or a transaction, in milliseconds.
@@ -75,6 +77,10 @@
     pub random: Random,
     /// Percentage of orders that are not answered and are carried out late.
     pub late_percent: u64,
+    /// Starts reach no endpoint, though no fault is in force: for tests of the checks.
+    pub drops_starts: bool,
+    /// When a node last took the group over.
+    taken_over_ms: u64,
     /// Last time at which an answer of the store could be lost.
     store_lossy_ms: u64,
     /// Failure domains cannot reach each other until then.
@@ -114,6 +120,8 @@
     /// Replacements of crashed endpoints keep their name.
     keeps_names: bool,
     next_request: u64,
+    /// Check that no job stands still.
+    pub standstill: Standstill,
 }
 
 /// Returns a step whose tasks need one core each.
@@ -176,6 +184,8 @@
             sequence: 0,
             random: Random::new(seed),
             late_percent: 0,
+            drops_starts: false,
+            taken_over_ms: 0,
             store_lossy_ms: 0,
             partitioned_until_ms: 0,
             violations: Vec::new(),
@@ -198,6 +208,7 @@
             restart_delay_ms: 4_000,
             keeps_names: false,
             next_request: 0,
+            standstill: Standstill::default(),
         }
     }
 
@@ -330,7 +341,8 @@
         }
         for endpoint in replacements {
             let number = self.endpoints.len();
-            let endpoint = endpoint.next_incarnation(number);
+            let mut endpoint = endpoint.next_incarnation(number);
+            endpoint.replaced_other_ms = now;
             self.endpoints.insert(endpoint.id.clone(), endpoint);
         }
     }
@@ -386,6 +398,9 @@
 
     fn check(&mut self) {
         oracle::check_overlaps(self.endpoints.values(), self.now, &mut self.violations);
+        let mut standstill = std::mem::take(&mut self.standstill);
+        standstill.check(self);
+        self.standstill = standstill;
     }
 
     /// Returns the starts and ends of every task and endpoint that a violation names, and all
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -125,6 +125,7 @@
             self.store.commit(self.now, &takeover.renewal());
         }
         let stored = self.stored();
+        self.taken_over_ms = self.now;
         self.faults.push((
             self.now,
             format!("fault takeover by {node}, term {}", takeover.row.term),
@@ -297,7 +298,7 @@
     }
 
     /// Returns whether the advice service allows a step to use an endpoint; this never changes.
-    fn is_endpoint_allowed(&self, step: &str, id: &EndpointId) -> bool {
+    pub(super) fn is_endpoint_allowed(&self, step: &str, id: &EndpointId) -> bool {
         let mut hasher = DefaultHasher::new();
         (step, id).hash(&mut hasher);
         let job = step.split('.').next().and_then(|job| job.parse().ok());
--- a/crates/chervilfall_planner/tests/world/oracle.rs
+++ b/crates/chervilfall_planner/tests/world/oracle.rs
@@ -145,8 +145,12 @@
     for (task, run) in reported.filter(|(task, _)| task.job == job) {
         // A gang fails as a whole, whichever of its members fail.
         let step = TaskKey { index: 0, ..*task };
-        let gang = jobs[&job].steps[usize::from(task.step)].gang;
-        let counted = if gang { step } else { *task };
+        let kind = &jobs[&job].steps[usize::from(task.step)];
+        if kind.long_running {
+            // Tasks that last have no limit on their attempts.
+            continue;
+        }
+        let counted = if kind.gang { step } else { *task };
         failed.entry(counted).or_default().insert(*run);
     }
     failed.values().any(|runs| runs.len() >= attempts)
--- a/crates/chervilfall_planner/tests/world/orders.rs
+++ b/crates/chervilfall_planner/tests/world/orders.rs
@@ -2,6 +2,7 @@
 
 use chervilfall_planner::{Action, EndpointId, Event, HoldAnswer, StartAnswer, StopAnswer};
 
+use super::endpoint::FakeEndpoint;
 use super::{ScheduledEvent, World, ONE_WAY_DELAY_MS, TIMEOUT_MS};
 
 /// Milliseconds without a fault after which a node counts as undisturbed.
@@ -10,6 +11,11 @@
 impl World {
     pub(super) fn send_order(&mut self, node: usize, term: u64, action: Action) {
         let id = order_target(&action).clone();
+        if self.drops_starts && matches!(action, Action::Start(_)) {
+            let event = Box::new(unanswered_event(&action, self.now));
+            self.schedule(TIMEOUT_MS, ScheduledEvent::DeliverEvent(node, term, event));
+            return;
+        }
         let endpoint = self.endpoints.get(&id);
         let cut = endpoint.is_none_or(|endpoint| endpoint.dead) || self.is_cut_off(node, &id);
         let unanswered_event = unanswered_event(&action, self.now);
@@ -104,6 +110,31 @@
         faults_until_ms.iter().all(is_over)
     }
 
+    /// Returns when a fault was last in force, as far as can be told from the state of now.
+    pub(super) fn last_disturbed_ms(&self) -> u64 {
+        let toggled = self.late_percent > 0
+            || self.store.slow_ms > 0
+            || !self.failing_advisors.is_empty()
+            || self.endpoints.values().any(|endpoint| endpoint.fails_all);
+        let nodes = self.nodes.iter().flat_map(|node| {
+            [
+                node.frozen_until_ms,
+                node.cut_until_ms,
+                node.store_cut_until_ms,
+                node.began_ms,
+            ]
+        });
+        let endpoints = self.endpoints.values();
+        let endpoints = endpoints.map(FakeEndpoint::last_disturbed_ms);
+        let until_ms = nodes.chain(endpoints).chain([
+            self.store.down_until_ms,
+            self.partitioned_until_ms,
+            self.store_lossy_ms,
+            if toggled { self.now } else { 0 },
+        ]);
+        until_ms.max().unwrap_or(0).min(self.now)
+    }
+
     pub(super) fn is_partitioned(&self, node: usize, id: &EndpointId) -> bool {
         let domain = self.endpoints.get(id).map_or(0, |endpoint| endpoint.domain);
         self.partitioned_until_ms > self.now && self.nodes[node].domain != domain
