--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -106,6 +106,8 @@
     pub accepted: BTreeSet<JobId>,
     pub refused: BTreeSet<JobId>,
     pub cancelled: BTreeSet<JobId>,
+    /// Percentage of the runs of some jobs that fail, on any endpoint.
+    pub failing: BTreeMap<JobId, u64>,
     /// Jobs whose tasks crash their endpoints.
     pub crashing: BTreeMap<JobId, CrashBehavior>,
     /// Planners read the last entry that an endpoint has written, instead of its current state.
@@ -201,6 +203,7 @@
             accepted: BTreeSet::new(),
             refused: BTreeSet::new(),
             cancelled: BTreeSet::new(),
+            failing: BTreeMap::new(),
             crashing: BTreeMap::new(),
             uses_reported_entries: false,
             evacuated: BTreeSet::new(),
@@ -442,6 +445,7 @@
         oracle::check_history(
             self.endpoints.values(),
             attempts,
+            &self.jobs,
             &self.refused,
             &mut self.violations,
         );
