--- a/crates/chervilfall_planner/tests/world/standstill.rs
+++ b/crates/chervilfall_planner/tests/world/standstill.rs
@@ -28,6 +28,9 @@
 /// Number of crashes under a task from which its job may be given up, whatever caused them.
 const GIVEN_UP_CRASHES: usize = 2;
 
+/// Maximum number of endpoints that a violation names.
+const MAX_NAMED_ENDPOINTS: usize = 4;
+
 /// What stands still: a job, or a task that lasts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Subject {
@@ -101,7 +104,16 @@
 #[derive(Debug, Default)]
 struct Room {
     places: u64,
-    endpoints: usize,
+    endpoints: Vec<EndpointId>,
+}
+
+impl Room {
+    /// Returns the names of the first endpoints.
+    fn first_endpoints(&self) -> String {
+        let names = self.endpoints.iter().take(MAX_NAMED_ENDPOINTS);
+        let names: Vec<&str> = names.map(|id| id.0.as_str()).collect();
+        names.join(", ")
+    }
 }
 
 /// How a job was submitted.
@@ -279,8 +291,10 @@
                 let fits = room.places >= TIMES_OVER * wanted
                     && self.fits_quota(world, usage, id, step, wanted);
                 let line = format!(
-                    "wants {wanted} places, {} places on {} endpoints",
-                    room.places, room.endpoints
+                    "wants {wanted} places, {} places on {} endpoints ({})",
+                    room.places,
+                    room.endpoints.len(),
+                    room.first_endpoints()
                 );
                 if step.long_running {
                     for task in left {
@@ -368,7 +382,9 @@
             };
             let places = fitting(*free, reserved_by(step)).min(allowed);
             room.places = room.places.saturating_add(places);
-            room.endpoints += usize::from(places > 0);
+            if places > 0 {
+                room.endpoints.push(id.clone());
+            }
         }
         room
     }
