Log and count why a step stands still, and when nothing may start

Two accepted jobs stood still while there was room for them, and no line said why: `step waits` is written for one job in eight and says `capacity` for many different reasons, and no line says that passes are skipped as a whole.

Once a second up to eight steps that stand still for 1 s and more are now examined with the judgement that placement uses. `step stands still` gives the endpoints of the service by reason of passing over, those that offer to run a task, the room on them against the room that calls for advice count, the calls, the claims of others, and how many steps of the account and service stand beside. The steps with the fewest lines come first, each has one every 5 s at most. `chervilfall_standing_steps`, `_longest_seconds` and `_passed_over_total` show the same as metrics. Orders that are placed and never begin count as standing, too: only a run that was seen ends it. The report is also there as a struct, `Planner::standing_steps`.

`scheduling is skipped`, once a second, and `chervilfall_passes_skipped_total` tell of passes that start nothing because the claim is not confirmed or the evacuations are not known.

The captured log lines of tests/waiting.rs move to tests/world/lines.rs, so that other tests can use them.

--- a/crates/chervilfall_planner/src/advice.rs
+++ b/crates/chervilfall_planner/src/advice.rs
@@ -36,6 +36,8 @@
     valid_until_ms: Millis,
     /// Endpoints named by the calls in flight, by call number.
     asking: BTreeMap<u64, Vec<EndpointKey>>,
+    /// Number of calls that were answered.
+    answered_calls: u32,
 }
 
 impl Advice {
@@ -73,6 +75,16 @@
         }
     }
 
+    /// Counts a call that was answered.
+    pub(crate) fn note_answer(&mut self) {
+        self.answered_calls += 1;
+    }
+
+    /// Returns the number of calls that were answered.
+    pub(crate) const fn answered_calls(&self) -> u32 {
+        self.answered_calls
+    }
+
     /// Returns the number of calls in flight.
     pub(crate) fn calls_in_flight(&self) -> usize {
         self.asking.len()
@@ -94,10 +106,19 @@
         entry.is_none_or(|entry| entry.permission.is_none() && !entry.asking)
     }
 
+    /// Returns whether a call in flight names the endpoint.
+    pub(crate) fn is_asking(&self, endpoint: EndpointKey) -> bool {
+        self.entries.get(endpoint).is_some_and(|entry| entry.asking)
+    }
+
     fn permission(&self, endpoint: EndpointKey) -> Option<&Permission> {
         self.entries.get(endpoint)?.permission.as_ref()
     }
 
+    pub(crate) fn denied(&self, endpoint: EndpointKey) -> bool {
+        matches!(self.permission(endpoint), Some(Permission::Denied))
+    }
+
     pub(crate) fn allowed(&self, endpoint: EndpointKey) -> bool {
         matches!(self.permission(endpoint), Some(Permission::Granted(..)))
     }
--- a/crates/chervilfall_planner/src/endpoint/exclusion.rs
+++ b/crates/chervilfall_planner/src/endpoint/exclusion.rs
@@ -41,6 +41,30 @@
     Reserved,
 }
 
+impl Exclusion {
+    /// Returns its name in log lines and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::NotListed => "not_listed",
+            Self::NotRostered => "not_rostered",
+            Self::NotContacted => "not_contacted",
+            Self::ListsIncomplete => "lists_incomplete",
+            Self::LeasesLapsed => "leases_lapsed",
+            Self::OtherIncarnation => "other_incarnation",
+            Self::Leaving => "leaving",
+            Self::Silent => "silent",
+            Self::CapacityNotKnown => "capacity_not_known",
+            Self::SizesNotKnown => "sizes_not_known",
+            Self::StartPause => "start_pause",
+            Self::Quarantined => "quarantined",
+            Self::OnTrial => "on_trial",
+            Self::ExclusiveRun => "exclusive_run",
+            Self::Reserved => "reserved",
+        }
+    }
+}
+
 impl Endpoint {
     /// Returns whether it can be given new work of any step.
     pub(crate) fn accepts_work(&self, now: Millis, limits: &Limits) -> bool {
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -46,7 +46,9 @@
 };
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
-pub use planner::{Backlog, LookupResult, PassedOver, Planner, StoredGroup};
+pub use planner::{
+    Backlog, LookupResult, PassedOver, Planner, StandingAdvice, StandingStep, StoredGroup,
+};
 pub use policy::admission::{
     refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing, SubmissionTimes,
 };
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -233,6 +233,23 @@
     gauge!("chervilfall_waiting_steps", "cause" => cause, "priority" => priority).set(steps as f64);
 }
 
+/// Sets the gauges for the number of steps that stand still, and for how long the longest does.
+pub(crate) fn standing_steps(steps: usize, longest_ms: Millis) {
+    gauge!("chervilfall_standing_steps").set(steps as f64);
+    gauge!("chervilfall_standing_longest_seconds").set(seconds(longest_ms));
+}
+
+/// Counts endpoints that an examined step passes over, by reason.
+pub(crate) fn standing_passed_over(reason: &'static str, endpoints: usize) {
+    counter!("chervilfall_standing_passed_over_total", "reason" => reason)
+        .increment(endpoints as u64);
+}
+
+/// Counts a pass that was skipped as a whole.
+pub(crate) fn pass_skipped(cause: &'static str) {
+    counter!("chervilfall_passes_skipped_total", "cause" => cause).increment(1);
+}
+
 /// Sets the gauges for open steps, unsaved jobs and the age of the claim.
 pub(crate) fn queues(open_steps: usize, unsaved_jobs: usize, claim_age_ms: Millis) {
     gauge!("chervilfall_open_steps").set(open_steps as f64);
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -204,6 +204,7 @@
             log::info!(step:% = call.step, caller = call.node, took_ms = took_ms; "advice failed");
             return HoldOutcome::Failed;
         };
+        progress.advice.note_answer();
         log::info!(
             step:% = call.step, caller = call.node, took_ms = took_ms,
             asked = call.endpoints.len(), granted = granted.len();
--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -7,6 +7,7 @@
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
 use crate::policy::advice_size::{call_size, CallNeed, GrantShare};
+use crate::policy::gang_call_hold::CallHold;
 use crate::policy::naming::{NamingCandidate, NamingOrder, NamingRank};
 use crate::resources::Resources;
 use crate::tasks::{StepKey, StepProgress};
@@ -58,22 +59,13 @@
             1
         };
         let holds = self.holds_before(key, request);
-        let free_resources = |endpoint: EndpointKey| {
-            let free = self.endpoints[endpoint].free();
-            let held = holds.iter().map(|hold| hold.on(endpoint));
-            held.fold(free, Resources::minus)
-        };
+        let free_resources = |endpoint: EndpointKey| self.free_beside(&holds, endpoint);
         let mut usable = allowed_with_capacity(pool, &progress.advice, need, free_resources);
-        let max_tasks = |keys: &[EndpointKey]| -> u64 {
-            keys.iter()
-                .map(|key| u64::from(free_resources(*key).max_fitting(need)))
-                .sum()
-        };
         let calls_in_flight = progress.advice.calls_in_flight();
         if calls_in_flight >= max_calls_in_flight(request.step()) {
             return false;
         }
-        if max_tasks(&usable) >= enough {
+        if room_on(&usable, need, free_resources) >= enough {
             if calls_in_flight > 0 {
                 return false;
             }
@@ -111,6 +103,29 @@
         called
     }
 
+    /// Returns for how many tasks of a step the endpoints that it is allowed have room, as calls for
+    /// advice count it.
+    pub(super) fn room_for_advice(
+        &self,
+        pool: &[EndpointKey],
+        key: StepKey,
+        request: &StepRequest,
+        advice: &Advice,
+    ) -> u64 {
+        let need = request.required_resources();
+        let holds = self.holds_before(key, request);
+        let free_resources = |endpoint: EndpointKey| self.free_beside(&holds, endpoint);
+        let usable = allowed_with_capacity(pool, advice, need, free_resources);
+        room_on(&usable, need, free_resources)
+    }
+
+    /// Returns the free resources of an endpoint beside what is kept for gangs.
+    fn free_beside(&self, holds: &[&CallHold<StepKey>], endpoint: EndpointKey) -> Resources {
+        let free = self.endpoints[endpoint].free();
+        let held = holds.iter().map(|hold| hold.on(endpoint));
+        held.fold(free, Resources::minus)
+    }
+
     /// Returns how many of the endpoints in `named` a call for a step names. `granted` are the
     /// granted endpoints with free resources.
     fn call_size(
@@ -192,6 +207,18 @@
     }
 }
 
+/// Returns how many tasks of `need` each fit on the endpoints.
+fn room_on(
+    endpoints: &[EndpointKey],
+    need: Resources,
+    free_resources: impl Fn(EndpointKey) -> Resources,
+) -> u64 {
+    let fitting = endpoints
+        .iter()
+        .map(|key| u64::from(free_resources(*key).max_fitting(need)));
+    fitting.sum()
+}
+
 /// Returns the endpoints that may run the step and have free resources for one of its tasks.
 fn allowed_with_capacity(
     pool: &[EndpointKey],
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -295,6 +295,7 @@
                 if placed.phase == RunPhase::Starting {
                     placed.phase = RunPhase::Running;
                     placed.confirmed_ms = Some(self.now);
+                    self.note_run(task);
                 }
                 self.confirm_start(task);
                 self.record_checkpoint(task, &running.checkpoint);
@@ -304,6 +305,7 @@
             // The lists order the runs of a task on one endpoint; an older one is about to end.
             return;
         }
+        self.note_run(task);
         self.adopt_or_stop(key, running);
     }
 
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -41,6 +41,7 @@
             return;
         }
         self.confirm_start(task);
+        self.note_run(task);
         self.record_checkpoint(task, &end.checkpoint);
         match end.how {
             EndReason::Done => self.complete_task(task),
--- a/crates/chervilfall_planner/src/planner/evacuations.rs
+++ b/crates/chervilfall_planner/src/planner/evacuations.rs
@@ -58,6 +58,11 @@
         self.evacuations.are_known(self.now, &self.limits)
     }
 
+    /// Returns the time since the last reading of the evacuations was requested.
+    pub(super) const fn evacuations_age_ms(&self) -> Millis {
+        self.now.saturating_sub(self.evacuations.read_ms)
+    }
+
     /// Returns the number of tasks that are placed in a failure domain.
     fn tasks_in(&self, domain: &str) -> usize {
         let endpoints = self.endpoints.values();
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -30,6 +30,9 @@
 mod quota_reservations;
 mod requests;
 mod schedule;
+mod skipped;
+mod standing;
+mod standing_step;
 mod stopping;
 mod suspects;
 mod unsaved;
@@ -72,6 +75,9 @@
 pub use offers::PassedOver;
 use open::OpenSteps;
 use requests::{record_unknown_refusal, RETRY_MS};
+use skipped::SkippedPasses;
+use standing::StandingSteps;
+pub use standing_step::{StandingAdvice, StandingStep};
 use stopping::Stopping;
 use unsaved::UnsavedChanges;
 use waiting::WaitingSteps;
@@ -175,6 +181,8 @@
     last_pass_ms: Millis,
     last_full_pass_ms: Millis,
     waiting: WaitingSteps,
+    standing: StandingSteps,
+    skipped_passes: SkippedPasses,
     releasing: bool,
     stepped_down: bool,
     actions: Vec<Action>,
@@ -240,6 +248,8 @@
             last_pass_ms: now,
             last_full_pass_ms: 0,
             waiting: WaitingSteps::default(),
+            standing: StandingSteps::default(),
+            skipped_passes: SkippedPasses::default(),
             releasing: false,
             stepped_down: false,
             actions: Vec::new(),
@@ -493,6 +503,7 @@
             "group given up"
         );
         self.waiting.clear();
+        self.standing.clear();
         self.answer_on_step_down();
         self.actions.push(Action::StepDown(reason));
     }
--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -18,12 +18,48 @@
     OtherService,
     /// It is given no new work of any step.
     Excluded(Exclusion),
+    /// The advice service has denied it.
+    Denied,
     /// It lacks the label that the step requires.
     Label,
     /// A task does not fit into its free resources.
     Room,
     /// A task would fit, but the resources are kept for a gang's call for advice.
     KeptForGang,
+    /// It holds the most tasks of the step that it may.
+    MaxPerEndpoint,
+    /// The advice service has not been asked about it.
+    NotAsked,
+    /// A call for advice that names it is in flight.
+    Asking,
+    /// Its ticket has expired.
+    TicketExpired,
+    /// It has too many runs for a task that may crash it.
+    LeftForSuspects,
+    /// Its resources are left for steps with worth.
+    LeftForClaims,
+}
+
+impl PassedOver {
+    /// Returns its name in log lines and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Gone => "gone",
+            Self::OtherService => "other_service",
+            Self::Excluded(exclusion) => exclusion.label(),
+            Self::Denied => "denied",
+            Self::Label => "label",
+            Self::Room => "room",
+            Self::KeptForGang => "kept_for_gang",
+            Self::MaxPerEndpoint => "max_per_endpoint",
+            Self::NotAsked => "not_asked",
+            Self::Asking => "asking",
+            Self::TicketExpired => "ticket_expired",
+            Self::LeftForSuspects => "left_for_suspects",
+            Self::LeftForClaims => "left_for_claims",
+        }
+    }
 }
 
 /// Whose reservations exclude an endpoint.
@@ -111,6 +147,49 @@
         })
     }
 
+    /// Judges for each endpoint of a step's service whether the step may start a task there now,
+    /// apart from claims.
+    pub(super) fn judge_service(
+        &self,
+        key: StepKey,
+        request: &StepRequest,
+        reservations: Reservations,
+    ) -> Vec<Result<Offer, PassedOver>> {
+        let Some(step) = self.judged_step(key, request, reservations) else {
+            return Vec::new();
+        };
+        let endpoints = self.endpoints.iter();
+        let own = endpoints.filter(|(_, endpoint)| endpoint.entry.service == request.service);
+        let judged = own.map(|(endpoint, _)| self.judge_with_ticket(&step, endpoint));
+        judged.collect()
+    }
+
+    /// Judges whether a step may start a task on an endpoint now, apart from claims.
+    fn judge_with_ticket(
+        &self,
+        judged: &JudgedStep<'_>,
+        endpoint: EndpointKey,
+    ) -> Result<Offer, PassedOver> {
+        let advice = &judged.progress.advice;
+        if advice.denied(endpoint) {
+            return Err(PassedOver::Denied);
+        }
+        let offer = self.judge(judged, endpoint)?;
+        if offer.max_new_tasks == 0 {
+            return Err(PassedOver::MaxPerEndpoint);
+        }
+        if judged.request.advice.is_none() || advice.ticket(endpoint, self.now).is_some() {
+            return Ok(offer);
+        }
+        Err(if advice.is_asking(endpoint) {
+            PassedOver::Asking
+        } else if advice.allowed(endpoint) {
+            PassedOver::TicketExpired
+        } else {
+            PassedOver::NotAsked
+        })
+    }
+
     /// Judges whether a step may use an endpoint now, apart from tickets and claims.
     fn judge(
         &self,
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -229,6 +229,7 @@
                 if placed.phase == RunPhase::Starting {
                     placed.phase = RunPhase::Running;
                     placed.confirmed_ms = Some(now);
+                    self.note_run(task);
                 }
                 self.confirm_start(task);
             }
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -26,7 +26,7 @@
     pick_all_or_none, pick_endpoints, pick_keeping_headroom, LatencyClass, Offer,
 };
 use crate::resources::Resources;
-use crate::tasks::{StepKey, StepProgress};
+use crate::tasks::{Job, StepKey, StepProgress};
 
 /// Interval between passes over all open steps. With 350 endpoints and a hundred open steps a pass
 /// takes 2 ms of a core. A full pass at every tick would use a fifth of a core, and a holder has
@@ -41,7 +41,7 @@
     /// Endpoints that accept work, by service.
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
     /// Headroom that latency-tolerant work leaves free, by service.
-    headroom_slots: BTreeMap<String, HeadroomSlots>,
+    pub(super) headroom_slots: BTreeMap<String, HeadroomSlots>,
     /// Quotas that better-ranked steps wait for.
     quota_reservations: QuotaReservations,
     /// Whether a node can make a fast call for advice.
@@ -67,6 +67,18 @@
 }
 
 impl StepRequest {
+    /// Returns the request of a step; none if its job has no such step.
+    pub(super) fn of(job: &Job, key: StepKey) -> Option<Self> {
+        let step_index = usize::from(key.step);
+        (step_index < job.spec.steps.len()).then(|| Self {
+            spec: Arc::clone(&job.spec),
+            step_index,
+            service: job.queue.service.clone(),
+            advice: job.queue.advice,
+            latency_class: LatencyClass::of(job),
+        })
+    }
+
     pub(super) fn step(&self) -> &Step {
         &self.spec.steps[self.step_index]
     }
@@ -79,10 +91,7 @@
 impl Planner {
     pub(super) fn schedule(&mut self) {
         self.count_unconfirmed();
-        if self.open.is_empty()
-            || self.now >= self.lease_bound_ms()
-            || !self.evacuations_are_known()
-        {
+        if self.open.is_empty() || self.skips_pass() {
             return;
         }
         let mut pass = self.begin_pass();
@@ -96,10 +105,13 @@
         };
         if self.limits.policies.fair_share {
             self.schedule_by_fair_share(&mut pass, keys);
-            return;
+        } else {
+            for key in keys {
+                self.schedule_step(&mut pass, key);
+            }
         }
-        for key in keys {
-            self.schedule_step(&mut pass, key);
+        if full {
+            self.report_standing(&pass);
         }
     }
 
@@ -160,6 +172,7 @@
         };
         if step.gang && progress.placed > 0 {
             if self.barrier.is_none() {
+                self.note_standing(key);
                 self.abort_gang(key);
             } else {
                 self.note_wait(key, WaitCause::Barrier);
@@ -209,12 +222,8 @@
             self.note_unplaced(key, call_possible && !leaves_nodes);
             return;
         }
-        let request = StepRequest {
-            spec: Arc::clone(&job.spec),
-            step_index: key.step as usize,
-            service: job.queue.service.clone(),
-            advice,
-            latency_class: LatencyClass::of(job),
+        let Some(request) = StepRequest::of(job, key) else {
+            return;
         };
         if placeable {
             self.place_step(pass, key, &request, startable);
@@ -324,7 +333,7 @@
 
     /// Returns whether a step must leave headroom for latency-sensitive work: it is
     /// latency-tolerant and its job has slack.
-    fn must_leave_headroom(&self, key: StepKey, request: &StepRequest) -> bool {
+    pub(super) fn must_leave_headroom(&self, key: StepKey, request: &StepRequest) -> bool {
         let job = self.jobs.get(&key.job);
         request.latency_class == LatencyClass::Tolerant
             && job.is_some_and(|job| has_slack(job, self.unix_ms))
--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -155,13 +155,25 @@
         exclusive: bool,
     ) -> Vec<Offer> {
         let mut offers = self.offers_for_suspects(key, request);
-        if exclusive && self.exclusive_search_ms(key) < EMPTY_ENDPOINT_WAIT_MS {
-            offers.retain(|offer| self.endpoints[offer.endpoint].placed.is_empty());
-        }
+        self.keep_least_loaded(key, request, exclusive, &mut offers);
         for offer in &mut offers {
             let endpoint = &self.endpoints[offer.endpoint];
             offer.failed |= self.recently_crashed_at(&endpoint.entry.address);
         }
+        offers
+    }
+
+    /// Removes the offers of endpoints with too many runs for a step with suspects.
+    pub(super) fn keep_least_loaded(
+        &self,
+        key: StepKey,
+        request: &StepRequest,
+        exclusive: bool,
+        offers: &mut Vec<Offer>,
+    ) {
+        if exclusive && self.exclusive_search_ms(key) < EMPTY_ENDPOINT_WAIT_MS {
+            offers.retain(|offer| self.endpoints[offer.endpoint].placed.is_empty());
+        }
         if !exclusive {
             // Few runs must be there, because all of them are lost if the suspect is at fault.
             let min_runs = offers.iter().map(|offer| self.run_count(offer)).min();
@@ -170,7 +182,6 @@
                 offers.retain(|offer| self.run_count(offer) <= max_runs);
             }
         }
-        offers
     }
 
     fn run_count(&self, offer: &Offer) -> usize {
--- a/crates/chervilfall_planner/src/planner/waiting.rs
+++ b/crates/chervilfall_planner/src/planner/waiting.rs
@@ -110,6 +110,11 @@
         Some((wait.cause, now.saturating_sub(wait.seen_ms)))
     }
 
+    /// Returns the cause that a pass last recorded for a step.
+    pub(super) fn cause(&self, key: StepKey) -> Option<WaitCause> {
+        self.steps.get(&key).map(|wait| wait.cause)
+    }
+
     /// Forgets steps that no pass has recorded since the last report, and jobs without lines since
     /// then.
     fn retain_recent(&mut self, now: Millis, is_open: impl Fn(StepKey) -> bool) {
@@ -149,6 +154,7 @@
         if let Some((cause, for_ms)) = self.waiting.since_seen(self.now, key) {
             self.note_gang_wait(key, cause, for_ms);
         }
+        self.note_standing(key);
         if let Some(wait) = self.waiting.record(self.now, key, cause) {
             log::info!(
                 step:% = key, cause = cause.label(),
@@ -190,6 +196,7 @@
             return;
         }
         self.waiting.reported_ms = self.now;
+        self.export_standing();
         let open = &self.open;
         self.waiting
             .retain_recent(self.now, |key| open.contains(key));
--- a/crates/chervilfall_planner/src/policy/overdue.rs
+++ b/crates/chervilfall_planner/src/policy/overdue.rs
@@ -37,6 +37,12 @@
         self.smallest = Some(self.smallest.map_or(need, |smallest| smallest.min(need)));
     }
 
+    /// Returns the resources that the steps claim.
+    #[must_use]
+    pub const fn claimed(&self) -> Resources {
+        self.claimed
+    }
+
     /// Returns whether no step waits.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/chervilfall_planner/tests/waiting.rs
+++ b/crates/chervilfall_planner/tests/waiting.rs
@@ -2,7 +2,6 @@
 
 mod world;
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -10,8 +9,8 @@
     Account, AdviceTimings, Answer, Asker, Configuration, Event, JobId, JobSpec, Request,
     Resources, Step,
 };
-use log::kv::{Key, VisitSource};
 use world::counters::Counters;
+use world::lines::{capture, captured, clear};
 use world::{step, ScheduledEvent, World};
 
 const WAITING: &str = "chervilfall_waiting_steps";
@@ -261,68 +260,18 @@
     }
 }
 
-/// A captured line: the event and its fields.
-type Line = (String, BTreeMap<String, String>);
-
-thread_local! {
-    /// Lines that this test has logged.
-    static LINES: RefCell<Vec<Line>> = const { RefCell::new(Vec::new()) };
-}
-
-struct Capture;
-
-impl log::Log for Capture {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        let mut fields = Fields(BTreeMap::new());
-        // The visitor returns no errors.
-        drop(record.key_values().visit(&mut fields));
-        LINES.with_borrow_mut(|lines| lines.push((record.args().to_string(), fields.0)));
-    }
-
-    fn flush(&self) {}
-}
-
-struct Fields(BTreeMap<String, String>);
-
-impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(
-        &mut self,
-        key: Key<'kvs>,
-        value: log::kv::Value<'kvs>,
-    ) -> Result<(), log::kv::Error> {
-        self.0.insert(key.to_string(), value.to_string());
-        Ok(())
-    }
-}
-
-/// Returns the values of a field in the captured lines of an event about a step, or about none.
-fn captured(event: &str, step: Option<&str>, field: &str) -> Vec<String> {
-    LINES.with_borrow(|lines| {
-        let own = lines.iter().filter(|(logged, fields)| {
-            logged == event && fields.get("step").map(String::as_str) == step
-        });
-        own.filter_map(|(_, fields)| fields.get(field).cloned())
-            .collect()
-    })
-}
-
 /// Guards against a flood of lines: with many open steps, causes change in each pass.
 #[test]
 fn lines_name_the_causes_of_sampled_jobs_once_a_second() {
     const FOR_MS: u64 = 5_000;
     // Only this test sets a logger.
-    log::set_logger(&Capture).expect("no other logger");
-    log::set_max_level(log::LevelFilter::Info);
+    capture();
     let mut world = World::new(1, 2, 3);
     world.run(1_500);
     set_advice(&mut world, 300.0);
     submit(&mut world, None, 2, step(8, LONG_MS));
     world.run(1_000);
-    LINES.with_borrow_mut(Vec::clear);
+    clear();
     for id in [SAMPLED, UNSAMPLED] {
         submit(&mut world, None, id, step(1, LONG_MS));
     }
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 pub mod counters;
 pub mod endpoint;
+pub mod lines;
 mod nodes;
 pub mod oracle;
 mod orders;
