--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -62,10 +62,7 @@
         } else {
             1
         };
-        let allowed = pool.iter().filter(|key| progress.advice.allowed(**key));
-        let allowed = allowed.copied().collect();
-        let mut usable = self.usable_offers(allowed, key, request, Reservations::All);
-        usable.retain(|offer| offer.max_fitting(need) > 0);
+        let usable = self.allowed_offers(pool, key, request, &progress.advice);
         let calls_in_flight = progress.advice.calls_in_flight();
         if calls_in_flight >= max_calls_in_flight(request.step()) {
             return false;
@@ -102,6 +99,35 @@
         called
     }
 
+    /// Returns for how many tasks of a step the endpoints that it is allowed have room, as calls for
+    /// advice count it.
+    pub(super) fn room_for_advice(
+        &self,
+        pool: &[EndpointKey],
+        key: StepKey,
+        request: &StepRequest,
+        advice: &Advice,
+    ) -> u64 {
+        let offers = self.allowed_offers(pool, key, request, advice);
+        room(&offers, request.required_resources())
+    }
+
+    /// Returns what the endpoints offer that a step is allowed and could use now with a ticket.
+    fn allowed_offers(
+        &self,
+        pool: &[EndpointKey],
+        key: StepKey,
+        request: &StepRequest,
+        advice: &Advice,
+    ) -> Vec<Offer> {
+        let need = request.required_resources();
+        let allowed = pool.iter().filter(|key| advice.allowed(**key));
+        let allowed = allowed.copied().collect();
+        let mut offers = self.usable_offers(allowed, key, request, Reservations::All);
+        offers.retain(|offer| offer.max_fitting(need) > 0);
+        offers
+    }
+
     /// Returns the endpoints of which a step needs valid tickets at the same time: as many as a call
     /// names, or more for a gang that needs more.
     fn tickets_wanted(&self, usable: &[Offer], need: Resources, waiting: u32) -> Vec<EndpointKey> {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -31,6 +31,9 @@
 mod requests;
 mod room_waits;
 mod schedule;
+mod skipped;
+mod standing;
+mod standing_step;
 mod stopping;
 mod suspects;
 mod unsaved;
@@ -73,6 +76,9 @@
 pub use offers::PassedOver;
 use open::OpenSteps;
 use requests::{record_unknown_refusal, RETRY_MS};
+use skipped::SkippedPasses;
+use standing::StandingSteps;
+pub use standing_step::{StandingAdvice, StandingStep};
 use stopping::Stopping;
 use unsaved::UnsavedChanges;
 use waiting::WaitingSteps;
@@ -176,6 +182,8 @@
     last_pass_ms: Millis,
     last_full_pass_ms: Millis,
     waiting: WaitingSteps,
+    standing: StandingSteps,
+    skipped_passes: SkippedPasses,
     releasing: bool,
     stepped_down: bool,
     actions: Vec<Action>,
@@ -241,6 +249,8 @@
             last_pass_ms: now,
             last_full_pass_ms: 0,
             waiting: WaitingSteps::default(),
+            standing: StandingSteps::default(),
+            skipped_passes: SkippedPasses::default(),
             releasing: false,
             stepped_down: false,
             actions: Vec::new(),
@@ -494,6 +504,7 @@
             "group given up"
         );
         self.waiting.clear();
+        self.standing.clear();
         self.answer_on_step_down();
         self.actions.push(Action::StepDown(reason));
     }
--- a/crates/chervilfall_planner/src/planner/room_waits.rs
+++ b/crates/chervilfall_planner/src/planner/room_waits.rs
@@ -49,7 +49,7 @@
         let mut missing = if gang { judged.progress.waiting() } else { 1 };
         let need = request.required_resources();
         for endpoint in pool {
-            if request.advice.is_some() && judged.progress.advice.is_denied(*endpoint) {
+            if request.advice.is_some() && judged.progress.advice.denied(*endpoint) {
                 continue;
             }
             if let Ok(offer) = self.judge(&judged, *endpoint) {
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -27,7 +27,7 @@
 };
 use crate::policy::soft_limits::AppliedLimits;
 use crate::resources::Resources;
-use crate::tasks::{StepKey, StepProgress};
+use crate::tasks::{Job, StepKey, StepProgress};
 
 /// Interval between passes over all open steps. With 350 endpoints and a hundred open steps a pass
 /// takes 2 ms of a core. A full pass at every tick would use a fifth of a core, and a holder has
@@ -46,7 +46,7 @@
     /// More than is free on any endpoint of these, by service.
     most_free: BTreeMap<String, Resources>,
     /// Headroom that latency-tolerant work leaves free, by service.
-    headroom_slots: BTreeMap<String, HeadroomSlots>,
+    pub(super) headroom_slots: BTreeMap<String, HeadroomSlots>,
     /// Quotas that better-ranked steps wait for.
     quota_reservations: QuotaReservations,
     /// Whether a node can make a fast call for advice.
@@ -90,6 +90,19 @@
 }
 
 impl StepRequest {
+    /// Returns the request of a step within all limits; none if its job has no such step.
+    pub(super) fn of(job: &Job, key: StepKey) -> Option<Self> {
+        let step_index = usize::from(key.step);
+        (step_index < job.spec.steps.len()).then(|| Self {
+            spec: Arc::clone(&job.spec),
+            step_index,
+            service: job.queue.service.clone(),
+            advice: job.queue.advice,
+            latency_class: LatencyClass::of(job),
+            limits: AppliedLimits::All,
+        })
+    }
+
     pub(super) fn step(&self) -> &Step {
         &self.spec.steps[self.step_index]
     }
@@ -102,10 +115,7 @@
 impl Planner {
     pub(super) fn schedule(&mut self) {
         self.count_unconfirmed();
-        if self.open.is_empty()
-            || self.now >= self.lease_bound_ms()
-            || !self.evacuations_are_known()
-        {
+        if self.open.is_empty() || self.skips_pass() {
             return;
         }
         let mut pass = self.begin_pass();
@@ -119,10 +129,13 @@
         };
         if self.limits.policies.fair_share {
             self.schedule_by_fair_share(&mut pass, keys);
-            return;
+        } else {
+            for key in keys {
+                self.schedule_step(&mut pass, key);
+            }
         }
-        for key in keys {
-            self.schedule_step(&mut pass, key);
+        if full {
+            self.report_standing(&pass);
         }
     }
 
@@ -188,6 +201,7 @@
         };
         if step.gang && progress.placed > 0 {
             if self.barrier.is_none() {
+                self.note_standing(key);
                 self.abort_gang(key);
             } else {
                 self.note_wait(key, WaitCause::Barrier);
@@ -220,14 +234,10 @@
             }
             return;
         }
-        let mut request = StepRequest {
-            spec: Arc::clone(&job.spec),
-            step_index: key.step as usize,
-            service: job.queue.service.clone(),
-            advice,
-            latency_class: LatencyClass::of(job),
-            limits: AppliedLimits::Hard,
+        let Some(mut request) = StepRequest::of(job, key) else {
+            return;
         };
+        request.limits = AppliedLimits::Hard;
         let passed_over_ms = self.passed_over_ms(pass, key, &request);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
@@ -277,8 +287,7 @@
             waiting.truncate(most as usize);
         }
         // Soft limits give way until the step has a run.
-        let yields_to_step = !request.limits.include_soft();
-        if yields_to_step && !step.gang && !step.long_running {
+        if !request.limits.include_soft() && !step.gang && !step.long_running {
             waiting.truncate(1);
         }
         if request.step().gang {
@@ -287,8 +296,7 @@
             }
         } else {
             self.place_tasks(pass, key, request, &waiting.clear);
-            let claims = self.claims_before(pass, key, &request.service);
-            let yields = claims.is_some() && !yields_to_step;
+            let yields = self.claims_before(pass, key, request).is_some();
             if !waiting.none_suspect() && !yields {
                 self.place_suspects(key, request, &waiting);
             }
@@ -335,8 +343,7 @@
         let last_run = waiting.startable().map(|(_, last_run)| *last_run).max();
         let run = self.next_run(last_run.unwrap_or(0));
         if !waiting.none_suspect() {
-            let claims = self.claims_before(pass, key, &request.service);
-            if claims.is_none() || !request.limits.include_soft() {
+            if self.claims_before(pass, key, request).is_none() {
                 self.place_gang_with_suspects(key, request, waiting, run);
             }
             return;
@@ -372,7 +379,7 @@
 
     /// Returns whether a step must leave headroom for latency-sensitive work: it is
     /// latency-tolerant and its job has slack.
-    fn must_leave_headroom(&self, key: StepKey, request: &StepRequest) -> bool {
+    pub(super) fn must_leave_headroom(&self, key: StepKey, request: &StepRequest) -> bool {
         let job = self.jobs.get(&key.job);
         request.limits.include_soft()
             && request.latency_class == LatencyClass::Tolerant
