--- a/crates/chervilfall_planner/src/planner/ask.rs
+++ b/crates/chervilfall_planner/src/planner/ask.rs
@@ -41,9 +41,10 @@
         key: StepKey,
         request: &StepRequest,
     ) -> bool {
-        let (Some(timings), Some(pool)) = (request.advice, pass.pools.get(&request.service)) else {
+        let Some(timings) = request.advice else {
             return false;
         };
+        let pool = pass.pool(request);
         let Some(progress) = self
             .jobs
             .get(&key.job)
@@ -61,10 +62,7 @@
         } else {
             1
         };
-        let allowed = pool.iter().filter(|key| progress.advice.allowed(**key));
-        let allowed = allowed.copied().collect();
-        let mut usable = self.usable_offers(allowed, key, request, Reservations::All);
-        usable.retain(|offer| offer.max_fitting(need) > 0);
+        let usable = self.allowed_offers(pool, key, request, &progress.advice);
         let calls_in_flight = progress.advice.calls_in_flight();
         if calls_in_flight >= max_calls_in_flight(request.step()) {
             return false;
@@ -101,6 +99,35 @@
         called
     }
 
+    /// Returns for how many tasks of a step the endpoints that it is allowed have room, as calls for
+    /// advice count it.
+    pub(super) fn room_for_advice(
+        &self,
+        pool: &[EndpointKey],
+        key: StepKey,
+        request: &StepRequest,
+        advice: &Advice,
+    ) -> u64 {
+        let offers = self.allowed_offers(pool, key, request, advice);
+        room(&offers, request.required_resources())
+    }
+
+    /// Returns what the endpoints offer that a step is allowed and could use now with a ticket.
+    fn allowed_offers(
+        &self,
+        pool: &[EndpointKey],
+        key: StepKey,
+        request: &StepRequest,
+        advice: &Advice,
+    ) -> Vec<Offer> {
+        let need = request.required_resources();
+        let allowed = pool.iter().filter(|key| advice.allowed(**key));
+        let allowed = allowed.copied().collect();
+        let mut offers = self.usable_offers(allowed, key, request, Reservations::All);
+        offers.retain(|offer| offer.max_fitting(need) > 0);
+        offers
+    }
+
     /// Returns the endpoints of which a step needs valid tickets at the same time: as many as a call
     /// names, or more for a gang that needs more.
     fn tickets_wanted(&self, usable: &[Offer], need: Resources, waiting: u32) -> Vec<EndpointKey> {
@@ -185,7 +212,7 @@
         request: &StepRequest,
         max_endpoints: usize,
     ) -> Vec<EndpointKey> {
-        let Some(judged) = self.judged_step(key, request, Reservations::All) else {
+        let Some(judged) = self.judged_step(key, request, Reservations::All, pool) else {
             return Vec::new();
         };
         let slow_call = request.advice.is_some_and(|timings| timings.is_slow());
@@ -193,8 +220,8 @@
         let order = NamingOrder::new(slow_call || !packs);
         let unknown = pool.iter().filter(|key| advice.is_unasked(**key));
         let able = unknown.filter(|key| self.could_use(request, **key));
-        let mut found: Vec<(NamingRank, EndpointKey)> = able
-            .map(|key| (order.rank(self.naming_candidate(&judged, *key)), *key))
+        let mut found: Vec<(bool, NamingRank, EndpointKey)> = able
+            .map(|key| self.naming_rank(order, &judged, *key))
             .collect();
         // A call names a few of hundreds of endpoints, so only these are sorted.
         if max_endpoints < found.len() {
@@ -202,7 +229,7 @@
             found.truncate(max_endpoints);
         }
         found.sort_unstable();
-        found.into_iter().map(|(_, key)| key).collect()
+        found.into_iter().map(|(_, _, key)| key).collect()
     }
 
     /// Returns whether a step could use an endpoint if it were empty.
@@ -212,17 +239,26 @@
         fits && request.step().accepts_labels(&entry.labels)
     }
 
-    fn naming_candidate(&self, judged: &JudgedStep<'_>, key: EndpointKey) -> NamingCandidate {
+    /// Returns the position of an endpoint in a call: first those within soft limits.
+    fn naming_rank(
+        &self,
+        order: NamingOrder,
+        judged: &JudgedStep<'_>,
+        key: EndpointKey,
+    ) -> (bool, NamingRank, EndpointKey) {
         let endpoint = &self.endpoints[key];
         let request = judged.request;
-        let offer = self.judge(judged, key).ok();
         let need = request.required_resources();
+        let offer = self.judge(judged, key).ok();
+        let offer = offer.filter(|offer| offer.max_fitting(need) > 0);
         let free = offer.as_ref().map_or(endpoint.free(), |offer| offer.free);
-        NamingCandidate {
-            fits: offer.is_some_and(|offer| offer.max_fitting(need) > 0),
+        let rank = order.rank(NamingCandidate {
+            fits: offer.is_some(),
             speed_rank: request.latency_class.rank(self.speed_class(endpoint)),
             free_cpu_milli: free.cpu_milli,
-        }
+        });
+        let beyond_soft_limit = offer.is_some_and(|offer| offer.beyond_soft_limit);
+        (beyond_soft_limit, rank, key)
     }
 }
 
