--- a/crates/chervilfall_planner/tests/calm_histories.rs
+++ b/crates/chervilfall_planner/tests/calm_histories.rs
@@ -13,6 +13,14 @@
 
 /// Number of histories per test unless `CHERVILFALL_HISTORIES` is set.
 const HISTORIES: u64 = 20;
+/// Seeds of histories that failed before; run every time.
+///
+/// 37, 83: gangs were not started on endpoints that were on trial after failed runs.
+///
+/// 65: overdue jobs were left no endpoint by the claims of other steps.
+///
+/// 67, 77, 86: not traced.
+const REGRESSIONS: [u64; 6] = [37, 83, 65, 77, 67, 86];
 /// Disturbed and calm times in a history.
 const ROUNDS: u64 = 5;
 /// Longest time of a fault.
@@ -156,7 +164,7 @@
     let first = env_number("CHERVILFALL_SEED", 0);
     let count = env_number("CHERVILFALL_HISTORIES", HISTORIES);
     let mut failed = Vec::new();
-    for seed in first..first + count {
+    for seed in REGRESSIONS.into_iter().chain(first..first + count) {
         let lines = found(&run_history(seed));
         if std::env::var("CHERVILFALL_TRACE").is_ok() {
             println!("seed {seed}:\n{}", lines.join("\n"));
@@ -170,7 +178,7 @@
     }
     assert!(
         failed.is_empty(),
-        "{} of {count} failed:\n{}",
+        "{} failed:\n{}",
         failed.len(),
         failed.join("\n")
     );
