--- a/crates/chervilfall_planner/src/planner/overdue.rs
+++ b/crates/chervilfall_planner/src/planner/overdue.rs
@@ -47,10 +47,11 @@
         &self,
         pass: &'a Pass,
         key: StepKey,
-        service: &str,
+        request: &StepRequest,
     ) -> Option<&'a Claims> {
-        let claims = pass.claims.get(service)?;
-        (self.open.is_overdue(key) && !claims.is_empty()).then_some(claims)
+        let claims = pass.claims.get(&request.service)?;
+        let leaves_room = self.open.is_overdue(key) && request.limits.include_soft();
+        (leaves_room && !claims.is_empty()).then_some(claims)
     }
 
     /// Removes from an overdue step's offers what steps with worth may need.
@@ -61,7 +62,7 @@
         request: &StepRequest,
         offers: &mut Vec<Offer>,
     ) {
-        let Some(claims) = self.claims_before(pass, key, &request.service) else {
+        let Some(claims) = self.claims_before(pass, key, request) else {
             return;
         };
         let pool: &[EndpointKey] = pass.pools.get(&request.service).map_or(&[], Vec::as_slice);
