Show the headroom and the usage in the line about steps that stand still

`leaves_headroom` and the service's CPU in capacity and in use are now in the report and in the line. The test plays headroom on a pool of which nothing is in use, and checks the usage in each case.

--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -77,7 +77,7 @@
 use requests::{record_unknown_refusal, RETRY_MS};
 use skipped::SkippedPasses;
 use standing::StandingSteps;
-pub use standing_step::{StandingAdvice, StandingStep};
+pub use standing_step::{ServiceUsage, StandingAdvice, StandingStep};
 use stopping::Stopping;
 use unsaved::UnsavedChanges;
 use waiting::WaitingSteps;
--- a/crates/chervilfall_planner/src/planner/standing_step.rs
+++ b/crates/chervilfall_planner/src/planner/standing_step.rs
@@ -13,6 +13,7 @@
 use crate::planner::suspects::WaitingTasks;
 use crate::planner::waiting::WaitCause;
 use crate::planner::Planner;
+use crate::policy::headroom::HeadroomSlots;
 use crate::policy::placement::{pick_keeping_headroom, Offer};
 use crate::resources::Resources;
 use crate::tasks::StepKey;
@@ -45,6 +46,8 @@
     pub for_ms: Millis,
     /// Endpoints of its service.
     pub endpoints: usize,
+    /// How much of its service is in use.
+    pub usage: ServiceUsage,
     /// What the advice service has answered; none if the step needs no tickets.
     pub advice: Option<StandingAdvice>,
     /// Endpoints that the step passes over, by reason.
@@ -55,12 +58,23 @@
     pub on_trial: usize,
     /// Tasks that may start on the endpoints that offer to.
     pub room: u64,
+    /// It leaves headroom to latency-sensitive work, which `room` takes into account.
+    pub leaves_headroom: bool,
     /// CPU that steps with worth wait for, if the step leaves it to them, in thousandths of a core.
     pub claimed_cpu_milli: u64,
     /// Other steps of the same account and service that stand still.
     pub standing_beside: usize,
 }
 
+/// CPU of a service's listed endpoints, in thousandths of a core.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServiceUsage {
+    /// CPU of the endpoints.
+    pub capacity_cpu_milli: u64,
+    /// The part that runs reserve.
+    pub used_cpu_milli: u64,
+}
+
 /// What is known from the advice service about a step that stands still.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StandingAdvice {
@@ -86,13 +100,15 @@
         log::info!(
             step = self.step.as_str(), account = self.account.as_deref().unwrap_or(""),
             queue = self.queue.as_str(), service = self.service.as_str(), gang = self.gang,
-            cause = self.cause.unwrap_or("none"), waiting = self.waiting, placed = self.placed, wants = self.wants,
-            blocked = self.blocked, for_ms = self.for_ms, endpoints = self.endpoints,
+            cause = self.cause.unwrap_or("none"), waiting = self.waiting, placed = self.placed,
+            wants = self.wants, blocked = self.blocked, for_ms = self.for_ms, endpoints = self.endpoints,
             with_advice = self.advice.is_some(), allowed = advice.allowed,
             ticketed = advice.ticketed, calls_in_flight = advice.calls_in_flight,
             answered_calls = advice.answered_calls, room_for_advice = advice.room,
             passed_over = self.reasons().as_str(), offering = self.offering,
-            on_trial = self.on_trial, room = self.room,
+            on_trial = self.on_trial, room = self.room, leaves_headroom = self.leaves_headroom,
+            capacity_cpu_milli = self.usage.capacity_cpu_milli,
+            used_cpu_milli = self.usage.used_cpu_milli,
             claimed_cpu_milli = self.claimed_cpu_milli, standing_beside = self.standing_beside;
             "step stands still"
         );
@@ -179,6 +195,7 @@
             blocked: tasks.blocked,
             for_ms,
             endpoints: pool.endpoints,
+            usage: self.service_usage(&request.service),
             advice: request
                 .advice
                 .map(|_| self.standing_advice(pass, key, &request, &progress.advice)),
@@ -186,6 +203,7 @@
             room: self.room_on_offers(pass, key, &request, &pool.offers, wants),
             offering: pool.offers.len(),
             passed_over: pool.passed_over,
+            leaves_headroom: self.headroom_to_leave(pass, key, &request).is_some(),
             claimed_cpu_milli: claims.map_or(0, |claims| claims.claimed().cpu_milli),
             standing_beside,
         })
@@ -242,6 +260,33 @@
         }
     }
 
+    /// Returns how much of a service is in use.
+    fn service_usage(&self, service: &str) -> ServiceUsage {
+        let own = self.endpoints.values().filter(|endpoint| {
+            endpoint.listed && !endpoint.defunct && endpoint.entry.service == service
+        });
+        let usage = own.map(|endpoint| ServiceUsage {
+            capacity_cpu_milli: endpoint.entry.cpu_milli.into(),
+            used_cpu_milli: endpoint.used.cpu_milli,
+        });
+        usage.fold(ServiceUsage::default(), |sum, one| ServiceUsage {
+            capacity_cpu_milli: sum.capacity_cpu_milli + one.capacity_cpu_milli,
+            used_cpu_milli: sum.used_cpu_milli + one.used_cpu_milli,
+        })
+    }
+
+    /// Returns the headroom that a step leaves to latency-sensitive work; none if it leaves none.
+    fn headroom_to_leave(
+        &self,
+        pass: &Pass,
+        key: StepKey,
+        request: &StepRequest,
+    ) -> Option<HeadroomSlots> {
+        let slots = pass.headroom_slots.get(&request.service)?;
+        let leaves = !request.step().gang && self.must_leave_headroom(key, request);
+        leaves.then_some(*slots)
+    }
+
     /// Returns for how many tasks of a step its offers have room, up to those that wait.
     fn room_on_offers(
         &self,
@@ -252,10 +297,8 @@
         wants: u32,
     ) -> u64 {
         let need = request.required_resources();
-        let slots = pass.headroom_slots.get(&request.service);
-        let slots = slots.filter(|_| !request.step().gang);
-        if let Some(slots) = slots.filter(|_| self.must_leave_headroom(key, request)) {
-            let (mut offers, mut slots) = (offers.to_vec(), *slots);
+        if let Some(mut slots) = self.headroom_to_leave(pass, key, request) {
+            let mut offers = offers.to_vec();
             return pick_keeping_headroom(&mut offers, need, wants, &mut slots).len() as u64;
         }
         let room = offers.iter().map(|offer| room_on(offer, need));
--- a/crates/chervilfall_planner/tests/standing.rs
+++ b/crates/chervilfall_planner/tests/standing.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    AdviceTimings, Answer, Asker, Configuration, Event, JobId, JobSpec, Request, StandingAdvice,
-    StandingStep, Step,
+    AdviceTimings, Answer, Asker, Configuration, Event, JobId, JobSpec, Request, ServiceUsage,
+    StandingAdvice, StandingStep, Step,
 };
 use world::counters::Counters;
 use world::endpoint::domain_name;
@@ -146,6 +146,21 @@
     submit(world, STANDING, gang(7));
 }
 
+/// An empty pool in which latency-sensitive work has just ended.
+fn behind_headroom(world: &mut World) {
+    let standard = world.queue.clone();
+    world.queue.stretch = 1.5;
+    world.queue.target_latency_ms = 250;
+    without_advice(world);
+    submit(world, 1, step(24, 1_000));
+    world.run(3_000);
+    world.queue = standard;
+    world.queue.stretch = 4.0;
+    world.queue.target_latency_ms = 60_000;
+    without_advice(world);
+    submit(world, STANDING, step(1, 1_000));
+}
+
 /// An overdue step beside a gang that waits with worth.
 fn behind_claims(world: &mut World) {
     world.queue.stretch = 1.0;
@@ -183,6 +198,9 @@
     room: u64,
     advice: Option<StandingAdvice>,
     claimed_cpu_milli: u64,
+    leaves_headroom: bool,
+    /// CPU that runs of the service reserve.
+    used_cpu_milli: u64,
     standing_beside: usize,
 }
 
@@ -202,6 +220,8 @@
             room: 0,
             advice: None,
             claimed_cpu_milli: 0,
+            leaves_headroom: false,
+            used_cpu_milli: 0,
             standing_beside: 0,
         }
     }
@@ -230,7 +250,10 @@
         three(
             "all endpoints are full",
             full,
-            vec![Expected::of("capacity", 1, &[("room", 3)])],
+            vec![Expected {
+                used_cpu_milli: 12_000,
+                ..Expected::of("capacity", 1, &[("room", 3)])
+            }],
         ),
         three(
             "a gang is too wide for what is free",
@@ -238,23 +261,33 @@
             vec![Expected {
                 offering: 2,
                 room: 7,
+                used_cpu_milli: 5_000,
                 ..Expected::of("capacity", 8, &[("room", 1)])
             }],
         ),
         three(
             "two endpoints lack the label, the third is full",
             behind_a_label,
-            vec![Expected::of("capacity", 1, &[("label", 2), ("room", 1)])],
+            vec![Expected {
+                used_cpu_milli: 4_000,
+                ..Expected::of("capacity", 1, &[("label", 2), ("room", 1)])
+            }],
         ),
         three(
             "each endpoint has its one task of the step",
             at_most_on_each_endpoint,
-            vec![Expected::of("capacity", 1, &[("max_per_endpoint", 3)])],
+            vec![Expected {
+                used_cpu_milli: 3_000,
+                ..Expected::of("capacity", 1, &[("max_per_endpoint", 3)])
+            }],
         ),
         three(
             "one endpoint drains, one is evacuated, one is full",
             leaving,
-            vec![Expected::of("capacity", 1, &[("leaving", 2), ("room", 1)])],
+            vec![Expected {
+                used_cpu_milli: 4_000,
+                ..Expected::of("capacity", 1, &[("leaving", 2), ("room", 1)])
+            }],
         ),
     ]
 }
@@ -314,15 +347,26 @@
                 offering: 5,
                 on_trial: 5,
                 room: 5,
+                used_cpu_milli: 1_000,
                 ..Expected::of("capacity", 7, &[("on_trial", 1)])
             }],
         },
+        three(
+            "what is free is left to latency-sensitive work",
+            behind_headroom,
+            vec![Expected {
+                offering: 3,
+                leaves_headroom: true,
+                ..Expected::of("capacity", 1, &[])
+            }],
+        ),
         three(
             "what is free is left to a gang with worth",
             behind_claims,
             vec![
                 Expected {
                     claimed_cpu_milli: 8_000,
+                    used_cpu_milli: 8_000,
                     standing_beside: 1,
                     ..Expected::of("capacity", 1, &[("left_for_claims", 1), ("room", 2)])
                 },
@@ -330,6 +374,7 @@
                     job: BESIDE,
                     offering: 1,
                     room: 4,
+                    used_cpu_milli: 8_000,
                     standing_beside: 1,
                     ..Expected::of("capacity", 8, &[("room", 2)])
                 },
@@ -374,6 +419,12 @@
             assert_eq!(step.room, expected.room, "{name}");
             assert_eq!(step.advice, expected.advice, "{name}");
             assert_eq!(step.claimed_cpu_milli, expected.claimed_cpu_milli, "{name}");
+            assert_eq!(step.leaves_headroom, expected.leaves_headroom, "{name}");
+            let usage = ServiceUsage {
+                capacity_cpu_milli: 4_000 * case.endpoints as u64,
+                used_cpu_milli: expected.used_cpu_milli,
+            };
+            assert_eq!(step.usage, usage, "{name}");
             assert_eq!(step.standing_beside, expected.standing_beside, "{name}");
             assert!(step.for_ms >= 1_000, "{name}");
         }
