Say of silent endpoints whether a hold waits, and what was taken in

Through whom an endpoint is called was told before: by "use of relays for endpoint orders changed" and "endpoint is called another way, its relay did not answer".

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -346,6 +346,12 @@
         })
     }
 
+    /// Returns for how long a hold has been waiting for its answer; none if none is in flight.
+    pub(crate) fn hold_waits_ms(&self, now: Millis) -> Option<Millis> {
+        let sent_ms = self.hold_sent_ms?;
+        Some(now.saturating_sub(sent_ms))
+    }
+
     /// Returns the time from the confirmation of a run to the endpoint's last contact; none if the
     /// endpoint has never confirmed the run.
     pub(crate) fn contact_with_run_ms(&self, placed: &PlacedRun) -> Option<Millis> {
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -128,7 +128,10 @@
             let endpoint = &self.endpoints[key];
             log::warn!(
                 endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
-                tasks = endpoint.placed.len();
+                tasks = endpoint.placed.len(), hold_waits_ms:? = endpoint.hold_waits_ms(now),
+                missed = endpoint.hold_unanswered, taken_in = endpoint.last_end_received,
+                acknowledged = endpoint.acknowledged,
+                surely_lapsed_ms:? = endpoint.leases.lapse_ms(&self.limits).map(|at_ms| now.saturating_sub(at_ms));
                 "leases lapsed, endpoint is silent"
             );
             metrics::lapsed();
@@ -169,7 +172,8 @@
             endpoint.lapses_store_ms = Some(store_ms + after_ms + drift_ms);
             log::info!(
                 endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
-                lapses_in_ms = lapse_ms.saturating_sub(now), tasks = endpoint.placed.len();
+                lapses_in_ms = lapse_ms.saturating_sub(now), tasks = endpoint.placed.len(),
+                hold_waits_ms:? = endpoint.hold_waits_ms(now), missed = endpoint.hold_unanswered;
                 "endpoint is silent"
             );
             let bucket = RosterBucket::of(&endpoint.entry.id);
