Test holds whose answers take longer than the holder waits for them

A hold waits 0.35 s for its answer beyond what the endpoint may delay it, then breaks the call off. A call that is broken off also costs its connection, and a new one isn't established within 0.4 s there, so the endpoint isn't heard until the links are free.

--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -68,6 +68,8 @@
     pub term: u64,
     pub endpoint: EndpointKey,
     pub sent_ms: u64,
+    /// How long its sender waits for the answer.
+    timeout_ms: u64,
     arrived_ms: u64,
     answer_by_ms: u64,
 }
@@ -79,6 +81,10 @@
     pub id: EndpointId,
     pub endpoint: EndpointKey,
     pub sent_ms: u64,
+    /// How long its sender waits for the answer.
+    pub timeout_ms: u64,
+    /// How long the answer is on a congested link.
+    pub delay_ms: u64,
     pub answer: HoldAnswer,
 }
 
@@ -128,6 +134,8 @@
     /// It has crashed, and a new incarnation has its address.
     pub replaced: bool,
     pub cut_until_ms: u64,
+    /// How long its answers to holds are on a congested link.
+    pub answer_delay_ms: u64,
     /// Failure domain.
     pub domain: usize,
     pub fails_all: bool,
@@ -189,6 +197,7 @@
             running_at_crashes: Vec::new(),
             replaced: false,
             cut_until_ms: 0,
+            answer_delay_ms: 0,
             domain: 0,
             fails_all: false,
             fail_percent: 2,
@@ -526,6 +535,7 @@
                 term,
                 endpoint,
                 sent_ms,
+                timeout_ms: order.timeout_ms,
                 arrived_ms: now,
                 answer_by_ms: 0,
             });
@@ -553,6 +563,7 @@
             term,
             endpoint,
             sent_ms,
+            timeout_ms: order.timeout_ms,
             arrived_ms: now,
             answer_by_ms: now + order.wait_ms.max(1),
         });
@@ -596,6 +607,8 @@
             id: self.id.clone(),
             endpoint: hold.endpoint,
             sent_ms: hold.sent_ms,
+            timeout_ms: hold.timeout_ms,
+            delay_ms: self.answer_delay_ms,
             answer: if cut {
                 HoldAnswer::Unanswered
             } else if hold.answer_by_ms == 0 {
@@ -615,6 +628,8 @@
             id: self.id.clone(),
             endpoint: hold.endpoint,
             sent_ms: hold.sent_ms,
+            timeout_ms: hold.timeout_ms,
+            delay_ms: 0,
             answer: HoldAnswer::Unanswered,
         });
         answers.collect()
--- a/crates/chervilfall_planner/tests/world/orders.rs
+++ b/crates/chervilfall_planner/tests/world/orders.rs
@@ -179,17 +179,25 @@
                 continue;
             }
             let lost = self.is_partitioned(hold.node, &hold.id);
+            let timed_out_ms = (hold.sent_ms + hold.timeout_ms).saturating_sub(now);
+            let late = hold.delay_ms > timed_out_ms;
             let term = hold.term;
             let event = Event::Held {
                 endpoint: hold.endpoint,
                 sent_ms: hold.sent_ms,
-                answer: if lost {
+                answer: if lost || late {
                     HoldAnswer::Unanswered
                 } else {
                     hold.answer
                 },
             };
-            let delay_ms = if lost { TIMEOUT_MS } else { ONE_WAY_DELAY_MS };
+            let delay_ms = if lost {
+                TIMEOUT_MS
+            } else if late {
+                timed_out_ms
+            } else {
+                ONE_WAY_DELAY_MS + hold.delay_ms
+            };
             self.schedule(
                 delay_ms,
                 ScheduledEvent::DeliverEvent(hold.node, term, Box::new(event)),
