Take in the ends of lists that arrive after their hold's timeout

A list that reached the holder later than its hold waits was dropped, its connection closed, and the next hold had 0.35 s for its answer again and 0.4 s to connect. So an endpoint on a congested link lists its ends, and the holder gives its runs up and starts them elsewhere.

Change: - A call of a hold goes on after its timeout, for as long again. So a late answer does not cost its connection, and its lists are handed to the planner (`ListedLate`), which takes in their ends and nothing else: they may be older than other lists, do not count as contact, grant no lease and acknowledge nothing, and those of another incarnation are dropped.

Not done: a follower that relays a hold drops late lists still, as a holder takes one answer to an order.

--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    decode_text, Action, AdviceAnswer, AdviceOrder, Answer, Batch, Event, JobId, LookupResult,
-    NodeId, ProgressRow, ReplyTo, ENDED, TEXTS,
+    decode_text, Action, AdviceAnswer, AdviceOrder, Answer, Batch, EndpointKey, Event, HoldReport,
+    JobId, LookupResult, NodeId, ProgressRow, ReplyTo, ENDED, TEXTS,
 };
 
+use tokio::sync::oneshot;
+
 use super::{Control, ControlEvent, LOCAL_NODE};
 use crate::link::ToFollower;
 use crate::orders::EndpointOrder;
@@ -45,6 +47,28 @@
         });
     }
 
+    /// Hands the planner the lists that arrive after their hold's timeout, if any do.
+    pub(super) fn spawn_late_lists(
+        &self,
+        term: u64,
+        endpoint: EndpointKey,
+        lists: oneshot::Receiver<HoldReport>,
+    ) {
+        let sender = self.sender.clone();
+        self.traffic.spawn(async move {
+            let Ok(report) = lists.await else {
+                return;
+            };
+            let event = Event::ListedLate { endpoint, report };
+            // The control thread runs until the process ends, so the send does not fail.
+            drop(
+                sender
+                    .send(ControlEvent::ActionCompleted { term, event })
+                    .await,
+            );
+        });
+    }
+
     fn commit(&self, term: u64, batch: Batch) {
         let (store, group) = (self.platform.store().clone(), self.group.clone());
         let (number, copy) = (batch.number, batch.copy);
--- a/crates/chervilfall_node/src/control/orders.rs
+++ b/crates/chervilfall_node/src/control/orders.rs
@@ -2,12 +2,13 @@
 
 use chervilfall_planner::{EndpointEntry, Event, NodeId, Planner};
 use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::oneshot;
 
 use super::relays::{Candidates, NumberedOrders};
 use super::Control;
 use crate::clock::now_ms;
 use crate::link::ToFollower;
-use crate::orders::{EndpointAnswer, EndpointOrder, OrderNumber};
+use crate::orders::{EndpointAnswer, EndpointOrder, OrderNumber, OrderSubject};
 use crate::ports::Platform;
 
 impl<P: Platform> Control<P> {
@@ -19,8 +20,12 @@
         };
         let endpoints = self.platform.endpoints().clone();
         let subject = order.subject(now);
+        let (late, lists) = oneshot::channel();
+        if let OrderSubject::Hold { endpoint, .. } = subject {
+            self.spawn_late_lists(term, endpoint, lists);
+        }
         self.spawn_order(term, async move {
-            let answer = order.call(&endpoints).await;
+            let answer = order.call(&endpoints, late).await;
             subject.event(answer)
         });
     }
--- a/crates/chervilfall_node/src/link/relay.rs
+++ b/crates/chervilfall_node/src/link/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervilfall_planner::Millis;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{timeout_at, Instant};
 
@@ -79,7 +79,9 @@
                 let answer = if late || !leadership.note_term(term) {
                     EndpointAnswer::NotCalled
                 } else {
-                    order.call(&endpoints).await
+                    // The holder takes one answer to an order.
+                    let (late, _) = oneshot::channel();
+                    order.call(&endpoints, late).await
                 };
                 // Fails only if the link has ended.
                 drop(answers.send((number, answer)).await);
--- a/crates/chervilfall_node/src/orders.rs
+++ b/crates/chervilfall_node/src/orders.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::ports::{Endpoints, ORDER_TIMEOUT_MS};
+use crate::ports::{Endpoints, LateLists, ORDER_TIMEOUT_MS};
 
 /// Number of an order, unique in its holder's process.
 pub(crate) type OrderNumber = u64;
@@ -69,12 +69,12 @@
         }
     }
 
-    /// Calls the endpoint.
-    pub(crate) async fn call<E: Endpoints>(self, endpoints: &E) -> EndpointAnswer {
+    /// Calls the endpoint. Lists that arrive after the timeout of a hold go to `late`.
+    pub(crate) async fn call<E: Endpoints>(self, endpoints: &E, late: LateLists) -> EndpointAnswer {
         match self {
             Self::Start(order) => EndpointAnswer::Start(endpoints.start(order).await),
             Self::Stop(order) => EndpointAnswer::Stop(endpoints.stop(order).await),
-            Self::Hold(order) => EndpointAnswer::Hold(endpoints.hold(order).await),
+            Self::Hold(order) => EndpointAnswer::Hold(endpoints.hold(order, late).await),
         }
     }
 }
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -7,9 +7,11 @@
 
 use chervilfall_planner::{
     AdviceAnswer, AdviceOrder, Batch, CommitOutcome, DomainName, EndpointEntry, HoldAnswer,
-    HoldOrder, Millis, RowVersion, StartAnswer, StartOrder, StopAnswer, StopOrder,
+    HoldOrder, HoldReport, Millis, RowVersion, StartAnswer, StartOrder, StopAnswer, StopOrder,
 };
 
+use tokio::sync::oneshot;
+
 use crate::clock::now_ms;
 use crate::routes::RouteTable;
 
@@ -198,6 +200,9 @@
 /// answer.
 pub const ORDER_TIMEOUT_MS: Millis = 500;
 
+/// Takes the lists of an endpoint that arrive after their hold's timeout.
+pub type LateLists = oneshot::Sender<HoldReport>;
+
 /// Sends orders to endpoints.
 pub trait Endpoints: Clone + Send + Sync + 'static {
     /// Maximum number of ends in the answer to a hold; further ones follow once these are
@@ -210,8 +215,9 @@
     /// Stops a run.
     fn stop(&self, order: StopOrder) -> impl Future<Output = StopAnswer> + Send;
 
-    /// Extends an endpoint's leases and reads its lists.
-    fn hold(&self, order: HoldOrder) -> impl Future<Output = HoldAnswer> + Send;
+    /// Extends an endpoint's leases and reads its lists. Lists that arrive after the order's timeout
+    /// go to `late`.
+    fn hold(&self, order: HoldOrder, late: LateLists) -> impl Future<Output = HoldAnswer> + Send;
 }
 
 /// The advice service.
--- a/crates/chervilfall_node/tests/authority.rs
+++ b/crates/chervilfall_node/tests/authority.rs
@@ -5,7 +5,7 @@
 
 use chervilfall_node::ports::{
     Advisor, ConfigurationQuery, ConfigurationReading, EndpointList, Endpoints, FoundConfiguration,
-    Page, Platform, ReadProgress, Row, Store, StoreError,
+    LateLists, Page, Platform, ReadProgress, Row, Store, StoreError,
 };
 use chervilfall_node::{FrontAnswer, KeyDigest, KeyRing, Node, Route, RouteTable, Settings};
 use chervilfall_planner::{
@@ -114,7 +114,7 @@
         StopAnswer::Unanswered
     }
 
-    async fn hold(&self, _: HoldOrder) -> HoldAnswer {
+    async fn hold(&self, _: HoldOrder, _: LateLists) -> HoldAnswer {
         HoldAnswer::Unanswered
     }
 }
--- a/crates/chervilfall_planner/src/event.rs
+++ b/crates/chervilfall_planner/src/event.rs
@@ -276,6 +276,13 @@
         /// Answer.
         answer: HoldAnswer,
     },
+    /// A hold was answered after it had counted as unanswered.
+    ListedLate {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Lists of the endpoint.
+        report: HoldReport,
+    },
     /// A call for advice was answered.
     Advised {
         /// Number of the call.
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -239,25 +239,42 @@
         self.roster_capacity(key);
     }
 
+    /// Takes in the ends of lists that arrived after their hold had counted as unanswered. The lists
+    /// may be older than others that were taken in, so they say nothing of what runs, and do not
+    /// count as contact.
+    pub(super) fn handle_late_lists(&mut self, key: EndpointKey, report: &HoldReport) {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return;
+        };
+        if endpoint.contacted && !report.partial && !endpoint.is_other_incarnation(report.born_ms) {
+            self.record_listed_ends(key, report);
+        }
+    }
+
+    /// Records the ends that an endpoint lists for the first time.
+    fn record_listed_ends(&mut self, key: EndpointKey, report: &HoldReport) {
+        let known = self.endpoints[key].last_end_received;
+        let new = || report.ended.iter().filter(|end| end.number > known);
+        for end in new() {
+            self.record_end(key, end);
+        }
+        let Some(newest) = new().map(|end| end.number).max() else {
+            return;
+        };
+        self.endpoints[key].last_end_received = newest;
+        let jobs = new().map(|end| end.task.job);
+        self.unsaved.record_ends(key, newest, jobs);
+    }
+
     /// Records the ends and runs that an endpoint lists.
     pub(super) fn record_lists(&mut self, key: EndpointKey, report: &HoldReport) {
         let now = self.now;
         let idle_pause_ms =
             self.spread_evenly(self.limits.idle_hold_pause_ms(self.endpoints.len()));
-        let known = self.endpoints[key].last_end_received;
-        for end in report.ended.iter().filter(|end| end.number > known) {
-            self.record_end(key, end);
-        }
-        let newest = report.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        self.record_listed_ends(key, report);
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
-        if newest > endpoint.last_end_received {
-            endpoint.last_end_received = newest;
-            let new = report.ended.iter().filter(|end| end.number > known);
-            let jobs = new.map(|end| end.task.job);
-            self.unsaved.record_ends(key, newest, jobs);
-        }
         let pending = endpoint.last_end_received > endpoint.acknowledged;
         // The next hold follows the commit that stores the ends, or renews the lease before it.
         endpoint.next_hold_ms = if pending {
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -73,6 +73,13 @@
             } else {
                 self.limits.hold_wait_ms
             };
+            // An endpoint that has left a hold unanswered may be on a congested link, so the time that
+            // this one does not wait for an end is left for the way of its answer.
+            let answer_ms = if endpoint.contacted && endpoint.hold_unanswered {
+                self.limits.hold_answer_ms + self.limits.hold_wait_ms
+            } else {
+                self.limits.hold_answer_ms
+            };
             endpoint.hold_sent_ms = Some(now);
             self.actions.push(Action::Hold(HoldOrder {
                 endpoint: key,
@@ -82,7 +89,7 @@
                 fence,
                 acknowledged: endpoint.acknowledgeable(),
                 wait_ms,
-                timeout_ms: wait_ms + self.limits.hold_answer_ms,
+                timeout_ms: wait_ms + answer_ms,
             }));
         }
     }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -365,6 +365,7 @@
                 sent_ms,
                 answer,
             } => self.handle_hold_answer(endpoint, sent_ms, answer),
+            Event::ListedLate { endpoint, report } => self.handle_late_lists(endpoint, &report),
             Event::Advised { number, answer } => self.handle_advice_answer(number, answer),
             Event::UnstoredStarts(starts) => self.record_unstored_starts(starts),
             Event::Texts(texts) => self.add_texts(texts),
--- a/crates/chervilfall_planner/tests/slow_answers.rs
+++ b/crates/chervilfall_planner/tests/slow_answers.rs
@@ -58,6 +58,10 @@
             name: "0.9 s",
             answer_delay_ms: 900,
         },
+        Case {
+            name: "1.2 s, later than any hold waits",
+            answer_delay_ms: 1_200,
+        },
     ];
     let mut wrong = Vec::new();
     for case in cases {
--- a/crates/chervilfall_planner/tests/world/orders.rs
+++ b/crates/chervilfall_planner/tests/world/orders.rs
@@ -182,6 +182,16 @@
             let timed_out_ms = (hold.sent_ms + hold.timeout_ms).saturating_sub(now);
             let late = hold.delay_ms > timed_out_ms;
             let term = hold.term;
+            if let (true, false, HoldAnswer::Report(report)) = (late, lost, &hold.answer) {
+                let event = Event::ListedLate {
+                    endpoint: hold.endpoint,
+                    report: report.clone(),
+                };
+                self.schedule(
+                    ONE_WAY_DELAY_MS + hold.delay_ms,
+                    ScheduledEvent::DeliverEvent(hold.node, term, Box::new(event)),
+                );
+            }
             let event = Event::Held {
                 endpoint: hold.endpoint,
                 sent_ms: hold.sent_ms,
