--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -73,6 +73,13 @@
             } else {
                 self.limits.hold_wait_ms
             };
+            // An endpoint that has left a hold unanswered may be on a congested link, so the time that
+            // this one does not wait for an end is left for the way of its answer.
+            let answer_ms = if endpoint.contacted && endpoint.hold_unanswered {
+                self.limits.hold_answer_ms + self.limits.hold_wait_ms
+            } else {
+                self.limits.hold_answer_ms
+            };
             endpoint.hold_sent_ms = Some(now);
             self.actions.push(Action::Hold(HoldOrder {
                 endpoint: key,
@@ -82,7 +89,7 @@
                 fence,
                 acknowledged: endpoint.acknowledgeable(),
                 wait_ms,
-                timeout_ms: wait_ms + self.limits.hold_answer_ms,
+                timeout_ms: wait_ms + answer_ms,
             }));
         }
     }
@@ -128,7 +135,10 @@
             let endpoint = &self.endpoints[key];
             log::warn!(
                 endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
-                tasks = endpoint.placed.len();
+                tasks = endpoint.placed.len(), hold_waits_ms:? = endpoint.hold_waits_ms(now),
+                missed = endpoint.hold_unanswered, taken_in = endpoint.last_end_received,
+                acknowledged = endpoint.acknowledged,
+                surely_lapsed_ms:? = endpoint.leases.lapse_ms(&self.limits).map(|at_ms| now.saturating_sub(at_ms));
                 "leases lapsed, endpoint is silent"
             );
             metrics::lapsed();
@@ -169,7 +179,8 @@
             endpoint.lapses_store_ms = Some(store_ms + after_ms + drift_ms);
             log::info!(
                 endpoint:% = endpoint.entry.id, silent_ms = endpoint.silent_for(now),
-                lapses_in_ms = lapse_ms.saturating_sub(now), tasks = endpoint.placed.len();
+                lapses_in_ms = lapse_ms.saturating_sub(now), tasks = endpoint.placed.len(),
+                hold_waits_ms:? = endpoint.hold_waits_ms(now), missed = endpoint.hold_unanswered;
                 "endpoint is silent"
             );
             let bucket = RosterBucket::of(&endpoint.entry.id);
