Spare attempts on quarantined endpoints that have just failed a run

What callers would have seen: while all runs fail for some seconds, far more jobs use up their attempts than before soft limits gave way, because each step that waits starts a run that fails, on any endpoint.

Cause: where most endpoints are quarantined, these gave way at any time, also an instant after a failure.

Change: a quarantined endpoint gives way only when the time of the shortest pause, 2 s, has passed since a run last failed there, however many are quarantined. A step with room still starts within 3 s.

--- a/crates/chervilfall_planner/src/endpoint/exclusion.rs
+++ b/crates/chervilfall_planner/src/endpoint/exclusion.rs
@@ -128,7 +128,7 @@
     fn quarantine_exclusion(&self, now: Millis) -> Option<Exclusion> {
         match self.quarantine_state(now) {
             QuarantineState::Sound => None,
-            QuarantineState::Trial => (self.trial_runs > 0).then_some(Exclusion::OnTrial),
+            QuarantineState::Trial => self.has_trial_run().then_some(Exclusion::OnTrial),
             QuarantineState::Paused => Some(Exclusion::Quarantined),
         }
     }
@@ -138,10 +138,14 @@
         self.quarantine_state(now) != QuarantineState::Sound
     }
 
-    /// Returns whether a trial may begin before the pause has ended: one at a time, and after the
-    /// shortest pause.
-    pub(crate) fn early_trial_is_possible(&self, now: Millis) -> bool {
-        self.trial_runs == 0 && self.quarantine.first_pause_has_passed(now)
+    /// Returns whether the time of the shortest pause has passed since a run last failed there.
+    pub(crate) fn first_pause_has_passed(&self, now: Millis) -> bool {
+        self.quarantine.first_pause_has_passed(now)
+    }
+
+    /// Returns whether a run that was started during the quarantine is in progress.
+    pub(crate) fn has_trial_run(&self) -> bool {
+        self.trial_runs > 0
     }
 
     /// Returns the stricter of its two quarantine states.
--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -250,9 +250,15 @@
     /// Returns whether an exclusion gives way for a step. Endpoints that are rightly quarantined get no
     /// more than early trials.
     fn gives_way(&self, judged: &JudgedStep<'_>, endpoint: &Endpoint, why: Exclusion) -> bool {
-        let sound = !endpoint.is_quarantined(self.now);
-        !judged.request.limits.exclude(why)
-            && (sound || judged.widely_quarantined || endpoint.early_trial_is_possible(self.now))
+        if judged.request.limits.exclude(why) {
+            return false;
+        }
+        if !endpoint.is_quarantined(self.now) {
+            return true;
+        }
+        // While all runs fail, this saves attempts of the jobs.
+        endpoint.first_pause_has_passed(self.now)
+            && (judged.widely_quarantined || !endpoint.has_trial_run())
     }
 
     /// Returns what an endpoint offers to a step beside what is kept for gangs.
