--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -10,6 +10,7 @@
 mod nodes;
 pub mod oracle;
 mod orders;
+pub mod outages;
 pub mod random;
 pub mod standstill;
 pub mod store;
