Measure a step's room without regard to quarantine

Cause: the time for which a step is passed over counted only while a quarantined endpoint could take a trial at that moment. It began anew after each failure there and while a trial was in progress, so that the step waited 2 s and then 1.5 s more. And an early trial waited for the one before to end, however long that runs.

Change: the time counts room within the hard limits alone. An early trial may begin 2 s after the one before has begun.

--- a/crates/chervilfall_planner/src/endpoint/exclusion.rs
+++ b/crates/chervilfall_planner/src/endpoint/exclusion.rs
@@ -128,7 +128,7 @@
     fn quarantine_exclusion(&self, now: Millis) -> Option<Exclusion> {
         match self.quarantine_state(now) {
             QuarantineState::Sound => None,
-            QuarantineState::Trial => self.has_trial_run().then_some(Exclusion::OnTrial),
+            QuarantineState::Trial => (self.trial_runs > 0).then_some(Exclusion::OnTrial),
             QuarantineState::Paused => Some(Exclusion::Quarantined),
         }
     }
@@ -143,9 +143,9 @@
         self.quarantine.first_pause_has_passed(now)
     }
 
-    /// Returns whether a run that was started during the quarantine is in progress.
-    pub(crate) fn has_trial_run(&self) -> bool {
-        self.trial_runs > 0
+    /// Returns whether a trial may begin before its time, and beside one that has not failed soon.
+    pub(crate) fn early_trial_is_possible(&self, now: Millis) -> bool {
+        self.first_pause_has_passed(now) && self.quarantine.may_try_again(now)
     }
 
     /// Returns the stricter of its two quarantine states.
--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -72,14 +72,25 @@
     OfOthers,
 }
 
+/// How quarantines give way where they do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum QuarantineYield {
+    /// For one trial at a time: they are taken to be right.
+    EarlyTrials,
+    /// Once the time of the shortest pause has passed since the last failure, which saves attempts of
+    /// jobs while all runs fail.
+    AfterFirstPause,
+    /// At any time.
+    Always,
+}
+
 /// A step for which endpoints are judged.
 pub(super) struct JudgedStep<'a> {
     key: StepKey,
     pub(super) request: &'a StepRequest,
     pub(super) progress: &'a StepProgress,
     reservations: Reservations,
-    /// So many endpoints that it may use are quarantined that these are not the cause.
-    widely_quarantined: bool,
+    quarantine_yield: QuarantineYield,
     /// Resources that the step must leave.
     holds: Vec<&'a CallHold<StepKey>>,
 }
@@ -145,12 +156,28 @@
             request,
             progress,
             reservations,
-            widely_quarantined: !request.limits.include_soft()
-                && self.are_widely_quarantined(request, candidates),
+            quarantine_yield: if self.are_widely_quarantined(request, candidates) {
+                QuarantineYield::AfterFirstPause
+            } else {
+                QuarantineYield::EarlyTrials
+            },
             holds: self.holds_before(key, request),
         })
     }
 
+    /// Returns a step whose room is to be counted within the hard limits alone.
+    pub(super) fn judged_within_hard_limits<'a>(
+        &'a self,
+        key: StepKey,
+        request: &'a StepRequest,
+    ) -> Option<JudgedStep<'a>> {
+        let judged = self.judged_step(key, request, Reservations::OfOthers, &[])?;
+        Some(JudgedStep {
+            quarantine_yield: QuarantineYield::Always,
+            ..judged
+        })
+    }
+
     /// Returns whether more of the endpoints that a step may use are quarantined than a policy may
     /// take out of a pool.
     fn are_widely_quarantined(&self, request: &StepRequest, candidates: &[EndpointKey]) -> bool {
@@ -160,6 +187,9 @@
                 && endpoint.entry.service == request.service
                 && request.step().accepts_labels(&endpoint.entry.labels)
         });
+        if request.limits.include_soft() {
+            return false;
+        }
         let (mut all, mut quarantined) = (0, 0);
         for endpoint in usable {
             all += 1;
@@ -256,9 +286,11 @@
         if !endpoint.is_quarantined(self.now) {
             return true;
         }
-        // While all runs fail, this saves attempts of the jobs.
-        endpoint.first_pause_has_passed(self.now)
-            && (judged.widely_quarantined || !endpoint.has_trial_run())
+        match judged.quarantine_yield {
+            QuarantineYield::Always => true,
+            QuarantineYield::AfterFirstPause => endpoint.first_pause_has_passed(self.now),
+            QuarantineYield::EarlyTrials => endpoint.early_trial_is_possible(self.now),
+        }
     }
 
     /// Returns what an endpoint offers to a step beside what is kept for gangs.
@@ -294,10 +326,9 @@
 
     /// Returns the maximum number of further tasks of a step that an endpoint may be given.
     fn max_new_tasks(&self, judged: &JudgedStep<'_>, endpoint: &Endpoint) -> u32 {
-        let max_new_tasks = if judged.widely_quarantined {
-            u32::MAX
-        } else {
-            endpoint.max_new_tasks(self.now)
+        let max_new_tasks = match judged.quarantine_yield {
+            QuarantineYield::Always | QuarantineYield::AfterFirstPause => u32::MAX,
+            QuarantineYield::EarlyTrials => endpoint.max_new_tasks(self.now),
         };
         let step = judged.request.step();
         if step.max_per_endpoint == 0 {
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -66,10 +66,13 @@
         exclusive: bool,
     ) -> bool {
         let charge = self.charge(task);
-        let Some(endpoint) = self.endpoints.get(key) else {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
             return false;
         };
         let on_trial = endpoint.is_quarantined(self.now);
+        if on_trial {
+            endpoint.quarantine.trial_begun(self.now);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
--- a/crates/chervilfall_planner/src/planner/room_waits.rs
+++ b/crates/chervilfall_planner/src/planner/room_waits.rs
@@ -1,7 +1,6 @@
 //! For how long steps have room without starting.
 
 use crate::ids::Millis;
-use crate::planner::offers::Reservations;
 use crate::planner::schedule::{Pass, StepRequest};
 use crate::planner::Planner;
 use crate::tasks::StepKey;
@@ -42,7 +41,7 @@
             return false;
         }
         let pool = pass.pool(request);
-        let Some(judged) = self.judged_step(key, request, Reservations::OfOthers, pool) else {
+        let Some(judged) = self.judged_within_hard_limits(key, request) else {
             return false;
         };
         let gang = request.step().gang;
--- a/crates/chervilfall_planner/src/policy/quarantine.rs
+++ b/crates/chervilfall_planner/src/policy/quarantine.rs
@@ -52,6 +52,8 @@
     last_job: Option<JobId>,
     /// When a run last failed.
     failed_ms: Millis,
+    /// When the last trial began.
+    trial_ms: Millis,
     pauses: u32,
     until_ms: Millis,
 }
@@ -88,6 +90,16 @@
         Some(pause_ms)
     }
 
+    /// Records the start of a run during the quarantine.
+    pub(crate) fn trial_begun(&mut self, now: Millis) {
+        self.trial_ms = now;
+    }
+
+    /// Returns whether the time of the shortest pause has passed since the last trial began.
+    pub(crate) const fn may_try_again(&self, now: Millis) -> bool {
+        now.saturating_sub(self.trial_ms) >= FIRST_PAUSE_MS
+    }
+
     /// Returns whether the time of the shortest pause has passed since the last failure.
     pub(crate) const fn first_pause_has_passed(&self, now: Millis) -> bool {
         now.saturating_sub(self.failed_ms) >= FIRST_PAUSE_MS
