Bound the endpoints that a report on standing steps compares

A report examined up to eight steps however many endpoints the group has, and each step is compared with all endpoints of its service. The cost at 2,500 endpoints was not played.

--- a/crates/chervilfall_planner/src/planner/standing.rs
+++ b/crates/chervilfall_planner/src/planner/standing.rs
@@ -22,9 +22,11 @@
 /// Time after which a step that no pass has visited is forgotten: a start is answered or given up by
 /// then, and the step is visited again if no run has begun.
 const FORGET_MS: Millis = 3_000;
-/// Maximum number of steps that a report examines. Each is compared with all endpoints of its
-/// service.
+/// Maximum number of steps that a report examines.
 const MAX_EXAMINED: usize = 8;
+/// Maximum number of endpoints that a report compares with steps, if it examines more than one: each
+/// step is compared with the endpoints of its service, and a group may have thousands.
+const MAX_JUDGED_ENDPOINTS: usize = 3_000;
 
 /// Since when a step stands still.
 #[derive(Debug, Clone, Copy)]
@@ -82,7 +84,12 @@
     }
 
     /// Chooses the steps to examine: those examined least often, then those that stand longest.
-    fn choose(&mut self, now: Millis, still: &[(StepKey, Millis)]) -> Vec<(StepKey, Millis)> {
+    fn choose(
+        &mut self,
+        now: Millis,
+        still: &[(StepKey, Millis)],
+        max_steps: usize,
+    ) -> Vec<(StepKey, Millis)> {
         let due = still.iter().filter(|(key, _)| {
             let standing = &self.steps[key];
             let since_examined_ms = now.saturating_sub(standing.examined_ms);
@@ -90,7 +97,7 @@
         });
         let mut due: Vec<(StepKey, Millis)> = due.copied().collect();
         due.sort_by_key(|(key, for_ms)| (self.steps[key].examined, Reverse(*for_ms)));
-        due.truncate(MAX_EXAMINED);
+        due.truncate(max_steps);
         for (key, _) in &due {
             if let Some(standing) = self.steps.get_mut(key) {
                 standing.examined += 1;
@@ -138,8 +145,9 @@
         }
         self.standing.reported_ms = self.now;
         let still = self.still();
-        let chosen = self.standing.choose(self.now, &still).into_iter();
-        let examined = chosen.filter_map(|(key, for_ms)| {
+        let max_steps = max_examined(self.endpoints.len());
+        let chosen = self.standing.choose(self.now, &still, max_steps);
+        let examined = chosen.into_iter().filter_map(|(key, for_ms)| {
             let beside = self.standing_beside(&still, key);
             self.examine(pass, key, for_ms, beside)
         });
@@ -196,6 +204,12 @@
     }
 }
 
+/// Returns how many steps a report examines in a group with this many endpoints.
+fn max_examined(endpoints: usize) -> usize {
+    let affordable = MAX_JUDGED_ENDPOINTS / endpoints.max(1);
+    affordable.clamp(1, MAX_EXAMINED)
+}
+
 /// Returns whether tasks of a job may still have to start.
 fn is_wanted(job: &Job) -> bool {
     job.outcome.is_none() && !job.cancelled
