Start no gang on an endpoint that is rightly quarantined before its time

Cause: soft limits let a step that stands still start one early trial on an endpoint whose quarantine is taken to be right. For a gang that one member costs the whole run, and a gang has few attempts.

Change: gangs start no early trials. Where quarantines are wide, gangs still start beyond them.

--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -75,7 +75,8 @@
 /// How quarantines give way where they do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum QuarantineYield {
-    /// For one trial at a time: they are taken to be right.
+    /// For one trial at a time, since they are taken to be right. Not for gangs, of which one failed
+    /// member costs all.
     EarlyTrials,
     /// Once the time of the shortest pause has passed since the last failure, which saves attempts of
     /// jobs while all runs fail.
@@ -289,7 +290,9 @@
         match judged.quarantine_yield {
             QuarantineYield::Always => true,
             QuarantineYield::AfterFirstPause => endpoint.first_pause_has_passed(self.now),
-            QuarantineYield::EarlyTrials => endpoint.early_trial_is_possible(self.now),
+            QuarantineYield::EarlyTrials => {
+                !judged.request.step().gang && endpoint.early_trial_is_possible(self.now)
+            }
         }
     }
 
