Judge quarantines by the endpoints with room for the step

Cause: whether quarantines are wide was judged over all endpoints that a step may use, full ones too. One of five is not over a fifth, so the endpoint got single early trials only, and nobody brought one.

Change: the share is taken over the endpoints with room for a task of the step.

--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -179,18 +179,20 @@
         })
     }
 
-    /// Returns whether more of the endpoints that a step may use are quarantined than a policy may
-    /// take out of a pool.
+    /// Returns whether more of the endpoints with room for a step are quarantined than a policy may take
+    /// out of a pool.
     fn are_widely_quarantined(&self, request: &StepRequest, candidates: &[EndpointKey]) -> bool {
+        if request.limits.include_soft() {
+            return false;
+        }
+        let need = request.required_resources();
         let endpoints = candidates.iter().filter_map(|key| self.endpoints.get(*key));
         let usable = endpoints.filter(|endpoint| {
-            endpoint.listed
+            endpoint.free().can_fit(need)
+                && endpoint.listed
                 && endpoint.entry.service == request.service
                 && request.step().accepts_labels(&endpoint.entry.labels)
         });
-        if request.limits.include_soft() {
-            return false;
-        }
         let (mut all, mut quarantined) = (0, 0);
         for endpoint in usable {
             all += 1;
