--- a/crates/chervilfall_planner/tests/claimed_room.rs
+++ b/crates/chervilfall_planner/tests/claimed_room.rs
@@ -88,7 +88,10 @@
 #[test]
 fn a_gang_with_worth_gathers_its_places_beside_overdue_work() {
     let mut lines = Vec::new();
-    for (name, quarantined) in [("full pool", false), ("beside a quarantined endpoint", true)] {
+    for (name, quarantined) in [
+        ("full pool", false),
+        ("beside a quarantined endpoint", true),
+    ] {
         let waits_ms = gang_waits_ms(quarantined, 1);
         if waits_ms.is_none_or(|ms| ms > LONGEST_RUN_MS) {
             lines.push(format!("{name}: starts after {waits_ms:?} ms"));
