Name pools by the limits that apply, and say what room and lateness mean

A reader was stopped by three things: pools called wide, where wide also means many quarantines and wide gangs; a yield of quarantines at any time that only counts room; and calls that may be late, where only connecting may. Names and comments only.

--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -81,7 +81,7 @@
     /// Once the time of the shortest pause has passed since the last failure, which saves attempts of
     /// jobs while all runs fail.
     AfterFirstPause,
-    /// At any time.
+    /// At any time. Only to count room, not for starts.
     Always,
 }
 
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -42,7 +42,7 @@
     /// Endpoints that accept work, by service.
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
     /// The same without regard to soft limits.
-    wide_pools: BTreeMap<String, Vec<EndpointKey>>,
+    pools_within_hard_limits: BTreeMap<String, Vec<EndpointKey>>,
     /// More than is free on any endpoint of these, by service.
     most_free: BTreeMap<String, Resources>,
     /// Headroom that latency-tolerant work leaves free, by service.
@@ -66,7 +66,7 @@
     pub(super) fn pool(&self, request: &StepRequest) -> &[EndpointKey] {
         let pools = match request.limits {
             AppliedLimits::All => &self.pools,
-            AppliedLimits::Hard => &self.wide_pools,
+            AppliedLimits::Hard => &self.pools_within_hard_limits,
         };
         pools.get(&request.service).map_or(&[], Vec::as_slice)
     }
@@ -141,7 +141,7 @@
 
     fn begin_pass(&mut self) -> Pass {
         let mut pools = BTreeMap::new();
-        let mut wide_pools = BTreeMap::new();
+        let mut pools_within_hard_limits = BTreeMap::new();
         let mut most_free = BTreeMap::new();
         for (key, endpoint) in &self.endpoints {
             let exclusion = endpoint.exclusion(self.now, &self.limits);
@@ -149,7 +149,7 @@
                 continue;
             }
             let service = &endpoint.entry.service;
-            add_to_pool(&mut wide_pools, service, key);
+            add_to_pool(&mut pools_within_hard_limits, service, key);
             note_free(&mut most_free, service, endpoint.free());
             if exclusion.is_none() {
                 add_to_pool(&mut pools, service, key);
@@ -158,7 +158,7 @@
         let headroom_slots = self.headroom_slots(&pools);
         Pass {
             pools,
-            wide_pools,
+            pools_within_hard_limits,
             most_free,
             headroom_slots,
             quota_reservations: QuotaReservations::new(),
--- a/crates/chervilfall_planner/src/policy/soft_limits.rs
+++ b/crates/chervilfall_planner/src/policy/soft_limits.rs
@@ -3,7 +3,8 @@
 //! A limit is hard if a start beyond it could fail or break a promise: capacity, labels, the most tasks
 //! per endpoint, leases, departures, tickets, quotas and the barrier after a takeover. All others are
 //! soft. They prefer some endpoints or some steps over others, and each is right only most of the time,
-//! so none of them may keep a step with room from starting for good:
+//! so each gives way for a step that has stood with room for some time. Resources that one of them
+//! keeps count as room:
 //!
 //! - the pause and the trials of a quarantine,
 //! - reservations of endpoints for isolated tasks,
