--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use chervilfall_kernel::{ControlLoop, Work};
 use chervilfall_planner::{
@@ -23,7 +23,7 @@
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
 use crate::link::{FollowerLink, ToFollower};
-use crate::load::ControlLoad;
+use crate::load::{ControlLoad, LoadStatus, WorkKind};
 use crate::orders::{EndpointAnswer, OrderNumber};
 use crate::ports::Platform;
 
@@ -77,6 +77,8 @@
     Release,
     /// Shows by its age how long events wait in the queue.
     Probe(Instant),
+    /// A commit has waited for the thread that sends it.
+    CommitSent { waited: Duration },
 }
 
 /// The loop of the control thread.
@@ -374,7 +376,36 @@
     type Event = ControlEvent;
 
     fn handle(&mut self, event: ControlEvent) {
+        let (kind, began) = (WorkKind::of(&event), Instant::now());
         self.update_planner_configuration();
+        self.handle_event(event);
+        self.load.add_kind(kind, began.elapsed());
+    }
+
+    fn tick(&mut self) {
+        let began = Instant::now();
+        self.update_planner_configuration();
+        self.end_overdue_orders();
+        self.feed(Event::Tick { unix_ms: unix_ms() });
+        self.send_unstored_starts();
+        self.send_heartbeats();
+        self.load.add_kind(WorkKind::Ticks, began.elapsed());
+    }
+
+    fn batch_handled(&mut self) {
+        self.send_orders();
+    }
+
+    fn worked(&mut self, work: Work) {
+        self.load.add(work);
+        if let Some(status) = self.load.status(Instant::now()) {
+            self.report_load(status);
+        }
+    }
+}
+
+impl<P: Platform> Control<P> {
+    fn handle_event(&mut self, event: ControlEvent) {
         match event {
             ControlEvent::LocalRequest(pending) => {
                 self.note_request_version(&pending.request);
@@ -431,26 +462,11 @@
                 }
             }
             ControlEvent::Probe(sent) => self.load.record_queue_age(sent.elapsed()),
+            ControlEvent::CommitSent { waited } => self.load.record_commit_wait(waited),
         }
     }
 
-    fn tick(&mut self) {
-        self.update_planner_configuration();
-        self.end_overdue_orders();
-        self.feed(Event::Tick { unix_ms: unix_ms() });
-        self.send_unstored_starts();
-        self.send_heartbeats();
-    }
-
-    fn batch_handled(&mut self) {
-        self.send_orders();
-    }
-
-    fn worked(&mut self, work: Work) {
-        self.load.add(work);
-        let Some(status) = self.load.status(Instant::now()) else {
-            return;
-        };
+    fn report_load(&mut self, status: LoadStatus) {
         if let Some(handover) = &mut self.handover {
             let report = LoadReport {
                 covers_ms: status.covers_ms,
@@ -458,17 +474,29 @@
             };
             handover.record_load(now_ms(), report);
         }
-        if let Some(planner) = &self.planner {
-            let backlog = planner.backlog();
-            log::info!(
-                term = planner.term(), busy_percent = status.busy_percent, events = status.events,
-                most_waiting = status.most_waiting, oldest_ms = status.max_queue_age_ms,
-                mean_ms = status.mean_queue_age_ms,
-                longest_ms = status.max_stretch_ms, open_steps = backlog.open_steps,
-                unsaved_jobs = backlog.unsaved_jobs, advice_calls = backlog.advice_calls,
-                links = self.links.len();
-                "control thread load"
-            );
-        }
+        let Some(planner) = &mut self.planner else {
+            return;
+        };
+        let backlog = planner.backlog();
+        let work = planner.take_work();
+        log::info!(
+            term = planner.term(), busy_percent = status.busy_percent, events = status.events,
+            most_waiting = status.most_waiting, oldest_ms = status.max_queue_age_ms,
+            mean_ms = status.mean_queue_age_ms,
+            longest_ms = status.max_stretch_ms, open_steps = backlog.open_steps,
+            unsaved_jobs = backlog.unsaved_jobs, advice_calls = backlog.advice_calls,
+            links = self.links.len(),
+            requests_ms = status.kind_ms(WorkKind::Requests),
+            endpoints_ms = status.kind_ms(WorkKind::Endpoints),
+            advice_ms = status.kind_ms(WorkKind::Advice),
+            store_ms = status.kind_ms(WorkKind::Store),
+            links_ms = status.kind_ms(WorkKind::Links),
+            lists_ms = status.kind_ms(WorkKind::Lists),
+            ticks_ms = status.kind_ms(WorkKind::Ticks),
+            commit_wait_ms = status.max_commit_wait_ms, passes = work.passes,
+            steps_visited = work.steps_visited, endpoints_judged = work.endpoints_judged,
+            nodes_searched = work.nodes_searched, longest_commit_gap_ms = work.longest_commit_gap_ms;
+            "control thread load"
+        );
     }
 }
--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::time::Instant;
 
 use chervilfall_planner::{
     decode_text, Action, AdviceAnswer, AdviceOrder, Answer, Batch, EndpointKey, Event, HoldReport,
@@ -72,7 +73,11 @@
     fn commit(&self, term: u64, batch: Batch) {
         let (store, group) = (self.platform.store().clone(), self.group.clone());
         let (number, copy) = (batch.number, batch.copy);
+        let (sender, ordered) = (self.sender.clone(), Instant::now());
         self.spawn_order(term, async move {
+            let waited = ordered.elapsed();
+            // If the queue is full, its load shows that events wait.
+            drop(sender.try_send(ControlEvent::CommitSent { waited }));
             let outcome = store.commit(&group, batch).await;
             Event::Committed {
                 number,
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -23,7 +23,7 @@
 pub use configuration::ConfigurationState;
 pub use front::{Front, FrontAnswer};
 pub use keys::{KeyDigest, KeyRing};
-pub use load::{ControlLoad, LoadStatus};
+pub use load::{ControlLoad, LoadStatus, WorkKind};
 pub use node::{Node, NodeError};
 pub use routes::{Route, RouteTable};
 pub use settings::{changed_fields, read_text, Settings, SettingsError, TightBound, Timings};
--- a/crates/chervilfall_node/src/load.rs
+++ b/crates/chervilfall_node/src/load.rs
@@ -7,10 +7,65 @@
 use std::time::{Duration, Instant};
 
 use chervilfall_kernel::Work;
+use chervilfall_planner::Event;
+
+use crate::control::ControlEvent;
 
 /// Interval between status lines.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Kinds of work of the control thread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// Callers' requests.
+    Requests,
+    /// Answers of endpoints to holds, starts and stops, and orders that were not answered.
+    Endpoints,
+    /// Answers of the advice service.
+    Advice,
+    /// Answers of the store, and the starts that follow from them.
+    Store,
+    /// Links of followers.
+    Links,
+    /// Lists of endpoints, and takeovers.
+    Lists,
+    /// Passes over the open steps, and whatever else is due with time.
+    Ticks,
+}
+
+impl WorkKind {
+    const COUNT: usize = 7;
+
+    /// Returns the kind of an event.
+    pub(crate) const fn of(event: &ControlEvent) -> Self {
+        match event {
+            ControlEvent::LocalRequest(_) | ControlEvent::LinkRequest { .. } => Self::Requests,
+            ControlEvent::EndpointAnswers(_) => Self::Endpoints,
+            ControlEvent::Advised { .. } => Self::Advice,
+            ControlEvent::ActionCompleted { event, .. } => Self::of_completed(event),
+            ControlEvent::CommitSent { .. } => Self::Store,
+            ControlEvent::LinkUp { .. }
+            | ControlEvent::LinkDown { .. }
+            | ControlEvent::UnstoredStarts(_)
+            | ControlEvent::Release
+            | ControlEvent::Probe(_) => Self::Links,
+            ControlEvent::Endpoints { .. }
+            | ControlEvent::Claimed { .. }
+            | ControlEvent::Recovering(_) => Self::Lists,
+        }
+    }
+
+    const fn of_completed(event: &Event) -> Self {
+        match event {
+            Event::Started { .. }
+            | Event::Stopped { .. }
+            | Event::Held { .. }
+            | Event::ListedLate { .. } => Self::Endpoints,
+            _ => Self::Store,
+        }
+    }
+}
+
 /// Content of a status line: the load since the previous one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadStatus {
@@ -29,6 +84,18 @@
     pub covers_ms: u64,
     /// Longest uninterrupted stretch of work, in milliseconds.
     pub max_stretch_ms: u64,
+    /// Time that each kind of work took, in milliseconds, in the order of [`WorkKind`].
+    pub kinds_ms: [u64; WorkKind::COUNT],
+    /// Longest wait of a commit for the thread that sends it, in milliseconds.
+    pub max_commit_wait_ms: u64,
+}
+
+impl LoadStatus {
+    /// Returns the time that a kind of work took, in milliseconds.
+    #[must_use]
+    pub const fn kind_ms(&self, kind: WorkKind) -> u64 {
+        self.kinds_ms[kind as usize]
+    }
 }
 
 /// Sums up the control thread's work between status lines.
@@ -43,6 +110,8 @@
     probes: u32,
     events: u64,
     most_waiting: usize,
+    kinds: [Duration; WorkKind::COUNT],
+    max_commit_wait: Duration,
 }
 
 impl ControlLoad {
@@ -58,9 +127,22 @@
             probes: 0,
             events: 0,
             most_waiting: 0,
+            kinds: [Duration::ZERO; WorkKind::COUNT],
+            max_commit_wait: Duration::ZERO,
         }
     }
 
+    /// Adds the time that work of a kind took.
+    pub fn add_kind(&mut self, kind: WorkKind, took: Duration) {
+        self.kinds[kind as usize] += took;
+    }
+
+    /// Records that a commit waited for the thread that sends it.
+    pub fn record_commit_wait(&mut self, waited: Duration) {
+        self.max_commit_wait = self.max_commit_wait.max(waited);
+        metrics::histogram!("chervilfall_commit_send_wait_seconds").record(waited.as_secs_f64());
+    }
+
     /// Adds a stretch of work.
     pub fn add(&mut self, work: Work) {
         self.busy += work.took;
@@ -94,6 +176,8 @@
             mean_queue_age_ms: self.ages.checked_div(self.probes).map(millis),
             covers_ms: millis(passed),
             max_stretch_ms: millis(self.longest),
+            kinds_ms: self.kinds.map(millis),
+            max_commit_wait_ms: millis(self.max_commit_wait),
         };
         *self = Self::new(now);
         Some(status)
--- a/crates/chervilfall_node/tests/load.rs
+++ b/crates/chervilfall_node/tests/load.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use chervilfall_kernel::Work;
-use chervilfall_node::{ControlLoad, LoadStatus};
+use chervilfall_node::{ControlLoad, LoadStatus, WorkKind};
 
 const fn work(events: usize, waiting: usize, took_ms: u64) -> Work {
     Work {
@@ -19,6 +19,8 @@
         name: &'static str,
         work: Vec<Work>,
         probe_ages_ms: Vec<u64>,
+        kinds_ms: Vec<(WorkKind, u64)>,
+        commit_waits_ms: Vec<u64>,
         passed_ms: u64,
         status: Option<LoadStatus>,
     }
@@ -27,6 +29,8 @@
             name: "too soon",
             work: vec![work(3, 0, 400)],
             probe_ages_ms: vec![1],
+            kinds_ms: Vec::new(),
+            commit_waits_ms: Vec::new(),
             passed_ms: 999,
             status: None,
         },
@@ -34,6 +38,8 @@
             name: "idle",
             work: Vec::new(),
             probe_ages_ms: vec![0],
+            kinds_ms: Vec::new(),
+            commit_waits_ms: Vec::new(),
             passed_ms: 1_000,
             status: Some(LoadStatus {
                 busy_percent: 0,
@@ -43,12 +49,16 @@
                 mean_queue_age_ms: Some(0),
                 covers_ms: 1_000,
                 max_stretch_ms: 0,
+                kinds_ms: [0; 7],
+                max_commit_wait_ms: 0,
             }),
         },
         Case {
             name: "no probe was taken from the queue",
             work: vec![work(1, 0, 1_200)],
             probe_ages_ms: Vec::new(),
+            kinds_ms: Vec::new(),
+            commit_waits_ms: Vec::new(),
             passed_ms: 1_200,
             status: Some(LoadStatus {
                 busy_percent: 100,
@@ -58,12 +68,20 @@
                 mean_queue_age_ms: None,
                 covers_ms: 1_200,
                 max_stretch_ms: 1_200,
+                kinds_ms: [0; 7],
+                max_commit_wait_ms: 0,
             }),
         },
         Case {
             name: "falling behind",
             work: vec![work(256, 700, 300), work(0, 900, 20), work(256, 400, 640)],
             probe_ages_ms: vec![80, 350, 120],
+            kinds_ms: vec![
+                (WorkKind::Endpoints, 200),
+                (WorkKind::Ticks, 20),
+                (WorkKind::Endpoints, 140),
+            ],
+            commit_waits_ms: vec![3, 70, 12],
             passed_ms: 1_000,
             status: Some(LoadStatus {
                 busy_percent: 96,
@@ -73,6 +91,8 @@
                 mean_queue_age_ms: Some(183),
                 covers_ms: 1_000,
                 max_stretch_ms: 640,
+                kinds_ms: [0, 340, 0, 0, 0, 0, 20],
+                max_commit_wait_ms: 70,
             }),
         },
     ];
@@ -85,6 +105,12 @@
         for age_ms in case.probe_ages_ms {
             load.record_queue_age(Duration::from_millis(age_ms));
         }
+        for (kind, took_ms) in case.kinds_ms {
+            load.add_kind(kind, Duration::from_millis(took_ms));
+        }
+        for waited_ms in case.commit_waits_ms {
+            load.record_commit_wait(Duration::from_millis(waited_ms));
+        }
         let now = began + Duration::from_millis(case.passed_ms);
         assert_eq!(load.status(now), case.status, "{}", case.name);
         assert_eq!(load.status(now), None, "{}: starts over", case.name);
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -47,8 +47,8 @@
 pub use job::{JobSpec, Step};
 pub use limits::Limits;
 pub use planner::{
-    Backlog, LookupResult, PassedOver, Planner, ServiceUsage, StandingAdvice, StandingStep,
-    StoredGroup,
+    Backlog, LookupResult, PassWork, PassedOver, Planner, ServiceUsage, StandingAdvice,
+    StandingStep, StoredGroup,
 };
 pub use policy::admission::{
     refusal, Forecast, ForecastRefusal, RefusalCause, ServiceRate, Stage, Standing, SubmissionTimes,
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -68,6 +68,8 @@
                 return None;
             }
         }
+        self.work
+            .add(|work| work.nodes_searched += self.nodes.len() as u64);
         let busy: Vec<NodeId> = calls.map(|call| call.node).collect();
         let idle = self.nodes.iter().filter(|node| !busy.contains(node));
         // The planner's own node is used last, because it also runs the planner.
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -269,7 +269,9 @@
             return;
         };
         let took_ms = self.now.saturating_sub(commit.first_sent_ms);
-        self.commit_gaps.note(self.now);
+        let gap_ms = self.commit_gaps.note(self.now);
+        self.work
+            .add(|work| work.longest_commit_gap_ms = work.longest_commit_gap_ms.max(gap_ms));
         if took_ms > SLOW_COMMIT_MS {
             log::warn!(number = commit.batch.number, took_ms = took_ms; "commit was slow");
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -38,6 +38,7 @@
 mod suspects;
 mod unsaved;
 mod waiting;
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -82,6 +83,8 @@
 use stopping::Stopping;
 use unsaved::UnsavedChanges;
 use waiting::WaitingSteps;
+pub use work::PassWork;
+use work::WorkCounters;
 
 /// Label of the metric, and log line, of submissions that are refused when the group is given up.
 const NO_HOLDER: &str = "no_holder";
@@ -184,6 +187,7 @@
     waiting: WaitingSteps,
     standing: StandingSteps,
     skipped_passes: SkippedPasses,
+    work: WorkCounters,
     releasing: bool,
     stepped_down: bool,
     actions: Vec<Action>,
@@ -251,6 +255,7 @@
             waiting: WaitingSteps::default(),
             standing: StandingSteps::default(),
             skipped_passes: SkippedPasses::default(),
+            work: WorkCounters::default(),
             releasing: false,
             stepped_down: false,
             actions: Vec::new(),
--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -252,6 +252,7 @@
         judged: &JudgedStep<'_>,
         endpoint_key: EndpointKey,
     ) -> Result<Offer, PassedOver> {
+        self.work.add(|work| work.endpoints_judged += 1);
         let request = judged.request;
         let endpoint = self.endpoints.get(endpoint_key).ok_or(PassedOver::Gone)?;
         let need = request.required_resources();
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -118,6 +118,7 @@
         if self.open.is_empty() || self.skips_pass() {
             return;
         }
+        self.work.add(|work| work.passes += 1);
         let mut pass = self.begin_pass();
         let full = self.now.saturating_sub(self.last_full_pass_ms) >= FULL_PASS_INTERVAL_MS;
         let keys = if full {
@@ -190,6 +191,7 @@
     }
 
     pub(super) fn schedule_step(&mut self, pass: &mut Pass, key: StepKey) {
+        self.work.add(|work| work.steps_visited += 1);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
--- a/crates/chervilfall_planner/src/policy/stall_timeout.rs
+++ b/crates/chervilfall_planner/src/policy/stall_timeout.rs
@@ -40,8 +40,8 @@
         }
     }
 
-    /// Records that a commit was stored.
-    pub(crate) fn note(&mut self, now: Millis) {
+    /// Records that a commit was stored; returns the time since the one before.
+    pub(crate) fn note(&mut self, now: Millis) -> Millis {
         let gap_ms = now.saturating_sub(self.last_ms);
         self.last_ms = now;
         if now.saturating_sub(self.window_began_ms) >= WINDOW_MS {
@@ -52,6 +52,7 @@
         if gap_ms <= MAX_STALL_TIMEOUT_MS {
             self.current_ms = self.current_ms.max(gap_ms);
         }
+        gap_ms
     }
 
     /// Returns the timeout to publish.
