Bound the work of passes however much waits

Cause: every 30 ms a pass visited all open steps. For each it could judge all endpoints and search all nodes for an idle one, comparing each with each busy one. Class: work that an overload itself makes. With 1,500 steps on 120 endpoints and 40 nodes a second of passes made up to 5.4 million judgements and 1.7 million searches of nodes.

Change: the visits in a second are limited, so full passes are rarer the more steps are open. In between, passes visit the 24 of best rank as before, the steps whose call for advice was answered, and as many that wait for a node as nodes are idle. Whether a node is idle is known once a pass; room is looked for on endpoints that had some when the pass began; inherited steps behind the barrier of a takeover are not placed and ask for nothing.

Failed try: rarer full passes alone left nodes idle between them, as only the best-ranked steps could call; hence the steps whose situation has changed.

--- a/crates/chervilfall_planner/src/planner/admission.rs
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -15,12 +15,13 @@
 };
 use crate::policy::commit_order::{sort_submissions, WaitingSubmission};
 use crate::policy::order::{prospect_of, Prospect};
+use crate::policy::pass_interval::full_pass_interval_ms;
 use crate::policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
 use crate::policy::store_capacity::{StoreCapacity, StoredCommit};
 use crate::resources::Resources;
 use crate::tasks::{Job, StepKey};
 
-/// Interval between counts of what waits. Between two of them a forecast misses what has arrived.
+/// Shortest interval between counts of what waits. Between two of them a forecast misses what has arrived.
 const COUNT_INTERVAL_MS: Millis = 50;
 
 /// Observations that forecasts are made from. A new holder starts without any.
@@ -81,7 +82,8 @@
 
     /// Counts what waits for its first start and for quota. Returns whether it was time to.
     pub(super) fn count_waiting_work(&mut self) -> bool {
-        let due = self.now >= self.admission.counted_ms + COUNT_INTERVAL_MS;
+        let interval_ms = full_pass_interval_ms(self.open.len()).max(COUNT_INTERVAL_MS);
+        let due = self.now >= self.admission.counted_ms + interval_ms;
         if !due || !self.limits.policies.admission_forecast {
             return false;
         }
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -70,7 +70,7 @@
         }
         self.work
             .add(|work| work.nodes_searched += self.nodes.len() as u64);
-        let busy: Vec<NodeId> = calls.map(|call| call.node).collect();
+        let busy: BTreeSet<NodeId> = calls.map(|call| call.node).collect();
         let idle = self.nodes.iter().filter(|node| !busy.contains(node));
         // The planner's own node is used last, because it also runs the planner.
         if !self.limits.policies.advice_node_health {
@@ -236,6 +236,7 @@
             }
         }
         self.note_grants(call.step, unknown.len(), newly_granted);
+        self.changed.note_answer(call.step);
         let fits = self.note_gang_answer(call.step);
         self.schedule_due = true;
         if fits {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -31,6 +31,7 @@
 mod requests;
 mod room_waits;
 mod schedule;
+mod short_pass;
 mod skipped;
 mod standing;
 mod standing_step;
@@ -77,6 +78,7 @@
 pub use offers::PassedOver;
 use open::OpenSteps;
 use requests::{record_unknown_refusal, RETRY_MS};
+use short_pass::ChangedSteps;
 use skipped::SkippedPasses;
 use standing::StandingSteps;
 pub use standing_step::{ServiceUsage, StandingAdvice, StandingStep};
@@ -184,6 +186,7 @@
     schedule_due: bool,
     last_pass_ms: Millis,
     last_full_pass_ms: Millis,
+    changed: ChangedSteps,
     waiting: WaitingSteps,
     standing: StandingSteps,
     skipped_passes: SkippedPasses,
@@ -252,6 +255,7 @@
             schedule_due: false,
             last_pass_ms: now,
             last_full_pass_ms: 0,
+            changed: ChangedSteps::default(),
             waiting: WaitingSteps::default(),
             standing: StandingSteps::default(),
             skipped_passes: SkippedPasses::default(),
--- a/crates/chervilfall_planner/src/planner/overdue.rs
+++ b/crates/chervilfall_planner/src/planner/overdue.rs
@@ -32,9 +32,9 @@
         }
         let advice = job.queue.advice;
         let calls_in_flight = progress.advice.calls_in_flight();
-        let wants_node =
-            |slow| calls_in_flight < max_calls_in_flight(step) && !self.can_call_advice(slow);
-        pass.node_wanted |= advice.is_some_and(|timings| wants_node(timings.is_slow()));
+        let may_call_again = calls_in_flight < max_calls_in_flight(step);
+        pass.node_wanted |=
+            may_call_again && advice.is_some_and(|timings| !pass.call_possible(timings.is_slow()));
         let claims = match pass.claims.get_mut(&job.queue.service) {
             Some(claims) => claims,
             None => pass.claims.entry(job.queue.service.clone()).or_default(),
--- a/crates/chervilfall_planner/src/planner/room_waits.rs
+++ b/crates/chervilfall_planner/src/planner/room_waits.rs
@@ -37,21 +37,21 @@
     /// Returns whether a step could start within the limits of `request` if it had tickets for all
     /// endpoints that may be granted.
     fn has_room(&self, pass: &Pass, key: StepKey, request: &StepRequest) -> bool {
-        if !pass.may_fit(request) {
+        let mut with_room = pass.with_room(request).peekable();
+        if with_room.peek().is_none() {
             return false;
         }
-        let pool = pass.pool(request);
         let Some(judged) = self.judged_within_hard_limits(key, request) else {
             return false;
         };
         let gang = request.step().gang;
         let mut missing = if gang { judged.progress.waiting() } else { 1 };
         let need = request.required_resources();
-        for endpoint in pool {
-            if request.advice.is_some() && judged.progress.advice.denied(*endpoint) {
+        for endpoint in with_room {
+            if request.advice.is_some() && judged.progress.advice.denied(endpoint) {
                 continue;
             }
-            if let Ok(offer) = self.judge(&judged, *endpoint) {
+            if let Ok(offer) = self.judge(&judged, endpoint) {
                 missing = missing.saturating_sub(offer.max_fitting(need));
             }
             if missing == 0 {
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -1,9 +1,9 @@
 //! Places waiting tasks on endpoints, steps of the best rank first.
 //!
-//! A full pass visits every open step, and there can be hundreds of steps and of endpoints. So
-//! whatever does not depend on the step is computed once per pass, a step that can neither be
-//! placed nor request advice is skipped early, and the passes between full ones visit only the
-//! steps of the best rank.
+//! A full pass visits every open step, and there can be thousands of steps and hundreds of endpoints.
+//! So whatever does not depend on the step is computed once per pass, a step that can neither be
+//! placed nor request advice is skipped early, full passes are rarer the more steps there are, and the
+//! passes between them visit only the steps of the best rank and those that can do more than before.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 use crate::config::AdviceTimings;
 use crate::endpoint::EndpointKey;
 use crate::event::Ticket;
-use crate::ids::{Millis, Run};
+use crate::ids::Run;
 use crate::job::{JobSpec, Step};
 use crate::metrics;
 use crate::planner::ask::max_calls_in_flight;
@@ -22,6 +22,7 @@
 use crate::policy::headroom::HeadroomSlots;
 use crate::policy::order::has_slack;
 use crate::policy::overdue::Claims;
+use crate::policy::pass_interval::full_pass_interval_ms;
 use crate::policy::placement::{
     pick_all_or_none, pick_endpoints, pick_keeping_headroom, LatencyClass, Offer,
 };
@@ -29,22 +30,14 @@
 use crate::resources::Resources;
 use crate::tasks::{Job, StepKey, StepProgress};
 
-/// Interval between passes over all open steps. With 350 endpoints and a hundred open steps a pass
-/// takes 2 ms of a core. A full pass at every tick would use a fifth of a core, and a holder has
-/// half a core or less.
-const FULL_PASS_INTERVAL_MS: Millis = 30;
-/// Number of best-ranked steps that the passes between full ones visit: short requests rank first
-/// and cannot wait for a full pass.
-const SHORT_PASS_STEPS: usize = 24;
-
 /// Values shared by all steps of a pass.
 pub(super) struct Pass {
     /// Endpoints that accept work, by service.
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
     /// The same without regard to soft limits.
     pools_within_hard_limits: BTreeMap<String, Vec<EndpointKey>>,
-    /// More than is free on any endpoint of these, by service.
-    most_free: BTreeMap<String, Resources>,
+    /// What was free on each of these when the pass began, in the same order, by service.
+    free: BTreeMap<String, Vec<Resources>>,
     /// Headroom that latency-tolerant work leaves free, by service.
     pub(super) headroom_slots: BTreeMap<String, HeadroomSlots>,
     /// Quotas that better-ranked steps wait for.
@@ -71,10 +64,27 @@
         pools.get(&request.service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether an endpoint of a step's pool may have room for a task of it.
-    pub(super) fn may_fit(&self, request: &StepRequest) -> bool {
-        let most_free = self.most_free.get(&request.service);
-        most_free.is_some_and(|free| free.can_fit(request.required_resources()))
+    /// Returns the endpoints within the hard limits that had room for a task of a step when the pass
+    /// began. Nothing becomes free during a pass.
+    pub(super) fn with_room<'a>(
+        &'a self,
+        request: &StepRequest,
+    ) -> impl Iterator<Item = EndpointKey> + 'a {
+        let need = request.required_resources();
+        let pool = self.pools_within_hard_limits.get(&request.service);
+        let free = self.free.get(&request.service);
+        let endpoints = pool.into_iter().flatten().zip(free.into_iter().flatten());
+        let with_room = endpoints.filter(move |(_, free)| free.can_fit(need));
+        with_room.map(|(endpoint, _)| *endpoint)
+    }
+
+    /// Returns whether a node can make a call for advice now.
+    pub(super) const fn call_possible(&self, slow: bool) -> bool {
+        if slow {
+            self.slow_call_possible
+        } else {
+            self.fast_call_possible
+        }
     }
 }
 
@@ -120,13 +130,15 @@
         }
         self.work.add(|work| work.passes += 1);
         let mut pass = self.begin_pass();
-        let full = self.now.saturating_sub(self.last_full_pass_ms) >= FULL_PASS_INTERVAL_MS;
+        let since_full_ms = self.now.saturating_sub(self.last_full_pass_ms);
+        let full = since_full_ms >= full_pass_interval_ms(self.open.len());
         let keys = if full {
             self.last_full_pass_ms = self.now;
+            self.changed.begin_full_pass();
             self.rank_open_steps();
             self.open.keys()
         } else {
-            self.open.first(SHORT_PASS_STEPS)
+            self.steps_of_short_pass()
         };
         if self.limits.policies.fair_share {
             self.schedule_by_fair_share(&mut pass, keys);
@@ -143,24 +155,24 @@
     fn begin_pass(&mut self) -> Pass {
         let mut pools = BTreeMap::new();
         let mut pools_within_hard_limits = BTreeMap::new();
-        let mut most_free = BTreeMap::new();
+        let mut free = BTreeMap::new();
         for (key, endpoint) in &self.endpoints {
             let exclusion = endpoint.exclusion(self.now, &self.limits);
             if exclusion.is_some_and(|exclusion| AppliedLimits::Hard.exclude(exclusion)) {
                 continue;
             }
             let service = &endpoint.entry.service;
-            add_to_pool(&mut pools_within_hard_limits, service, key);
-            note_free(&mut most_free, service, endpoint.free());
+            add_by_service(&mut pools_within_hard_limits, service, key);
+            add_by_service(&mut free, service, endpoint.free());
             if exclusion.is_none() {
-                add_to_pool(&mut pools, service, key);
+                add_by_service(&mut pools, service, key);
             }
         }
         let headroom_slots = self.headroom_slots(&pools);
         Pass {
             pools,
             pools_within_hard_limits,
-            most_free,
+            free,
             headroom_slots,
             quota_reservations: QuotaReservations::new(),
             fast_call_possible: self.can_call_advice(false),
@@ -226,14 +238,15 @@
             self.note_wait(key, WaitCause::Reservation);
             return;
         }
-        let blocked = job.inherited && self.barrier.is_some();
+        // Tickets would expire before the barrier falls.
+        if job.inherited && self.barrier.is_some() {
+            self.claim_capacity(pass, key, startable);
+            self.note_wait(key, WaitCause::Barrier);
+            return;
+        }
         if job.text.is_none() {
-            if blocked {
-                self.note_wait(key, WaitCause::Barrier);
-            } else {
-                self.request_text(key.job);
-                self.note_wait(key, WaitCause::Text);
-            }
+            self.request_text(key.job);
+            self.note_wait(key, WaitCause::Text);
             return;
         }
         let Some(mut request) = StepRequest::of(job, key) else {
@@ -247,20 +260,17 @@
         let Some(progress) = job.step_progress(key) else {
             return;
         };
-        let placeable = !blocked && (advice.is_none() || progress.advice.any_ticket(self.now));
-        let call_possible = advice.is_some_and(|timings| {
-            if timings.is_slow() {
-                pass.slow_call_possible
-            } else {
-                pass.fast_call_possible
-            }
-        });
+        let placeable = advice.is_none() || progress.advice.any_ticket(self.now);
+        let call_possible = advice.is_some_and(|timings| pass.call_possible(timings.is_slow()));
         let limits_for_advice = AppliedLimits::for_advice(passed_over_ms);
         let leaves_nodes =
             pass.node_wanted && self.open.is_overdue(key) && limits_for_advice.include_soft();
-        let can_request_advice = call_possible
-            && !leaves_nodes
-            && progress.advice.calls_in_flight() < max_calls_in_flight(request.step());
+        let may_call = progress.advice.calls_in_flight() < max_calls_in_flight(request.step())
+            && !leaves_nodes;
+        if advice.is_some() && may_call && !call_possible {
+            self.changed.note_caller(key);
+        }
+        let can_request_advice = call_possible && may_call;
         if !placeable && !can_request_advice {
             self.claim_capacity(pass, key, startable);
             self.note_unplaced(key, call_possible && !leaves_nodes);
@@ -272,15 +282,21 @@
         }
         request.limits = limits_for_advice;
         if can_request_advice {
-            while self.request_advice_for_step(pass, key, &request) {}
-            pass.fast_call_possible = self.can_call_advice(false);
-            pass.slow_call_possible = self.can_call_advice(true);
+            self.request_all_advice(pass, key, &request);
         }
         let startable = startable.min(self.tasks_within_quota(key));
         self.claim_capacity(pass, key, startable);
         self.note_unplaced(key, call_possible && !leaves_nodes);
     }
 
+    /// Makes the calls for advice that a step needs now.
+    fn request_all_advice(&mut self, pass: &mut Pass, key: StepKey, request: &StepRequest) {
+        while self.request_advice_for_step(pass, key, request) {
+            pass.fast_call_possible = self.can_call_advice(false);
+            pass.slow_call_possible = self.can_call_advice(true);
+        }
+    }
+
     fn place_step(&mut self, pass: &mut Pass, key: StepKey, request: &StepRequest, startable: u32) {
         let mut waiting = self.waiting_tasks(key);
         let step = request.step();
@@ -433,24 +449,11 @@
     }
 }
 
-fn add_to_pool(
-    pools: &mut BTreeMap<String, Vec<EndpointKey>>,
-    service: &String,
-    endpoint: EndpointKey,
-) {
-    match pools.get_mut(service) {
-        Some(pool) => pool.push(endpoint),
-        None => {
-            pools.insert(service.clone(), vec![endpoint]);
-        }
-    }
-}
-
-fn note_free(most_free: &mut BTreeMap<String, Resources>, service: &String, free: Resources) {
-    match most_free.get_mut(service) {
-        Some(most) => *most = most.max(free),
+fn add_by_service<T>(lists: &mut BTreeMap<String, Vec<T>>, service: &String, entry: T) {
+    match lists.get_mut(service) {
+        Some(list) => list.push(entry),
         None => {
-            most_free.insert(service.clone(), free);
+            lists.insert(service.clone(), vec![entry]);
         }
     }
 }
--- a/crates/chervilfall_planner/src/policy/soft_limits.rs
+++ b/crates/chervilfall_planner/src/policy/soft_limits.rs
@@ -16,6 +16,7 @@
 
 use crate::endpoint::Exclusion;
 use crate::ids::Millis;
+use crate::policy::pass_interval::MAX_INTERVAL_MS;
 
 /// Time for which a step with room waits until soft limits give way. Callers expect a start within
 /// 3 s, and a call for advice can take half of that.
@@ -101,8 +102,9 @@
 
 /// Interval between checks of a step's room, which visit all endpoints of its pool.
 const CHECK_INTERVAL_MS: Millis = 100;
-/// Longest time between two checks over which the wait counts. A step without quota is not checked.
-const MAX_CHECK_GAP_MS: Millis = 500;
+/// Longest time between two checks over which the wait counts: two passes over all open steps. A step
+/// without quota is not checked.
+const MAX_CHECK_GAP_MS: Millis = 2 * MAX_INTERVAL_MS;
 
 impl RoomWait {
     /// Returns whether the step's room is to be checked again.
--- a/crates/chervilfall_planner/tests/pass_work.rs
+++ b/crates/chervilfall_planner/tests/pass_work.rs
@@ -2,10 +2,10 @@
 
 mod world;
 
-use chervilfall_planner::{JobId, JobSpec, PassWork, Queue, Request, Step};
+use chervilfall_planner::{Backlog, JobId, JobSpec, PassWork, Queue, Request, Step};
 use world::{step, World};
 
-const ENDPOINTS: usize = 120;
+const ENDPOINTS: u32 = 120;
 const NODES: u32 = 40;
 /// Steps that wait in the smaller and in the larger backlog.
 const FEW: u64 = 250;
@@ -60,10 +60,16 @@
     });
 }
 
+fn backlog(world: &World) -> Backlog {
+    let holder = world.holder().expect("a holder");
+    let planner = world.nodes[holder].planner.as_ref();
+    planner.expect("a planner").backlog()
+}
+
 /// Returns a world with a full service and this many steps that wait.
 fn with_backlog(case: &Case, waiting: u64) -> World {
     let nodes = if case.behind_barrier { 2 } else { 1 };
-    let mut world = World::new(nodes, ENDPOINTS, 5);
+    let mut world = World::new(nodes, ENDPOINTS as usize, 5);
     world.limits.policies.admission_forecast = false;
     world.advisors = NODES;
     world.advice_timed = true;
@@ -78,7 +84,7 @@
     for id in 0..u64::from(4 - case.free_cores) {
         let spread = Step {
             max_per_endpoint: 1,
-            ..step(ENDPOINTS as u32, LONG_MS)
+            ..step(ENDPOINTS, LONG_MS)
         };
         submit(&mut world, 100_000 + id, &queue, spread);
     }
@@ -98,6 +104,8 @@
         }
     }
     world.run(2_000);
+    // All steps have asked about all endpoints then.
+    world.run_until(30_000, |world| backlog(world).advice_calls == 0);
     if case.behind_barrier {
         let lost = world.endpoints.values_mut().next().expect("an endpoint");
         lost.dead = true;
@@ -109,13 +117,11 @@
         });
         world.run(1_000);
     }
-    let holder = world.holder().expect("a holder");
-    let planner = world.nodes[holder].planner.as_mut().expect("a planner");
+    let open_steps = backlog(&world).open_steps as u64;
     assert!(
-        planner.backlog().open_steps as u64 >= waiting,
-        "{}: {} steps wait",
-        case.name,
-        planner.backlog().open_steps
+        open_steps >= waiting,
+        "{}: {open_steps} steps wait",
+        case.name
     );
     world
 }
@@ -142,7 +148,7 @@
     let cases = [
         FULL,
         Case {
-            name: "no node can call for advice",
+            name: "no endpoint has room, with advice",
             advice: true,
             ..FULL
         },
