Send commits on a thread of their own

Cause: each commit renews the claim, and was sent by the thread of all other traffic. On a busy node it waited there: 0.3 to 1.1 s in the seconds before each takeover, which is nearly all of the gap between two commits (commit_wait_ms beside longest_commit_gap_ms). Others claim the group after 1.2 s. The takeover costs the next holder more than the load did, and starts the barrier before inherited work anew. Class: an overload that delays what would end it; no priority for what keeps the group alive.

Ruled out: a slow store.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::{now_ms, unix_ms};
+use crate::commit_thread::CommitRuntime;
 use crate::configuration::ConfigurationState;
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
@@ -95,6 +96,7 @@
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) sender: mpsc::Sender<ControlEvent>,
     pub(crate) traffic: Handle,
+    pub(crate) commits: CommitRuntime,
     planner: Option<Planner>,
     /// Decides about handovers while this node holds the group.
     handover: Option<HandoverPolicy>,
@@ -127,6 +129,7 @@
         leadership: Arc<LeadershipState>,
         sender: mpsc::Sender<ControlEvent>,
         traffic: Handle,
+        commits: CommitRuntime,
     ) -> Self {
         let relay_use = RelayUse::new(limits.policies.endpoint_relays, size_permille);
         Self {
@@ -140,6 +143,7 @@
             leadership,
             sender,
             traffic,
+            commits,
             planner: None,
             handover: None,
             unstored: Vec::new(),
--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -70,20 +70,27 @@
         });
     }
 
+    /// Sends a commit on the thread for commits, and feeds its outcome to the planner of the term.
     fn commit(&self, term: u64, batch: Batch) {
         let (store, group) = (self.platform.store().clone(), self.group.clone());
         let (number, copy) = (batch.number, batch.copy);
         let (sender, ordered) = (self.sender.clone(), Instant::now());
-        self.spawn_order(term, async move {
+        self.commits.spawn(async move {
             let waited = ordered.elapsed();
             // If the queue is full, its load shows that events wait.
             drop(sender.try_send(ControlEvent::CommitSent { waited }));
             let outcome = store.commit(&group, batch).await;
-            Event::Committed {
+            let event = Event::Committed {
                 number,
                 copy,
                 outcome,
-            }
+            };
+            // The control thread runs until the process ends, so the send does not fail.
+            drop(
+                sender
+                    .send(ControlEvent::ActionCompleted { term, event })
+                    .await,
+            );
         });
     }
 
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -5,6 +5,7 @@
 //! nothing. The platform is accessed through the traits in [`ports`].
 
 mod clock;
+mod commit_thread;
 mod configuration;
 mod control;
 mod front;
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 
+use crate::commit_thread::CommitThread;
 use crate::configuration::ConfigurationState;
 use crate::control::{Control, ControlEvent};
 use crate::front::{Front, Revocation};
@@ -38,6 +39,9 @@
     /// The control thread cannot start.
     #[error(transparent)]
     Control(#[from] ControlThreadError),
+    /// The thread for commits cannot start.
+    #[error("can't start the thread for commits: {0}")]
+    Commits(std::io::Error),
     /// Signal handlers cannot be installed.
     #[error("can't install signal handlers: {0}")]
     Signals(std::io::Error),
@@ -50,6 +54,7 @@
     control: mpsc::Sender<ControlEvent>,
     settings: Arc<Settings>,
     _thread: ControlThread,
+    _commits: CommitThread,
 }
 
 impl Node {
@@ -57,7 +62,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the link address is in use or the control thread can't start.
+    /// Returns an error if the link address is in use or a thread can't start.
     pub async fn open<P: Platform>(settings: Settings, platform: P) -> Result<Self, NodeError> {
         let address = settings.link_listen;
         let listener = TcpListener::bind(address)
@@ -96,6 +101,7 @@
             policies: settings.policies,
             ..Limits::default()
         };
+        let commits = CommitThread::spawn().map_err(NodeError::Commits)?;
         let control_loop = Control::new(
             platform.clone(),
             GROUP.to_owned(),
@@ -108,6 +114,7 @@
             Arc::clone(&leadership),
             control.clone(),
             Handle::current(),
+            commits.runtime(),
         );
         let thread = ControlThread::spawn(receiver, timings.tick_ms, control_loop)?;
         tokio::spawn(accept_links(
@@ -136,6 +143,7 @@
             front: Arc::clone(&front),
             leadership,
             control: control.clone(),
+            commits: commits.runtime(),
             retained: None,
         };
         tokio::spawn(claim.run());
@@ -144,6 +152,7 @@
             control,
             settings,
             _thread: thread,
+            _commits: commits,
         })
     }
 
--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -157,7 +157,8 @@
     /// Changes made in this time before a query of changes began may be missing from its answer.
     const CHANGES_LAG_MS: Millis;
 
-    /// Writes a batch to a group's tables if the claim row has the expected version.
+    /// Writes a batch to a group's tables if the claim row has the expected version. Commits are made on
+    /// a runtime of their own, which makes no other calls.
     fn commit(&self, group: &str, batch: Batch) -> impl Future<Output = CommitOutcome> + Send;
 
     /// Reads at most `most` rows of a group's table: those after a key, or the first ones.
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::now_ms;
+use crate::commit_thread::CommitRuntime;
 use crate::control::ControlEvent;
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState};
@@ -84,6 +85,7 @@
     pub(crate) front: Arc<Front>,
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) control: mpsc::Sender<ControlEvent>,
+    pub(crate) commits: CommitRuntime,
     /// Rows that were read under a claim which was handed back.
     pub(crate) retained: Option<RetainedRows>,
 }
@@ -294,12 +296,11 @@
     /// on a connection that has gone silent permanently. Whichever copy arrives first, the other
     /// finds that the claim row has changed.
     async fn commit_claim(&self, batch: Batch) -> CommitOutcome {
-        let store = self.platform.store();
         let again = batch.clone();
-        let first = store.commit(&self.group, batch);
+        let first = self.commit(batch);
         let second = async {
             tokio::time::sleep(Duration::from_millis(HEDGE_DELAY_MS)).await;
-            store.commit(&self.group, again).await
+            self.commit(again).await
         };
         tokio::pin!(first);
         tokio::pin!(second);
@@ -312,6 +313,13 @@
         }
     }
 
+    /// Sends a commit on the thread for commits.
+    pub(super) async fn commit(&self, batch: Batch) -> CommitOutcome {
+        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        let commit = async move { store.commit(&group, batch).await };
+        self.commits.run(commit).await
+    }
+
     fn follow(&self, connection: &mut Option<HolderConnection>, holder: HolderRow) {
         let same = connection.as_ref().is_some_and(|connection| {
             connection.row.incarnation == holder.incarnation && connection.row.term == holder.term
--- a/crates/chervilfall_node/src/watch/takeover.rs
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -148,15 +148,13 @@
 
     async fn hand_back(&self, candidate: &mut Candidate, takeover: &mut Takeover) {
         candidate.back_off(now_ms());
-        let batch = takeover.release();
-        let outcome = self.platform.store().commit(&self.group, batch).await;
+        let outcome = self.commit(takeover.release()).await;
         // Without an answer the claim lapses by its stall timeout.
         log::info!(term = takeover.row.term, outcome = outcome.label(); "claim handed back");
     }
 
     async fn renew(&self, takeover: &mut Takeover) -> RenewalOutcome {
-        let batch = takeover.renewal();
-        let outcome = self.platform.store().commit(&self.group, batch).await;
+        let outcome = self.commit(takeover.renewal()).await;
         takeover.record_renewal(&outcome)
     }
 
