Clear no more than 8 KiB before each read of a link

Cause: the library clears its whole read buffer before each read, 128 KiB by default, twice for each message. Memory: one such buffer a link.

--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -12,11 +12,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
+use tokio_tungstenite::client_async_with_config;
 
 use crate::clock::now_ms;
 use crate::front::Front;
 use crate::leadership::{HolderHealth, Leadership, LeadershipState, PendingRequest};
-use crate::link::frames::{read, write, LinkEnd, QUEUE_CAPACITY};
+use crate::link::frames::{read, socket_config, write, LinkEnd, QUEUE_CAPACITY};
 use crate::link::message::{ConfigurationPiece, ToFollower, ToHolder};
 use crate::link::pieces::Pieces;
 use crate::link::relay::{send_answers, Relay};
@@ -186,7 +187,7 @@
         .set_nodelay(true)
         .map_err(|error| DialError::Failed(error.to_string()))?;
     let url = format!("ws://{address}/link");
-    let (socket, _) = tokio_tungstenite::client_async(url, stream)
+    let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
         .await
         .map_err(|error| DialError::Failed(error.to_string()))?;
     Ok(socket)
--- a/crates/chervilfall_node/src/link/frames.rs
+++ b/crates/chervilfall_node/src/link/frames.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::WebSocketStream;
 
@@ -18,6 +19,15 @@
 /// Capacity of a link's send queue; a link whose peer is this far behind is given up.
 pub(super) const QUEUE_CAPACITY: usize = 4_096;
 
+/// Size of a link's read buffer, in bytes. The library clears as much before each read, and most
+/// messages are far smaller.
+const READ_BUFFER_BYTES: usize = 8_192;
+
+/// Returns the settings of a link's socket.
+pub(super) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
+}
+
 /// Why a link has ended.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum LinkEnd {
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -9,10 +9,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tokio_tungstenite::accept_async_with_config;
 
 use crate::clock::now_ms;
 use crate::control::ControlEvent;
-use crate::link::frames::{read, write, LinkEnd, QUEUE_CAPACITY};
+use crate::link::frames::{read, socket_config, write, LinkEnd, QUEUE_CAPACITY};
 use crate::link::message::{ToFollower, ToHolder};
 use crate::link::teller::{ConfigurationSource, Teller, Wanted};
 use crate::settings::Timings;
@@ -73,7 +74,8 @@
     stream
         .set_nodelay(true)
         .map_err(|error| broken(error.to_string()))?;
-    let accepted = timeout(silence, tokio_tungstenite::accept_async(stream)).await;
+    let accept = accept_async_with_config(stream, Some(socket_config()));
+    let accepted = timeout(silence, accept).await;
     let socket = accepted
         .map_err(|_| LinkEnd::Silent)?
         .map_err(|error| broken(error.to_string()))?;
