Skip a step early that has no tickets and no node to ask

Cause: a step that could do nothing was still judged as far as its room, and in an overload most steps are of that kind. Change: it is skipped before its request is built; full passes are bounded to 4,000 visits a second.

--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -249,6 +249,17 @@
             self.note_wait(key, WaitCause::Text);
             return;
         }
+        // Most steps of a large backlog wait for a node to call for advice.
+        let lacks_ticket = advice.is_some() && !progress.advice.any_ticket(self.now);
+        let call_possible = advice.is_some_and(|timings| pass.call_possible(timings.is_slow()));
+        if lacks_ticket && !call_possible {
+            if progress.advice.calls_in_flight() < max_calls_in_flight(step) {
+                self.changed.note_caller(key);
+            }
+            self.claim_capacity(pass, key, startable);
+            self.note_unplaced(key, false);
+            return;
+        }
         let Some(mut request) = StepRequest::of(job, key) else {
             return;
         };
@@ -261,7 +272,6 @@
             return;
         };
         let placeable = advice.is_none() || progress.advice.any_ticket(self.now);
-        let call_possible = advice.is_some_and(|timings| pass.call_possible(timings.is_slow()));
         let limits_for_advice = AppliedLimits::for_advice(passed_over_ms);
         let leaves_nodes =
             pass.node_wanted && self.open.is_overdue(key) && limits_for_advice.include_soft();
--- a/crates/chervilfall_planner/src/policy/pass_interval.rs
+++ b/crates/chervilfall_planner/src/policy/pass_interval.rs
@@ -10,11 +10,12 @@
 /// Interval with few open steps. Passes for each change would visit the same steps several times
 /// before anything can have changed for them.
 const MIN_INTERVAL_MS: Millis = 30;
-/// Longest interval. A ticket is valid for a second or so, and is to be used once capacity is free.
-pub(crate) const MAX_INTERVAL_MS: Millis = 400;
+/// Longest interval. A step that has room is to start within 3 s, and some limits give way only after
+/// 1.5 s.
+pub(crate) const MAX_INTERVAL_MS: Millis = 500;
 /// Visits in a second, apart from those of the steps of best rank. At some microseconds each they take
-/// a twentieth of half a core.
-const VISITS_PER_S: u64 = 6_000;
+/// a small part of half a core.
+const VISITS_PER_S: u64 = 4_000;
 
 /// Returns the interval between visits of all of this many open steps.
 #[must_use]
