Count waiting jobs less often in a large group

Cause: each question for the number of waiting jobs visited all jobs of the group. Change: the numbers of all queues are counted together, at most once a millisecond for each 40 jobs; in a small group each answer is exact as before. By itself it was not measured.

--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -39,6 +39,7 @@
 mod suspects;
 mod unsaved;
 mod waiting;
+mod waiting_counts;
 mod work;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -85,6 +86,7 @@
 use stopping::Stopping;
 use unsaved::UnsavedChanges;
 use waiting::WaitingSteps;
+use waiting_counts::WaitingCounts;
 pub use work::PassWork;
 use work::WorkCounters;
 
@@ -188,6 +190,7 @@
     last_full_pass_ms: Millis,
     changed: ChangedSteps,
     waiting: WaitingSteps,
+    waiting_counts: WaitingCounts,
     standing: StandingSteps,
     skipped_passes: SkippedPasses,
     work: WorkCounters,
@@ -257,6 +260,7 @@
             last_full_pass_ms: 0,
             changed: ChangedSteps::default(),
             waiting: WaitingSteps::default(),
+            waiting_counts: WaitingCounts::default(),
             standing: StandingSteps::default(),
             skipped_passes: SkippedPasses::default(),
             work: WorkCounters::default(),
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -485,10 +485,7 @@
     }
 
     fn answer_waiting_count(&mut self, to: ReplyTo, queue: &str) {
-        let waiting = self.jobs.values().filter(|job| {
-            job.stored && job.outcome.is_none() && !job.started && job.queue.name == queue
-        });
-        let answer = Answer::Waiting(waiting.count() as u64);
+        let answer = Answer::Waiting(self.waiting_jobs(queue));
         self.reply(to, answer);
     }
 }
