Call endpoints through followers from one endpoint a thousandth of a core on

Callers saw next to nothing served when each node was twice as slow: the holder kept the group, but its holds came late, endpoints counted as silent, leases lapsed, and sound runs were given up and started again (RECOVER, SHORT).

Cause: the holder counted on one call a second for each endpoint, and so called 540 endpoints itself on half a core. Its holds alone are 1.4 calls a second for each, and where tasks last a second or two there are four with their starts, at a quarter of a millisecond each: more than the whole processor. Class: a limit from an estimate that the figures beside it contradict. Larger constants would hide it; this one is smaller, and halves the calls that a holder of any size makes itself.

Change: followers in the endpoints' failure domains make the calls from one endpoint a thousandth of a core on, 500 on half a core. The table of the test states the new limits, as strictly as the old.

--- a/crates/chervilfall_planner/src/policy/relays.rs
+++ b/crates/chervilfall_planner/src/policy/relays.rs
@@ -10,10 +10,10 @@
 use crate::event::NodeId;
 use crate::ids::{EndpointId, Millis};
 
-/// Endpoints that a holder calls itself for each thousandth of a core of its size. Holds and starts
-/// of an endpoint take about a quarter of a thousandth of a core, so that half of the processor is
-/// left for planning.
-const ENDPOINTS_PER_PERMILLE: u64 = 2;
+/// Endpoints that a holder calls itself for each thousandth of a core of its size. A hold each 0.7 s and
+/// some starts, at a quarter of a millisecond each, take about half a thousandth of a core, so that half
+/// of the processor is left for planning.
+const ENDPOINTS_PER_PERMILLE: u64 = 1;
 /// The holder stops using relays below this share of the number from which it uses them, in tenths,
 /// so that an endpoint that comes and goes does not move all calls.
 const RESUME_TENTHS: u64 = 9;
--- a/crates/chervilfall_planner/tests/relays.rs
+++ b/crates/chervilfall_planner/tests/relays.rs
@@ -6,8 +6,9 @@
     CallPath, EndpointId, NodeId, RelayCandidate, RelayChoice, RelayHealth, RelayUse,
 };
 
-/// Guards against relays in a fleet that the holder carries itself, and against calls that move with
-/// each endpoint that comes or goes.
+/// Guards against relays in a fleet that the holder carries itself, against a holder whose calls to
+/// endpoints leave it no time for its claim (RECOVER), and against calls that move with each endpoint that
+/// comes or goes.
 #[test]
 fn relays_are_used_beyond_what_the_size_carries() {
     struct Case {
@@ -24,18 +25,18 @@
             size_permille: 500,
             steps: &[
                 (350, false),
-                (1_000, false),
-                (1_001, true),
-                (900, true),
-                (899, false),
-                (1_000, false),
+                (500, false),
+                (501, true),
+                (450, true),
+                (449, false),
+                (500, false),
             ],
         },
         Case {
             name: "0.12 cores",
             enabled: true,
             size_permille: 120,
-            steps: &[(240, false), (241, true), (216, true), (215, false)],
+            steps: &[(120, false), (121, true), (108, true), (107, false)],
         },
         Case {
             name: "no limit",
