Visit neither all open steps when a job ends nor all pairs of nodes when a link changes

The same cause elsewhere, found by reading: the end of a job looked through all open steps, and each link that came or went compared every node with every other one, just when links of many nodes break and return. Not measured by itself.

--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -40,11 +40,12 @@
 impl Planner {
     pub(super) fn set_nodes(&mut self, nodes: Vec<NodeId>) {
         self.node_health.set_nodes(&nodes);
+        let linked: BTreeSet<NodeId> = nodes.iter().copied().collect();
         self.nodes = nodes;
         let lost: Vec<u64> = self
             .advice_calls
             .iter()
-            .filter(|(_, call)| !self.nodes.contains(&call.node))
+            .filter(|(_, call)| !linked.contains(&call.node))
             .map(|(number, _)| *number)
             .collect();
         for number in lost {
--- a/crates/chervilfall_planner/src/planner/open.rs
+++ b/crates/chervilfall_planner/src/planner/open.rs
@@ -33,12 +33,13 @@
     }
 
     pub(crate) fn remove_job(&mut self, job: JobId) {
-        let keys: Vec<StepKey> = self
-            .ranks
-            .keys()
-            .filter(|key| key.job == job)
-            .copied()
-            .collect();
+        let from = StepKey {
+            job,
+            occurrence: 0,
+            step: 0,
+        };
+        let keys = self.ranks.range(from..).map(|(key, _)| *key);
+        let keys: Vec<StepKey> = keys.take_while(|key| key.job == job).collect();
         for key in keys {
             self.remove(key);
         }
--- a/crates/chervilfall_planner/src/policy/advice_nodes.rs
+++ b/crates/chervilfall_planner/src/policy/advice_nodes.rs
@@ -2,7 +2,7 @@
 //!
 //! A node whose calls fail at once is idle first, so it would be chosen for the next call as well.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::event::NodeId;
 use crate::ids::Millis;
@@ -49,7 +49,8 @@
 impl NodeHealth {
     /// Sets the nodes that can make calls. Others are forgotten.
     pub fn set_nodes(&mut self, nodes: &[NodeId]) {
-        self.nodes.retain(|node, _| nodes.contains(node));
+        let linked: BTreeSet<NodeId> = nodes.iter().copied().collect();
+        self.nodes.retain(|node, _| linked.contains(node));
         for node in nodes {
             self.nodes.entry(*node).or_default();
         }
