Refuse new jobs while the holder is behind with its calls

Callers of an overloaded holder had their jobs accepted and never started, or got no answer, while leases lapsed before they were renewed (SHORT, LOST).

Cause: nothing that is accepted goes by how late the holder itself is. Change: a task that does nothing measures, ten times a second, how late the thread for traffic runs. Once it has been late by half of the time after which endpoints count as silent for 0.3 s, new jobs are refused at once, with a time to come back that is as long as the holder has been behind; also those that come back as told, since nothing else relieves it. Jobs that are known are answered as before.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -4,6 +4,7 @@
 mod actions;
 mod orders;
 mod relays;
+mod traffic_lag;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 use crate::ports::Platform;
 
 use relays::Relays;
+use traffic_lag::TrafficLag;
 
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
@@ -78,6 +80,8 @@
     Release,
     /// Shows by its age how long events wait in the queue.
     Probe(Instant),
+    /// A task of the thread for traffic that does nothing has run then.
+    TrafficProbe(Instant),
     /// A commit has waited for the thread that sends it.
     CommitSent { waited: Duration },
 }
@@ -113,6 +117,7 @@
     next_request: u64,
     heartbeat_due_ms: u64,
     load: ControlLoad,
+    traffic_lag: TrafficLag,
 }
 
 impl<P: Platform> Control<P> {
@@ -156,6 +161,7 @@
             next_request: 0,
             heartbeat_due_ms: 0,
             load: ControlLoad::new(Instant::now()),
+            traffic_lag: TrafficLag::default(),
         }
     }
 
@@ -364,6 +370,7 @@
             return;
         }
         self.heartbeat_due_ms = now + self.heartbeat_ms;
+        self.measure_traffic_lag();
         self.hand_over_if_due();
         self.update_relays();
         // A full queue shows in the status even without a probe.
@@ -390,6 +397,7 @@
         let began = Instant::now();
         self.update_planner_configuration();
         self.end_overdue_orders();
+        self.report_traffic_lag();
         self.feed(Event::Tick { unix_ms: unix_ms() });
         self.send_unstored_starts();
         self.send_heartbeats();
@@ -466,6 +474,7 @@
                 }
             }
             ControlEvent::Probe(sent) => self.load.record_queue_age(sent.elapsed()),
+            ControlEvent::TrafficProbe(ran) => self.traffic_lag.record(ran),
             ControlEvent::CommitSent { waited } => self.load.record_commit_wait(waited),
         }
     }
@@ -482,6 +491,7 @@
             return;
         };
         let backlog = planner.backlog();
+        let traffic_lag_ms = self.traffic_lag.take_max_ms(Instant::now());
         let work = planner.take_work();
         log::info!(
             term = planner.term(), busy_percent = status.busy_percent, events = status.events,
@@ -497,7 +507,7 @@
             links_ms = status.kind_ms(WorkKind::Links),
             lists_ms = status.kind_ms(WorkKind::Lists),
             ticks_ms = status.kind_ms(WorkKind::Ticks),
-            commit_wait_ms = status.max_commit_wait_ms, passes = work.passes,
+            traffic_lag_ms = traffic_lag_ms, commit_wait_ms = status.max_commit_wait_ms, passes = work.passes,
             steps_visited = work.steps_visited, endpoints_judged = work.endpoints_judged,
             nodes_searched = work.nodes_searched, longest_commit_gap_ms = work.longest_commit_gap_ms;
             "control thread load"
--- a/crates/chervilfall_node/src/load.rs
+++ b/crates/chervilfall_node/src/load.rs
@@ -48,7 +48,8 @@
             | ControlEvent::LinkDown { .. }
             | ControlEvent::UnstoredStarts(_)
             | ControlEvent::Release
-            | ControlEvent::Probe(_) => Self::Links,
+            | ControlEvent::Probe(_)
+            | ControlEvent::TrafficProbe(_) => Self::Links,
             ControlEvent::Endpoints { .. }
             | ControlEvent::Claimed { .. }
             | ControlEvent::Recovering(_) => Self::Lists,
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -67,6 +67,7 @@
 pub use policy::naming::{NamingCandidate, NamingOrder, NamingRank};
 pub use policy::node_size::NodeResources;
 pub use policy::overdue::{has_worth, Claims};
+pub use policy::overload::Overload;
 pub use policy::pass_interval::full_pass_interval_ms;
 pub use policy::quota_bound::{acceptable_after_ms, Work};
 pub use policy::relays::{CallPath, RelayCandidate, RelayChoice, RelayHealth, RelayUse};
--- a/crates/chervilfall_planner/src/planner/admission.rs
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -268,9 +268,9 @@
         self.admission.refusals.remember(id, self.now, retry_ms)
     }
 
-    /// Returns when the caller of a job that its account's share refuses should retry. It is not
-    /// remembered, because the share may refuse the job again.
-    pub(super) fn spread_share_retry_ms(&self, job: &Job, passes_ms: Millis) -> Millis {
+    /// Returns when the caller of a job should retry that its account's share or an overload of this
+    /// node refuses. It is not remembered, because the job may be refused again.
+    pub(super) fn spread_unremembered_retry_ms(&self, job: &Job, passes_ms: Millis) -> Millis {
         if self.limits.policies.spread_retries {
             retry_ms(passes_ms, job.id, job.queue.priority)
         } else {
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -58,6 +58,7 @@
 use crate::policy::advice_nodes::NodeHealth;
 use crate::policy::advice_size::GrantShare;
 use crate::policy::headroom::Headroom;
+use crate::policy::overload::Overload;
 use crate::policy::stall_timeout::CommitGaps;
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::starts::{latest, StartNote, StartRing, StartsRow};
@@ -194,6 +195,7 @@
     standing: StandingSteps,
     skipped_passes: SkippedPasses,
     work: WorkCounters,
+    overload: Overload,
     releasing: bool,
     stepped_down: bool,
     actions: Vec<Action>,
@@ -264,6 +266,7 @@
             standing: StandingSteps::default(),
             skipped_passes: SkippedPasses::default(),
             work: WorkCounters::default(),
+            overload: Overload::default(),
             releasing: false,
             stepped_down: false,
             actions: Vec::new(),
@@ -460,6 +463,12 @@
         self.holder.wanted_permille = linked_permille.max(inherited);
     }
 
+    /// Records how late this node makes its calls.
+    pub fn record_lag(&mut self, lag_ms: Millis) {
+        let max_lag_ms = self.limits.hold_answer_ms;
+        self.overload.record(self.now, lag_ms, max_lag_ms);
+    }
+
     /// Returns whether the group is being released.
     #[must_use]
     pub const fn is_releasing(&self) -> bool {
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -12,7 +12,7 @@
 use crate::job::JobSpec;
 use crate::metrics;
 use crate::planner::Planner;
-use crate::policy::admission::ForecastRefusal;
+use crate::policy::admission::{ForecastRefusal, RefusalCause};
 use crate::policy::share::ShareAdmission;
 use crate::record::{encode, JobRow};
 use crate::tasks::{Job, TaskState};
@@ -45,6 +45,9 @@
 /// Log line of a refusal that a forecast decides.
 const FORECAST_EVENT: &str = "refused by forecast";
 
+/// Log line of a refusal because this node is behind.
+const OVERLOAD_EVENT: &str = "refused, the holder is behind";
+
 /// Log line of a refusal because accepted work uses the account's quota up.
 const QUOTA_EVENT: &str = "refused, the account's quota does not allow it in time";
 
@@ -156,6 +159,9 @@
     /// The answer to its caller if it is not.
     fn admit(&mut self, submission: Submission) -> Result<Job, Answer> {
         let mut job = self.new_job(submission)?;
+        if let Some(answer) = self.refuse_by_overload(&job) {
+            return Err(answer);
+        }
         let refusal = self.check_submission(&mut job);
         if self.unsaved.new_jobs.len() >= self.limits.accept_queue {
             let refusal = self.store_refusal(self.rows_ahead(&job));
@@ -180,6 +186,19 @@
         Ok(job)
     }
 
+    /// Refuses a job if this node is behind, also one that retries as told: nothing else relieves it.
+    fn refuse_by_overload(&self, job: &Job) -> Option<Answer> {
+        let passes_ms = self.overload.retry_ms(self.now)?;
+        let retry_ms = self.spread_unremembered_retry_ms(job, passes_ms);
+        self.record_refusal(
+            job,
+            RefusalCause::Overload.label(),
+            retry_ms,
+            OVERLOAD_EVENT,
+        );
+        Some(Answer::Refused { retry_ms })
+    }
+
     /// Returns the job of a submission.
     ///
     /// # Errors
@@ -226,7 +245,7 @@
         let ShareAdmission::Refused { retry_ms } = admission else {
             return Ok(());
         };
-        let retry_ms = self.spread_share_retry_ms(job, retry_ms);
+        let retry_ms = self.spread_unremembered_retry_ms(job, retry_ms);
         let event = "refused, the account exceeds its share";
         self.record_refusal(job, "share", retry_ms, event);
         Err(Answer::OverShare { retry_ms })
--- a/crates/chervilfall_planner/src/policy/admission.rs
+++ b/crates/chervilfall_planner/src/policy/admission.rs
@@ -172,6 +172,8 @@
     Starts,
     /// Too much work of its account waits for the account's quota.
     Quota,
+    /// The holder is behind with its calls.
+    Overload,
 }
 
 impl RefusalCause {
@@ -180,6 +182,7 @@
             Self::Store => "store",
             Self::Starts => "starts",
             Self::Quota => "quota",
+            Self::Overload => "overload",
         }
     }
 }
--- a/crates/chervilfall_planner/src/policy/mod.rs
+++ b/crates/chervilfall_planner/src/policy/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod node_size;
 pub(crate) mod order;
 pub(crate) mod overdue;
+pub(crate) mod overload;
 pub(crate) mod pass_interval;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
