--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -26,6 +26,7 @@
 mod open;
 mod orders;
 mod overdue;
+mod preconditions;
 mod quota_bounds;
 mod quota_reservations;
 mod requests;
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -41,7 +41,7 @@
     /// Headroom that latency-tolerant work leaves free, by service.
     pub(super) headroom_slots: BTreeMap<String, HeadroomSlots>,
     /// Quotas that better-ranked steps wait for.
-    quota_reservations: QuotaReservations,
+    pub(super) quota_reservations: QuotaReservations,
     /// Whether a node can make a fast call for advice.
     fast_call_possible: bool,
     /// Whether a node can make a slow call for advice.
@@ -222,44 +222,18 @@
             }
             return;
         }
-        let advice = job.queue.advice;
         let min_startable = if step.gang { progress.waiting() } else { 1 };
-        // A step that its account's quota keeps from starting requests no advice, so that it does
-        // not delay others.
-        let within_quota = self.tasks_within_quota(key);
-        if within_quota < min_startable {
-            self.reserve_quota(&mut pass.quota_reservations, key, min_startable);
-            self.note_wait(key, WaitCause::Quota);
-            return;
-        }
-        let reservations = &mut pass.quota_reservations;
-        let startable = self.tasks_beside_reservation(reservations, key, within_quota);
-        if startable < min_startable {
-            self.note_wait(key, WaitCause::Reservation);
+        let Some(startable) = self.startable_within_quota(pass, key, min_startable) else {
             return;
-        }
-        // Tickets would expire before the barrier falls.
-        if job.inherited && self.barrier.is_some() {
-            self.claim_capacity(pass, key, startable);
-            self.note_wait(key, WaitCause::Barrier);
+        };
+        if self.waits_for_others(pass, key, startable) {
             return;
         }
-        if job.text.is_none() {
-            self.request_text(key.job);
-            self.note_wait(key, WaitCause::Text);
+        let Some(job) = self.jobs.get(&key.job) else {
             return;
-        }
-        // Most steps of a large backlog wait for a node to call for advice.
-        let lacks_ticket = advice.is_some() && !progress.advice.any_ticket(self.now);
+        };
+        let advice = job.queue.advice;
         let call_possible = advice.is_some_and(|timings| pass.call_possible(timings.is_slow()));
-        if lacks_ticket && !call_possible {
-            if progress.advice.calls_in_flight() < max_calls_in_flight(step) {
-                self.changed.note_caller(key);
-            }
-            self.claim_capacity(pass, key, startable);
-            self.note_unplaced(key, false);
-            return;
-        }
         let Some(mut request) = StepRequest::of(job, key) else {
             return;
         };
