--- a/crates/chervilfall_planner/tests/pass_work.rs
+++ b/crates/chervilfall_planner/tests/pass_work.rs
@@ -14,6 +14,10 @@
 const MAX_GROWTH: u64 = 2;
 /// Work that does not end within a test, in milliseconds.
 const LONG_MS: u64 = 600_000;
+/// Time in which all steps ask about all endpoints, in milliseconds.
+const MAX_ASKING_MS: u64 = 60_000;
+/// Time without a call after which no step has anything to ask, in milliseconds.
+const QUIET_MS: u64 = 1_000;
 /// Time over which work is counted, in milliseconds.
 const COUNTED_MS: u64 = 1_000;
 
@@ -66,6 +70,19 @@
     planner.expect("a planner").backlog()
 }
 
+/// Advances the simulation until no step has anything to ask: no call is in flight for longer than full
+/// passes are apart.
+fn run_until_all_have_asked(world: &mut World) {
+    let end = world.now + MAX_ASKING_MS;
+    let mut quiet_ms = 0;
+    while quiet_ms < QUIET_MS {
+        assert!(world.now < end, "steps still ask");
+        world.run(5);
+        let calls = backlog(world).advice_calls;
+        quiet_ms = if calls == 0 { quiet_ms + 5 } else { 0 };
+    }
+}
+
 /// Returns a world with a full service and this many steps that wait.
 fn with_backlog(case: &Case, waiting: u64) -> World {
     let nodes = if case.behind_barrier { 2 } else { 1 };
@@ -104,8 +121,7 @@
         }
     }
     world.run(2_000);
-    // All steps have asked about all endpoints then.
-    world.run_until(30_000, |world| backlog(world).advice_calls == 0);
+    run_until_all_have_asked(&mut world);
     if case.behind_barrier {
         let lost = world.endpoints.values_mut().next().expect("an endpoint");
         lost.dead = true;
