--- a/crates/chervilfall_planner/src/planner/preconditions.rs
+++ b/crates/chervilfall_planner/src/planner/preconditions.rs
@@ -42,7 +42,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return true;
         };
-        // Tickets would expire before the barrier falls.
+        // Tickets would expire before the barrier is removed.
         if job.inherited && self.barrier.is_some() {
             self.claim_capacity(pass, key, startable);
             self.note_wait(key, WaitCause::Barrier);
--- a/crates/chervilfall_planner/src/policy/overload.rs
+++ b/crates/chervilfall_planner/src/policy/overload.rs
@@ -9,6 +9,8 @@
 
 /// How long the holder must have been behind without interruption.
 const MIN_BEHIND_MS: Millis = 300;
+/// Part of the lag from which endpoints count as silent that the holder may have, as a divisor.
+const LAG_DIVISOR: Millis = 2;
 /// Shortest time after which a refused caller tries again.
 const MIN_RETRY_MS: Millis = 500;
 
@@ -24,7 +26,7 @@
     /// `max_lag_ms`.
     pub fn record(&mut self, now: Millis, lag_ms: Millis, max_lag_ms: Millis) {
         self.lag_ms = lag_ms;
-        if lag_ms * 2 < max_lag_ms {
+        if lag_ms < max_lag_ms / LAG_DIVISOR {
             self.behind_since_ms = None;
         } else {
             self.behind_since_ms.get_or_insert(now);
