--- a/crates/chervilfall_planner/src/planner/preconditions.rs
+++ b/crates/chervilfall_planner/src/planner/preconditions.rs
@@ -62,7 +62,7 @@
         let step = job.spec.steps.get(key.step as usize);
         let max_calls = step.map_or(0, max_calls_in_flight);
         if progress.advice.calls_in_flight() < max_calls {
-            self.changed.note_caller(key);
+            self.note_caller(pass, key);
         }
         self.claim_capacity(pass, key, startable);
         self.note_unplaced(key, false);
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -32,6 +32,8 @@
 
 /// Values shared by all steps of a pass.
 pub(super) struct Pass {
+    /// It visits all open steps, in order of rank.
+    pub(super) full: bool,
     /// Endpoints that accept work, by service.
     pub(super) pools: BTreeMap<String, Vec<EndpointKey>>,
     /// The same without regard to soft limits.
@@ -129,9 +131,9 @@
             return;
         }
         self.work.add(|work| work.passes += 1);
-        let mut pass = self.begin_pass();
         let since_full_ms = self.now.saturating_sub(self.last_full_pass_ms);
         let full = since_full_ms >= full_pass_interval_ms(self.open.len());
+        let mut pass = self.begin_pass(full);
         let keys = if full {
             self.last_full_pass_ms = self.now;
             self.changed.begin_full_pass();
@@ -152,7 +154,7 @@
         }
     }
 
-    fn begin_pass(&mut self) -> Pass {
+    fn begin_pass(&mut self, full: bool) -> Pass {
         let mut pools = BTreeMap::new();
         let mut pools_within_hard_limits = BTreeMap::new();
         let mut free = BTreeMap::new();
@@ -170,6 +172,7 @@
         }
         let headroom_slots = self.headroom_slots(&pools);
         Pass {
+            full,
             pools,
             pools_within_hard_limits,
             free,
@@ -252,7 +255,7 @@
         let may_call = progress.advice.calls_in_flight() < max_calls_in_flight(request.step())
             && !leaves_nodes;
         if advice.is_some() && may_call && !call_possible {
-            self.changed.note_caller(key);
+            self.note_caller(pass, key);
         }
         let can_request_advice = call_possible && may_call;
         if !placeable && !can_request_advice {
--- a/crates/chervilfall_planner/src/planner/short_pass.rs
+++ b/crates/chervilfall_planner/src/planner/short_pass.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
+use crate::planner::schedule::Pass;
 use crate::planner::Planner;
 use crate::policy::order::Rank;
 use crate::tasks::StepKey;
@@ -18,8 +19,6 @@
     answered: BTreeSet<StepKey>,
     /// Steps that a full pass found waiting for a node to call for advice, best rank first.
     callers: VecDeque<StepKey>,
-    /// A full pass is in progress, which visits the steps in order of rank.
-    in_full_pass: bool,
 }
 
 impl ChangedSteps {
@@ -32,19 +31,10 @@
     pub(super) fn begin_full_pass(&mut self) {
         self.answered.clear();
         self.callers.clear();
-        self.in_full_pass = true;
-    }
-
-    /// Records that a step waits for a node to call for advice.
-    pub(super) fn note_caller(&mut self, key: StepKey) {
-        if self.in_full_pass && self.callers.back() != Some(&key) {
-            self.callers.push_back(key);
-        }
     }
 
     /// Takes the steps whose calls were answered, and up to `callers` that wait for a node.
     fn take(&mut self, callers: usize) -> Vec<StepKey> {
-        self.in_full_pass = false;
         let answered = std::mem::take(&mut self.answered).into_iter();
         let callers = callers.min(self.callers.len());
         answered.chain(self.callers.drain(..callers)).collect()
@@ -52,6 +42,14 @@
 }
 
 impl Planner {
+    /// Records in a full pass that a step waits for a node to call for advice.
+    pub(super) fn note_caller(&mut self, pass: &Pass, key: StepKey) {
+        let callers = &mut self.changed.callers;
+        if pass.full && callers.back() != Some(&key) {
+            callers.push_back(key);
+        }
+    }
+
     /// Returns the steps that a short pass visits, best rank first.
     pub(super) fn steps_of_short_pass(&mut self) -> Vec<StepKey> {
         let idle_nodes = self.nodes.len().saturating_sub(self.advice_calls.len());
