Give the control thread's events and its status line a file each

A commit's wait comes with its outcome, no longer as an event of its own. Behaviour as it was but for that.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -2,19 +2,20 @@
 //! actions.
 
 mod actions;
+mod events;
+mod load_report;
 mod orders;
 mod relays;
 mod traffic_lag;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use chervilfall_kernel::{ControlLoop, Work};
 use chervilfall_planner::{
-    AdviceAnswer, Answer, DomainName, EndpointEntry, Event, HandoverPolicy, HolderTerm, Limits,
-    LoadReport, NodeId, Planner, RelayUse, ReplyTo, Request, StartNote, StepDownReason,
-    StoredGroup, Takeover,
+    Answer, Event, HandoverPolicy, HolderTerm, Limits, NodeId, Planner, RelayUse, ReplyTo, Request,
+    StartNote, StepDownReason, StoredGroup, Takeover,
 };
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -25,67 +26,16 @@
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
 use crate::link::{FollowerLink, ToFollower};
-use crate::load::{ControlLoad, LoadStatus, WorkKind};
-use crate::orders::{EndpointAnswer, OrderNumber};
+use crate::load::{ControlLoad, WorkKind};
 use crate::ports::Platform;
 
+pub(crate) use events::ControlEvent;
 use relays::Relays;
 use traffic_lag::TrafficLag;
 
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
 
-/// Events of the control thread.
-#[derive(Debug)]
-pub(crate) enum ControlEvent {
-    /// A request from one of this node's callers.
-    LocalRequest(PendingRequest),
-    /// A follower has linked.
-    LinkUp {
-        id: NodeId,
-        node: String,
-        link: FollowerLink,
-    },
-    /// A follower's link has ended.
-    LinkDown { id: NodeId },
-    /// A request that a follower forwards.
-    LinkRequest {
-        id: NodeId,
-        number: u64,
-        request: Request,
-    },
-    /// A node that held the group before reports starts that it could not store.
-    UnstoredStarts(Vec<StartNote>),
-    /// A call for advice was answered.
-    Advised { number: u64, answer: AdviceAnswer },
-    /// A follower answers orders to endpoints.
-    EndpointAnswers(Vec<(OrderNumber, EndpointAnswer)>),
-    /// An action of the planner of a term has completed.
-    ActionCompleted { term: u64, event: Event },
-    /// This node has claimed the group.
-    Claimed {
-        takeover: Takeover,
-        stored: StoredGroup,
-        claimed_ms: u64,
-    },
-    /// Whether this node is reading the rows of a group that it has claimed.
-    Recovering(bool),
-    /// The list of endpoints was read.
-    Endpoints {
-        read_ms: u64,
-        entries: Vec<EndpointEntry>,
-        evacuated: BTreeSet<DomainName>,
-    },
-    /// A planned stop has begun.
-    Release,
-    /// Shows by its age how long events wait in the queue.
-    Probe(Instant),
-    /// A task of the thread for traffic that does nothing has run then.
-    TrafficProbe(Instant),
-    /// A commit has waited for the thread that sends it.
-    CommitSent { waited: Duration },
-}
-
 /// The loop of the control thread.
 pub(crate) struct Control<P> {
     pub(crate) platform: P,
@@ -176,6 +126,14 @@
         }
     }
 
+    /// Feeds an event to the planner if its term has not ended.
+    fn feed_in_term(&mut self, term: u64, event: Event) {
+        let current = self.planner.as_ref().map(Planner::term);
+        if current == Some(term) {
+            self.feed(event);
+        }
+    }
+
     fn step_down(&mut self, reason: StepDownReason) {
         log::info!(reason:? = reason; "holder stepped down, following again");
         if let Some(planner) = self.planner.take() {
@@ -387,7 +345,7 @@
     type Event = ControlEvent;
 
     fn handle(&mut self, event: ControlEvent) {
-        let (kind, began) = (WorkKind::of(&event), Instant::now());
+        let (kind, began) = (event.kind(), Instant::now());
         self.update_planner_configuration();
         self.handle_event(event);
         self.load.add_kind(kind, began.elapsed());
@@ -441,14 +399,14 @@
                 self.feed(Event::Advised { number, answer });
             }
             ControlEvent::EndpointAnswers(answers) => self.handle_answers(answers),
-            ControlEvent::ActionCompleted { term, event } => {
-                if self
-                    .planner
-                    .as_ref()
-                    .is_some_and(|planner| planner.term() == term)
-                {
-                    self.feed(event);
-                }
+            ControlEvent::ActionCompleted { term, event } => self.feed_in_term(term, event),
+            ControlEvent::CommitCompleted {
+                term,
+                waited,
+                event,
+            } => {
+                self.load.record_commit_wait(waited);
+                self.feed_in_term(term, event);
             }
             ControlEvent::Claimed {
                 takeover,
@@ -475,42 +433,6 @@
             }
             ControlEvent::Probe(sent) => self.load.record_queue_age(sent.elapsed()),
             ControlEvent::TrafficProbe(ran) => self.traffic_lag.record(ran),
-            ControlEvent::CommitSent { waited } => self.load.record_commit_wait(waited),
         }
     }
-
-    fn report_load(&mut self, status: LoadStatus) {
-        if let Some(handover) = &mut self.handover {
-            let report = LoadReport {
-                covers_ms: status.covers_ms,
-                mean_wait_ms: status.mean_queue_age_ms,
-            };
-            handover.record_load(now_ms(), report);
-        }
-        let Some(planner) = &mut self.planner else {
-            return;
-        };
-        let backlog = planner.backlog();
-        let traffic_lag_ms = self.traffic_lag.take_max_ms(Instant::now());
-        let work = planner.take_work();
-        log::info!(
-            term = planner.term(), busy_percent = status.busy_percent, events = status.events,
-            most_waiting = status.most_waiting, oldest_ms = status.max_queue_age_ms,
-            mean_ms = status.mean_queue_age_ms,
-            longest_ms = status.max_stretch_ms, open_steps = backlog.open_steps,
-            unsaved_jobs = backlog.unsaved_jobs, advice_calls = backlog.advice_calls,
-            links = self.links.len(),
-            requests_ms = status.kind_ms(WorkKind::Requests),
-            endpoints_ms = status.kind_ms(WorkKind::Endpoints),
-            advice_ms = status.kind_ms(WorkKind::Advice),
-            store_ms = status.kind_ms(WorkKind::Store),
-            links_ms = status.kind_ms(WorkKind::Links),
-            lists_ms = status.kind_ms(WorkKind::Lists),
-            ticks_ms = status.kind_ms(WorkKind::Ticks),
-            traffic_lag_ms = traffic_lag_ms, commit_wait_ms = status.max_commit_wait_ms, passes = work.passes,
-            steps_visited = work.steps_visited, endpoints_judged = work.endpoints_judged,
-            nodes_searched = work.nodes_searched, longest_commit_gap_ms = work.longest_commit_gap_ms;
-            "control thread load"
-        );
-    }
 }
--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -39,12 +39,8 @@
         let sender = self.sender.clone();
         self.traffic.spawn(async move {
             let event = order.await;
-            // The control thread runs until the process ends, so the send does not fail.
-            drop(
-                sender
-                    .send(ControlEvent::ActionCompleted { term, event })
-                    .await,
-            );
+            let completed = ControlEvent::ActionCompleted { term, event };
+            completed.send(&sender).await;
         });
     }
 
@@ -61,12 +57,8 @@
                 return;
             };
             let event = Event::ListedLate { endpoint, report };
-            // The control thread runs until the process ends, so the send does not fail.
-            drop(
-                sender
-                    .send(ControlEvent::ActionCompleted { term, event })
-                    .await,
-            );
+            let completed = ControlEvent::ActionCompleted { term, event };
+            completed.send(&sender).await;
         });
     }
 
@@ -77,20 +69,18 @@
         let (sender, ordered) = (self.sender.clone(), Instant::now());
         self.commits.spawn(async move {
             let waited = ordered.elapsed();
-            // If the queue is full, its load shows that events wait.
-            drop(sender.try_send(ControlEvent::CommitSent { waited }));
             let outcome = store.commit(&group, batch).await;
             let event = Event::Committed {
                 number,
                 copy,
                 outcome,
             };
-            // The control thread runs until the process ends, so the send does not fail.
-            drop(
-                sender
-                    .send(ControlEvent::ActionCompleted { term, event })
-                    .await,
-            );
+            let completed = ControlEvent::CommitCompleted {
+                term,
+                waited,
+                event,
+            };
+            completed.send(&sender).await;
         });
     }
 
@@ -134,8 +124,7 @@
             self.traffic.spawn(async move {
                 let number = order.number;
                 let answer = advisor.advise(order).await;
-                // The control thread runs until the process ends, so the send does not fail.
-                drop(sender.send(ControlEvent::Advised { number, answer }).await);
+                ControlEvent::Advised { number, answer }.send(&sender).await;
             });
             return;
         }
--- a/crates/chervilfall_node/src/control/traffic_lag.rs
+++ b/crates/chervilfall_node/src/control/traffic_lag.rs
@@ -53,12 +53,8 @@
         self.traffic_lag.spawned = Some(Instant::now());
         let sender = self.sender.clone();
         self.traffic.spawn(async move {
-            // The control thread runs until the process ends, so the send does not fail.
-            drop(
-                sender
-                    .send(ControlEvent::TrafficProbe(Instant::now()))
-                    .await,
-            );
+            let probe = ControlEvent::TrafficProbe(Instant::now());
+            probe.send(&sender).await;
         });
     }
 
--- a/crates/chervilfall_node/src/load.rs
+++ b/crates/chervilfall_node/src/load.rs
@@ -7,9 +7,6 @@
 use std::time::{Duration, Instant};
 
 use chervilfall_kernel::Work;
-use chervilfall_planner::Event;
-
-use crate::control::ControlEvent;
 
 /// Interval between status lines.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,36 +32,6 @@
 
 impl WorkKind {
     const COUNT: usize = 7;
-
-    /// Returns the kind of an event.
-    pub(crate) const fn of(event: &ControlEvent) -> Self {
-        match event {
-            ControlEvent::LocalRequest(_) | ControlEvent::LinkRequest { .. } => Self::Requests,
-            ControlEvent::EndpointAnswers(_) => Self::Endpoints,
-            ControlEvent::Advised { .. } => Self::Advice,
-            ControlEvent::ActionCompleted { event, .. } => Self::of_completed(event),
-            ControlEvent::CommitSent { .. } => Self::Store,
-            ControlEvent::LinkUp { .. }
-            | ControlEvent::LinkDown { .. }
-            | ControlEvent::UnstoredStarts(_)
-            | ControlEvent::Release
-            | ControlEvent::Probe(_)
-            | ControlEvent::TrafficProbe(_) => Self::Links,
-            ControlEvent::Endpoints { .. }
-            | ControlEvent::Claimed { .. }
-            | ControlEvent::Recovering(_) => Self::Lists,
-        }
-    }
-
-    const fn of_completed(event: &Event) -> Self {
-        match event {
-            Event::Started { .. }
-            | Event::Stopped { .. }
-            | Event::Held { .. }
-            | Event::ListedLate { .. } => Self::Endpoints,
-            _ => Self::Store,
-        }
-    }
 }
 
 /// Content of a status line: the load since the previous one.
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -269,9 +269,7 @@
             return;
         };
         let took_ms = self.now.saturating_sub(commit.first_sent_ms);
-        let gap_ms = self.commit_gaps.note(self.now);
-        self.work
-            .add(|work| work.longest_commit_gap_ms = work.longest_commit_gap_ms.max(gap_ms));
+        self.commit_gaps.note(self.now);
         if took_ms > SLOW_COMMIT_MS {
             log::warn!(number = commit.batch.number, took_ms = took_ms; "commit was slow");
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -464,6 +464,13 @@
         self.holder.wanted_permille = linked_permille.max(inherited);
     }
 
+    /// Returns the longest time between two stored commits since the last time it was taken, in
+    /// milliseconds.
+    #[must_use]
+    pub fn take_longest_commit_gap_ms(&mut self) -> Millis {
+        self.commit_gaps.take_unreported_ms()
+    }
+
     /// Records how late this node makes its calls.
     pub fn record_lag(&mut self, lag_ms: Millis) {
         let max_lag_ms = self.limits.hold_answer_ms;
--- a/crates/chervilfall_planner/src/planner/work.rs
+++ b/crates/chervilfall_planner/src/planner/work.rs
@@ -5,7 +5,6 @@
 
 use std::cell::Cell;
 
-use crate::ids::Millis;
 use crate::planner::Planner;
 
 /// Work of the passes since the last time it was taken.
@@ -19,22 +18,20 @@
     pub endpoints_judged: u64,
     /// Nodes that were considered for calls for advice.
     pub nodes_searched: u64,
-    /// Longest time between two stored commits, in milliseconds.
-    pub longest_commit_gap_ms: Millis,
 }
 
 /// Counters of work. Judgements do not change the planner, so these are cells.
 #[derive(Debug, Default)]
 pub(super) struct WorkCounters {
-    work: Cell<PassWork>,
+    counted: Cell<PassWork>,
 }
 
 impl WorkCounters {
     /// Adds to the counters.
     pub(super) fn add(&self, add: impl FnOnce(&mut PassWork)) {
-        let mut work = self.work.get();
+        let mut work = self.counted.get();
         add(&mut work);
-        self.work.set(work);
+        self.counted.set(work);
     }
 }
 
@@ -42,6 +39,6 @@
     /// Returns the work since the last time it was taken.
     #[must_use]
     pub fn take_work(&mut self) -> PassWork {
-        self.work.work.take()
+        self.work.counted.take()
     }
 }
--- a/crates/chervilfall_planner/src/policy/stall_timeout.rs
+++ b/crates/chervilfall_planner/src/policy/stall_timeout.rs
@@ -27,6 +27,8 @@
     last_ms: Millis,
     current_ms: Millis,
     previous_ms: Millis,
+    /// Largest gap since it was last reported.
+    unreported_ms: Millis,
 }
 
 impl CommitGaps {
@@ -37,13 +39,15 @@
             last_ms: now,
             current_ms: 0,
             previous_ms: MAX_STALL_TIMEOUT_MS,
+            unreported_ms: 0,
         }
     }
 
-    /// Records that a commit was stored; returns the time since the one before.
-    pub(crate) fn note(&mut self, now: Millis) -> Millis {
+    /// Records that a commit was stored.
+    pub(crate) fn note(&mut self, now: Millis) {
         let gap_ms = now.saturating_sub(self.last_ms);
         self.last_ms = now;
+        self.unreported_ms = self.unreported_ms.max(gap_ms);
         if now.saturating_sub(self.window_began_ms) >= WINDOW_MS {
             self.window_began_ms = now;
             self.previous_ms = std::mem::take(&mut self.current_ms);
@@ -52,7 +56,11 @@
         if gap_ms <= MAX_STALL_TIMEOUT_MS {
             self.current_ms = self.current_ms.max(gap_ms);
         }
-        gap_ms
+    }
+
+    /// Takes the largest gap since the last time, in milliseconds.
+    pub(crate) fn take_unreported_ms(&mut self) -> Millis {
+        std::mem::take(&mut self.unreported_ms)
     }
 
     /// Returns the timeout to publish.
