--- a/crates/chervilfall_planner/tests/gang_call_hold.rs
+++ b/crates/chervilfall_planner/tests/gang_call_hold.rs
@@ -9,8 +9,7 @@
 use std::collections::BTreeMap;
 
 use chervilfall_planner::{
-    may_keep, AdviceTimings, CallHold, CallHolds, EndpointKey, Event, JobId, JobSpec, Queue,
-    Request, Resources, Step,
+    may_keep, AdviceTimings, CallHold, CallHolds, EndpointKey, Event, Queue, Resources, Step,
 };
 use slotmap::SlotMap;
 use world::counters::Counters;
@@ -31,6 +30,8 @@
 const HIGH: u64 = 30;
 const FIRST_SHORT: u64 = 100_000;
 const FIRST_TOLERANT: u64 = 200_000;
+/// Time that a submission may wait for its commit, in milliseconds.
+const WAIT_MS: u64 = 1_000;
 
 fn cores(cores: u64) -> Resources {
     Resources {
@@ -105,22 +106,6 @@
     }
 }
 
-fn submit(world: &mut World, queue: &Queue, id: u64, step: Step) {
-    let spec = JobSpec {
-        spec: "text".to_owned(),
-        steps: vec![step],
-        ..JobSpec::default()
-    };
-    world.jobs.insert(JobId(id), spec.clone());
-    world.request(Request::Submit {
-        queue: queue.clone(),
-        id: JobId(id),
-        spec,
-        wait_ms: 1_000,
-        account: None,
-    });
-}
-
 /// What is done to the holder or to the calling nodes while gangs wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
@@ -185,23 +170,18 @@
         }
         let width = if round % PERIOD < HIGH { 40 } else { 6 };
         let tolerant = step(width, TOLERANT_MS);
-        submit(
-            &mut world,
-            &tolerant_queue,
-            FIRST_TOLERANT + round,
-            tolerant,
-        );
+        world.hand_in(&tolerant_queue, FIRST_TOLERANT + round, tolerant, WAIT_MS);
         if round % PERIOD == 0 {
             let gang = Step {
                 gang: true,
                 ..step(GANG_TASKS, 4_000)
             };
             gangs.insert(round, world.now);
-            submit(&mut world, &gang_queue, round, gang);
+            world.hand_in(&gang_queue, round, gang, WAIT_MS);
         }
         let id = FIRST_SHORT + round;
         short.insert(id, world.now);
-        submit(&mut world, &short_queue, id, step(1, SHORT_MS));
+        world.hand_in(&short_queue, id, step(1, SHORT_MS), WAIT_MS);
         if fault == Fault::CallersLost && round % PERIOD == HIGH + 5 {
             set_callers(&mut world, 1);
             set_callers(&mut world, CALLERS);
--- a/crates/chervilfall_planner/tests/pass_work.rs
+++ b/crates/chervilfall_planner/tests/pass_work.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use chervilfall_planner::{Backlog, JobId, JobSpec, PassWork, Queue, Request, Step};
+use chervilfall_planner::{Backlog, PassWork, Queue, Step};
 use world::{step, World};
 
 const ENDPOINTS: u32 = 120;
@@ -18,6 +18,8 @@
 const MAX_ASKING_MS: u64 = 60_000;
 /// Time without a call after which no step has anything to ask, in milliseconds.
 const QUIET_MS: u64 = 1_000;
+/// Time that a submission may wait for its commit, in milliseconds.
+const WAIT_MS: u64 = 60_000;
 /// Time over which work is counted, in milliseconds.
 const COUNTED_MS: u64 = 1_000;
 
@@ -48,22 +50,6 @@
     behind_barrier: false,
 };
 
-fn submit(world: &mut World, id: u64, queue: &Queue, step: Step) {
-    let spec = JobSpec {
-        spec: "text".to_owned(),
-        steps: vec![step],
-        ..JobSpec::default()
-    };
-    world.jobs.insert(JobId(id), spec.clone());
-    world.request(Request::Submit {
-        queue: queue.clone(),
-        id: JobId(id),
-        spec,
-        wait_ms: 60_000,
-        account: None,
-    });
-}
-
 fn backlog(world: &World) -> Backlog {
     let holder = world.holder().expect("a holder");
     let planner = world.nodes[holder].planner.as_ref();
@@ -103,7 +89,7 @@
             max_per_endpoint: 1,
             ..step(ENDPOINTS, LONG_MS)
         };
-        submit(&mut world, 100_000 + id, &queue, spread);
+        world.hand_in(&queue, 100_000 + id, spread, WAIT_MS);
     }
     world.run(3_000);
     if case.advice {
@@ -115,7 +101,7 @@
             required_label: case.label.map(ToOwned::to_owned),
             ..step(3, LONG_MS)
         };
-        submit(&mut world, id, &queue, step);
+        world.hand_in(&queue, id, step, WAIT_MS);
         if id % 50 == 0 {
             world.run(50);
         }
--- a/crates/chervilfall_planner/tests/world/callers.rs
+++ b/crates/chervilfall_planner/tests/world/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that send requests to the holder.
 
-use chervilfall_planner::{Answer, Event, JobId, JobSpec, ReplyTo, Request};
+use chervilfall_planner::{Answer, Event, JobId, JobSpec, Queue, ReplyTo, Request, Step};
 
 use super::World;
 
@@ -54,6 +54,24 @@
         answer
     }
 
+    /// Submits a job of one step to a queue without waiting for the answer.
+    pub fn hand_in(&mut self, queue: &Queue, id: u64, step: Step, wait_ms: u64) {
+        let id = JobId(id);
+        let spec = JobSpec {
+            spec: "text".to_owned(),
+            steps: vec![step],
+            ..JobSpec::default()
+        };
+        self.jobs.insert(id, spec.clone());
+        self.request(Request::Submit {
+            queue: queue.clone(),
+            id,
+            spec,
+            wait_ms,
+            account: None,
+        });
+    }
+
     /// Sends a request to the holder and waits for the answer.
     pub fn ask(&mut self, request: Request) -> Answer {
         let Some((node, number)) = self.request(request) else {
