Clear no more than 8 KiB before each read of the older daemon's links

The same cause as in the links of nodes: the library clears its whole read buffer, 128 KiB by default, before each read. Not measured by itself.

--- a/crates/chervilfall_link/src/handshake.rs
+++ b/crates/chervilfall_link/src/handshake.rs
@@ -6,6 +6,7 @@
 use futures_util::{SinkExt, StreamExt};
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::WebSocketStream;
 
@@ -14,6 +15,15 @@
 /// A connection to another entry instance.
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
+/// Size of a connection's read buffer, in bytes. The library clears as much before each read, and most
+/// messages are far smaller.
+const READ_BUFFER_BYTES: usize = 8_192;
+
+/// Returns the settings of a connection's socket.
+pub(crate) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
+}
+
 /// Carries out the handshake and returns who the other side is.
 pub(crate) async fn shake(
     socket: &mut Socket,
--- a/crates/chervilfall_link/src/hub.rs
+++ b/crates/chervilfall_link/src/hub.rs
@@ -15,9 +15,10 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
+use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 
 use crate::connection;
-use crate::handshake::{shake, Socket};
+use crate::handshake::{shake, socket_config, Socket};
 
 /// Prefix of the log lines.
 const PART: &str = "link:";
@@ -233,7 +234,8 @@
     let stream = TcpStream::connect(peer.address).await?;
     stream.set_nodelay(true)?;
     let url = format!("ws://{}/link", peer.address);
-    let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await?;
+    let config = Some(socket_config());
+    let (mut socket, _) = client_async_with_config(url, stream, config).await?;
     let role = ProofRole::Dialer;
     let incarnation = shake(&mut socket, &shared.secret, shared.me, role).await?;
     anyhow::ensure!(
@@ -275,7 +277,7 @@
     stream: TcpStream,
 ) -> anyhow::Result<(Socket, EntryIncarnation)> {
     stream.set_nodelay(true)?;
-    let mut socket = tokio_tungstenite::accept_async(stream).await?;
+    let mut socket = accept_async_with_config(stream, Some(socket_config())).await?;
     let role = ProofRole::Listener;
     let incarnation = shake(&mut socket, &shared.secret, shared.me, role).await?;
     let known = |peer: &PeerAddress| peer.entry == incarnation.entry;
