Play a large backlog with a holder whose work takes time

The simulation gave planners their time for free, so no test could show a holder that its own backlog keeps from its work. Now a planner's events, visits, judgements and searches may cost time. What links and HTTP cost is not played.

--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod busy;
 mod callers;
 pub mod counters;
 pub mod endpoint;
@@ -25,6 +26,7 @@
     EndpointKey, Event, Identity, JobId, JobSpec, Limits, Planner, Queue, StartNote, Step, TaskKey,
 };
 
+use busy::WorkCost;
 use endpoint::{CrashBehavior, FakeEndpoint};
 use random::Random;
 use standstill::Standstill;
@@ -53,6 +55,8 @@
     pub planner: Option<Planner>,
     pub candidate: Candidate,
     pub frozen_until_ms: u64,
+    /// Its planner is at work until then, in nanoseconds.
+    pub busy_until_ns: u64,
     pub cut_until_ms: u64,
     pub store_cut_until_ms: u64,
     /// When its process was last started after a kill.
@@ -102,6 +106,8 @@
     pub advice_percent: u64,
     /// The same for the steps of some jobs.
     pub advice_percents: BTreeMap<JobId, u64>,
+    /// Time that a planner's work takes; none if work takes no time.
+    pub work_cost: Option<WorkCost>,
     /// Processor time that planners spent on their events.
     pub planning: Duration,
     pub jobs: BTreeMap<JobId, JobSpec>,
@@ -164,6 +170,7 @@
             planner: None,
             candidate: identity(number, number as u64 + 1, 0),
             frozen_until_ms: 0,
+            busy_until_ns: 0,
             cut_until_ms: 0,
             store_cut_until_ms: 0,
             began_ms: 0,
@@ -200,6 +207,7 @@
             advice_timed: false,
             advice_percent: 100,
             advice_percents: BTreeMap::new(),
+            work_cost: None,
             planning: Duration::ZERO,
             jobs: BTreeMap::new(),
             accepted: BTreeSet::new(),
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -19,10 +19,10 @@
 
 impl World {
     pub(super) fn deliver_event(&mut self, node: usize, term: u64, event: Event) {
-        if self.nodes[node].frozen_until_ms > self.now {
-            let wait_ms = self.nodes[node].frozen_until_ms - self.now;
+        let free_at_ms = self.free_at_ms(node);
+        if free_at_ms > self.now {
             self.schedule(
-                wait_ms,
+                free_at_ms - self.now,
                 ScheduledEvent::DeliverEvent(node, term, Box::new(event)),
             );
             return;
@@ -37,7 +37,7 @@
     }
 
     pub(super) fn run_node(&mut self, node: usize) {
-        if self.nodes[node].frozen_until_ms > self.now {
+        if self.free_at_ms(node) > self.now {
             return;
         }
         self.forward_unstored_starts(node);
@@ -240,6 +240,7 @@
         let began = Instant::now();
         let actions = planner.handle(now, event);
         self.planning += began.elapsed();
+        self.charge_work(node);
         for action in actions {
             self.carry_out(node, term, action);
         }
