--- a/crates/chervilfall_core/src/ledger/dispatch.rs
+++ b/crates/chervilfall_core/src/ledger/dispatch.rs
@@ -14,7 +14,7 @@
 /// Most tasks that are dispatched between two events, so that the control thread stays quick.
 const MAX_DISPATCHED: usize = 256;
 
-/// An owner that was chosen for a task.
+/// The owner to which a task is sent.
 #[derive(Debug, Clone, Copy)]
 struct Chosen {
     owner: EntryId,
--- a/crates/chervilfall_core/src/ledger/image.rs
+++ b/crates/chervilfall_core/src/ledger/image.rs
@@ -30,7 +30,7 @@
     pub(crate) domain: DomainName,
     /// Tasks that may have been placed.
     pub(crate) logged: BTreeSet<u32>,
-    /// Tasks that ended for good.
+    /// Tasks with a final outcome.
     pub(crate) ended: BTreeMap<u32, TaskOutcome>,
     pub(crate) cancelled: bool,
     /// Since when this holder has known it to be final.
--- a/crates/chervilfall_core/src/ledger/job.rs
+++ b/crates/chervilfall_core/src/ledger/job.rs
@@ -32,7 +32,7 @@
     Out(Out),
     /// Whether an attempt at it runs is not known yet.
     Recovering,
-    /// It ended for good.
+    /// Its outcome is final.
     Ended(TaskOutcome),
 }
 
@@ -190,7 +190,7 @@
         self.unwritten == 0 && self.is_final()
     }
 
-    /// Returns whether every task ended for good.
+    /// Returns whether the outcome of every task is final.
     pub(crate) fn is_final(&self) -> bool {
         let ended = |task: &Task| matches!(task.phase, TaskPhase::Ended(_));
         self.tasks.iter().all(ended)
--- a/crates/chervilfall_core/src/ledger/record.rs
+++ b/crates/chervilfall_core/src/ledger/record.rs
@@ -6,7 +6,7 @@
 use chervilfall_wire::RequestDigest;
 use serde::{Deserialize, Serialize};
 
-/// How a task ended for good.
+/// Final outcome of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum TaskOutcome {
     /// It ran and returned this.
@@ -40,7 +40,7 @@
     },
     /// Tasks of a non-idempotent job are about to be placed for the first time.
     Dispatched { key: RequestKey, tasks: Vec<u32> },
-    /// A task ended for good.
+    /// The outcome of a task is final.
     TaskEnded {
         key: RequestKey,
         task: u32,
--- a/crates/chervilfall_core/src/ledger/status_updates.rs
+++ b/crates/chervilfall_core/src/ledger/status_updates.rs
@@ -17,7 +17,7 @@
 /// What becomes of a task whose attempt ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Next {
-    /// It ended for good.
+    /// Its outcome is final.
     End(TaskOutcome),
     /// Another attempt follows; the flag says whether this one counts as a failure.
     Again { failed: bool },
@@ -128,7 +128,7 @@
         self.check_gang(context, id, key);
     }
 
-    /// Ends a task for good.
+    /// Records the final outcome of a task.
     pub(super) fn end_task(
         &mut self,
         id: ShardId,
--- a/crates/chervilfall_planner/src/planner/quota_bounds.rs
+++ b/crates/chervilfall_planner/src/planner/quota_bounds.rs
@@ -34,7 +34,7 @@
     }
 
     /// Returns the work of an account's accepted jobs that is not begun, and does not rank behind
-    /// that of `job` for good. A job that ranks behind only because it has become late counts: its
+    /// that of `job` permanently. A job that ranks behind only because it has become late counts: its
     /// caller was told that it will be done.
     fn accepted_work(&self, account: AccountKey, job: &Job) -> Work {
         let jobs = self.jobs.values();
