Read no configuration again while an answer is being decoded

Cause: an answer counted as silent from its last byte on, also while it was being decoded. On a busy processor decoding takes longer than the 0.45 s after which another reading is sent, so the node reads and decodes the whole document two or three times at once, and is busier still. Decoding also ran on the thread for traffic, so that heartbeats, holds and answers waited behind it. The same class as the takeovers that repeat: work that an overload itself makes.

Change: a reading says when all of its answer has arrived; while it is decoded no other one is sent.

--- a/crates/chervilfall_node/src/ports.rs
+++ b/crates/chervilfall_node/src/ports.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::future::Future;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
 use chervilfall_planner::{
@@ -131,6 +131,8 @@
     bytes: AtomicU64,
     /// When the last of them arrived, in milliseconds.
     last_ms: AtomicU64,
+    /// All of them have arrived.
+    complete: AtomicBool,
 }
 
 impl ReadProgress {
@@ -140,6 +142,16 @@
         self.0.last_ms.store(now_ms(), Ordering::Relaxed);
     }
 
+    /// Records that the whole answer has arrived and only has to be decoded.
+    pub fn record_complete(&self) {
+        self.0.complete.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the whole answer has arrived.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.0.complete.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of bytes received.
     #[must_use]
     pub fn bytes(&self) -> u64 {
--- a/crates/chervilfall_node/src/watch/readings.rs
+++ b/crates/chervilfall_node/src/watch/readings.rs
@@ -64,6 +64,18 @@
     handle: AbortHandle,
 }
 
+impl PendingReading {
+    /// Returns until when no other reading is sent because of this one; none if nothing of its answer
+    /// has arrived.
+    fn postpones_until_ms(&self, times: ReadingTimes, now_ms: u64) -> Option<u64> {
+        if self.progress.is_complete() {
+            return Some(now_ms + times.min_hedge_ms);
+        }
+        let silent_from_ms = self.progress.last_ms()? + times.min_hedge_ms;
+        Some(silent_from_ms.min(self.began_ms + times.max_arrival_ms))
+    }
+}
+
 /// A reading that has ended.
 struct Reading<T> {
     began_ms: u64,
@@ -121,17 +133,16 @@
         }
     }
 
-    /// Postpones the next reading while an answer is arriving: another reading would take a share
-    /// of the same link, and neither might end in time.
+    /// Postpones the next reading while an answer is arriving or being decoded: another reading would
+    /// take a share of the same link or processor, and neither might end in time.
     fn handle_due(&mut self) -> ReadEvent<T> {
-        let times = self.times;
-        let arrives_until_ms = self.pending.iter().filter_map(|reading| {
-            let silent_from_ms = reading.progress.last_ms()? + times.min_hedge_ms;
-            Some(silent_from_ms.min(reading.began_ms + times.max_arrival_ms))
-        });
-        match arrives_until_ms.max().filter(|ms| *ms > now_ms()) {
-            Some(arrives_until_ms) => {
-                self.due_ms = arrives_until_ms;
+        let now_ms = now_ms();
+        let postponed = self.pending.iter();
+        let postponed =
+            postponed.filter_map(|reading| reading.postpones_until_ms(self.times, now_ms));
+        match postponed.max().filter(|ms| *ms > now_ms) {
+            Some(postponed_ms) => {
+                self.due_ms = postponed_ms;
                 ReadEvent::None
             }
             None => ReadEvent::Due,
