Serve links on a thread of their own

From 39 s on, when a failure domain returned, links to a holder that lived broke and were opened again for 28 s, up to 112 in two seconds, and ended only with the load. traffic_lag_ms rose from 100 to 1,365 ms; followers take a holder for dead after 500 ms.

Cause: heartbeats of links waited behind the holder's calls to endpoints and all other traffic. A link that ends takes away a relay, fails the requests that wait on it, and costs the holder a new link: the overload feeds itself. The same class as renewals that wait behind traffic.

Change: links are accepted, opened, read and written on a thread of their own. A follower's calls for the holder stay on its thread for traffic. The thread of commits and this one share a type. Messages of one link are handled by a type of their own.

Ruled out: a longer silence. A connection that is dead would be noticed later, and a relay may carry out orders for as long.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -21,13 +21,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::{now_ms, unix_ms};
-use crate::commit_thread::CommitRuntime;
 use crate::configuration::ConfigurationState;
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
 use crate::link::{FollowerLink, ToFollower};
 use crate::load::{ControlLoad, WorkKind};
 use crate::ports::Platform;
+use crate::runtime_thread::Spawner;
 
 pub(crate) use events::ControlEvent;
 use relays::Relays;
@@ -50,7 +50,7 @@
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) sender: mpsc::Sender<ControlEvent>,
     pub(crate) traffic: Handle,
-    pub(crate) commits: CommitRuntime,
+    pub(crate) commits: Spawner,
     planner: Option<Planner>,
     /// Decides about handovers while this node holds the group.
     handover: Option<HandoverPolicy>,
@@ -84,7 +84,7 @@
         leadership: Arc<LeadershipState>,
         sender: mpsc::Sender<ControlEvent>,
         traffic: Handle,
-        commits: CommitRuntime,
+        commits: Spawner,
     ) -> Self {
         let relay_use = RelayUse::new(limits.policies.endpoint_relays, size_permille);
         Self {
--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -5,7 +5,6 @@
 //! nothing. The platform is accessed through the traits in [`ports`].
 
 mod clock;
-mod commit_thread;
 mod configuration;
 mod control;
 mod front;
@@ -17,6 +16,7 @@
 mod orders;
 pub mod ports;
 mod routes;
+mod runtime_thread;
 mod settings;
 mod wait_bounds;
 mod watch;
--- a/crates/chervilfall_node/src/link/follower.rs
+++ b/crates/chervilfall_node/src/link/follower.rs
@@ -7,9 +7,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use chervilfall_planner::{Answer, StartNote};
+use chervilfall_planner::{AdviceOrder, Answer, StartNote};
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 use tokio_tungstenite::client_async_with_config;
@@ -97,13 +98,15 @@
     Ended(LinkEnd),
 }
 
-/// Opens a link to the holder and serves it until it ends.
+/// Opens a link to the holder and serves it until it ends. Calls to endpoints and to the advice service
+/// run on the thread for traffic.
 pub(crate) async fn dial<P: Platform>(
     address: SocketAddr,
     settings: &Settings,
     front: &Arc<Front>,
     leadership: &Arc<LeadershipState>,
     platform: &P,
+    traffic: &Handle,
 ) -> DialError {
     let timings = &settings.timings;
     let silence = Duration::from_millis(timings.silence_ms);
@@ -131,32 +134,33 @@
     drop(link.queue.try_send(hello));
     let writer = write(sink, receiver, silence);
     let beats = heartbeats(link.queue.clone(), timings.heartbeat_ms);
-    let endpoints = platform.endpoints().clone();
-    let (mut relay, answers) = Relay::new(endpoints, Arc::clone(leadership), silence);
+    let (relay, answers) = Relay::new(
+        platform.endpoints().clone(),
+        Arc::clone(leadership),
+        silence,
+        traffic.clone(),
+    );
     let answering = send_answers(answers, link.queue.clone());
+    let mut handler = MessageHandler {
+        link: &link,
+        front,
+        leadership,
+        advisor: platform.advisor(),
+        traffic,
+        relay,
+        pieces: Pieces::default(),
+    };
     let reader = async {
-        let mut pieces = Pieces::default();
-        let advisor = platform.advisor();
         loop {
-            match read::<ToFollower>(&mut stream, silence).await {
-                Ok(message) => {
-                    if !relay.note_message() {
-                        return LinkEnd::Silent;
-                    }
-                    let lasts = handle_message(
-                        message,
-                        &mut pieces,
-                        &mut relay,
-                        &link,
-                        front,
-                        leadership,
-                        advisor,
-                    );
-                    if !lasts {
-                        return LinkEnd::Closed;
-                    }
-                }
+            let message = match read(&mut stream, silence).await {
+                Ok(message) => message,
                 Err(end) => return end,
+            };
+            if !handler.relay.note_message() {
+                return LinkEnd::Silent;
+            }
+            if !handler.handle(message) {
+                return LinkEnd::Closed;
             }
         }
     };
@@ -202,80 +206,88 @@
     }
 }
 
-/// Handles a message; returns false if the peer is not the holder.
-fn handle_message<A: Advisor, E: Endpoints>(
-    message: ToFollower,
-    pieces: &mut Pieces,
-    relay: &mut Relay<E>,
-    link: &Arc<HolderLink>,
-    front: &Arc<Front>,
-    leadership: &Arc<LeadershipState>,
-    advisor: &A,
-) -> bool {
-    match message {
-        ToFollower::Heartbeat {
-            term,
-            claim_age_ms,
-            configuration,
-        } => {
-            front.set_claim_age(claim_age_ms);
-            front.configuration().note_remote_version(configuration);
-            leadership.note_term(term);
-            let health = HolderHealth { term, claim_age_ms };
-            mark_holder_found(link, leadership, health);
-        }
-        ToFollower::Recovering => {}
-        ToFollower::Configuration {
-            asked_ms,
-            age_ms,
-            table,
-        } => front
-            .configuration()
-            .apply_from_holder(asked_ms, age_ms, table),
-        ToFollower::ConfigurationPiece(piece) => take_piece(&piece, pieces, link, front),
-        ToFollower::Reply { number, answer } => link.answer(number, answer),
-        ToFollower::Advise(order) => {
-            let (advisor, link) = (advisor.clone(), Arc::clone(link));
-            tokio::spawn(async move {
-                let number = order.number;
-                let answer = advisor.advise(order).await;
-                // The link's reader notices if the link has ended.
-                drop(link.queue.try_send(ToHolder::Advised { number, answer }));
-            });
-        }
-        ToFollower::EndpointOrders { term, orders } => relay.carry_out(term, orders),
-        ToFollower::NotHolder => return false,
-    }
-    true
+/// Handles the messages of one link.
+struct MessageHandler<'a, A, E> {
+    link: &'a Arc<HolderLink>,
+    front: &'a Arc<Front>,
+    leadership: &'a Arc<LeadershipState>,
+    advisor: &'a A,
+    /// Makes calls to the advice service.
+    traffic: &'a Handle,
+    relay: Relay<E>,
+    pieces: Pieces,
 }
 
-/// Takes a piece of the configuration, and asks for the next one.
-fn take_piece(
-    piece: &ConfigurationPiece,
-    pieces: &mut Pieces,
-    link: &Arc<HolderLink>,
-    front: &Arc<Front>,
-) {
-    let asked_ms = piece.asked_ms;
-    // A holder that misses this begins again when it is asked again.
-    let taken = ToHolder::ConfigurationPieceTaken { asked_ms };
-    drop(link.queue.try_send(taken));
-    let Some(bytes) = pieces.add(piece) else {
-        return;
-    };
-    let at_ms = asked_ms.saturating_sub(piece.age_ms);
-    let (link, front) = (Arc::clone(link), Arc::clone(front));
-    tokio::spawn(async move {
-        match decode(bytes).await {
-            Ok(table) => {
-                let configuration = front.configuration();
-                configuration.put_in_force(Arc::new(table), at_ms);
-                // It may have been replaced on its way.
-                link.ask_configuration(configuration.version());
+impl<A: Advisor, E: Endpoints> MessageHandler<'_, A, E> {
+    /// Handles a message; returns false if the peer is not the holder.
+    fn handle(&mut self, message: ToFollower) -> bool {
+        match message {
+            ToFollower::Heartbeat {
+                term,
+                claim_age_ms,
+                configuration,
+            } => {
+                self.front.set_claim_age(claim_age_ms);
+                let in_force = self.front.configuration();
+                in_force.note_remote_version(configuration);
+                self.leadership.note_term(term);
+                let health = HolderHealth { term, claim_age_ms };
+                mark_holder_found(self.link, self.leadership, health);
             }
-            Err(error) => log::warn!(error = error.as_str(); "holder's configuration is malformed"),
+            ToFollower::Recovering => {}
+            ToFollower::Configuration {
+                asked_ms,
+                age_ms,
+                table,
+            } => self
+                .front
+                .configuration()
+                .apply_from_holder(asked_ms, age_ms, table),
+            ToFollower::ConfigurationPiece(piece) => self.take_piece(&piece),
+            ToFollower::Reply { number, answer } => self.link.answer(number, answer),
+            ToFollower::Advise(order) => self.advise(order),
+            ToFollower::EndpointOrders { term, orders } => self.relay.carry_out(term, orders),
+            ToFollower::NotHolder => return false,
         }
-    });
+        true
+    }
+
+    /// Makes a call to the advice service for the holder.
+    fn advise(&self, order: AdviceOrder) {
+        let (advisor, link) = (self.advisor.clone(), Arc::clone(self.link));
+        self.traffic.spawn(async move {
+            let number = order.number;
+            let answer = advisor.advise(order).await;
+            // The link's reader notices if the link has ended.
+            drop(link.queue.try_send(ToHolder::Advised { number, answer }));
+        });
+    }
+
+    /// Takes a piece of the configuration, and asks for the next one.
+    fn take_piece(&mut self, piece: &ConfigurationPiece) {
+        let asked_ms = piece.asked_ms;
+        // A holder that misses this begins again when it is asked again.
+        let taken = ToHolder::ConfigurationPieceTaken { asked_ms };
+        drop(self.link.queue.try_send(taken));
+        let Some(bytes) = self.pieces.add(piece) else {
+            return;
+        };
+        let at_ms = asked_ms.saturating_sub(piece.age_ms);
+        let (link, front) = (Arc::clone(self.link), Arc::clone(self.front));
+        tokio::spawn(async move {
+            match decode(bytes).await {
+                Ok(table) => {
+                    let configuration = front.configuration();
+                    configuration.put_in_force(Arc::new(table), at_ms);
+                    // It may have been replaced on its way.
+                    link.ask_configuration(configuration.version());
+                }
+                Err(error) => {
+                    log::warn!(error = error.as_str(); "holder's configuration is malformed");
+                }
+            }
+        });
+    }
 }
 
 /// Decodes a configuration beside the link's task, which must not be late with heartbeats.
--- a/crates/chervilfall_node/src/link/holder.rs
+++ b/crates/chervilfall_node/src/link/holder.rs
@@ -1,5 +1,6 @@
 //! The holder's side of links.
 
+use std::net::TcpListener as StdTcpListener;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,11 +40,18 @@
 
 /// Accepts links until the process ends.
 pub(crate) async fn accept_links(
-    listener: TcpListener,
+    listener: StdTcpListener,
     timings: Timings,
     source: Arc<ConfigurationSource>,
     control: mpsc::Sender<ControlEvent>,
 ) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(error:% = error; "can't accept links");
+            return;
+        }
+    };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/chervilfall_node/src/link/relay.rs
+++ b/crates/chervilfall_node/src/link/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chervilfall_planner::Millis;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{timeout_at, Instant};
@@ -36,6 +37,8 @@
     last_message_ms: Millis,
     calls: JoinSet<()>,
     answers: mpsc::Sender<NumberedAnswer>,
+    /// Makes the calls.
+    traffic: Handle,
 }
 
 impl<E: Endpoints> Relay<E> {
@@ -44,6 +47,7 @@
         endpoints: E,
         leadership: Arc<LeadershipState>,
         silence: Duration,
+        traffic: Handle,
     ) -> (Self, mpsc::Receiver<NumberedAnswer>) {
         let (answers, receiver) = mpsc::channel(QUEUE_CAPACITY);
         let relay = Self {
@@ -53,6 +57,7 @@
             last_message_ms: now_ms(),
             calls: JoinSet::new(),
             answers,
+            traffic,
         };
         (relay, receiver)
     }
@@ -74,7 +79,7 @@
         for (number, order) in orders {
             let (endpoints, leadership) = (self.endpoints.clone(), Arc::clone(&self.leadership));
             let answers = self.answers.clone();
-            self.calls.spawn(async move {
+            let call = async move {
                 let late = now_ms().saturating_sub(received_ms) > order.timeout_ms();
                 let answer = if late || !leadership.note_term(term) {
                     EndpointAnswer::NotCalled
@@ -85,7 +90,8 @@
                 };
                 // Fails only if the link has ended.
                 drop(answers.send((number, answer)).await);
-            });
+            };
+            self.calls.spawn_on(call, &self.traffic);
         }
     }
 }
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a node.
 
+use std::net::{SocketAddr, TcpListener as StdTcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,13 +11,13 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 
-use crate::commit_thread::CommitThread;
 use crate::configuration::ConfigurationState;
 use crate::control::{Control, ControlEvent};
 use crate::front::{Front, Revocation};
 use crate::leadership::LeadershipState;
 use crate::link::{accept_links, ConfigurationSource};
 use crate::ports::{Endpoints, Platform};
+use crate::runtime_thread::RuntimeThread;
 use crate::settings::Settings;
 use crate::watch;
 
@@ -32,16 +33,16 @@
     #[error("can't listen for links on {address}: {cause}")]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// The operating system's error.
         cause: std::io::Error,
     },
     /// The control thread cannot start.
     #[error(transparent)]
     Control(#[from] ControlThreadError),
-    /// The thread for commits cannot start.
-    #[error("can't start the thread for commits: {0}")]
-    Commits(std::io::Error),
+    /// A thread for commits or links cannot start.
+    #[error("can't start the thread for {0}: {1}")]
+    Thread(&'static str, std::io::Error),
     /// Signal handlers cannot be installed.
     #[error("can't install signal handlers: {0}")]
     Signals(std::io::Error),
@@ -54,7 +55,20 @@
     control: mpsc::Sender<ControlEvent>,
     settings: Arc<Settings>,
     _thread: ControlThread,
-    _commits: CommitThread,
+    _commits: RuntimeThread,
+    _links: RuntimeThread,
+}
+
+/// Binds the link address. The listener belongs to no runtime until links are accepted.
+async fn bind(address: SocketAddr) -> Result<StdTcpListener, NodeError> {
+    let bound = TcpListener::bind(address).await;
+    bound
+        .and_then(TcpListener::into_std)
+        .map_err(|cause| NodeError::Listen { address, cause })
+}
+
+fn spawn_thread(name: &'static str) -> Result<RuntimeThread, NodeError> {
+    RuntimeThread::spawn(name).map_err(|cause| NodeError::Thread(name, cause))
 }
 
 impl Node {
@@ -65,9 +79,7 @@
     /// Returns an error if the link address is in use or a thread can't start.
     pub async fn open<P: Platform>(settings: Settings, platform: P) -> Result<Self, NodeError> {
         let address = settings.link_listen;
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|cause| NodeError::Listen { address, cause })?;
+        let listener = bind(address).await?;
         for bound in settings.tight_bounds() {
             log::warn!(
                 field = bound.field, value_ms = bound.value_ms, kept_from_ms = bound.kept_from_ms;
@@ -101,7 +113,8 @@
             policies: settings.policies,
             ..Limits::default()
         };
-        let commits = CommitThread::spawn().map_err(NodeError::Commits)?;
+        let commits = spawn_thread("commits")?;
+        let links = spawn_thread("links")?;
         let control_loop = Control::new(
             platform.clone(),
             GROUP.to_owned(),
@@ -114,10 +127,10 @@
             Arc::clone(&leadership),
             control.clone(),
             Handle::current(),
-            commits.runtime(),
+            commits.spawner(),
         );
         let thread = ControlThread::spawn(receiver, timings.tick_ms, control_loop)?;
-        tokio::spawn(accept_links(
+        links.spawner().spawn(accept_links(
             listener,
             timings.clone(),
             Arc::new(ConfigurationSource::new(Arc::clone(&configuration))),
@@ -143,7 +156,8 @@
             front: Arc::clone(&front),
             leadership,
             control: control.clone(),
-            commits: commits.runtime(),
+            commits: commits.spawner(),
+            links: links.spawner(),
             retained: None,
         };
         tokio::spawn(claim.run());
@@ -153,6 +167,7 @@
             settings,
             _thread: thread,
             _commits: commits,
+            _links: links,
         })
     }
 
--- a/crates/chervilfall_node/src/commit_thread.rs
+++ b/crates/chervilfall_node/src/runtime_thread.rs
@@ -1,8 +1,7 @@
-//! The thread that sends commits.
+//! Threads that run tasks apart from the thread for traffic.
 //!
-//! Each commit renews the claim, and other nodes take the group over if it comes late. On the thread
-//! of all other traffic it would wait behind that traffic when the node is busy, which is when a
-//! takeover costs most.
+//! What keeps a group and its links alive must not wait behind other traffic, which is most when the
+//! node is busy: that is when losing a claim or a link costs most.
 
 use std::future::{pending, Future};
 use std::io;
@@ -10,47 +9,51 @@
 
 use tokio::runtime::{Builder, Handle};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
-/// A running thread for commits. It ends when this is dropped.
+/// A running thread with a runtime of its own. It ends when this is dropped.
 #[derive(Debug)]
-pub(crate) struct CommitThread {
-    runtime: CommitRuntime,
+pub(crate) struct RuntimeThread {
+    spawner: Spawner,
     _stop: oneshot::Sender<()>,
 }
 
-impl CommitThread {
-    /// Spawns the thread.
+impl RuntimeThread {
+    /// Spawns a thread.
     ///
     /// # Errors
     ///
     /// Returns an error if the thread or its runtime cannot be started.
-    pub(crate) fn spawn() -> io::Result<Self> {
+    pub(crate) fn spawn(name: &str) -> io::Result<Self> {
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let handle = runtime.handle().clone();
         let (stop, stopped) = oneshot::channel();
         thread::Builder::new()
-            .name("commits".to_owned())
+            .name(name.to_owned())
             .spawn(move || runtime.block_on(stopped).ok())?;
         Ok(Self {
-            runtime: CommitRuntime(handle),
+            spawner: Spawner(handle),
             _stop: stop,
         })
     }
 
-    /// Returns where commits run.
-    pub(crate) fn runtime(&self) -> CommitRuntime {
-        self.runtime.clone()
+    /// Returns what spawns tasks on this thread.
+    pub(crate) fn spawner(&self) -> Spawner {
+        self.spawner.clone()
     }
 }
 
-/// Runs commits on their thread.
+/// Spawns tasks on a thread.
 #[derive(Debug, Clone)]
-pub(crate) struct CommitRuntime(Handle);
+pub(crate) struct Spawner(Handle);
 
-impl CommitRuntime {
+impl Spawner {
     /// Runs a future to its end without waiting for it.
-    pub(crate) fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
-        self.0.spawn(future);
+    pub(crate) fn spawn(
+        &self,
+        future: impl Future<Output = ()> + Send + 'static,
+    ) -> JoinHandle<()> {
+        self.0.spawn(future)
     }
 
     /// Runs a future to its end, also if this is dropped before. Never returns if the thread ends
--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -9,16 +9,17 @@
     StallTimeouts,
 };
 use rand::Rng;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 
 use crate::clock::now_ms;
-use crate::commit_thread::CommitRuntime;
 use crate::control::ControlEvent;
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState};
 use crate::link::{dial, DialError};
 use crate::ports::{Platform, Row, Store, StoreError};
+use crate::runtime_thread::Spawner;
 use crate::settings::Settings;
 use crate::watch::takeover::RetainedRows;
 use crate::watch::DependencyStatus;
@@ -85,7 +86,10 @@
     pub(crate) front: Arc<Front>,
     pub(crate) leadership: Arc<LeadershipState>,
     pub(crate) control: mpsc::Sender<ControlEvent>,
-    pub(crate) commits: CommitRuntime,
+    /// Sends commits.
+    pub(crate) commits: Spawner,
+    /// Serves links.
+    pub(crate) links: Spawner,
     /// Rows that were read under a claim which was handed back.
     pub(crate) retained: Option<RetainedRows>,
 }
@@ -335,8 +339,9 @@
         let (settings, front) = (Arc::clone(&self.settings), Arc::clone(&self.front));
         let (leadership, platform) = (Arc::clone(&self.leadership), self.platform.clone());
         let (ended, end) = oneshot::channel();
-        let task = tokio::spawn(async move {
-            let error = dial(address, &settings, &front, &leadership, &platform).await;
+        let traffic = Handle::current();
+        let task = self.links.spawn(async move {
+            let error = dial(address, &settings, &front, &leadership, &platform, &traffic).await;
             // The claim watch runs until the process ends.
             drop(ended.send(error));
         });
