Bound the calls that a holder makes in place of relays

Cause: after one order that a relay had not answered in time, the holder called the endpoint itself for 2 s. A holder or followers that are slow miss the time for many orders at once, so that the holder took over the calls of 540 endpoints just then; and each link that ended did the same for the endpoints of its follower, which had another relay by then. Class: a fallback onto the bottleneck, without a bound.

Change: the holder makes calls in place of relays for at most an eighth of the endpoints that its size carries; beyond that the next relay makes them, or the first one again. A link that ends does not count against the relay that stands in.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -14,8 +14,8 @@
 
 use chervilfall_kernel::{ControlLoop, Work};
 use chervilfall_planner::{
-    Answer, Event, HandoverPolicy, HolderTerm, Limits, NodeId, Planner, RelayUse, ReplyTo, Request,
-    StartNote, StepDownReason, StoredGroup, Takeover,
+    Answer, DirectCalls, Event, HandoverPolicy, HolderTerm, Limits, NodeId, Planner, RelayUse,
+    ReplyTo, Request, StartNote, StepDownReason, StoredGroup, Takeover,
 };
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -106,7 +106,7 @@
             planner_configuration_version: None,
             recovering: false,
             links: BTreeMap::new(),
-            relays: Relays::new(relay_use),
+            relays: Relays::new(relay_use, DirectCalls::new(size_permille)),
             waiting: HashMap::new(),
             next_request: 0,
             heartbeat_due_ms: 0,
--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -1,4 +1,4 @@
-//! Carries out the planner's actions: orders and commits on the traffic thread, replies over links.
+//! Carries out the planner's actions: orders on the thread for traffic, commits on theirs, replies over links.
 
 use std::future::Future;
 use std::sync::Arc;
--- a/crates/chervilfall_node/src/control/relays.rs
+++ b/crates/chervilfall_node/src/control/relays.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use chervilfall_planner::{
-    CallPath, DomainName, EndpointEntry, EndpointId, Event, Millis, NodeId, RelayCandidate,
-    RelayChoice, RelayHealth, RelayUse,
+    CallPath, DirectCalls, DomainName, EndpointEntry, EndpointId, Event, Millis, NodeId,
+    RelayCandidate, RelayChoice, RelayHealth, RelayUse,
 };
 
 use crate::orders::{EndpointAnswer, EndpointOrder, OrderNumber, OrderSubject};
@@ -58,9 +58,10 @@
         }
     }
 
-    /// Returns whether the outcome speaks against the path that was used.
+    /// Returns whether the outcome speaks against the path that the next order would take. An endpoint
+    /// whose relay's link has ended has another relay by then.
     const fn is_failure(self) -> bool {
-        !matches!(self, Self::Answered)
+        !matches!(self, Self::Answered | Self::LinkEnded)
     }
 }
 
@@ -108,6 +109,7 @@
 #[derive(Debug)]
 pub(super) struct Relays {
     usage: RelayUse,
+    direct: DirectCalls,
     candidates: Candidates,
     endpoints: HashMap<EndpointId, RelayedEndpoint>,
     batches: BTreeMap<NodeId, Batch>,
@@ -119,9 +121,10 @@
 }
 
 impl Relays {
-    pub(super) fn new(usage: RelayUse) -> Self {
+    pub(super) fn new(usage: RelayUse, direct: DirectCalls) -> Self {
         Self {
             usage,
+            direct,
             candidates: Candidates::new(),
             endpoints: HashMap::new(),
             batches: BTreeMap::new(),
@@ -134,9 +137,9 @@
 
     /// Forgets all followers and orders at the end of a term. Answers that still arrive are dropped.
     pub(super) fn clear(&mut self) {
-        let usage = self.usage;
+        let (usage, direct) = (self.usage, self.direct.clone());
         let last_number = self.last_number;
-        *self = Self::new(usage);
+        *self = Self::new(usage, direct);
         self.usage.set_endpoints(0);
         self.last_number = last_number;
         self.report_endpoints();
@@ -327,7 +330,8 @@
             return;
         };
         let before = endpoint.health.path(now);
-        endpoint.health.record_unanswered(now, order.sent_ms);
+        let health = &mut endpoint.health;
+        health.record_unanswered(now, order.sent_ms, &mut self.direct);
         if before != CallPath::Direct && endpoint.health.path(now) != before {
             log::info!(
                 endpoint:% = order.endpoint, relay = order.relay, kind = order.subject.kind(),
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -70,7 +70,9 @@
 pub use policy::overload::Overload;
 pub use policy::pass_interval::full_pass_interval_ms;
 pub use policy::quota_bound::{acceptable_after_ms, Work};
-pub use policy::relays::{CallPath, RelayCandidate, RelayChoice, RelayHealth, RelayUse};
+pub use policy::relays::{
+    CallPath, DirectCalls, RelayCandidate, RelayChoice, RelayHealth, RelayUse,
+};
 pub use policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
 pub use policy::store_capacity::{StoreCapacity, StoredCommit};
 pub use policy::switches::Policies;
--- a/crates/chervilfall_planner/src/policy/relays.rs
+++ b/crates/chervilfall_planner/src/policy/relays.rs
@@ -5,6 +5,7 @@
 //! chosen by rendezvous hashing, so that a follower that joins or leaves moves only its own
 //! endpoints.
 
+use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::event::NodeId;
@@ -20,6 +21,10 @@
 /// How long the holder calls an endpoint itself after an order through a relay was not answered: the
 /// endpoint's leases last little longer.
 const DIRECT_MS: Millis = 2_000;
+/// Part of the endpoints that the holder can call itself which it calls in place of relays that do not
+/// answer, as a divisor. If many do not answer at once, the holder is too slow for their answers or part
+/// of the network is cut off, and calls of its own would make it slower still.
+const DIRECT_DIVISOR: u64 = 8;
 /// Time after an order was not answered within which a second one counts against the relay, and for
 /// which the next relay is used then.
 const NEXT_RELAY_MS: Millis = 10_000;
@@ -66,6 +71,40 @@
     }
 }
 
+/// Endpoints that the holder calls itself because their relays did not answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DirectCalls {
+    max: usize,
+    /// When these calls end, the earliest first.
+    until_ms: VecDeque<Millis>,
+}
+
+impl DirectCalls {
+    /// Starts without such calls, for a node of a size in thousandths of a core.
+    #[must_use]
+    pub fn new(size_permille: u64) -> Self {
+        let carried = size_permille.saturating_mul(ENDPOINTS_PER_PERMILLE);
+        Self {
+            max: usize::try_from((carried / DIRECT_DIVISOR).max(1)).unwrap_or(usize::MAX),
+            until_ms: VecDeque::new(),
+        }
+    }
+
+    /// Adds an endpoint and returns until when it is called; none if there are as many as the holder can
+    /// call.
+    fn add(&mut self, now: Millis) -> Option<Millis> {
+        while self.until_ms.front().is_some_and(|until| *until <= now) {
+            self.until_ms.pop_front();
+        }
+        if self.until_ms.len() >= self.max {
+            return None;
+        }
+        let until_ms = now + DIRECT_MS;
+        self.until_ms.push_back(until_ms);
+        Some(until_ms)
+    }
+}
+
 /// A follower that can relay orders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayCandidate {
@@ -178,8 +217,9 @@
         }
     }
 
-    /// Records that an order sent at `sent_ms` through a relay was not answered.
-    pub fn record_unanswered(&mut self, now: Millis, sent_ms: Millis) {
+    /// Records that an order sent at `sent_ms` through a relay was not answered. The holder makes the next
+    /// calls if that is one more of `direct`.
+    pub fn record_unanswered(&mut self, now: Millis, sent_ms: Millis, direct: &mut DirectCalls) {
         // Orders that were in flight together fail for one reason.
         if self.failed_ms.is_some_and(|failed_ms| sent_ms <= failed_ms) {
             return;
@@ -188,10 +228,15 @@
             .failed_ms
             .is_some_and(|failed_ms| now.saturating_sub(failed_ms) < NEXT_RELAY_MS);
         self.failed_ms = Some(now);
-        if recent && now >= self.next_until_ms {
+        let uses_next = now < self.next_until_ms;
+        if recent && !uses_next {
             self.next_until_ms = now + NEXT_RELAY_MS;
+        } else if let Some(until_ms) = direct.add(now) {
+            self.direct_until_ms = until_ms;
+        } else if uses_next {
+            self.next_until_ms = now;
         } else {
-            self.direct_until_ms = now + DIRECT_MS;
+            self.next_until_ms = now + NEXT_RELAY_MS;
         }
     }
 }
--- a/crates/chervilfall_planner/tests/relays.rs
+++ b/crates/chervilfall_planner/tests/relays.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use chervilfall_planner::{
-    CallPath, EndpointId, NodeId, RelayCandidate, RelayChoice, RelayHealth, RelayUse,
+    CallPath, DirectCalls, EndpointId, NodeId, RelayCandidate, RelayChoice, RelayHealth, RelayUse,
 };
 
 /// Guards against relays in a fleet that the holder carries itself, against a holder whose calls to
@@ -110,6 +110,8 @@
     }
 }
 
+const SIZE_PERMILLE: u64 = 500;
+
 /// Guards against leases that lapse behind a relay that does not answer.
 #[test]
 fn an_endpoint_is_called_another_way_after_an_unanswered_order() {
@@ -153,9 +155,9 @@
         },
     ];
     for case in cases {
-        let mut health = RelayHealth::default();
+        let (mut health, mut direct) = (RelayHealth::default(), DirectCalls::new(SIZE_PERMILLE));
         for (sent_ms, now) in case.unanswered {
-            health.record_unanswered(*now, *sent_ms);
+            health.record_unanswered(*now, *sent_ms, &mut direct);
         }
         for (now, path) in case.paths {
             assert_eq!(health.path(*now), *path, "{}: {now}", case.name);
@@ -168,3 +170,56 @@
     assert_eq!(alone.link(First), Some(1));
     assert_eq!(alone.link(Next), None, "the holder makes the call");
 }
+
+/// Guards against a holder that takes over the calls of all relays at once when it is too slow for their
+/// answers: it is slower still then, and service does not come back (RECOVER).
+#[test]
+fn the_holder_takes_over_few_calls_of_relays_that_do_not_answer() {
+    use CallPath::{Direct, First, Next};
+    /// One endpoint of 80.
+    const SMALL_PERMILLE: u64 = 8;
+    struct Case {
+        name: &'static str,
+        /// When orders to the endpoint were sent, and when they were known not to be answered, after one
+        /// to another endpoint at 0.
+        unanswered: &'static [(u64, u64)],
+        paths: &'static [(u64, CallPath)],
+    }
+    let cases = [
+        Case {
+            name: "while the other one is called",
+            unanswered: &[(0, 1_000)],
+            paths: &[(1_000, Next), (10_999, Next), (11_000, First)],
+        },
+        Case {
+            name: "afterwards",
+            unanswered: &[(1_500, 2_000)],
+            paths: &[(2_000, Direct), (4_000, First)],
+        },
+        Case {
+            name: "through both relays",
+            unanswered: &[(0, 1_000), (1_100, 1_900)],
+            paths: &[(1_900, First)],
+        },
+    ];
+    for case in cases {
+        let mut direct = DirectCalls::new(SMALL_PERMILLE);
+        let mut other = RelayHealth::default();
+        other.record_unanswered(0, 0, &mut direct);
+        assert_eq!(other.path(1_999), Direct, "{}", case.name);
+        let mut health = RelayHealth::default();
+        for (sent_ms, now) in case.unanswered {
+            health.record_unanswered(*now, *sent_ms, &mut direct);
+        }
+        for (now, path) in case.paths {
+            assert_eq!(health.path(*now), *path, "{}: {now}", case.name);
+        }
+    }
+    let mut direct = DirectCalls::new(SIZE_PERMILLE);
+    let taken = (0..ENDPOINTS).filter(|_| {
+        let mut health = RelayHealth::default();
+        health.record_unanswered(1_000, 0, &mut direct);
+        health.path(1_000) == Direct
+    });
+    assert!(taken.count() <= ENDPOINTS / 4, "of all endpoints at once");
+}
