Measure how late links are sent, beside other traffic

The holder refuses new jobs while its calls are late. Since links have a thread of their own, the calls that relays make are late by that thread's lag, which nobody measured. Now the larger lag of the two counts, and `control thread load` has links_lag_ms beside traffic_lag_ms.

--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -6,7 +6,7 @@
 mod load_report;
 mod orders;
 mod relays;
-mod traffic_lag;
+mod thread_lags;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -31,7 +31,7 @@
 
 pub(crate) use events::ControlEvent;
 use relays::Relays;
-use traffic_lag::TrafficLag;
+use thread_lags::ThreadLags;
 
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
@@ -51,6 +51,7 @@
     pub(crate) sender: mpsc::Sender<ControlEvent>,
     pub(crate) traffic: Handle,
     pub(crate) commits: Spawner,
+    pub(crate) link_thread: Spawner,
     planner: Option<Planner>,
     /// Decides about handovers while this node holds the group.
     handover: Option<HandoverPolicy>,
@@ -67,7 +68,7 @@
     next_request: u64,
     heartbeat_due_ms: u64,
     load: ControlLoad,
-    traffic_lag: TrafficLag,
+    lags: ThreadLags,
 }
 
 impl<P: Platform> Control<P> {
@@ -85,6 +86,7 @@
         sender: mpsc::Sender<ControlEvent>,
         traffic: Handle,
         commits: Spawner,
+        link_thread: Spawner,
     ) -> Self {
         let relay_use = RelayUse::new(limits.policies.endpoint_relays, size_permille);
         Self {
@@ -99,6 +101,7 @@
             sender,
             traffic,
             commits,
+            link_thread,
             planner: None,
             handover: None,
             unstored: Vec::new(),
@@ -111,7 +114,7 @@
             next_request: 0,
             heartbeat_due_ms: 0,
             load: ControlLoad::new(Instant::now()),
-            traffic_lag: TrafficLag::default(),
+            lags: ThreadLags::default(),
         }
     }
 
@@ -328,7 +331,7 @@
             return;
         }
         self.heartbeat_due_ms = now + self.heartbeat_ms;
-        self.measure_traffic_lag();
+        self.measure_lags();
         self.hand_over_if_due();
         self.update_relays();
         // A full queue shows in the status even without a probe.
@@ -355,7 +358,7 @@
         let began = Instant::now();
         self.update_planner_configuration();
         self.end_overdue_orders();
-        self.report_traffic_lag();
+        self.report_lag();
         self.feed(Event::Tick { unix_ms: unix_ms() });
         self.send_unstored_starts();
         self.send_heartbeats();
@@ -432,7 +435,7 @@
                 }
             }
             ControlEvent::Probe(sent) => self.load.record_queue_age(sent.elapsed()),
-            ControlEvent::TrafficProbe(ran) => self.traffic_lag.record(ran),
+            ControlEvent::ThreadProbe { thread, ran } => self.lags.record(thread, ran),
         }
     }
 }
--- a/crates/chervilfall_node/src/control/events.rs
+++ b/crates/chervilfall_node/src/control/events.rs
@@ -9,6 +9,7 @@
 };
 use tokio::sync::mpsc;
 
+use super::thread_lags::MeasuredThread;
 use crate::leadership::PendingRequest;
 use crate::link::FollowerLink;
 use crate::load::WorkKind;
@@ -59,8 +60,11 @@
     Release,
     /// Shows by its age how long events wait in the queue.
     Probe(Instant),
-    /// A task of the thread for traffic that does nothing has run then.
-    TrafficProbe(Instant),
+    /// A task of a thread that does nothing has run.
+    ThreadProbe {
+        thread: MeasuredThread,
+        ran: Instant,
+    },
     /// A commit of the planner of a term has completed, which had waited for the thread that sends it.
     CommitCompleted {
         term: u64,
@@ -83,7 +87,7 @@
             | Self::UnstoredStarts(_)
             | Self::Release
             | Self::Probe(_)
-            | Self::TrafficProbe(_) => WorkKind::Links,
+            | Self::ThreadProbe { .. } => WorkKind::Links,
             Self::Endpoints { .. } | Self::Claimed { .. } | Self::Recovering(_) => WorkKind::Lists,
         }
     }
--- a/crates/chervilfall_node/src/control/load_report.rs
+++ b/crates/chervilfall_node/src/control/load_report.rs
@@ -23,7 +23,9 @@
             return;
         };
         let backlog = planner.backlog();
-        let traffic_lag_ms = self.traffic_lag.take_max_ms(Instant::now());
+        let now = Instant::now();
+        let traffic_lag_ms = self.lags.traffic.take_max_ms(now);
+        let links_lag_ms = self.lags.links.take_max_ms(now);
         let work = planner.take_work();
         let longest_commit_gap_ms = planner.take_longest_commit_gap_ms();
         log::info!(
@@ -40,7 +42,7 @@
             links_ms = status.kind_ms(WorkKind::Links),
             lists_ms = status.kind_ms(WorkKind::Lists),
             ticks_ms = status.kind_ms(WorkKind::Ticks),
-            traffic_lag_ms = traffic_lag_ms, commit_wait_ms = status.max_commit_wait_ms, passes = work.passes,
+            traffic_lag_ms = traffic_lag_ms, links_lag_ms = links_lag_ms, commit_wait_ms = status.max_commit_wait_ms, passes = work.passes,
             steps_visited = work.steps_visited, endpoints_judged = work.endpoints_judged,
             nodes_searched = work.nodes_searched, longest_commit_gap_ms = longest_commit_gap_ms;
             "control thread load"
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -128,6 +128,7 @@
             control.clone(),
             Handle::current(),
             commits.spawner(),
+            links.spawner(),
         );
         let thread = ControlThread::spawn(receiver, timings.tick_ms, control_loop)?;
         links.spawner().spawn(accept_links(
