Wait for the end of a link's task before another link begins

Found by reading the diff: since links have a thread of their own, a follower that turns to another holder aborts the task of the old link while that may be handling a heartbeat. It could then announce the old holder again, after its link was dropped, and the node would send its requests to a link that nobody reads until the holder changes once more. No play or test has shown it; there is no test of it, as the window is a few microseconds. The follower now waits until the task has ended.

--- a/crates/chervilfall_node/src/watch/claim.rs
+++ b/crates/chervilfall_node/src/watch/claim.rs
@@ -264,7 +264,7 @@
                 holder,
                 claim_in_ms,
             } => {
-                self.follow(connection, holder);
+                self.follow(connection, holder).await;
                 claim_in_ms
             }
             CandidateAction::Wait => poll_ms,
@@ -287,7 +287,7 @@
         let claimed_ms = now_ms();
         let outcome = self.commit_claim(batch).await;
         if let Some(version) = claimed_version(&outcome, &row) {
-            self.drop_connection(connection);
+            self.drop_connection(connection).await;
             let takeover = candidate.won(row, version);
             log::info!(term = takeover.row.term, fence = takeover.fence; "group claimed");
             self.load_rows(candidate, takeover, claimed_ms).await;
@@ -324,14 +324,14 @@
         self.commits.run(commit).await
     }
 
-    fn follow(&self, connection: &mut Option<HolderConnection>, holder: HolderRow) {
+    async fn follow(&self, connection: &mut Option<HolderConnection>, holder: HolderRow) {
         let same = connection.as_ref().is_some_and(|connection| {
             connection.row.incarnation == holder.incarnation && connection.row.term == holder.term
         });
         if same {
             return;
         }
-        self.drop_connection(connection);
+        self.drop_connection(connection).await;
         let Ok(address) = holder.address.parse::<SocketAddr>() else {
             log::warn!(holder = holder.node.as_str(), address = holder.address.as_str(); "holder's address cannot be read");
             return;
@@ -352,9 +352,16 @@
         });
     }
 
-    fn drop_connection(&self, connection: &mut Option<HolderConnection>) {
+    /// Ends the link, if there is one. Its task runs on another thread, so it could still announce the old
+    /// holder if this did not wait for its end.
+    async fn drop_connection(&self, connection: &mut Option<HolderConnection>) {
         if let Some(old) = connection.take() {
             old.task.abort();
+            if let Err(error) = old.task.await {
+                if !error.is_cancelled() {
+                    log::error!(error:% = error; "task of a link failed");
+                }
+            }
             if matches!(self.leadership.current(), Leadership::Remote(_)) {
                 self.leadership.set(Leadership::NoHolder);
             }
