Take the machine's memory into the settings

The platform gives memory_mb, and the template did not pass it on, so that nothing in a node could follow from it. The field is read and checked (0 is refused) and not used yet.

--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -182,6 +182,9 @@
     /// Descriptors that the process may open; no limit if none.
     #[serde(default)]
     pub max_descriptors: Option<usize>,
+    /// Memory of the node's machine, in megabytes; no limit if absent.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Longest lease that endpoints grant.
     pub lease_max_ms: u64,
     /// Interval between an endpoint's status reports.
@@ -352,6 +355,7 @@
             ("drain_ms", settings.drain_ms),
             ("evacuate_ms", settings.evacuate_ms.unwrap_or(u64::MAX)),
             ("capacity_notice_ms", settings.capacity_notice_ms),
+            ("memory_mb", settings.memory_mb.unwrap_or(u64::MAX)),
         ];
         if let Some((name, _)) = bounds.iter().find(|(_, bound_ms)| *bound_ms == 0) {
             return Err(field((*name).to_owned(), "must be at least 1".to_owned()));
