--- a/crates/chervilfall_node/src/lib.rs
+++ b/crates/chervilfall_node/src/lib.rs
@@ -26,7 +26,7 @@
 pub use keys::{KeyDigest, KeyRing};
 pub use load::{ControlLoad, LoadStatus, WorkKind};
 pub use node::{Node, NodeError};
-pub use routes::{Route, RouteTable};
+pub use routes::{RequestLimits, Route, RouteTable};
 pub use settings::{changed_fields, read_text, Settings, SettingsError, TightBound, Timings};
 pub use wait_bounds::WaitBounds;
 // Public for the test of a reading that begins with its process.
--- a/crates/chervilfall_node/src/routes.rs
+++ b/crates/chervilfall_node/src/routes.rs
@@ -19,6 +19,27 @@
     pub queue: Queue,
 }
 
+/// Limits of a request, besides the size of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestLimits {
+    /// Maximum size of a head, in bytes.
+    pub max_head_bytes: u64,
+    /// Time for a head, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Time that a connection may stay idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16_384,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
 /// The configuration in force, as a node needs it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
@@ -36,6 +57,9 @@
     pub keys: KeyRing,
     /// Maximum size of a request's body, in bytes.
     pub max_body_bytes: u64,
+    /// Limits of a request besides.
+    #[serde(default)]
+    pub request_limits: RequestLimits,
 }
 
 impl RouteTable {
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -72,6 +72,8 @@
     pub configuration_wait_ms: u64,
     /// How long a request waits for the holder's answer.
     pub answer_wait_ms: u64,
+    /// Longest time for a request's body to arrive; a caller's wait budget can be shorter.
+    pub body_timeout_ms: u64,
     /// Interval between ticks of the planner.
     pub tick_ms: u64,
     /// How long the node keeps serving after a planned stop has begun, while callers are sent to
@@ -97,6 +99,7 @@
             isolated_wait_ms: 600,
             configuration_wait_ms: 300,
             answer_wait_ms: 2_000,
+            body_timeout_ms: 60_000,
             tick_ms: 10,
             linger_ms: 2_500,
             stop_ms: 4_500,
