Limit the connections of callers, and close those first that stall

Callers saw: none of them got an answer, because connections that sent nothing had taken all descriptors of the process. Cause: connections had no limit; neither the accept loop nor anything else knew their number.

At the limit the connection is closed that has waited longest without a whole request; if none has waited for 500 ms, the one idle for longest; never one whose request is being handled.

--- a/crates/chervilfall_ingress/src/connection.rs
+++ b/crates/chervilfall_ingress/src/connection.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -23,7 +24,7 @@
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Serves a connection until it ends, its client is overdue, or the listener stops.
+/// Serves a connection until it ends, its client is overdue, or it is closed in favour of others.
 pub(crate) async fn serve<H: RequestHandler>(
     stream: TcpStream,
     mut open: OpenConnection,
@@ -67,7 +68,10 @@
     let (head, incoming) = request.into_parts();
     let pause = Duration::from_millis(limits.idle_ms);
     let body = RequestBody::new(incoming, connection.clone(), pause);
-    let response = handler.handle(head, body).await;
-    connection.answered();
+    let mut response = handler.handle(head, body).await;
+    if connection.answered() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
     response
 }
--- a/crates/chervilfall_ingress/src/connections.rs
+++ b/crates/chervilfall_ingress/src/connections.rs
@@ -3,15 +3,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use metrics::{gauge, Gauge};
+use metrics::{counter, gauge, Gauge};
 use slotmap::{new_key_type, SlotMap};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::limits::RequestLimits;
+use crate::eviction::connection_to_close;
+use crate::limits::{ProcessLimits, RequestLimits};
 
 /// Maximum number of closed connections whose clients still have time to read a refusal.
 const MAX_LINGERING: usize = 64;
+/// Shortest interval between two log lines on closed connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 new_key_type! {
     /// Key of an open connection.
     pub(crate) struct ConnectionKey;
@@ -38,6 +42,10 @@
     pub(crate) phase: Phase,
     /// When the phase began.
     pub(crate) since: Instant,
+    /// Number of its requests that were answered.
+    pub(crate) answers: u64,
+    /// It is closed after its next answer.
+    pub(crate) ends: bool,
     /// Its task ends when this is dropped.
     _open: oneshot::Sender<()>,
 }
@@ -45,7 +53,11 @@
 #[derive(Debug)]
 struct Table {
     entries: SlotMap<ConnectionKey, Entry>,
+    limits: ProcessLimits,
     lingering: usize,
+    /// Connections closed since the last log line.
+    closed: u64,
+    closed_logged: Option<Instant>,
 }
 
 /// All open connections.
@@ -56,11 +68,14 @@
 }
 
 impl Connections {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(limits: ProcessLimits) -> Self {
         Self {
             table: Mutex::new(Table {
                 entries: SlotMap::with_key(),
+                limits,
                 lingering: 0,
+                closed: 0,
+                closed_logged: None,
             }),
             open: gauge!("chervilfall_caller_connections"),
         }
@@ -70,13 +85,28 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds a connection.
-    pub(crate) fn open(self: &Arc<Self>) -> OpenConnection {
+    pub(crate) fn set_limits(&self, limits: ProcessLimits) {
+        self.lock().limits = limits;
+    }
+
+    /// Adds a connection, and closes another one if there are too many. Returns none if all others
+    /// have requests that are being handled; one of them is then closed after its answer.
+    pub(crate) fn open(self: &Arc<Self>) -> Option<OpenConnection> {
         let (open, closed) = oneshot::channel();
         let mut table = self.lock();
+        while table.entries.len() >= table.limits.max_connections {
+            let Some(key) = connection_to_close(&table.entries, Instant::now()) else {
+                table.end_busiest();
+                counter!("chervilfall_caller_connections_refused_total").increment(1);
+                return None;
+            };
+            table.close(key, "connections");
+        }
         let key = table.entries.insert(Entry {
             phase: Phase::Idle,
             since: Instant::now(),
+            answers: 0,
+            ends: false,
             _open: open,
         });
         self.open.set(table.entries.len() as f64);
@@ -84,7 +114,13 @@
             connections: Arc::clone(self),
             key,
         };
-        OpenConnection { connection, closed }
+        Some(OpenConnection { connection, closed })
+    }
+
+    /// Returns whether there are as many connections as there may be.
+    pub(crate) fn full(&self) -> bool {
+        let table = self.lock();
+        table.entries.len() >= table.limits.max_connections
     }
 
     /// Closes all connections but those whose requests are being handled.
@@ -103,6 +139,34 @@
         };
         self.lingering -= usize::from(entry.phase == Phase::Lingering);
     }
+
+    /// Closes a connection of a client that keeps others waiting.
+    fn close(&mut self, key: ConnectionKey, cause: &'static str) {
+        self.remove(key);
+        counter!("chervilfall_caller_connections_closed_total", "cause" => cause).increment(1);
+        self.closed += 1;
+        let now = Instant::now();
+        if self
+            .closed_logged
+            .is_some_and(|logged| now - logged < LOG_INTERVAL)
+        {
+            return;
+        }
+        log::warn!(
+            cause = cause, closed = self.closed, open = self.entries.len();
+            "connections of callers that stall are closed"
+        );
+        self.closed_logged = Some(now);
+        self.closed = 0;
+    }
+
+    /// Lets the connection end after its next answer that has had most of them.
+    fn end_busiest(&mut self) {
+        let staying = self.entries.values_mut().filter(|entry| !entry.ends);
+        if let Some(busiest) = staying.max_by_key(|entry| entry.answers) {
+            busiest.ends = true;
+        }
+    }
 }
 
 /// A connection that has been added. Dropping this removes it.
@@ -151,9 +215,16 @@
         }
     }
 
-    /// Takes note that a request was answered.
-    pub(crate) fn answered(&self) {
-        self.set_phase(Phase::Idle);
+    /// Takes note that a request was answered; returns whether the connection ends with it.
+    pub(crate) fn answered(&self) -> bool {
+        let mut table = self.connections.lock();
+        let Some(entry) = table.entries.get_mut(self.key) else {
+            return true;
+        };
+        entry.phase = Phase::Idle;
+        entry.since = Instant::now();
+        entry.answers += 1;
+        entry.ends
     }
 
     /// Returns whether the client has time to read why it was refused.
--- /dev/null
+++ b/crates/chervilfall_ingress/src/eviction.rs
@@ -0,0 +1,40 @@
+//! Which connection is closed if there is no room.
+
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use crate::connections::{ConnectionKey, Entry, Phase};
+
+/// A request that is not whole by then, or a connection without a first one, has stalled. Those of
+/// ordinary callers are whole within some round trips.
+const STALLED_AFTER: Duration = Duration::from_millis(500);
+
+impl Entry {
+    fn waited(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    fn has_stalled(&self, now: Instant) -> bool {
+        let waits = match self.phase {
+            Phase::Idle => self.answers == 0,
+            Phase::Head | Phase::Body => true,
+            Phase::Handling | Phase::Lingering => false,
+        };
+        waits && self.waited(now) >= STALLED_AFTER
+    }
+}
+
+/// Returns the connection to close in favour of a new one: of those that have stalled the one that
+/// has waited longest; if none has, of all that have no request to handle.
+pub(crate) fn connection_to_close(
+    entries: &SlotMap<ConnectionKey, Entry>,
+    now: Instant,
+) -> Option<ConnectionKey> {
+    let waiting = entries
+        .iter()
+        .filter(|(_, entry)| entry.phase != Phase::Handling);
+    let first = waiting.max_by_key(|(_, entry)| (entry.has_stalled(now), entry.waited(now)));
+    first.map(|(key, _)| key)
+}
--- a/crates/chervilfall_ingress/src/server.rs
+++ b/crates/chervilfall_ingress/src/server.rs
@@ -11,13 +11,13 @@
 use hyper::http::request::Parts;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::oneshot;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::{yield_now, JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
 use crate::body::RequestBody;
 use crate::connection;
 use crate::connections::Connections;
-use crate::limits::RequestLimits;
+use crate::limits::{ProcessLimits, RequestLimits};
 
 /// Connections that the system keeps until they are accepted.
 const BACKLOG: u32 = 1_024;
@@ -44,6 +44,22 @@
 pub struct ServerOptions {
     /// Address to listen on.
     pub listen: SocketAddr,
+    /// Memory of the machine, in bytes; no limit if none.
+    pub memory_bytes: Option<u64>,
+    /// Descriptors that the process may open; no limit if none.
+    pub max_descriptors: Option<usize>,
+    /// Whole response to a connection that is refused because all others are busy.
+    pub busy_response: Vec<u8>,
+}
+
+impl ServerOptions {
+    fn process_limits(&self, request: RequestLimits) -> ProcessLimits {
+        ProcessLimits::of_machine(
+            self.memory_bytes,
+            self.max_descriptors,
+            request.max_head_bytes,
+        )
+    }
 }
 
 /// A running listener. Dropping it ends all its connections.
@@ -60,11 +76,13 @@
     /// # Errors
     ///
     /// Returns the system's error if the address cannot be bound.
-    pub fn bind<H: RequestHandler>(options: &ServerOptions, handler: H) -> io::Result<Self> {
+    pub fn bind<H: RequestHandler>(options: ServerOptions, handler: H) -> io::Result<Self> {
         let listener = listen(options.listen)?;
-        let connections = Arc::new(Connections::new());
+        let limits = options.process_limits(handler.request_limits());
+        let connections = Arc::new(Connections::new(limits));
         let (stop, stopped) = oneshot::channel();
         let server = Server {
+            options,
             handler: Arc::new(handler),
             connections: Arc::clone(&connections),
             tasks: JoinSet::new(),
@@ -101,6 +119,7 @@
 }
 
 struct Server<H> {
+    options: ServerOptions,
     handler: Arc<H>,
     connections: Arc<Connections>,
     tasks: JoinSet<()>,
@@ -116,7 +135,7 @@
                 grace = &mut stopped => break grace.unwrap_or_default(),
             };
             match accepted {
-                Ok((stream, _)) => self.accept(stream),
+                Ok((stream, _)) => self.accept(stream).await,
                 Err(error) => {
                     log::warn!(error:% = error; "connection of a caller cannot be accepted");
                     sleep(ACCEPT_RETRY).await;
@@ -130,9 +149,18 @@
         }
     }
 
-    fn accept(&mut self, stream: TcpStream) {
+    async fn accept(&mut self, stream: TcpStream) {
         let limits = self.handler.request_limits();
-        let open = self.connections.open();
+        self.connections
+            .set_limits(self.options.process_limits(limits));
+        if self.connections.full() {
+            // The tasks of connections that were closed give their descriptors back.
+            yield_now().await;
+        }
+        let Some(open) = self.connections.open() else {
+            refuse(&stream, &self.options.busy_response);
+            return;
+        };
         // Without it an answer is late, not wrong.
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(error:% = error; "delays cannot be switched off");
@@ -142,3 +170,11 @@
             .spawn(connection::serve(stream, open, handler, limits));
     }
 }
+
+/// Sends a response as far as it can be sent at once: the system has room for it, as nothing was
+/// sent before.
+fn refuse(stream: &TcpStream, response: &[u8]) {
+    if let Err(error) = stream.try_write(response) {
+        log::debug!(error:% = error; "a refused caller cannot be told");
+    }
+}
