Reserve the memory of bodies from one budget of the process

Callers saw: a process that ended for want of memory while many large bodies, each of a legal size and most short of their last byte, were kept at once, and that gave nothing back afterwards. Cause: each body was bounded, their sum was not.

A quarter of the budget is for requests of up to 16 KB. Never closed: a request that is being handled.

--- a/crates/chervilfall_ingress/src/connections.rs
+++ b/crates/chervilfall_ingress/src/connections.rs
@@ -8,9 +8,13 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::eviction::connection_to_close;
+use crate::eviction::{connection_to_close, request_to_close};
 use crate::limits::{ProcessLimits, RequestLimits};
 
+/// Requests that hold no more than this count as small, in bytes.
+pub(crate) const SMALL_REQUEST_BYTES: u64 = 16_384;
+/// One in this many parts of the budget is kept for small requests.
+const SMALL_REQUEST_PART: u64 = 4;
 /// Maximum number of closed connections whose clients still have time to read a refusal.
 const MAX_LINGERING: usize = 64;
 /// Shortest interval between two log lines on closed connections.
@@ -42,6 +46,8 @@
     pub(crate) phase: Phase,
     /// When the phase began.
     pub(crate) since: Instant,
+    /// Bytes that its request holds.
+    pub(crate) held_bytes: u64,
     /// Number of its requests that were answered.
     pub(crate) answers: u64,
     /// It is closed after its next answer.
@@ -50,10 +56,16 @@
     _open: oneshot::Sender<()>,
 }
 
+/// The budget has no room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("too much is held for other requests")]
+pub struct NoMemory;
+
 #[derive(Debug)]
 struct Table {
     entries: SlotMap<ConnectionKey, Entry>,
     limits: ProcessLimits,
+    held_bytes: u64,
     lingering: usize,
     /// Connections closed since the last log line.
     closed: u64,
@@ -65,6 +77,7 @@
 pub(crate) struct Connections {
     table: Mutex<Table>,
     open: Gauge,
+    held: Gauge,
 }
 
 impl Connections {
@@ -73,11 +86,13 @@
             table: Mutex::new(Table {
                 entries: SlotMap::with_key(),
                 limits,
+                held_bytes: 0,
                 lingering: 0,
                 closed: 0,
                 closed_logged: None,
             }),
             open: gauge!("chervilfall_caller_connections"),
+            held: gauge!("chervilfall_caller_bytes_held"),
         }
     }
 
@@ -105,6 +120,7 @@
         let key = table.entries.insert(Entry {
             phase: Phase::Idle,
             since: Instant::now(),
+            held_bytes: 0,
             answers: 0,
             ends: false,
             _open: open,
@@ -129,6 +145,7 @@
         table
             .entries
             .retain(|_, entry| entry.phase == Phase::Handling);
+        table.held_bytes = table.entries.values().map(|entry| entry.held_bytes).sum();
     }
 }
 
@@ -137,6 +154,7 @@
         let Some(entry) = self.entries.remove(key) else {
             return;
         };
+        self.held_bytes -= entry.held_bytes;
         self.lingering -= usize::from(entry.phase == Phase::Lingering);
     }
 
@@ -153,7 +171,7 @@
             return;
         }
         log::warn!(
-            cause = cause, closed = self.closed, open = self.entries.len();
+            cause = cause, closed = self.closed, open = self.entries.len(), held_bytes = self.held_bytes;
             "connections of callers that stall are closed"
         );
         self.closed_logged = Some(now);
@@ -167,6 +185,27 @@
             busiest.ends = true;
         }
     }
+
+    /// Returns the most that all requests may hold if one of them holds this much.
+    fn max_held_bytes(&self, held_bytes: u64) -> u64 {
+        let max = self.limits.max_held_bytes;
+        if held_bytes <= SMALL_REQUEST_BYTES {
+            return max;
+        }
+        max - max / SMALL_REQUEST_PART
+    }
+
+    fn reserve(&mut self, key: ConnectionKey, bytes: u64) -> Result<(), NoMemory> {
+        let held_bytes = self.entries.get(key).ok_or(NoMemory)?.held_bytes + bytes;
+        let max = self.max_held_bytes(held_bytes);
+        while self.held_bytes + bytes > max {
+            let other = request_to_close(&self.entries, key, Instant::now()).ok_or(NoMemory)?;
+            self.close(other, "memory");
+        }
+        self.entries[key].held_bytes = held_bytes;
+        self.held_bytes += bytes;
+        Ok(())
+    }
 }
 
 /// A connection that has been added. Dropping this removes it.
@@ -253,4 +292,54 @@
         };
         Some(entry.since + Duration::from_millis(ms))
     }
+
+    /// Reserves memory for the request. Requests of other connections that have stalled are closed
+    /// if there is no room otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room.
+    pub(crate) fn reserve(&self, bytes: u64) -> Result<Reservation, NoMemory> {
+        let mut reservation = Reservation {
+            connection: self.clone(),
+            bytes: 0,
+        };
+        reservation.resize(bytes)?;
+        Ok(reservation)
+    }
+}
+
+/// Memory that is reserved for a request. Dropping this gives it back.
+#[derive(Debug)]
+pub struct Reservation {
+    connection: Connection,
+    bytes: u64,
+}
+
+impl Reservation {
+    /// Changes how much is reserved.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room for more. The reservation is then as before.
+    pub fn resize(&mut self, bytes: u64) -> Result<(), NoMemory> {
+        let connections = &self.connection.connections;
+        let mut table = connections.lock();
+        if bytes > self.bytes {
+            table.reserve(self.connection.key, bytes - self.bytes)?;
+        } else if let Some(entry) = table.entries.get_mut(self.connection.key) {
+            entry.held_bytes -= self.bytes - bytes;
+            table.held_bytes -= self.bytes - bytes;
+        }
+        self.bytes = bytes;
+        connections.held.set(table.held_bytes as f64);
+        Ok(())
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        // Giving back never fails.
+        let _ = self.resize(0);
+    }
 }
--- a/crates/chervilfall_ingress/src/eviction.rs
+++ b/crates/chervilfall_ingress/src/eviction.rs
@@ -38,3 +38,21 @@
     let first = waiting.max_by_key(|(_, entry)| (entry.has_stalled(now), entry.waited(now)));
     first.map(|(key, _)| key)
 }
+
+/// Returns the connection to close in favour of another one's request: of those whose bodies have
+/// stalled the one that has held most for longest.
+pub(crate) fn request_to_close(
+    entries: &SlotMap<ConnectionKey, Entry>,
+    other_than: ConnectionKey,
+    now: Instant,
+) -> Option<ConnectionKey> {
+    let holding = entries.iter().filter(|(key, entry)| {
+        *key != other_than
+            && entry.phase == Phase::Body
+            && entry.held_bytes > 0
+            && entry.has_stalled(now)
+    });
+    let first = holding
+        .max_by_key(|(_, entry)| u128::from(entry.held_bytes) * entry.waited(now).as_millis());
+    first.map(|(key, _)| key)
+}
--- a/crates/chervilfall_ingress/src/limits.rs
+++ b/crates/chervilfall_ingress/src/limits.rs
@@ -3,7 +3,8 @@
 /// Bytes of a connection besides its head and its body: its task, and what the system receives for
 /// it ahead of reading.
 const CONNECTION_BYTES: u64 = 24_576;
-/// Parts of the machine's memory, of which one is for connections.
+/// Parts of the machine's memory: one for connections, one for bodies. The others are for the
+/// process's own work.
 const MEMORY_PARTS: u64 = 4;
 /// Connections of callers may take this many of [`DESCRIPTOR_PARTS`] of the descriptors.
 const CALLER_DESCRIPTOR_PARTS: usize = 3;
@@ -12,6 +13,8 @@
 const DESCRIPTOR_PARTS: usize = 8;
 /// Most connections if neither memory nor descriptors are limited.
 const DEFAULT_MAX_CONNECTIONS: usize = 4_096;
+/// Most bytes of bodies if memory is not limited.
+const DEFAULT_MAX_HELD_BYTES: u64 = 268_435_456;
 
 /// Limits of a request, as the configuration in force sets them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +33,8 @@
 pub struct ProcessLimits {
     /// Maximum number of connections.
     pub max_connections: usize,
+    /// Maximum number of bytes that requests may hold, in their bodies and as decoded jobs.
+    pub max_held_bytes: u64,
 }
 
 impl ProcessLimits {
@@ -49,6 +54,7 @@
         let max_connections = by_memory.into_iter().chain(by_descriptors).min();
         Self {
             max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS).max(1),
+            max_held_bytes: share.unwrap_or(DEFAULT_MAX_HELD_BYTES),
         }
     }
 }
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -94,6 +94,16 @@
         required.is_none_or(|label| labels.contains(label))
     }
 
+    /// Returns the memory that the step takes, in bytes.
+    fn memory_bytes(&self) -> usize {
+        let label_bytes = |label: &Option<String>| label.as_ref().map_or(0, String::len);
+        size_of::<Self>()
+            + size_of_val(self.after.as_slice())
+            + label_bytes(&self.required_label)
+            + label_bytes(&self.affinity)
+            + self.image.len()
+    }
+
     /// Returns the estimated work of all tasks, in core-milliseconds.
     fn core_ms(&self) -> u64 {
         let cpu_milli = u64::from(self.count) * u64::from(self.cpu_milli);
@@ -127,6 +137,14 @@
         self.repeat_count.max(1)
     }
 
+    /// Returns the memory that the job takes, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> u64 {
+        let steps = self.steps.iter().map(Step::memory_bytes);
+        let bytes = size_of::<Self>() + self.spec.len() + steps.sum::<usize>();
+        bytes as u64
+    }
+
     /// Returns the estimated work of one occurrence, in core-milliseconds.
     #[must_use]
     pub fn core_ms(&self) -> u64 {
