Keep only the tasks of a step that have begun

Callers saw: one job of 188 bytes with a count of 4,294,967,295 ended the holder, and each next one, since it was stored. Cause: a step kept an entry for each task from its acceptance on (480 GB asked for).

A step now keeps the tasks that have begun; the others are alike, wait, and are told from their index. A pass considers 1,000 of them, or all of a gang; sums take 10,000 waiting tasks into account.

--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -24,6 +24,7 @@
 mod record;
 mod resources;
 mod starts;
+mod task_list;
 mod tasks;
 
 pub use account::{Account, AccountName};
--- a/crates/chervilfall_planner/src/planner/accounts.rs
+++ b/crates/chervilfall_planner/src/planner/accounts.rs
@@ -10,7 +10,7 @@
 use crate::policy::fair_share::ShareLevel;
 use crate::policy::share::{Share, ShareAdmission};
 use crate::resources::Resources;
-use crate::tasks::{Job, StepKey, TaskState};
+use crate::tasks::{Job, StepKey};
 
 /// Interval between updates of the metrics of accounts.
 const METRICS_INTERVAL_MS: Millis = 1_000;
@@ -241,9 +241,7 @@
             let (Some(account), Some(progress)) = (job.account, job.step_progress(key)) else {
                 continue;
             };
-            let waits = |task: &&crate::tasks::Task| task.state == TaskState::Waiting;
-            let waiting = progress.tasks.iter().filter(waits).count();
-            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+            let waiting = progress.waiting();
             let Some(step) = job.spec.steps.get(key.step as usize) else {
                 continue;
             };
--- a/crates/chervilfall_planner/src/planner/crashes.rs
+++ b/crates/chervilfall_planner/src/planner/crashes.rs
@@ -139,7 +139,7 @@
             return None;
         }
         let progress = job.step_progress_mut(task.step_key())?;
-        let entry = progress.tasks.get_mut(task.index as usize)?;
+        let entry = progress.tasks.begin(task.index)?;
         (entry.state != TaskState::Done).then_some(entry)
     }
 
--- a/crates/chervilfall_planner/src/planner/departures.rs
+++ b/crates/chervilfall_planner/src/planner/departures.rs
@@ -151,7 +151,10 @@
         if self.barrier.is_some() || progress.aborting {
             return None;
         }
-        let members = (0_u32..).zip(&progress.tasks).map(|(index, entry)| {
+        if !progress.tasks.fresh().is_empty() {
+            return None;
+        }
+        let members = progress.tasks.begun().map(|(index, entry)| {
             let TaskState::Placed(endpoint, _) = entry.state else {
                 return None;
             };
@@ -166,7 +169,7 @@
 
     /// Returns the number of tasks of a service that are not known to run.
     fn unavailable_tasks(&self, key: StepKey, progress: &StepProgress) -> u32 {
-        let tasks = (0_u32..).zip(&progress.tasks);
+        let tasks = progress.tasks.begun();
         let unavailable = tasks.filter(|(index, entry)| {
             let TaskState::Placed(endpoint, _) = entry.state else {
                 return true;
@@ -175,7 +178,8 @@
             let placed = endpoint.and_then(|endpoint| endpoint.placed.get(&key.task(*index)));
             !placed.is_some_and(is_up)
         });
-        u32::try_from(unavailable.count()).unwrap_or(u32::MAX)
+        let fresh = progress.tasks.fresh().len();
+        u32::try_from(unavailable.count() + fresh).unwrap_or(u32::MAX)
     }
 
     /// Claims free resources elsewhere for a run, or for all members of its gang. Returns false if
@@ -253,7 +257,7 @@
         let worked_ms = self.endpoints[key].speed.usual_ms(ran_ms);
         let job = self.jobs.get_mut(&task.job);
         let progress = job.and_then(|job| job.step_progress_mut(task.step_key()));
-        let entry = progress.and_then(|progress| progress.tasks.get_mut(task.index as usize));
+        let entry = progress.and_then(|progress| progress.tasks.begin(task.index));
         if let Some(entry) = entry.filter(|_| !checkpoint.is_empty()) {
             entry.saved_ms += worked_ms;
         }
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -405,7 +405,7 @@
         let Some(progress) = progress else {
             return;
         };
-        if let Some(entry) = progress.tasks.get_mut(task.index as usize) {
+        if let Some(entry) = progress.tasks.get_mut(task.index) {
             entry.state = TaskState::Waiting;
             progress.placed -= 1;
         }
@@ -422,7 +422,7 @@
         };
         progress.placed += 1;
         let all_placed = progress.waiting() == 0;
-        if let Some(entry) = progress.tasks.get_mut(task.index as usize) {
+        if let Some(entry) = progress.tasks.begin(task.index) {
             entry.state = TaskState::Placed(endpoint, run);
             entry.last_run = entry.last_run.max(run);
         }
@@ -437,7 +437,7 @@
         }
         let job = self.jobs.get_mut(&task.job);
         let progress = job.and_then(|job| job.step_progress_mut(task.step_key()));
-        let entry = progress.and_then(|progress| progress.tasks.get_mut(task.index as usize));
+        let entry = progress.and_then(|progress| progress.tasks.begin(task.index));
         if let Some(entry) = entry {
             if entry.checkpoint != checkpoint {
                 checkpoint.clone_into(&mut entry.checkpoint);
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -111,7 +111,7 @@
         let Some(progress) = job.step_progress_mut(key) else {
             return;
         };
-        let Some(entry) = progress.tasks.get_mut(task.index as usize) else {
+        let Some(entry) = progress.tasks.get_mut(task.index) else {
             return;
         };
         if entry.state != TaskState::Placed(endpoint, run) {
@@ -177,8 +177,16 @@
         };
         let before = progress.done;
         let mut superseded = Vec::new();
-        for (index, entry) in (0_u32..).zip(&mut progress.tasks) {
-            if (index != task.index && !gang) || entry.state == TaskState::Done {
+        let ended = if gang {
+            0..progress.tasks.count()
+        } else {
+            task.index..task.index.saturating_add(1)
+        };
+        for index in ended {
+            let Some(entry) = progress.tasks.begin(index) else {
+                break;
+            };
+            if entry.state == TaskState::Done {
                 continue;
             }
             if let TaskState::Placed(endpoint, run) = entry.state {
@@ -248,7 +256,7 @@
         if !progress.failed_on.contains(&endpoint) {
             progress.failed_on.push(endpoint);
         }
-        let Some(entry) = progress.tasks.get_mut(index as usize) else {
+        let Some(entry) = progress.tasks.begin(index) else {
             return;
         };
         if long_running || entry.state == TaskState::Done || entry.failed.contains(&run) {
@@ -270,8 +278,9 @@
 }
 
 fn placed_members(progress: &StepProgress, key: StepKey) -> Vec<(EndpointKey, TaskKey, Run)> {
-    let members = (0_u32..)
-        .zip(&progress.tasks)
+    let members = progress
+        .tasks
+        .begun()
         .filter_map(|(index, task)| match task.state {
             TaskState::Placed(endpoint, run) => Some((endpoint, key.task(index), run)),
             TaskState::Waiting | TaskState::Done => None,
--- a/crates/chervilfall_planner/src/planner/gangs.rs
+++ b/crates/chervilfall_planner/src/planner/gangs.rs
@@ -94,7 +94,7 @@
             inherited: job.inherited,
         };
         let cause = wait.miss_cause(state).label();
-        let failed_runs = progress.tasks.first().map_or(0, |task| task.failed.len());
+        let failed_runs = progress.tasks.get(0).map_or(0, |task| task.failed.len());
         metrics::gang_deadline(width_class(width), deadline.label(), cause);
         let waits = [
             (WaitCause::AdviceNode, wait.node_ms),
@@ -173,6 +173,6 @@
     }
 }
 
-fn width(progress: &StepProgress) -> u32 {
-    u32::try_from(progress.tasks.len()).unwrap_or(u32::MAX)
+const fn width(progress: &StepProgress) -> u32 {
+    progress.tasks.count()
 }
--- a/crates/chervilfall_planner/src/planner/incarnations.rs
+++ b/crates/chervilfall_planner/src/planner/incarnations.rs
@@ -109,7 +109,7 @@
     ) {
         let job = self.jobs.get_mut(&task.job);
         let progress = job.and_then(|job| job.step_progress_mut(task.step_key()));
-        let entry = progress.and_then(|progress| progress.tasks.get_mut(task.index as usize));
+        let entry = progress.and_then(|progress| progress.tasks.get_mut(task.index));
         if let Some(entry) = entry.filter(|entry| entry.state == TaskState::Placed(old_key, run)) {
             entry.state = TaskState::Placed(new_key, run);
         }
--- a/crates/chervilfall_planner/src/planner/orders.rs
+++ b/crates/chervilfall_planner/src/planner/orders.rs
@@ -89,7 +89,7 @@
         let Some(progress) = job.step_progress_mut(task.step_key()) else {
             return false;
         };
-        let Some(entry) = progress.tasks.get_mut(task.index as usize) else {
+        let Some(entry) = progress.tasks.begin(task.index) else {
             return false;
         };
         let resumed = !entry.checkpoint.is_empty();
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -485,7 +485,7 @@
         let mut placed = Vec::new();
         for (occurrence, steps) in &job.occurrences {
             for (step, progress) in (0_u16..).zip(steps) {
-                for (index, task) in (0_u32..).zip(&progress.tasks) {
+                for (index, task) in progress.tasks.begun() {
                     if let TaskState::Placed(endpoint, run) = task.state {
                         let key = crate::ids::TaskKey {
                             job: id,
--- a/crates/chervilfall_planner/src/planner/schedule.rs
+++ b/crates/chervilfall_planner/src/planner/schedule.rs
@@ -424,13 +424,9 @@
         else {
             return;
         };
-        let newest = progress
-            .tasks
-            .iter()
-            .map(|task| task.checkpoint.clone())
-            .max()
-            .unwrap_or_default();
-        for task in &mut progress.tasks {
+        let checkpoints = progress.tasks.begun().map(|(_, task)| &task.checkpoint);
+        let newest = checkpoints.max().cloned().unwrap_or_default();
+        for (_, task) in progress.tasks.begin_all() {
             task.checkpoint.clone_from(&newest);
         }
     }
--- a/crates/chervilfall_planner/src/planner/suspects.rs
+++ b/crates/chervilfall_planner/src/planner/suspects.rs
@@ -11,12 +11,14 @@
 use crate::policy::crashes::{verdict, Verdict};
 use crate::policy::placement::{pick_all_or_none, pick_endpoints, Offer};
 use crate::resources::Resources;
-use crate::tasks::{StepKey, TaskState};
+use crate::tasks::{StepKey, TaskState, MAX_WAITING_TASKS};
 
 /// Time for which a step waits for an endpoint without runs before it accepts others: most work
 /// that must end there first takes no longer. Where every endpoint has long-running work, none
 /// becomes empty.
 const EMPTY_ENDPOINT_WAIT_MS: Millis = 10_000;
+/// Number of tasks without a run that one pass considers. A gang needs all of its tasks at once.
+const MAX_FRESH_TASKS: usize = 1_000;
 /// Time for which one reservation keeps other starts off an endpoint: several full passes.
 const RESERVATION_MS: Millis = 200;
 
@@ -64,7 +66,7 @@
         let Some(progress) = job.and_then(|job| job.step_progress(key)) else {
             return waiting;
         };
-        for (index, task) in (0_u32..).zip(&progress.tasks) {
+        for (index, task) in progress.tasks.begun() {
             if task.state != TaskState::Waiting {
                 continue;
             }
@@ -80,6 +82,26 @@
                 Verdict::Awaited | Verdict::Culprit => waiting.blocked += 1,
             }
         }
+        let steps = job.map(|job| &job.spec.steps);
+        let step = steps.and_then(|steps| steps.get(key.step as usize));
+        let gang = step.is_some_and(|step| step.gang);
+        let considered = if gang {
+            MAX_WAITING_TASKS as usize
+        } else {
+            MAX_FRESH_TASKS
+        };
+        let mut fresh = progress.tasks.fresh();
+        for index in fresh.by_ref().take(considered) {
+            if self.stopping.contains(key.task(index)) {
+                waiting.blocked += 1;
+            } else {
+                waiting.clear.push((index, 0));
+            }
+        }
+        if gang {
+            // One with more tasks never starts.
+            waiting.blocked += u32::try_from(fresh.len()).unwrap_or(u32::MAX);
+        }
         waiting
     }
 
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -16,15 +16,20 @@
 use crate::policy::soft_limits::RoomWait;
 use crate::policy::speed::DurationSample;
 use crate::record::{ranges, JobRow, ProgressRow, StepRow};
+use crate::task_list::TaskList;
 
+/// Number of waiting tasks of a step that decisions take into account. Further ones wait until these
+/// have been placed.
+pub(crate) const MAX_WAITING_TASKS: u32 = 10_000;
 /// Number of runs of one task that a holder can start before it reaches the run numbers of the next
 /// term.
 pub(crate) const RUNS_PER_TERM: u64 = 10_000;
 
 /// State of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum TaskState {
     /// It waits to be placed.
+    #[default]
     Waiting,
     /// A run of it may be in progress on the endpoint.
     Placed(EndpointKey, Run),
@@ -33,7 +38,7 @@
 }
 
 /// A task.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Task {
     pub(crate) state: TaskState,
     pub(crate) last_run: Run,
@@ -48,7 +53,7 @@
 /// Progress of a step in one occurrence.
 #[derive(Debug)]
 pub(crate) struct StepProgress {
-    pub(crate) tasks: Vec<Task>,
+    pub(crate) tasks: TaskList,
     pub(crate) done: u32,
     pub(crate) placed: u32,
     pub(crate) advice: Advice,
@@ -68,16 +73,8 @@
 
 impl StepProgress {
     fn new(step: &Step) -> Self {
-        let task = Task {
-            state: TaskState::Waiting,
-            last_run: 0,
-            checkpoint: String::new(),
-            saved_ms: 0,
-            failed: Vec::new(),
-            exposures: Vec::new(),
-        };
         Self {
-            tasks: vec![task; step.count as usize],
+            tasks: TaskList::new(step.count),
             done: 0,
             placed: 0,
             advice: Advice::default(),
@@ -91,7 +88,7 @@
     }
 
     pub(crate) fn complete(&self) -> bool {
-        self.done as usize == self.tasks.len()
+        self.done == self.tasks.count()
     }
 
     /// Returns whether it waits with nothing running; each lasting task counts by itself.
@@ -99,8 +96,10 @@
         self.waiting() > 0 && (self.placed == 0 || long_running)
     }
 
+    /// Returns the number of tasks that wait, as far as decisions take them into account.
     pub(crate) fn waiting(&self) -> u32 {
-        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX) - self.done - self.placed
+        let waiting = self.tasks.count() - self.done - self.placed;
+        waiting.min(MAX_WAITING_TASKS)
     }
 }
 
@@ -308,12 +307,10 @@
     }
 
     pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
-        self.step_progress(key.step_key())?
-            .tasks
-            .get(key.index as usize)
+        self.step_progress(key.step_key())?.tasks.get(key.index)
     }
 
-    /// Returns the tasks of all existing occurrences.
+    /// Returns the tasks of all existing occurrences that have begun.
     pub(crate) fn tasks_mut(&mut self) -> impl Iterator<Item = (TaskKey, &mut Task)> {
         let id = self.id;
         let steps = self
@@ -328,7 +325,7 @@
                 keys.zip(steps)
             });
         steps.flat_map(|(key, progress)| {
-            let tasks = (0_u32..).zip(&mut progress.tasks);
+            let tasks = progress.tasks.begun_mut();
             tasks.map(move |(index, task)| (key.task(index), task))
         })
     }
@@ -391,7 +388,7 @@
         };
         for (first, count) in &row.done {
             for index in *first..first.saturating_add(*count) {
-                let Some(task) = progress.tasks.get_mut(index as usize) else {
+                let Some(task) = progress.tasks.begin(index) else {
                     break;
                 };
                 task.state = TaskState::Done;
@@ -399,12 +396,12 @@
             }
         }
         for (index, runs) in &row.failed {
-            if let Some(task) = progress.tasks.get_mut(*index as usize) {
+            if let Some(task) = progress.tasks.begin(*index) {
                 task.failed.clone_from(runs);
             }
         }
         for (index, exposures) in &row.exposures {
-            if let Some(task) = progress.tasks.get_mut(*index as usize) {
+            if let Some(task) = progress.tasks.begin(*index) {
                 task.exposures.clone_from(exposures);
             }
         }
@@ -412,16 +409,16 @@
 }
 
 fn step_row(occurrence: u32, position: usize, step: &StepProgress) -> Option<StepRow> {
-    let indexed = || step.tasks.iter().zip(0_u32..);
-    let done = indexed()
-        .filter(|(task, _)| task.state == TaskState::Done)
-        .map(|(_, index)| index);
-    let failed = indexed()
-        .filter(|(task, _)| !task.failed.is_empty())
-        .map(|(task, index)| (index, task.failed.clone()));
-    let exposures = indexed()
-        .filter(|(task, _)| !task.exposures.is_empty() && task.state != TaskState::Done)
-        .map(|(task, index)| (index, task.exposures.clone()));
+    let tasks = || step.tasks.begun();
+    let done = tasks()
+        .filter(|(_, task)| task.state == TaskState::Done)
+        .map(|(index, _)| index);
+    let failed = tasks()
+        .filter(|(_, task)| !task.failed.is_empty())
+        .map(|(index, task)| (index, task.failed.clone()));
+    let exposures = tasks()
+        .filter(|(_, task)| !task.exposures.is_empty() && task.state != TaskState::Done)
+        .map(|(index, task)| (index, task.exposures.clone()));
     let row = StepRow {
         occurrence,
         step: u16::try_from(position).ok()?,
