--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -10,6 +10,14 @@
 /// Endpoints in the advice call that the objective allows for per step of the chain.
 const OBJECTIVE_ADVICE: usize = 30;
 
+/// Maximum number of tasks of a gang: they all start in one pass.
+pub const MAX_GANG_TASKS: u32 = 10_000;
+/// Maximum number of steps of a job: each is kept and visited by passes from the job's acceptance on.
+pub const MAX_STEPS: usize = 256;
+/// Latest time and longest duration that a job can state, in milliseconds: thousands of years, so
+/// that sums do not overflow.
+pub const MAX_TIME_MS: u64 = 1_000_000_000_000_000;
+
 /// Thousandths of a core in a core.
 const MILLI: u64 = 1_000;
 
@@ -167,7 +175,8 @@
                 .iter()
                 .filter_map(|earlier| ends.get(usize::from(*earlier)));
             let begin = earlier.max().copied().unwrap_or(0);
-            ends.push(begin + step.estimate_ms + each_ms);
+            let end = begin.saturating_add(step.estimate_ms);
+            ends.push(end.saturating_add(each_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -181,7 +190,7 @@
         // Estimates in milliseconds are far below the precision limit of a float.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let stretched = (queue.stretch.max(0.0) * self.chain_with_ms(advice_ms) as f64) as Millis;
-        queue.target_latency_ms + stretched
+        queue.target_latency_ms.saturating_add(stretched)
     }
 
     /// Returns when an occurrence is due, in milliseconds since the Unix epoch; 0 for immediately.
@@ -190,6 +199,7 @@
         if self.repeat_count == 0 {
             return 0;
         }
-        self.first_due_unix_ms + u64::from(occurrence) * self.interval_ms
+        let after_first_ms = self.interval_ms.saturating_mul(u64::from(occurrence));
+        self.first_due_unix_ms.saturating_add(after_first_ms)
     }
 }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -45,7 +45,7 @@
 pub use ids::{
     EndpointId, Fence, InvalidJobId, JobId, Millis, RowVersion, Run, TaskKey, UnixMillis,
 };
-pub use job::{JobSpec, Step};
+pub use job::{JobSpec, Step, MAX_GANG_TASKS, MAX_STEPS, MAX_TIME_MS};
 pub use limits::Limits;
 pub use planner::{
     Backlog, LookupResult, PassWork, PassedOver, Planner, ServiceUsage, StandingAdvice,
--- a/crates/chervilfall_planner/src/planner/offers.rs
+++ b/crates/chervilfall_planner/src/planner/offers.rs
@@ -10,6 +10,10 @@
 use crate::resources::Resources;
 use crate::tasks::{StepKey, StepProgress};
 
+/// Maximum number of runs on one endpoint. Tasks that state next to no needs would otherwise fit in any
+/// number.
+const MAX_RUNS_PER_ENDPOINT: u32 = 1_000;
+
 /// Why a step passes over an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PassedOver {
@@ -332,6 +336,12 @@
 
     /// Returns the maximum number of further tasks of a step that an endpoint may be given.
     fn max_new_tasks(&self, judged: &JudgedStep<'_>, endpoint: &Endpoint) -> u32 {
+        let runs = u32::try_from(endpoint.placed.len()).unwrap_or(u32::MAX);
+        let max_new_runs = MAX_RUNS_PER_ENDPOINT.saturating_sub(runs);
+        max_new_runs.min(self.max_new_tasks_of_step(judged, endpoint))
+    }
+
+    fn max_new_tasks_of_step(&self, judged: &JudgedStep<'_>, endpoint: &Endpoint) -> u32 {
         let max_new_tasks = match judged.quarantine_yield {
             QuarantineYield::Always | QuarantineYield::AfterFirstPause => u32::MAX,
             QuarantineYield::EarlyTrials => endpoint.max_new_tasks(self.now),
