Open and store no more of a repeated job than runs

Callers saw: three jobs of the most occurrences, a millisecond apart, took all of a holder's time; and once a job's progress was larger than a row, the store refused each commit (400) and the group stood still for good. Cause: each occurrence that was due came into being at once, and each complete one kept its tasks and a row entry for each step.

A job now has at most 1,024 steps open in all its occurrences; the next occurrence opens as one completes. A finished step keeps no tasks. From 500 complete occurrences on they are stored as ranges; fewer are stored as earlier versions read them, so that a holder of an earlier version starts none again that it could have known of before. An occurrence that an endpoint lists is created if the new holder has not got that far.

New in the planner's world: 6,000 occurrences of one task and 2,000 of two steps complete over two takeovers, no row above its size, no task twice.

--- a/crates/chervilfall_planner/src/planner/activation.rs
+++ b/crates/chervilfall_planner/src/planner/activation.rs
@@ -36,6 +36,13 @@
                 return;
             }
             self.due_occurrences.pop_first();
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if job.open_occurrences() >= job.max_open_occurrences() {
+                self.held_occurrences.insert(id, occurrence);
+                continue;
+            }
             self.open_occurrence(id, occurrence);
             let Some(job) = self.jobs.get(&id) else {
                 continue;
@@ -49,6 +56,17 @@
         }
     }
 
+    /// Lets the next occurrence of a job be opened, if it waits for an earlier one to complete.
+    pub(super) fn resume_occurrences(&mut self, id: JobId) {
+        let Some(occurrence) = self.held_occurrences.remove(&id) else {
+            return;
+        };
+        if let Some(job) = self.jobs.get(&id) {
+            let due = (job.spec.due_unix_ms(occurrence), id, occurrence);
+            self.due_occurrences.insert(due);
+        }
+    }
+
     pub(super) fn open_occurrence(&mut self, id: JobId, occurrence: u32) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -31,6 +31,9 @@
             }
             self.release_run(key, task);
         }
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.create_occurrence_of(task);
+        }
         let known = self.jobs.get(&task.job).and_then(|job| job.task(task));
         log::info!(
             task:% = task, run = end.run, endpoint:% = self.endpoints[key].entry.id, how:? = end.how,
@@ -225,6 +228,7 @@
             let endpoints = &mut self.endpoints;
             learn_speeds(&std::mem::take(&mut progress.durations), endpoints);
             progress.advice = Advice::default();
+            progress.finish();
         }
         let steps = job.occurrences.get(&key.occurrence);
         let all = steps.is_some_and(|steps| steps.iter().all(StepProgress::complete));
@@ -233,6 +237,10 @@
             return;
         }
         job.complete_occurrences += 1;
+        self.resume_occurrences(key.job);
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
         if job.complete_occurrences >= job.spec.occurrences() {
             self.finish_job(key.job, JobState::Completed);
         }
--- a/crates/chervilfall_planner/src/planner/job_rows.rs
+++ b/crates/chervilfall_planner/src/planner/job_rows.rs
@@ -1,5 +1,6 @@
 //! Rows of jobs in a batch: which changes of jobs it contains, and the rows that each takes.
 
+use crate::action::JobState;
 use crate::ids::{JobId, Millis};
 use crate::metrics;
 use crate::planner::batch::{BatchBuilder, WrittenProgress};
@@ -8,7 +9,7 @@
     CommitOrder, JobTiming, ProgressKind, WaitingChanges, WaitingProgress, WaitingSubmission,
 };
 use crate::policy::order::min_remaining_ms;
-use crate::record::{encode, Owner, ENDED, JOBS, PROGRESS, TEXTS};
+use crate::record::{encode, Owner, ProgressRow, ENDED, JOBS, PROGRESS, TEXTS};
 use crate::tasks::{Job, OpenRows};
 
 /// Upper limit on a text that is stored in its job's row. A new holder reads these rows before it
@@ -212,6 +213,25 @@
         true
     }
 
+    /// Returns the progress of a job as far as a row holds it; none if the job has not ended and its
+    /// progress cannot be stored.
+    fn storable_progress(&self, job: &Job) -> Option<ProgressRow> {
+        let fits = |progress: &ProgressRow| {
+            progress.max_bytes() <= self.limits.row_bytes
+                || encode(progress).len() <= self.limits.row_bytes
+        };
+        let mut progress = job.progress();
+        if fits(&progress) {
+            return Some(progress);
+        }
+        // Which task crashes endpoints is then found out anew.
+        progress.forget_exposures();
+        if fits(&progress) {
+            return Some(progress);
+        }
+        job.outcome.map(|_| job.end())
+    }
+
     /// Adds the progress of a job, and returns whether it fits.
     fn add_progress(
         &mut self,
@@ -223,6 +243,15 @@
             self.unsaved.progress.remove(id);
             return true;
         };
+        let progress = self.storable_progress(job);
+        if progress.is_none() {
+            log::error!(job:% = id; "progress is too large for a row, the job is given up");
+            metrics::given_up("row");
+            self.finish_job(id, JobState::Failed);
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return true;
+        };
         let form = self.progress_form(job, under_pressure);
         let Some(job) = self.jobs.get_mut(&id) else {
             return true;
@@ -231,7 +260,7 @@
             return false;
         }
         self.unsaved.progress.remove(id);
-        let mut progress = job.progress();
+        let mut progress = progress.unwrap_or_else(|| job.end());
         if job.outcome.is_some() {
             progress.owner = job.account.map(|key| Owner {
                 account: self.accounts.name(key).to_owned(),
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -146,6 +146,8 @@
     fair_shares: FairShares,
     /// Next occurrences of repeating jobs that are not due yet, by due time.
     due_occurrences: BTreeSet<(u64, JobId, u32)>,
+    /// Next occurrences of jobs that have as many open as they may have.
+    held_occurrences: BTreeMap<JobId, u32>,
     gang_deadlines: GangDeadlines,
     stopping: Stopping,
     /// Tasks with a run that may have crashed an endpoint, by that endpoint.
@@ -232,6 +234,7 @@
             admission: Admission::default(),
             fair_shares: FairShares::default(),
             due_occurrences: BTreeSet::new(),
+            held_occurrences: BTreeMap::new(),
             gang_deadlines: GangDeadlines::new(),
             stopping: Stopping::default(),
             exposed: BTreeMap::new(),
@@ -579,6 +582,7 @@
                 return;
             }
             self.finished.pop_front();
+            self.held_occurrences.remove(&id);
             if let Some(job) = self.jobs.remove(&id) {
                 self.pre_cancelled_jobs -= usize::from(job.pre_cancelled);
                 self.unsaved.remove(id, job.rows);
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -27,6 +27,8 @@
 /// Table of endpoints that may hold leases, by bucket.
 pub const ROSTER: &str = "roster";
 
+/// Size of an entry of a row of progress, in bytes, at most: the largest names an endpoint.
+const MAX_ENTRY_BYTES: usize = 400;
 /// Number of roster buckets. An entry takes 80 bytes and the store accepts rows of 65,536 bytes, so
 /// a row holds 800 entries. That is enough for 50,000 endpoints; with 2,500 endpoints, a change of
 /// one endpoint rewrites 3 KB.
@@ -107,6 +109,9 @@
     pub outcome: Option<JobState>,
     /// A task has started.
     pub started: bool,
+    /// Occurrences that are complete and not among `steps`, as ranges of a first one and a number.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub complete: Vec<(u32, u32)>,
     /// Steps with recorded progress.
     pub steps: Vec<StepRow>,
     /// Owner, in rows of ended jobs; none if no account was required.
@@ -190,6 +195,26 @@
 }
 
 impl ProgressRow {
+    /// Returns a number of bytes that the encoded row does not exceed, from the number of its entries.
+    pub(crate) fn max_bytes(&self) -> usize {
+        let entries = self.steps.iter().map(|step| {
+            let failed = step.failed.iter().map(|(_, runs)| 1 + runs.len());
+            let exposures = step
+                .exposures
+                .iter()
+                .map(|(_, exposures)| 1 + exposures.len());
+            1 + step.done.len() + failed.sum::<usize>() + exposures.sum::<usize>()
+        });
+        MAX_ENTRY_BYTES * (1 + self.complete.len() + entries.sum::<usize>())
+    }
+
+    /// Removes which runs may have crashed their endpoints.
+    pub(crate) fn forget_exposures(&mut self) {
+        for step in &mut self.steps {
+            step.exposures.clear();
+        }
+    }
+
     /// Decodes a row.
     ///
     /// # Errors
--- a/crates/chervilfall_planner/src/task_list.rs
+++ b/crates/chervilfall_planner/src/task_list.rs
@@ -8,19 +8,28 @@
 use crate::tasks::{Task, TaskState};
 
 /// A task that has not begun.
-static FRESH: Task = Task {
-    state: TaskState::Waiting,
-    last_run: 0,
-    checkpoint: String::new(),
-    saved_ms: 0,
-    failed: Vec::new(),
-    exposures: Vec::new(),
-};
+static WAITING: Task = without_history(TaskState::Waiting);
+
+/// A task of a step that is finished.
+static DONE: Task = without_history(TaskState::Done);
+
+const fn without_history(state: TaskState) -> Task {
+    Task {
+        state,
+        last_run: 0,
+        checkpoint: String::new(),
+        saved_ms: 0,
+        failed: Vec::new(),
+        exposures: Vec::new(),
+    }
+}
 
 /// The tasks of a step.
 #[derive(Debug)]
 pub(crate) struct TaskList {
     count: u32,
+    /// All tasks are done, and none is kept.
+    finished: bool,
     /// The first tasks: all that have begun, and those between them.
     begun: Vec<Task>,
 }
@@ -29,6 +38,7 @@
     pub(crate) const fn new(count: u32) -> Self {
         Self {
             count,
+            finished: false,
             begun: Vec::new(),
         }
     }
@@ -38,6 +48,16 @@
         self.count
     }
 
+    /// Marks all tasks as done and keeps none of them.
+    pub(crate) fn finish(&mut self) {
+        self.finished = true;
+        self.begun = Vec::new();
+    }
+
+    pub(crate) const fn is_finished(&self) -> bool {
+        self.finished
+    }
+
     /// Returns the tasks that are kept, with their indices.
     pub(crate) fn begun(&self) -> impl Iterator<Item = (u32, &Task)> {
         (0_u32..).zip(&self.begun)
@@ -49,6 +69,9 @@
 
     /// Returns the indices of the tasks that have not begun.
     pub(crate) fn fresh(&self) -> Range<u32> {
+        if self.finished {
+            return self.count..self.count;
+        }
         let begun = u32::try_from(self.begun.len()).unwrap_or(u32::MAX);
         begun..self.count
     }
@@ -58,7 +81,10 @@
         if index >= self.count {
             return None;
         }
-        self.begun.get(index as usize).or(Some(&FRESH))
+        if self.finished {
+            return Some(&DONE);
+        }
+        self.begun.get(index as usize).or(Some(&WAITING))
     }
 
     /// Returns a task that is kept.
@@ -66,9 +92,9 @@
         self.begun.get_mut(index as usize)
     }
 
-    /// Returns a task, which is kept from now on; none if the step has no such task.
+    /// Returns a task, which is kept from now on; none if the step has no such task, or is finished.
     pub(crate) fn begin(&mut self, index: u32) -> Option<&mut Task> {
-        if index >= self.count {
+        if self.finished || index >= self.count {
             return None;
         }
         let kept = index as usize + 1;
@@ -78,9 +104,10 @@
         self.begun.get_mut(index as usize)
     }
 
-    /// Keeps all tasks from now on, and returns them.
+    /// Keeps all tasks from now on unless the step is finished, and returns them.
     pub(crate) fn begin_all(&mut self) -> impl Iterator<Item = (u32, &mut Task)> {
-        self.begun.resize_with(self.count as usize, Task::default);
+        let kept = if self.finished { 0 } else { self.count };
+        self.begun.resize_with(kept as usize, Task::default);
         self.begun_mut()
     }
 }
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -10,7 +10,7 @@
 use crate::endpoint::EndpointKey;
 use crate::gang_wait::GangWait;
 use crate::ids::{JobId, Millis, Run, TaskKey};
-use crate::job::{JobSpec, Step};
+use crate::job::{JobSpec, Step, MAX_GANG_TASKS};
 use crate::planner::AccountKey;
 use crate::policy::crashes::Exposure;
 use crate::policy::soft_limits::RoomWait;
@@ -20,7 +20,13 @@
 
 /// Number of waiting tasks of a step that decisions take into account. Further ones wait until these
 /// have been placed.
-pub(crate) const MAX_WAITING_TASKS: u32 = 10_000;
+pub(crate) const MAX_WAITING_TASKS: u32 = MAX_GANG_TASKS;
+/// Maximum number of steps that a job has open in all its occurrences. Further occurrences that are
+/// due begin as earlier ones complete.
+const MAX_OPEN_STEPS: usize = 1_024;
+/// Maximum number of complete occurrences whose steps are stored one by one, as earlier versions read
+/// them.
+const MAX_OCCURRENCES_BY_STEPS: u32 = 500;
 /// Number of runs of one task that a holder can start before it reaches the run numbers of the next
 /// term.
 pub(crate) const RUNS_PER_TERM: u64 = 10_000;
@@ -91,6 +97,12 @@
         self.done == self.tasks.count()
     }
 
+    /// Marks all tasks as done.
+    pub(crate) fn finish(&mut self) {
+        self.done = self.tasks.count();
+        self.tasks.finish();
+    }
+
     /// Returns whether it waits with nothing running; each lasting task counts by itself.
     pub(crate) fn stands(&self, long_running: bool) -> bool {
         self.waiting() > 0 && (self.placed == 0 || long_running)
@@ -256,6 +268,23 @@
         }
     }
 
+    /// Returns the number of occurrences that are not complete.
+    pub(crate) fn open_occurrences(&self) -> usize {
+        self.occurrences.len() - self.complete_occurrences as usize
+    }
+
+    /// Returns the maximum number of occurrences that may be open at the same time.
+    pub(crate) fn max_open_occurrences(&self) -> usize {
+        (MAX_OPEN_STEPS / self.spec.steps.len().max(1)).max(1)
+    }
+
+    /// Creates the occurrence of a task that an endpoint lists, if the job has such a one.
+    pub(crate) fn create_occurrence_of(&mut self, task: TaskKey) {
+        if task.occurrence < self.spec.occurrences() {
+            self.occurrence(task.occurrence);
+        }
+    }
+
     /// Returns the steps of an occurrence, creating them if necessary.
     pub(crate) fn occurrence(&mut self, occurrence: u32) -> &mut Vec<StepProgress> {
         let steps = &self.spec.steps;
@@ -348,18 +377,45 @@
 
     /// Returns the row that holds its progress.
     pub(crate) fn progress(&self) -> ProgressRow {
-        let steps = self.occurrences.iter().flat_map(|(occurrence, steps)| {
+        let complete = self.complete_ranges();
+        let listed = self
+            .occurrences
+            .iter()
+            .filter(|(_, steps)| complete.is_empty() || !is_complete(steps));
+        let steps = listed.flat_map(|(occurrence, steps)| {
             steps
                 .iter()
                 .enumerate()
                 .filter_map(|(position, step)| step_row(*occurrence, position, step))
         });
+        ProgressRow {
+            steps: steps.collect(),
+            complete,
+            ..self.end()
+        }
+    }
+
+    /// Returns the complete occurrences if they are too many to be stored step by step.
+    fn complete_ranges(&self) -> Vec<(u32, u32)> {
+        if self.complete_occurrences <= MAX_OCCURRENCES_BY_STEPS {
+            return Vec::new();
+        }
+        let complete = self
+            .occurrences
+            .iter()
+            .filter(|(_, steps)| is_complete(steps));
+        ranges(complete.map(|(occurrence, _)| *occurrence))
+    }
+
+    /// Returns the row that holds its end, without its steps.
+    pub(crate) const fn end(&self) -> ProgressRow {
         ProgressRow {
             cancelled: self.cancelled,
             awaited: self.pre_cancelled,
             outcome: self.outcome,
             started: self.started,
-            steps: steps.collect(),
+            complete: Vec::new(),
+            steps: Vec::new(),
             owner: None,
         }
     }
@@ -372,13 +428,17 @@
         self.outcome = row.outcome;
         self.visible_outcome = row.outcome;
         self.started = row.started;
+        for (first, count) in &row.complete {
+            for occurrence in *first..first.saturating_add(*count) {
+                for progress in self.occurrence(occurrence) {
+                    progress.finish();
+                }
+            }
+        }
         for step in &row.steps {
             self.restore_step(step);
         }
-        let complete = self
-            .occurrences
-            .values()
-            .filter(|steps| steps.iter().all(StepProgress::complete));
+        let complete = self.occurrences.values().filter(|steps| is_complete(steps));
         self.complete_occurrences = u32::try_from(complete.count()).unwrap_or(u32::MAX);
     }
 
@@ -408,6 +468,10 @@
     }
 }
 
+fn is_complete(steps: &[StepProgress]) -> bool {
+    steps.iter().all(StepProgress::complete)
+}
+
 fn step_row(occurrence: u32, position: usize, step: &StepProgress) -> Option<StepRow> {
     let tasks = || step.tasks.begun();
     let done = tasks()
@@ -419,10 +483,15 @@
     let exposures = tasks()
         .filter(|(_, task)| !task.exposures.is_empty() && task.state != TaskState::Done)
         .map(|(index, task)| (index, task.exposures.clone()));
+    let done = if step.tasks.is_finished() {
+        vec![(0, step.tasks.count())]
+    } else {
+        ranges(done)
+    };
     let row = StepRow {
         occurrence,
         step: u16::try_from(position).ok()?,
-        done: ranges(done),
+        done,
         failed: failed.collect(),
         exposures: exposures.collect(),
     };
--- /dev/null
+++ b/crates/chervilfall_planner/tests/large_numbers.rs
@@ -0,0 +1,109 @@
+//! Jobs with large numbers in them: what is kept and stored of them follows from what runs.
+
+mod world;
+
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request, Step};
+use world::World;
+
+/// Time that a holder needs to know the intervals between its commits.
+const WARM_UP_MS: u64 = 12_000;
+/// Bound of a job.
+const JOB_MS: u64 = 120_000;
+/// Number of the job.
+const JOB: u64 = 7;
+
+/// Returns three nodes, and endpoints of 16 cores that never fail a run and keep their names.
+fn world() -> World {
+    let mut world = World::new(3, 4, 5);
+    world.queue.advice = None;
+    world.keep_names();
+    for endpoint in world.endpoints.values_mut() {
+        endpoint.cpu_milli = 16_000;
+        endpoint.fail_percent = 0;
+    }
+    world.run(WARM_UP_MS);
+    world
+}
+
+fn tasks(count: u32, cpu_milli: u32) -> Step {
+    Step {
+        cpu_milli,
+        memory_mb: 1,
+        ..world::step(count, 20)
+    }
+}
+
+fn state(world: &mut World) -> Answer {
+    let state = Request::State {
+        id: JobId(JOB),
+        asker: Asker::default(),
+    };
+    world.ask(state)
+}
+
+/// Returns the size of the largest row of progress or of an ended job.
+fn largest_row(world: &World) -> usize {
+    let tables = ["progress", "ended"].map(|table| world.store.table(table));
+    let rows = tables.iter().flatten().map(|(_, value)| value.len());
+    rows.max().unwrap_or(0)
+}
+
+/// Guards against a row of progress that outgrows what the store takes, which stopped all commits of
+/// the group, and against occurrences that a new holder runs again.
+#[test]
+fn occurrences_beyond_a_row_are_stored_and_never_run_again() {
+    struct Case {
+        name: &'static str,
+        repeat_count: u32,
+        steps: Vec<Step>,
+    }
+    let second = Step {
+        after: vec![0],
+        ..tasks(1, 100)
+    };
+    let cases = [
+        Case {
+            name: "occurrences of one task",
+            repeat_count: 6_000,
+            steps: vec![tasks(1, 100)],
+        },
+        Case {
+            name: "occurrences of two steps",
+            repeat_count: 2_000,
+            steps: vec![tasks(2, 100), second],
+        },
+    ];
+    for case in cases {
+        let mut world = world();
+        let spec = JobSpec {
+            spec: "text".to_owned(),
+            steps: case.steps,
+            repeat_count: case.repeat_count,
+            first_due_unix_ms: 1,
+            interval_ms: 1,
+        };
+        assert_eq!(world.submit(JOB, spec), Answer::Accepted, "{}", case.name);
+        let (bound_ms, mut next_takeover_ms) = (world.now + JOB_MS, world.now + 3_000);
+        let mut frozen = 0;
+        while world.holder().is_none() || state(&mut world) != Answer::State(JobState::Completed) {
+            assert!(world.now < bound_ms, "{}: not completed", case.name);
+            world.run(100);
+            let row_bytes = largest_row(&world);
+            assert!(
+                row_bytes <= world.limits.row_bytes,
+                "{}: {row_bytes}",
+                case.name
+            );
+            if let Some(holder) = world.holder().filter(|_| frozen < 2) {
+                if world.now >= next_takeover_ms {
+                    world.nodes[holder].frozen_until_ms = world.now + 6_000;
+                    next_takeover_ms = world.now + 12_000;
+                    frozen += 1;
+                }
+            }
+        }
+        assert!(frozen > 0, "{}: no takeover", case.name);
+        world.check_history();
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
