--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -346,6 +346,9 @@
     /// Adopts a run that an earlier holder started, or stops it if it is not needed.
     fn adopt_or_stop(&mut self, key: EndpointKey, running: &RunningRun) {
         let task = running.task;
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.create_occurrence_of(task);
+        }
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task)).map(|task| task.state);
         let superseded = match state {
@@ -405,7 +408,7 @@
         let Some(progress) = progress else {
             return;
         };
-        if let Some(entry) = progress.tasks.get_mut(task.index as usize) {
+        if let Some(entry) = progress.tasks.get_mut(task.index) {
             entry.state = TaskState::Waiting;
             progress.placed -= 1;
         }
@@ -422,7 +425,7 @@
         };
         progress.placed += 1;
         let all_placed = progress.waiting() == 0;
-        if let Some(entry) = progress.tasks.get_mut(task.index as usize) {
+        if let Some(entry) = progress.tasks.begin(task.index) {
             entry.state = TaskState::Placed(endpoint, run);
             entry.last_run = entry.last_run.max(run);
         }
@@ -437,7 +440,7 @@
         }
         let job = self.jobs.get_mut(&task.job);
         let progress = job.and_then(|job| job.step_progress_mut(task.step_key()));
-        let entry = progress.and_then(|progress| progress.tasks.get_mut(task.index as usize));
+        let entry = progress.and_then(|progress| progress.tasks.begin(task.index));
         if let Some(entry) = entry {
             if entry.checkpoint != checkpoint {
                 checkpoint.clone_into(&mut entry.checkpoint);
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -10,21 +10,32 @@
 use crate::endpoint::EndpointKey;
 use crate::gang_wait::GangWait;
 use crate::ids::{JobId, Millis, Run, TaskKey};
-use crate::job::{JobSpec, Step};
+use crate::job::{JobSpec, Step, MAX_GANG_TASKS};
 use crate::planner::AccountKey;
 use crate::policy::crashes::Exposure;
 use crate::policy::soft_limits::RoomWait;
 use crate::policy::speed::DurationSample;
 use crate::record::{ranges, JobRow, ProgressRow, StepRow};
-
+use crate::task_list::TaskList;
+
+/// Number of waiting tasks of a step that decisions take into account. Further ones wait until these
+/// have been placed.
+pub(crate) const MAX_WAITING_TASKS: u32 = MAX_GANG_TASKS;
+/// Maximum number of steps that a job has open in all its occurrences. Further occurrences that are
+/// due begin as earlier ones complete.
+const MAX_OPEN_STEPS: usize = 1_024;
+/// Maximum number of complete occurrences whose steps are stored one by one, as earlier versions read
+/// them.
+const MAX_OCCURRENCES_BY_STEPS: u32 = 500;
 /// Number of runs of one task that a holder can start before it reaches the run numbers of the next
 /// term.
 pub(crate) const RUNS_PER_TERM: u64 = 10_000;
 
 /// State of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum TaskState {
     /// It waits to be placed.
+    #[default]
     Waiting,
     /// A run of it may be in progress on the endpoint.
     Placed(EndpointKey, Run),
@@ -33,7 +44,7 @@
 }
 
 /// A task.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Task {
     pub(crate) state: TaskState,
     pub(crate) last_run: Run,
@@ -48,7 +59,7 @@
 /// Progress of a step in one occurrence.
 #[derive(Debug)]
 pub(crate) struct StepProgress {
-    pub(crate) tasks: Vec<Task>,
+    pub(crate) tasks: TaskList,
     pub(crate) done: u32,
     pub(crate) placed: u32,
     pub(crate) advice: Advice,
@@ -68,16 +79,8 @@
 
 impl StepProgress {
     fn new(step: &Step) -> Self {
-        let task = Task {
-            state: TaskState::Waiting,
-            last_run: 0,
-            checkpoint: String::new(),
-            saved_ms: 0,
-            failed: Vec::new(),
-            exposures: Vec::new(),
-        };
         Self {
-            tasks: vec![task; step.count as usize],
+            tasks: TaskList::new(step.count),
             done: 0,
             placed: 0,
             advice: Advice::default(),
@@ -91,7 +94,13 @@
     }
 
     pub(crate) fn complete(&self) -> bool {
-        self.done as usize == self.tasks.len()
+        self.done == self.tasks.count()
+    }
+
+    /// Marks all tasks as done.
+    pub(crate) fn finish(&mut self) {
+        self.done = self.tasks.count();
+        self.tasks.finish();
     }
 
     /// Returns whether it waits with nothing running; each lasting task counts by itself.
@@ -99,8 +108,10 @@
         self.waiting() > 0 && (self.placed == 0 || long_running)
     }
 
+    /// Returns the number of tasks that wait, as far as decisions take them into account.
     pub(crate) fn waiting(&self) -> u32 {
-        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX) - self.done - self.placed
+        let waiting = self.tasks.count() - self.done - self.placed;
+        waiting.min(MAX_WAITING_TASKS)
     }
 }
 
@@ -257,6 +268,23 @@
         }
     }
 
+    /// Returns the number of occurrences that are not complete.
+    pub(crate) fn open_occurrences(&self) -> usize {
+        self.occurrences.len() - self.complete_occurrences as usize
+    }
+
+    /// Returns the maximum number of occurrences that may be open at the same time.
+    pub(crate) fn max_open_occurrences(&self) -> usize {
+        (MAX_OPEN_STEPS / self.spec.steps.len().max(1)).max(1)
+    }
+
+    /// Creates the occurrence of a task that an endpoint lists, if the job has such a one.
+    pub(crate) fn create_occurrence_of(&mut self, task: TaskKey) {
+        if task.occurrence < self.spec.occurrences() {
+            self.occurrence(task.occurrence);
+        }
+    }
+
     /// Returns the steps of an occurrence, creating them if necessary.
     pub(crate) fn occurrence(&mut self, occurrence: u32) -> &mut Vec<StepProgress> {
         let steps = &self.spec.steps;
@@ -308,12 +336,10 @@
     }
 
     pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
-        self.step_progress(key.step_key())?
-            .tasks
-            .get(key.index as usize)
+        self.step_progress(key.step_key())?.tasks.get(key.index)
     }
 
-    /// Returns the tasks of all existing occurrences.
+    /// Returns the tasks of all existing occurrences that have begun.
     pub(crate) fn tasks_mut(&mut self) -> impl Iterator<Item = (TaskKey, &mut Task)> {
         let id = self.id;
         let steps = self
@@ -328,7 +354,7 @@
                 keys.zip(steps)
             });
         steps.flat_map(|(key, progress)| {
-            let tasks = (0_u32..).zip(&mut progress.tasks);
+            let tasks = progress.tasks.begun_mut();
             tasks.map(move |(index, task)| (key.task(index), task))
         })
     }
@@ -351,18 +377,45 @@
 
     /// Returns the row that holds its progress.
     pub(crate) fn progress(&self) -> ProgressRow {
-        let steps = self.occurrences.iter().flat_map(|(occurrence, steps)| {
+        let complete = self.complete_ranges();
+        let listed = self
+            .occurrences
+            .iter()
+            .filter(|(_, steps)| complete.is_empty() || !is_complete(steps));
+        let steps = listed.flat_map(|(occurrence, steps)| {
             steps
                 .iter()
                 .enumerate()
                 .filter_map(|(position, step)| step_row(*occurrence, position, step))
         });
+        ProgressRow {
+            steps: steps.collect(),
+            complete,
+            ..self.end()
+        }
+    }
+
+    /// Returns the complete occurrences if they are too many to be stored step by step.
+    fn complete_ranges(&self) -> Vec<(u32, u32)> {
+        if self.complete_occurrences <= MAX_OCCURRENCES_BY_STEPS {
+            return Vec::new();
+        }
+        let complete = self
+            .occurrences
+            .iter()
+            .filter(|(_, steps)| is_complete(steps));
+        ranges(complete.map(|(occurrence, _)| *occurrence))
+    }
+
+    /// Returns the row that holds its end, without its steps.
+    pub(crate) const fn end(&self) -> ProgressRow {
         ProgressRow {
             cancelled: self.cancelled,
             awaited: self.pre_cancelled,
             outcome: self.outcome,
             started: self.started,
-            steps: steps.collect(),
+            complete: Vec::new(),
+            steps: Vec::new(),
             owner: None,
         }
     }
@@ -375,13 +428,17 @@
         self.outcome = row.outcome;
         self.visible_outcome = row.outcome;
         self.started = row.started;
+        for (first, count) in &row.complete {
+            for occurrence in *first..first.saturating_add(*count) {
+                for progress in self.occurrence(occurrence) {
+                    progress.finish();
+                }
+            }
+        }
         for step in &row.steps {
             self.restore_step(step);
         }
-        let complete = self
-            .occurrences
-            .values()
-            .filter(|steps| steps.iter().all(StepProgress::complete));
+        let complete = self.occurrences.values().filter(|steps| is_complete(steps));
         self.complete_occurrences = u32::try_from(complete.count()).unwrap_or(u32::MAX);
     }
 
@@ -391,7 +448,7 @@
         };
         for (first, count) in &row.done {
             for index in *first..first.saturating_add(*count) {
-                let Some(task) = progress.tasks.get_mut(index as usize) else {
+                let Some(task) = progress.tasks.begin(index) else {
                     break;
                 };
                 task.state = TaskState::Done;
@@ -399,33 +456,42 @@
             }
         }
         for (index, runs) in &row.failed {
-            if let Some(task) = progress.tasks.get_mut(*index as usize) {
+            if let Some(task) = progress.tasks.begin(*index) {
                 task.failed.clone_from(runs);
             }
         }
         for (index, exposures) in &row.exposures {
-            if let Some(task) = progress.tasks.get_mut(*index as usize) {
+            if let Some(task) = progress.tasks.begin(*index) {
                 task.exposures.clone_from(exposures);
             }
         }
     }
 }
 
+fn is_complete(steps: &[StepProgress]) -> bool {
+    steps.iter().all(StepProgress::complete)
+}
+
 fn step_row(occurrence: u32, position: usize, step: &StepProgress) -> Option<StepRow> {
-    let indexed = || step.tasks.iter().zip(0_u32..);
-    let done = indexed()
-        .filter(|(task, _)| task.state == TaskState::Done)
-        .map(|(_, index)| index);
-    let failed = indexed()
-        .filter(|(task, _)| !task.failed.is_empty())
-        .map(|(task, index)| (index, task.failed.clone()));
-    let exposures = indexed()
-        .filter(|(task, _)| !task.exposures.is_empty() && task.state != TaskState::Done)
-        .map(|(task, index)| (index, task.exposures.clone()));
+    let tasks = || step.tasks.begun();
+    let done = tasks()
+        .filter(|(_, task)| task.state == TaskState::Done)
+        .map(|(index, _)| index);
+    let failed = tasks()
+        .filter(|(_, task)| !task.failed.is_empty())
+        .map(|(index, task)| (index, task.failed.clone()));
+    let exposures = tasks()
+        .filter(|(_, task)| !task.exposures.is_empty() && task.state != TaskState::Done)
+        .map(|(index, task)| (index, task.exposures.clone()));
+    let done = if step.tasks.is_finished() {
+        vec![(0, step.tasks.count())]
+    } else {
+        ranges(done)
+    };
     let row = StepRow {
         occurrence,
         step: u16::try_from(position).ok()?,
-        done: ranges(done),
+        done,
         failed: failed.collect(),
         exposures: exposures.collect(),
     };
