Give accepted jobs a budget of the holder's memory

Callers saw, or would: a holder out of memory, since all jobs that a node takes in are kept at the holder until they can no longer be asked for, and nothing counted them. By the bound on steps alone 1,000 jobs of 256 steps take over 100 MB (worked out).

Jobs that are read at a takeover are counted and not refused. New test in the planner's world, written with the change. Also: occurrences of a job that has ended are not created at a takeover.

--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -110,6 +110,7 @@
             status_ms: settings.status_s * 1_000 + 30_000,
             max_listed_ends: P::Endpoints::MAX_LISTED_ENDS,
             row_bytes: settings.row_bytes * 3 / 4 - 1_024,
+            max_job_bytes: settings.max_job_bytes().unwrap_or(u64::MAX),
             policies: settings.policies,
             ..Limits::default()
         };
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -135,6 +135,11 @@
 /// Least such readings.
 const MIN_READINGS_PER_BOUND: u64 = 2;
 
+/// Bytes of a megabyte.
+const MEGABYTE_BYTES: u64 = 1_000_000;
+/// One in this many parts of the memory may be taken by the jobs that a holder knows.
+const JOB_MEMORY_PART: u64 = 4;
+
 const fn drain_ms() -> u64 {
     2_000
 }
@@ -316,6 +321,14 @@
         resources.size_permille()
     }
 
+    /// Returns the memory that the jobs of a group may take at their holder, in bytes; no limit if
+    /// none.
+    #[must_use]
+    pub fn max_job_bytes(&self) -> Option<u64> {
+        self.memory_mb
+            .map(|memory_mb| memory_mb * MEGABYTE_BYTES / JOB_MEMORY_PART)
+    }
+
     /// Parses settings; `name` identifies the text in errors.
     ///
     /// # Errors
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -46,6 +46,8 @@
     pub store_recovery_ms: Millis,
     /// Maximum number of submissions that wait for the store; further ones are refused immediately.
     pub accept_queue: usize,
+    /// Maximum memory of all jobs that are known, in bytes; further submissions are refused.
+    pub max_job_bytes: u64,
     /// How long an endpoint may delay its answer to a hold while no run ends.
     pub hold_wait_ms: Millis,
     /// Additional time to wait for the answer to a hold: many times what a healthy endpoint takes.
@@ -169,6 +171,7 @@
             commit_bytes_per_ms: 600,
             store_recovery_ms: 9_000,
             accept_queue: 1_000,
+            max_job_bytes: u64::MAX,
             hold_wait_ms: 600,
             hold_answer_ms: 350,
             hold_gap_ms: 100,
--- a/crates/chervilfall_planner/src/planner/admission.rs
+++ b/crates/chervilfall_planner/src/planner/admission.rs
@@ -304,7 +304,7 @@
         } else {
             self.unsaved.new_jobs.len()
         };
-        self.jobs.insert(id, job);
+        self.insert_job(job);
         self.unsaved.new_jobs.insert(position, id);
     }
 
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -20,6 +20,7 @@
 mod gap;
 mod history;
 mod incarnations;
+mod job_memory;
 mod job_rows;
 mod leases;
 mod offers;
@@ -135,6 +136,8 @@
     unix_ms: u64,
     config: Arc<Configuration>,
     jobs: BTreeMap<JobId, Job>,
+    /// Memory of the jobs, in bytes.
+    job_bytes: u64,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     endpoint_keys: BTreeMap<EndpointId, EndpointKey>,
     evacuations: Evacuations,
@@ -224,6 +227,7 @@
             unix_ms: 0,
             config: Arc::new(Configuration::default()),
             jobs: BTreeMap::new(),
+            job_bytes: 0,
             endpoints: SlotMap::with_key(),
             endpoint_keys: BTreeMap::new(),
             evacuations: Evacuations::default(),
@@ -292,7 +296,7 @@
                 Some(_) => OpenRows::WithText,
                 None => OpenRows::SeparateText,
             };
-            self.jobs.insert(id, job);
+            self.insert_job(job);
         }
         for (id, row) in stored.progress {
             match self.jobs.get_mut(&id) {
@@ -353,7 +357,7 @@
         }
         job.restore(row);
         self.pre_cancelled_jobs += usize::from(job.pre_cancelled);
-        self.jobs.insert(id, job);
+        self.insert_job(job);
     }
 
     /// Handles an event that happened at `now` and returns the resulting actions.
@@ -583,7 +587,7 @@
             }
             self.finished.pop_front();
             self.held_occurrences.remove(&id);
-            if let Some(job) = self.jobs.remove(&id) {
+            if let Some(job) = self.remove_job(id) {
                 self.pre_cancelled_jobs -= usize::from(job.pre_cancelled);
                 self.unsaved.remove(id, job.rows);
             }
--- a/crates/chervilfall_planner/src/planner/requests.rs
+++ b/crates/chervilfall_planner/src/planner/requests.rs
@@ -162,6 +162,9 @@
         if let Some(answer) = self.refuse_by_overload(&job) {
             return Err(answer);
         }
+        if let Some(answer) = self.refuse_by_memory(&job) {
+            return Err(answer);
+        }
         let refusal = self.check_submission(&mut job);
         if self.unsaved.new_jobs.len() >= self.limits.accept_queue {
             let refusal = self.store_refusal(self.rows_ahead(&job));
@@ -347,7 +350,7 @@
     /// Refuses a submission that waits for a commit.
     fn refuse_waiting(&mut self, id: JobId, refusal: ForecastRefusal) {
         self.release_share(id);
-        let Some(job) = self.jobs.remove(&id) else {
+        let Some(job) = self.remove_job(id) else {
             return;
         };
         self.unsaved.progress.remove(id);
@@ -422,7 +425,7 @@
         job.outcome = Some(JobState::Cancelled);
         job.finished_ms = Some(self.now);
         job.cancellers.push(to);
-        self.jobs.insert(id, job);
+        self.insert_job(job);
         self.pre_cancelled_jobs += 1;
         self.finished.push_back((self.now, id));
         self.unsaved.progress.insert(id);
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -165,6 +165,8 @@
     /// It was submitted in excess of the account's share.
     pub(crate) beyond: bool,
     pub(crate) spec: Arc<JobSpec>,
+    /// Memory that it takes while it waits, in bytes.
+    pub(crate) memory_bytes: u64,
     /// Longest chain of estimated work.
     pub(crate) chain_ms: Millis,
     /// Time after its submission within which it should complete.
@@ -215,6 +217,7 @@
             id,
             chain_ms: row.spec.chain_ms(),
             objective_ms: row.spec.objective_ms(&row.queue),
+            memory_bytes: memory_bytes(&row.spec, &text),
             long_running: row.spec.steps.iter().any(|step| step.long_running),
             queue: row.queue,
             account: None,
@@ -428,7 +431,9 @@
         self.outcome = row.outcome;
         self.visible_outcome = row.outcome;
         self.started = row.started;
-        for (first, count) in &row.complete {
+        // Nothing starts of a job that has ended.
+        let complete = row.complete.iter().filter(|_| row.outcome.is_none());
+        for (first, count) in complete {
             for occurrence in *first..first.saturating_add(*count) {
                 for progress in self.occurrence(occurrence) {
                     progress.finish();
@@ -468,6 +473,12 @@
     }
 }
 
+fn memory_bytes(spec: &JobSpec, text: &str) -> u64 {
+    let progress_bytes = spec.steps.len() * size_of::<StepProgress>();
+    let own_bytes = size_of::<Job>() + text.len() + progress_bytes;
+    spec.memory_bytes() + own_bytes as u64
+}
+
 fn is_complete(steps: &[StepProgress]) -> bool {
     steps.iter().all(StepProgress::complete)
 }
--- a/crates/chervilfall_planner/tests/large_numbers.rs
+++ b/crates/chervilfall_planner/tests/large_numbers.rs
@@ -107,3 +107,31 @@
         assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
     }
 }
+
+/// Guards against accepted jobs that together take more memory than there is.
+#[test]
+fn jobs_beyond_the_memory_for_jobs_are_refused_until_others_are_forgotten() {
+    let mut world = World::new(1, 4, 5);
+    world.queue.advice = None;
+    world.limits.max_job_bytes = 1_000_000;
+    world.limits.status_ms = 5_000;
+    world.run(WARM_UP_MS);
+    let large = || JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![tasks(1, 100); 100],
+        ..JobSpec::default()
+    };
+    let small = JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![tasks(1, 100)],
+        ..JobSpec::default()
+    };
+    let answers: Vec<Answer> = (0..30).map(|id| world.submit(JOB + id, large())).collect();
+    let accepted = answers.iter().filter(|answer| **answer == Answer::Accepted);
+    assert!((1..29).contains(&accepted.count()), "{answers:?}");
+    assert!(matches!(answers[29], Answer::Refused { .. }), "{answers:?}");
+    assert_eq!(world.submit(JOB + 100, small), Answer::Accepted);
+    // The jobs complete, and can no longer be asked for.
+    world.run(30_000);
+    assert_eq!(world.submit(JOB + 200, large()), Answer::Accepted);
+}
