--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -460,6 +460,9 @@
                 progress.done += 1;
             }
         }
+        if progress.complete() {
+            progress.finish();
+        }
         for (index, runs) in &row.failed {
             if let Some(task) = progress.tasks.begin(*index) {
                 task.failed.clone_from(runs);
