--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -321,12 +321,18 @@
         resources.size_permille()
     }
 
+    /// Returns the memory of the node's machine, in bytes; no limit if none.
+    #[must_use]
+    pub fn memory_bytes(&self) -> Option<u64> {
+        self.memory_mb
+            .map(|memory_mb| memory_mb.saturating_mul(MEGABYTE_BYTES))
+    }
+
     /// Returns the memory that the jobs of a group may take at their holder, in bytes; no limit if
     /// none.
     #[must_use]
     pub fn max_job_bytes(&self) -> Option<u64> {
-        self.memory_mb
-            .map(|memory_mb| memory_mb * MEGABYTE_BYTES / JOB_MEMORY_PART)
+        self.memory_bytes().map(|bytes| bytes / JOB_MEMORY_PART)
     }
 
     /// Parses settings; `name` identifies the text in errors.
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -70,6 +70,12 @@
             without: "",
             expected: "config_apply_ms",
         },
+        Rejected {
+            name: "no memory",
+            more: "memory_mb: 0\n",
+            without: "",
+            expected: "memory_mb",
+        },
         Rejected {
             name: "no time to drain",
             more: "drain_ms: 0\n",
