Store complete occurrences as ranges as soon as their steps are many or a row has no room

Ranges now begin with 500 steps, and always before a job is given up. The planner's test has that job as a third case.

--- a/crates/chervilfall_planner/src/planner/job_rows.rs
+++ b/crates/chervilfall_planner/src/planner/job_rows.rs
@@ -220,7 +220,11 @@
             progress.max_bytes() <= self.limits.row_bytes
                 || encode(progress).len() <= self.limits.row_bytes
         };
-        let mut progress = job.progress();
+        let progress = job.progress();
+        if fits(&progress) {
+            return Some(progress);
+        }
+        let mut progress = job.short_progress();
         if fits(&progress) {
             return Some(progress);
         }
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -24,9 +24,9 @@
 /// Maximum number of steps that a job has open in all its occurrences. Further occurrences that are
 /// due begin as earlier ones complete.
 const MAX_OPEN_STEPS: usize = 1_024;
-/// Maximum number of complete occurrences whose steps are stored one by one, as earlier versions read
-/// them.
-const MAX_OCCURRENCES_BY_STEPS: u32 = 500;
+/// Maximum number of steps of complete occurrences that are stored one by one, as earlier versions
+/// read them.
+const MAX_STEPS_ONE_BY_ONE: usize = 500;
 /// Number of runs of one task that a holder can start before it reaches the run numbers of the next
 /// term.
 pub(crate) const RUNS_PER_TERM: u64 = 10_000;
@@ -380,7 +380,27 @@
 
     /// Returns the row that holds its progress.
     pub(crate) fn progress(&self) -> ProgressRow {
-        let complete = self.complete_ranges();
+        let steps = self.complete_occurrences as usize * self.spec.steps.len();
+        if steps <= MAX_STEPS_ONE_BY_ONE {
+            self.progress_beside(Vec::new())
+        } else {
+            self.short_progress()
+        }
+    }
+
+    /// Returns the same in its shortest form.
+    pub(crate) fn short_progress(&self) -> ProgressRow {
+        let complete = self
+            .occurrences
+            .iter()
+            .filter(|(_, steps)| is_complete(steps));
+        let complete = ranges(complete.map(|(occurrence, _)| *occurrence));
+        self.progress_beside(complete)
+    }
+
+    /// Returns the row that lists its steps beside the complete occurrences; all of them if there are
+    /// none.
+    fn progress_beside(&self, complete: Vec<(u32, u32)>) -> ProgressRow {
         let listed = self
             .occurrences
             .iter()
@@ -398,18 +418,6 @@
         }
     }
 
-    /// Returns the complete occurrences if they are too many to be stored step by step.
-    fn complete_ranges(&self) -> Vec<(u32, u32)> {
-        if self.complete_occurrences <= MAX_OCCURRENCES_BY_STEPS {
-            return Vec::new();
-        }
-        let complete = self
-            .occurrences
-            .iter()
-            .filter(|(_, steps)| is_complete(steps));
-        ranges(complete.map(|(occurrence, _)| *occurrence))
-    }
-
     /// Returns the row that holds its end, without its steps.
     pub(crate) const fn end(&self) -> ProgressRow {
         ProgressRow {
--- a/crates/chervilfall_planner/tests/large_numbers.rs
+++ b/crates/chervilfall_planner/tests/large_numbers.rs
@@ -72,6 +72,11 @@
             repeat_count: 2_000,
             steps: vec![tasks(2, 100), second],
         },
+        Case {
+            name: "occurrences of eight steps",
+            repeat_count: 350,
+            steps: vec![tasks(1, 100); 8],
+        },
     ];
     for case in cases {
         let mut world = world();
