--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -15,6 +15,7 @@
 mod gang_wait;
 mod ids;
 mod job;
+mod job_progress;
 mod leases;
 mod limits;
 mod metrics;
