--- a/crates/chervilfall_planner/tests/large_numbers.rs
+++ b/crates/chervilfall_planner/tests/large_numbers.rs
@@ -140,3 +140,35 @@
     world.run(30_000);
     assert_eq!(world.submit(JOB + 200, large()), Answer::Accepted);
 }
+
+/// Guards against a repeated job that stands still because all occurrences that it may have open have
+/// lapsed.
+#[test]
+fn occurrences_whose_runs_have_lapsed_run_under_the_next_holder() {
+    let mut world = world();
+    let long = Step {
+        cpu_milli: 20,
+        ..world::step(1, 3_000)
+    };
+    let spec = JobSpec {
+        spec: "text".to_owned(),
+        steps: vec![long],
+        repeat_count: 1_500,
+        first_due_unix_ms: 1,
+        interval_ms: 1,
+    };
+    assert_eq!(world.submit(JOB, spec), Answer::Accepted);
+    world.run(2_000);
+    let until_ms = world.now + 15_000;
+    for node in &mut world.nodes {
+        node.frozen_until_ms = until_ms;
+    }
+    world.run(20_000);
+    let bound_ms = world.now + JOB_MS;
+    while world.holder().is_none() || state(&mut world) != Answer::State(JobState::Completed) {
+        assert!(world.now < bound_ms, "not completed");
+        world.run(100);
+    }
+    world.check_history();
+    assert_eq!(world.violations, Vec::<String>::new());
+}
