--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -16,11 +16,11 @@
 use crate::worker::{RunSpan, Spans, Terms, Worker, SERVICE};
 
 /// Host that routes name.
-const HOST: &str = "nony24.example";
+pub const HOST: &str = "nony24.example";
 /// How long the nodes may take to be ready.
 const READY_MS: u64 = 10_000;
 /// How long clients wait.
-const DEADLINE_MS: u64 = 3_000;
+pub const DEADLINE_MS: u64 = 3_000;
 
 /// A node's process.
 pub struct Node {
@@ -152,7 +152,7 @@
 }
 
 impl Queue {
-    fn prefix(&self) -> String {
+    pub fn prefix(&self) -> String {
         format!("/{}/", self.name)
     }
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,12 +5,12 @@
 mod advice_case;
 mod barrier_case;
 mod cluster;
-mod crash_case;
 mod http;
 mod isolation_case;
 mod json;
 mod lasting;
 mod record;
+mod restart_case;
 mod store;
 mod worker;
 
@@ -39,7 +39,7 @@
     record.line(&format!("case {case}, with the disruption: {trouble}"));
     let outcome = match case.as_str() {
         "advice" => advice_case::play(record.clone(), trouble),
-        "crashes" => crash_case::play(record.clone(), trouble),
+        "restarts" => restart_case::play(record.clone(), trouble),
         "isolation" => isolation_case::play(record.clone(), trouble),
         "barrier" => barrier_case::play(record.clone(), trouble),
         _ => Outcome::Unplayed("no such case".to_owned()),
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -296,7 +296,10 @@
                 return reason(clock_ms, "old");
             }
             let spec = body.get("spec").text();
-            let lasts = spec.strip_prefix("ms=").and_then(|ms| ms.parse().ok());
+            let lasts = spec
+                .strip_prefix("ms=")
+                .and_then(|rest| rest.split(';').next());
+            let lasts = lasts.and_then(|ms| ms.parse().ok());
             let mut spans = self.spans.lock().expect("no panic");
             spans.push(RunSpan {
                 task: task.clone(),
