Answer every request that has arrived at a stopping node before it is killed

Cause: a stopping node served for 2.5 s and gave requests in flight 1 s more, but a request waits up to 1.44 s of 3 s for a holder and 2.4 s for an answer, and nothing in these waits knew of the stop. All nodes were stopping, so there was no holder. Ruled out: dropped by the holder that stepped down (sent 2 s later); not read (they had been).

Change: one deadline from the first signal on, by the platform's grace_s, cuts every wait. Requests without a holder are refused as not run when the linger time ends; those that may have run wait until 0.5 s before the kill. A stop that begins while a claim's rows are read hands the claim back.

--- a/crates/chervilfall_ingress/src/server.rs
+++ b/crates/chervilfall_ingress/src/server.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::{yield_now, JoinHandle, JoinSet};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::body::RequestBody;
 use crate::connection;
@@ -66,7 +66,7 @@
 #[derive(Debug)]
 pub struct Ingress {
     connections: Arc<Connections>,
-    stop: oneshot::Sender<Duration>,
+    stop: oneshot::Sender<Instant>,
     serving: JoinHandle<()>,
 }
 
@@ -95,10 +95,10 @@
     }
 
     /// Accepts no more connections, closes those that have no request to handle, and waits for the
-    /// others, at most for a time.
-    pub async fn stop(self, grace: Duration) {
+    /// others, at most until `end`.
+    pub async fn stop(self, end: Instant) {
         // A listener whose task has ended has stopped already.
-        let _ = self.stop.send(grace);
+        let _ = self.stop.send(end);
         self.connections.close_waiting();
         if let Err(error) = self.serving.await {
             log::warn!(error:% = error; "task of the listener for callers panicked or was cancelled");
@@ -127,12 +127,12 @@
 
 impl<H: RequestHandler> Server<H> {
     /// Serves connections until it is stopped, and then those that are left for a while.
-    async fn run(mut self, listener: TcpListener, mut stopped: oneshot::Receiver<Duration>) {
-        let grace = loop {
+    async fn run(mut self, listener: TcpListener, mut stopped: oneshot::Receiver<Instant>) {
+        let end = loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 Some(_) = self.tasks.join_next() => continue,
-                grace = &mut stopped => break grace.unwrap_or_default(),
+                end = &mut stopped => break end.unwrap_or_else(|_| Instant::now()),
             };
             match accepted {
                 Ok((stream, _)) => self.accept(stream).await,
@@ -144,7 +144,7 @@
         };
         drop(listener);
         let ended = async { while self.tasks.join_next().await.is_some() {} };
-        if timeout(grace, ended).await.is_err() {
+        if timeout_at(end, ended).await.is_err() {
             log::info!("connections of callers are still busy and are closed");
         }
     }
--- a/crates/chervilfall_ingress/tests/ingress.rs
+++ b/crates/chervilfall_ingress/tests/ingress.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Bound of each wait.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -245,7 +245,7 @@
     Progress::until(&server.progress.begun, 2).await;
     Progress::until(&server.progress.received, 1).await;
     let progress = Arc::clone(&server.progress);
-    let stop = tokio::spawn(server.ingress.stop(PATIENCE));
+    let stop = tokio::spawn(server.ingress.stop(Instant::now() + PATIENCE));
     assert_eq!(status(&mut stalled).await, 0, "the stalled one is closed");
     progress.may_answer.add_permits(1);
     assert_eq!(status(&mut handled).await, 200);
--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -178,11 +178,22 @@
         self.planner_configuration_version = None;
         self.update_planner_configuration();
         self.feed_nodes();
+        if self.front.stopping() {
+            // The stop began while the group was taken over.
+            self.release();
+        }
         // Links that were kept open while rows were read get a heartbeat immediately.
         self.heartbeat_due_ms = 0;
         self.send_heartbeats();
     }
 
+    /// Begins to hand the group over for a planned stop, if this node holds it.
+    fn release(&mut self) {
+        if let Some(planner) = &mut self.planner {
+            planner.release();
+        }
+    }
+
     /// Passes a configuration that has come into force to the planner. This is checked before each
     /// event, so that nothing is decided by an older one, however many events are queued.
     fn update_planner_configuration(&mut self) {
@@ -436,11 +447,7 @@
                     evacuated,
                 });
             }
-            ControlEvent::Release => {
-                if let Some(planner) = &mut self.planner {
-                    planner.release();
-                }
-            }
+            ControlEvent::Release => self.release(),
             ControlEvent::Probe(sent) => self.load.record_queue_age(sent.elapsed()),
             ControlEvent::ThreadProbe { thread, ran } => self.lags.record(thread, ran),
         }
--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -4,7 +4,7 @@
 mod access;
 mod labels;
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use crate::configuration::ConfigurationState;
 use crate::control::ControlEvent;
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
+use crate::planned_stop::{PlannedStop, Progress, StopTimes};
 use crate::routes::RouteTable;
 use crate::settings::Timings;
 use crate::wait_bounds::WaitBounds;
@@ -67,7 +68,7 @@
     revocation: Option<Revocation>,
     /// Callers that found no holder are told different times to retry.
     spread_retries: bool,
-    stopping: AtomicBool,
+    stop: PlannedStop,
     /// Age of the holder's claim when it was last reported, in milliseconds; `u64::MAX` while
     /// unknown.
     claim_age_ms: AtomicU64,
@@ -96,7 +97,7 @@
             timings,
             revocation,
             spread_retries,
-            stopping: AtomicBool::new(false),
+            stop: PlannedStop::new(),
             claim_age_ms: AtomicU64::new(u64::MAX),
             claim_reported_ms: AtomicU64::new(0),
             isolated_since_ms: AtomicU64::new(u64::MAX),
@@ -146,14 +147,15 @@
         Some(clock().deadline(Duration::from_millis(until_ms.saturating_sub(now_ms()))))
     }
 
-    pub(crate) fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Begins a planned stop. Only the first call counts.
+    pub(crate) fn begin_stop(&self, times: StopTimes) {
+        self.stop.begin(times);
     }
 
     /// Returns whether a planned stop has begun.
     #[must_use]
     pub fn stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.has_begun()
     }
 
     /// Returns whether callers should be sent here: the configuration is known and was read
@@ -197,15 +199,18 @@
         let bounds = WaitBounds::new(wait_budget, &self.timings);
         let answer_by = clock().deadline(bounds.answer);
         let refuse_by = clock().deadline(bounds.holder(&request));
-        let mut sent = false;
+        let mut progress = Progress::NotSent;
         loop {
-            // A request that was sent to a holder may be stored: only the next holder knows.
-            let holder_by = if sent { answer_by } else { refuse_by };
-            let Some(leadership) = self.wait_for_holder(holder_by, !sent).await else {
-                return self.not_answered(sent, &request);
+            let holder_by = match progress {
+                Progress::NotSent => refuse_by,
+                // It may be stored: only the next holder knows.
+                Progress::Sent => answer_by,
+            };
+            let Some(leadership) = self.wait_for_holder(holder_by, progress).await else {
+                return self.not_answered(progress, &request);
             };
             if let Request::Submit { wait_ms, .. } = &mut request {
-                *wait_ms = millis(clock().left(refuse_by));
+                *wait_ms = millis(clock().left(self.stop.cut(refuse_by, Progress::Sent)));
             }
             let (answer, receiver) = oneshot::channel();
             let pending = PendingRequest {
@@ -216,40 +221,37 @@
             // A closed link must not be kept alive by requests that wait for its answers.
             drop(leadership);
             if forwarded {
-                sent = true;
-                match clock().until(answer_by, receiver).await {
+                progress = Progress::Sent;
+                match self.stop.until(answer_by, receiver).await {
                     Ok(Ok(answer)) => return answer,
                     // The holder is gone; a new one answers for what the old one stored.
                     Ok(Err(_)) => {}
-                    Err(_) => return self.not_answered(sent, &request),
+                    Err(_) => return self.not_answered(progress, &request),
                 }
             }
-            if clock().left(holder_by).is_zero() {
-                return self.not_answered(sent, &request);
+            if clock().left(self.stop.cut(holder_by, progress)).is_zero() {
+                return self.not_answered(progress, &request);
             }
             tokio::time::sleep(RESEND_PAUSE).await;
         }
     }
 
-    /// Waits for a holder. With `refuse_if_isolated`, an isolated node stops waiting early: callers
-    /// are served sooner by nodes that are not cut off.
-    async fn wait_for_holder(
-        &self,
-        deadline: Deadline,
-        refuse_if_isolated: bool,
-    ) -> Option<Leadership> {
+    /// Waits for a holder. An isolated node stops waiting early for one that it can send a request to:
+    /// callers are served sooner by nodes that are not cut off.
+    async fn wait_for_holder(&self, deadline: Deadline, progress: Progress) -> Option<Leadership> {
         loop {
             let current = self.leadership.current();
             if has_holder(&current) {
                 return Some(current);
             }
-            let isolation_deadline = self.isolation_deadline().filter(|_| refuse_if_isolated);
+            let isolation_deadline = self.isolation_deadline();
+            let isolation_deadline = isolation_deadline.filter(|_| progress == Progress::NotSent);
             let until = isolation_deadline.map_or(deadline, |until| until.min(deadline));
-            let left = clock().left(until);
+            let left = clock().left(self.stop.cut(until, progress));
             if left.is_zero() {
                 return None;
             }
-            // Whether the node is isolated can change meanwhile.
+            // The node may become isolated or begin to stop meanwhile.
             let check_in = left.min(ISOLATION_CHECK_INTERVAL);
             let found = timeout(check_in, self.leadership.wait_until(has_holder)).await;
             if let Ok(found) = found {
@@ -260,8 +262,8 @@
 
     /// Returns the answer for a request that no holder has answered: refused only if it was never
     /// sent.
-    fn not_answered(&self, sent: bool, request: &Request) -> Answer {
-        if sent {
+    fn not_answered(&self, progress: Progress, request: &Request) -> Answer {
+        if progress == Progress::Sent {
             return Answer::Undecided;
         }
         let job = job(request).filter(|_| self.spread_retries);
@@ -299,6 +301,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
+pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/chervilfall_node/src/front/access.rs
+++ b/crates/chervilfall_node/src/front/access.rs
@@ -6,8 +6,9 @@
 use chervilfall_planner::AccountName;
 
 use super::{Front, FrontAnswer, Revocation};
-use crate::clock::now_ms;
+use crate::clock::{clock, now_ms};
 use crate::keys::KeyDigest;
+use crate::planned_stop::Progress;
 use crate::routes::Route;
 
 /// Minimum time between log lines about denied requests, which callers can send in any number.
@@ -24,8 +25,7 @@
         if let Some(route) = self.find(host, path) {
             return Ok(route);
         }
-        let wait_budget = Duration::from_millis(self.timings.configuration_wait_ms);
-        let current = self.configuration.wait_until_current(wait_budget).await;
+        let current = self.wait_until_current().await;
         if let Some(route) = self.find(host, path) {
             return Ok(route);
         }
@@ -60,8 +60,7 @@
         if let Some(account) = self.account(digest, revocation) {
             return Ok(Some(account));
         }
-        let wait_budget = Duration::from_millis(self.timings.configuration_wait_ms);
-        let current = self.configuration.wait_until_current(wait_budget).await;
+        let current = self.wait_until_current().await;
         if let Some(account) = self.account(digest, revocation) {
             return Ok(Some(account));
         }
@@ -74,6 +73,15 @@
         Err(answer)
     }
 
+    /// Waits briefly until the configuration contains everything that must be in force; returns whether
+    /// it does.
+    async fn wait_until_current(&self) -> bool {
+        let wait = Duration::from_millis(self.timings.configuration_wait_ms);
+        let deadline = self.stop.cut(clock().deadline(wait), Progress::Sent);
+        let wait = clock().left(deadline);
+        self.configuration.wait_until_current(wait).await
+    }
+
     /// Returns the account of a key, if the configuration is recent enough.
     fn account(&self, digest: Option<KeyDigest>, revocation: Revocation) -> Option<AccountName> {
         let table = self.routes()?;
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpListener as StdTcpListener};
 use std::sync::Arc;
-use std::time::Duration;
 
 use chervilfall_kernel::{ControlThread, ControlThreadError};
 use chervilfall_planner::Limits;
@@ -10,10 +9,11 @@
 use tokio::runtime::Handle;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
+use tokio::time::{sleep_until, Instant};
 
 use crate::configuration::ConfigurationState;
 use crate::control::{Control, ControlEvent};
-use crate::front::{Front, Revocation};
+use crate::front::{millis, Front, Revocation};
 use crate::leadership::LeadershipState;
 use crate::link::{accept_links, ConfigurationSource};
 use crate::ports::{Endpoints, Platform};
@@ -181,12 +181,12 @@
 
     /// Waits for the signal that begins a planned stop, releases the group, and keeps serving for
     /// the linger time so that callers can move to other nodes. Calls `on_hangup` on SIGHUP, when
-    /// the settings may have changed.
+    /// the settings may have changed. Returns when the process has to have ended.
     ///
     /// # Errors
     ///
     /// Returns an error if the signal handlers can't be installed.
-    pub async fn run_until_stopped(&self, on_hangup: impl Fn()) -> Result<(), NodeError> {
+    pub async fn run_until_stopped(&self, on_hangup: impl Fn()) -> Result<Instant, NodeError> {
         let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
         let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
@@ -197,12 +197,13 @@
                 _ = hangup.recv() => on_hangup(),
             }
         }
-        log::info!("planned stop begins");
-        self.front.begin_stop();
+        let (began, times) = (Instant::now(), self.settings.stop_times());
+        log::info!(answer_ms = millis(times.answer), end_ms = millis(times.end); "planned stop begins");
+        self.front.begin_stop(times);
         // The control thread runs until the process ends, so the send does not fail.
         drop(self.control.send(ControlEvent::Release).await);
-        tokio::time::sleep(Duration::from_millis(self.settings.timings.linger_ms)).await;
-        log::info!("planned stop ends");
-        Ok(())
+        sleep_until(began + times.linger).await;
+        log::info!("no more callers are served but those whose requests have arrived");
+        Ok(began + times.end)
     }
 }
--- a/crates/chervilfall_node/src/settings.rs
+++ b/crates/chervilfall_node/src/settings.rs
@@ -8,6 +8,8 @@
 use chervilfall_planner::{NodeResources, Policies};
 use serde::Deserialize;
 
+use crate::planned_stop::StopTimes;
+
 /// Longest time that a start takes to reach its endpoint, unless it is delayed.
 const START_TRANSIT_MS: u64 = 200;
 
@@ -79,7 +81,8 @@
     /// How long the node keeps serving after a planned stop has begun, while callers are sent to
     /// other nodes.
     pub linger_ms: u64,
-    /// Time limit for a planned stop.
+    /// Time after the signal of a planned stop in which the process ends, if the platform does not say
+    /// when it is killed.
     pub stop_ms: u64,
 }
 
@@ -127,6 +130,8 @@
 /// Accepted rates of a link in Mbit/s: from one that leaves a node a size of at least one
 /// thousandth of a core, to more than any machine has.
 const LINK_MBPS: RangeInclusive<f64> = 0.1..=1_000_000.0;
+/// Accepted times until a process that is stopped is killed, in seconds.
+const GRACE_S: RangeInclusive<f64> = 0.0..=100_000.0;
 /// Reports that an endpoint may miss before it leaves the platform's list.
 const LISTED_REPORTS: u64 = 3;
 /// Readings of the list of endpoints in the time of a bound on what the list shows. The list is long
@@ -219,6 +224,9 @@
     /// no starts; none if the platform asks for no such time.
     #[serde(default)]
     pub evacuate_ms: Option<u64>,
+    /// Time after the signal of a planned stop at which the platform kills the process, in seconds.
+    #[serde(default)]
+    pub grace_s: Option<f64>,
     /// How long a finished job can be queried, in seconds.
     pub status_s: u64,
     /// Maximum size of a row, in bytes.
@@ -321,6 +329,16 @@
         resources.size_permille()
     }
 
+    /// Returns how long the parts of a planned stop last.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn stop_times(&self) -> StopTimes {
+        // `parse` accepts only values between 0 and 100,000.
+        let grace_ms = self.grace_s.map(|grace_s| (grace_s * 1_000.0) as u64);
+        let kill_ms = grace_ms.unwrap_or(self.timings.stop_ms);
+        StopTimes::new(kill_ms, self.timings.linger_ms)
+    }
+
     /// Returns the memory of the node's machine, in bytes; no limit if none.
     #[must_use]
     pub fn memory_bytes(&self) -> Option<u64> {
@@ -371,6 +389,13 @@
                 ),
             ));
         }
+        if settings
+            .grace_s
+            .is_some_and(|grace_s| !GRACE_S.contains(&grace_s))
+        {
+            let cause = format!("must be between {} and {}", GRACE_S.start(), GRACE_S.end());
+            return Err(field("grace_s".to_owned(), cause));
+        }
         let bounds = [
             ("config_apply_ms", settings.config_apply_ms),
             ("revoke_ms", settings.revoke_ms.unwrap_or(u64::MAX)),
--- a/crates/chervilfall_node/src/watch/takeover.rs
+++ b/crates/chervilfall_node/src/watch/takeover.rs
@@ -54,7 +54,7 @@
                 tokio::select! {
                     read = &mut reading => break Some(read),
                     () = tokio::time::sleep(Duration::from_millis(RENEW_MS)) => {
-                        if progress.since_last_page_ms() >= NO_PROGRESS_LIMIT_MS {
+                        if progress.since_last_page_ms() >= NO_PROGRESS_LIMIT_MS || self.front.stopping() {
                             break None;
                         }
                         let sent_ms = now_ms();
@@ -83,7 +83,11 @@
                 self.hand_back(candidate, &mut takeover).await;
             }
             None => {
-                log::warn!(term = takeover.row.term, still_ms = progress.since_last_page_ms(); "no page of the group's rows arrived in time, claim handed back");
+                log::warn!(
+                    term = takeover.row.term, still_ms = progress.since_last_page_ms(),
+                    stopping = self.front.stopping();
+                    "group's rows are not read any further, claim handed back"
+                );
                 self.hand_back(candidate, &mut takeover).await;
                 let term = takeover.row.term;
                 self.retained = Some(RetainedRows { term, rows });
--- a/crates/chervilfall_node/tests/settings.rs
+++ b/crates/chervilfall_node/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of a node.
 
+use std::time::Duration;
+
 use chervilfall_node::{changed_fields, Route, RouteTable, Settings};
 use chervilfall_planner::Queue;
 
@@ -82,6 +84,18 @@
             without: "",
             expected: "drain_ms",
         },
+        Rejected {
+            name: "a negative time to stop",
+            more: "grace_s: -1\n",
+            without: "",
+            expected: "grace_s: must be between 0 and",
+        },
+        Rejected {
+            name: "a time to stop of no number",
+            more: "grace_s: .nan\n",
+            without: "",
+            expected: "grace_s: must be between 0 and",
+        },
         Rejected {
             name: "no time to revoke keys",
             more: "revoke_ms: 0\n",
@@ -349,3 +363,52 @@
         );
     }
 }
+
+#[test]
+fn a_stop_ends_before_the_process_is_killed() {
+    struct Case {
+        name: &'static str,
+        more: &'static str,
+        linger_ms: u64,
+        answer_ms: u64,
+        end_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "usual",
+            more: "grace_s: 6\n",
+            linger_ms: 2_500,
+            answer_ms: 5_500,
+            end_ms: 5_800,
+        },
+        Case {
+            name: "little time: half of it is left for requests in flight",
+            more: "grace_s: 2.5\n",
+            linger_ms: 1_000,
+            answer_ms: 2_000,
+            end_ms: 2_300,
+        },
+        Case {
+            name: "none",
+            more: "grace_s: 0\n",
+            linger_ms: 0,
+            answer_ms: 0,
+            end_ms: 0,
+        },
+        Case {
+            name: "not given",
+            more: "",
+            linger_ms: 2_000,
+            answer_ms: 4_000,
+            end_ms: 4_300,
+        },
+    ];
+    for case in cases {
+        let settings = Settings::parse("good", &(GOOD.to_owned() + case.more)).expect(case.name);
+        let times = settings.stop_times();
+        let ms = Duration::from_millis;
+        assert_eq!(times.linger, ms(case.linger_ms), "{}", case.name);
+        assert_eq!(times.answer, ms(case.answer_ms), "{}", case.name);
+        assert_eq!(times.end, ms(case.end_ms), "{}", case.name);
+    }
+}
