Tell successors until when stale leases of restarted endpoints may last

Cause: orders for the former life reach the next one, which takes their times for its own clock's, up to the longest lease. The holder that saw the restart allowed for that, its successor counted the usual lease. Beside it: an endpoint that is cut off before its first list was given up by the clock of its former life, without any takeover. Ruled out: barrier not waited for (the endpoints had answered); the wrong life in the roster (that is noticed).

Change: the roster says that stale orders may still arrive, or until when leases may last by the endpoint's clock; the barrier and the check of leases count with that, and with another start in the platform's list.

Failed tries of the test: crashes that break connections at once and a full pool showed nothing.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -18,6 +18,7 @@
 use crate::policy::failure_share::FailureShare;
 use crate::policy::quarantine::Quarantine;
 use crate::policy::speed::Speed;
+use crate::record::StaleLeases;
 use crate::resources::Resources;
 use crate::tasks::StepKey;
 pub use exclusion::Exclusion;
@@ -92,6 +93,8 @@
     /// For a silent endpoint: when its last lease has lapsed by the store's clock, as stored in the
     /// roster.
     pub(crate) lapses_store_ms: Option<Millis>,
+    /// Stale leases that it may hold; none if all orders to earlier incarnations are settled.
+    pub(crate) stale_leases: Option<StaleLeases>,
     /// Upper limit on the resources that its runs reserve, as stored in the roster; none if the
     /// roster states none.
     pub(crate) rostered_capacity: Option<Resources>,
@@ -160,6 +163,7 @@
             listed,
             rostered: false,
             lapses_store_ms: None,
+            stale_leases: None,
             rostered_capacity: None,
             reported_ms: 0,
             seen_ms: 0,
@@ -200,6 +204,7 @@
         let mut next = Self::new(before.entry.clone(), before.listed, 0);
         next.born_ms = born_ms;
         next.fence = None;
+        next.stale_leases = Some(StaleLeases::Arriving);
         next.earlier_fence = Some(before.fence.or(before.earlier_fence).unwrap_or(0));
         next.enforces_capacity = before.enforces_capacity;
         next.evacuated = before.evacuated;
@@ -285,15 +290,62 @@
         self.enforces_capacity || now.saturating_sub(self.reported_ms) <= limits.report_age_ms
     }
 
-    /// Accounts for leases that may exist without being known: granted by an earlier holder, or by
-    /// a hold that was meant for the previous incarnation and named a time on that one's clock.
+    /// Accounts for leases that may exist without being known when its clock is first read: granted by
+    /// an earlier holder, or by orders to the previous incarnation.
     pub(crate) fn assume_granted(&mut self, limits: &Limits) {
-        let lease_ms = if self.has_started_again() {
-            limits.lease_max_ms
-        } else {
-            limits.lease_ms
-        };
-        self.leases.assume_granted(lease_ms, limits);
+        self.leases.assume_granted(limits.lease_ms, limits);
+        match self.stale_leases {
+            None => {}
+            Some(StaleLeases::Arriving) => {
+                self.leases.assume_granted(limits.lease_max_ms, limits);
+            }
+            Some(StaleLeases::Until(until_ms)) => self.leases.assume_granted_until(until_ms),
+        }
+    }
+
+    /// Records that it has answered with this holder's token, and refuses orders with lower ones from
+    /// now on. Returns whether the roster must be written.
+    pub(crate) fn note_first_contact(&mut self, limits: &Limits) -> bool {
+        self.assume_granted(limits);
+        self.contacted = true;
+        let arriving = self.stale_leases == Some(StaleLeases::Arriving);
+        if arriving {
+            self.stale_leases = Some(StaleLeases::Until(self.leases.granted_until_ms()));
+        }
+        arriving
+    }
+
+    /// Forgets stale leases that have lapsed when its clock shows `clock_ms`. Returns whether the roster
+    /// must be written.
+    pub(crate) fn forget_lapsed_stale_leases(&mut self, clock_ms: Millis) -> bool {
+        let lapsed =
+            matches!(self.stale_leases, Some(StaleLeases::Until(until_ms)) if until_ms < clock_ms);
+        if lapsed {
+            self.stale_leases = None;
+        }
+        lapsed
+    }
+
+    /// Returns when stale leases of the next incarnation have certainly lapsed, if the platform's list
+    /// shows that there is one. It may have received all that this holder has sent to this one.
+    fn next_incarnation_lapses_ms(&self, limits: &Limits) -> Option<Millis> {
+        let sent_ms = self.leases.sent_ms()?;
+        let replaced = !self.entry_is_of_incarnation();
+        replaced.then(|| limits.stale_lease_over_ms(sent_ms))
+    }
+
+    /// Returns the time on the planner's clock at which every lease at this endpoint has certainly
+    /// lapsed. None while its clock is unknown.
+    pub(crate) fn lapse_ms(&self, limits: &Limits) -> Option<Millis> {
+        let own_ms = self.leases.lapse_ms(limits)?;
+        let next_ms = self.next_incarnation_lapses_ms(limits);
+        Some(own_ms.max(next_ms.unwrap_or(0)))
+    }
+
+    /// Returns whether every lease at this endpoint has certainly lapsed.
+    pub(crate) fn leases_surely_lapsed(&self, now: Millis, limits: &Limits) -> bool {
+        let next_ms = self.next_incarnation_lapses_ms(limits);
+        self.leases.surely_lapsed(now, limits) && next_ms.is_none_or(|lapse_ms| lapse_ms <= now)
     }
 
     /// Records whether a report may lack ends, and returns it.
--- a/crates/chervilfall_planner/src/leases.rs
+++ b/crates/chervilfall_planner/src/leases.rs
@@ -16,6 +16,8 @@
     reading: Option<Reading>,
     /// Latest expiry of any lease that may have been granted, on the endpoint's clock.
     granted_ms: Millis,
+    /// When this holder last sent an order with a lease; none if it has sent none.
+    sent_ms: Option<Millis>,
 }
 
 impl Leases {
@@ -45,9 +47,25 @@
         let left_ms = bound_ms.checked_sub(now)?.min(lease_ms);
         let until_ms = reading.endpoint_ms + now.saturating_sub(reading.received_ms) + left_ms;
         self.granted_ms = self.granted_ms.max(until_ms);
+        self.sent_ms = Some(now);
         Some(until_ms)
     }
 
+    /// Returns when this holder last sent an order with a lease.
+    pub(crate) const fn sent_ms(&self) -> Option<Millis> {
+        self.sent_ms
+    }
+
+    /// Accounts for leases that last until a time on the endpoint's clock.
+    pub(crate) fn assume_granted_until(&mut self, until_ms: Millis) {
+        self.granted_ms = self.granted_ms.max(until_ms);
+    }
+
+    /// Returns the latest expiry of any lease that may have been granted, on the endpoint's clock.
+    pub(crate) const fn granted_until_ms(&self) -> Millis {
+        self.granted_ms
+    }
+
     /// Accounts for leases of `lease_ms` that others may have granted up to now.
     pub(crate) fn assume_granted(&mut self, lease_ms: Millis, limits: &Limits) {
         if let Some(reading) = self.reading {
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -80,8 +80,8 @@
 pub use policy::store_capacity::{StoreCapacity, StoredCommit};
 pub use policy::switches::Policies;
 pub use record::{
-    decode_text, JobRow, ProgressRow, RecordError, RosterEntry, CLAIMS, ENDED, HOLDER, JOBS,
-    PROGRESS, ROSTER, TEXTS,
+    decode_text, JobRow, ProgressRow, RecordError, RosterEntry, StaleLeases, CLAIMS, ENDED, HOLDER,
+    JOBS, PROGRESS, ROSTER, TEXTS,
 };
 pub use resources::Resources;
 pub use starts::{StartNote, StartsRow, STARTS};
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -14,6 +14,9 @@
     /// Maximum lease expiry after the last commit. It must outlast outages of the store; a
     /// successor waits this long for endpoints that it cannot reach.
     pub claim_cover_ms: Millis,
+    /// Maximum time that an order is on its way, through a relay that is suspended for a while, until it
+    /// reaches an endpoint or its caller has given up.
+    pub order_transit_ms: Millis,
     /// Maximum drift of an endpoint's clock relative to the planner's, in thousandths.
     pub drift_permille: u64,
     /// Uncertainty of readings of other clocks.
@@ -140,6 +143,19 @@
         pause_ms.min(self.max_idle_hold_interval_ms)
     }
 
+    /// Returns when a lease has certainly lapsed that is granted for `lease_ms` at `from_ms` or before, if
+    /// the endpoint's clock is slow.
+    pub(crate) const fn lease_over_ms(&self, from_ms: Millis, lease_ms: Millis) -> Millis {
+        let slow_ms = lease_ms * self.drift_permille / (1_000 - self.drift_permille) + 1;
+        from_ms + lease_ms + slow_ms + self.clock_slack_ms
+    }
+
+    /// Returns when a stale lease has certainly lapsed that an order may grant which was sent at `sent_ms`
+    /// or before.
+    pub(crate) const fn stale_lease_over_ms(&self, sent_ms: Millis) -> Millis {
+        self.lease_over_ms(sent_ms + self.order_transit_ms, self.lease_max_ms)
+    }
+
     /// Returns the time of contact for an answer to a hold: now, or when the hold was sent if the
     /// answer is overdue. Such an answer may have waited here while this process was paused, and
     /// another incarnation may have started since.
@@ -158,6 +174,7 @@
             lease_ms: 2_500,
             lease_max_ms: 6_000,
             claim_cover_ms: 9_000,
+            order_transit_ms: 1_000,
             drift_permille: 20,
             clock_slack_ms: 300,
             commit_gap_ms: 20,
--- a/crates/chervilfall_planner/src/planner/barrier.rs
+++ b/crates/chervilfall_planner/src/planner/barrier.rs
@@ -15,7 +15,7 @@
 /// Endpoints that may have runs started by an earlier holder.
 #[derive(Debug)]
 pub(crate) struct Barrier {
-    lapse_ms: Millis,
+    lapses: BarrierLapses,
     /// Endpoints that have not reported all their runs and ends yet.
     missing: BTreeMap<EndpointKey, MissingEndpoint>,
     /// Inherited jobs that have ended and whose steps are known. Their runs may still be in progress.
@@ -30,25 +30,60 @@
     lapses_store_ms: Option<Millis>,
     /// Upper limit on the resources that its runs reserve.
     capacity: Option<Resources>,
+    /// It may hold stale leases.
+    stale_leases: bool,
+}
+
+/// When the leases of earlier holders have certainly lapsed at endpoints that do not answer, even if
+/// their clocks are slow.
+#[derive(Debug, Clone, Copy)]
+struct BarrierLapses {
+    /// At endpoints on which each lease is by their own clock.
+    usual_ms: Millis,
+    /// At endpoints of which the roster states that they may hold stale leases: the predecessor knew of
+    /// the restart in its last commit, and sent no more orders to the incarnation before.
+    stale_ms: Millis,
+    /// At endpoints that have restarted without the predecessor's knowledge: it may have sent orders to
+    /// the incarnation before for as long as its claim covered leases.
+    replaced_ms: Millis,
+}
+
+impl BarrierLapses {
+    /// Returns the times after a claim, if there was a predecessor. It is safe to count from when the
+    /// predecessor's last commit was first seen here, because the predecessor counts its leases from
+    /// when it sent that commit, which was earlier.
+    fn after(takeover: &Takeover, limits: &Limits) -> Option<Self> {
+        let seen_ms = takeover.predecessor_seen_ms?;
+        let gone_ms = takeover.predecessor_gone_ms;
+        let covered_ms = limits.lease_over_ms(seen_ms, limits.claim_cover_ms);
+        let gone_lapse_ms = gone_ms.map(|gone_ms| limits.lease_over_ms(gone_ms, limits.lease_ms));
+        let usual_ms = gone_lapse_ms.map_or(covered_ms, |gone| gone.min(covered_ms));
+        let last_order_ms = seen_ms + limits.claim_cover_ms;
+        let last_order_ms = gone_ms.map_or(last_order_ms, |gone| gone.min(last_order_ms));
+        Some(Self {
+            usual_ms,
+            stale_ms: usual_ms.max(limits.stale_lease_over_ms(seen_ms)),
+            replaced_ms: usual_ms.max(limits.stale_lease_over_ms(last_order_ms)),
+        })
+    }
+
+    /// Returns the time for an endpoint that has not reported.
+    const fn of(self, missing: &MissingEndpoint, replaced: bool) -> Millis {
+        if replaced {
+            self.replaced_ms
+        } else if missing.stale_leases {
+            self.stale_ms
+        } else {
+            self.usual_ms
+        }
+    }
 }
 
 impl Barrier {
-    /// Returns the barrier of a claim, if there was a predecessor. Its lapse time allows for slow
-    /// clocks of endpoints. It is safe to count from when the predecessor's last commit was first
-    /// seen here, because the predecessor counts its leases from when it sent that commit, which
-    /// was earlier.
+    /// Returns the barrier of a claim, if there was a predecessor.
     pub(crate) fn after(takeover: &Takeover, limits: &Limits) -> Option<Self> {
-        let seen_ms = takeover.predecessor_seen_ms?;
-        let lapse = |from_ms: Millis, lease_ms: Millis| {
-            let slow_ms = lease_ms * limits.drift_permille / 1_000;
-            from_ms + lease_ms + slow_ms + limits.clock_slack_ms
-        };
-        let covered = lapse(seen_ms, limits.claim_cover_ms);
-        let gone = takeover
-            .predecessor_gone_ms
-            .map(|gone_ms| lapse(gone_ms, limits.lease_ms));
         Some(Self {
-            lapse_ms: gone.map_or(covered, |gone| gone.min(covered)),
+            lapses: BarrierLapses::after(takeover, limits)?,
             missing: BTreeMap::new(),
             ended_jobs: BTreeSet::new(),
         })
@@ -58,6 +93,7 @@
         let missing = MissingEndpoint {
             lapses_store_ms: entry.lapses_store_ms,
             capacity: entry.capacity,
+            stale_leases: entry.stale_leases.is_some(),
         };
         self.missing.insert(endpoint, missing);
     }
@@ -131,29 +167,32 @@
 
     /// Removes the barrier once no endpoint is missing.
     ///
-    /// An endpoint is no longer waited for once the leases of earlier holders have lapsed, unless it
+    /// An endpoint is no longer waited for once the leases of earlier holders have lapsed there, unless it
     /// has begun to list its ends: this holder has renewed its leases since, so its runs did not
     /// lapse.
     pub(super) fn check_barrier(&mut self) {
         let Some(barrier) = &mut self.barrier else {
             return;
         };
-        // The lapse counts only once a later commit shows that no successor has extended leases.
-        let lapsed = self.claim_confirmed_ms >= barrier.lapse_ms;
+        let (lapses, claim_confirmed_ms) = (barrier.lapses, self.claim_confirmed_ms);
         let store_ms = self.store_clock.map(|(store_ms, _)| store_ms);
         let endpoints = &self.endpoints;
         let unreported = barrier.missing.len();
         barrier.missing.retain(|key, missing| {
-            let lists_more = endpoints
-                .get(*key)
-                .is_some_and(Endpoint::may_list_more_ends);
-            let runs_over = lapsed || store_ms.is_some_and(|store_ms| missing.had_lapsed(store_ms));
-            lists_more || !runs_over
+            let endpoint = endpoints.get(*key);
+            let lists_more = endpoint.is_some_and(Endpoint::may_list_more_ends);
+            let replaced = endpoint.is_some_and(|endpoint| !endpoint.entry_is_of_incarnation());
+            // The lapse counts only once a later commit shows that no successor has extended leases.
+            let lease_over = claim_confirmed_ms >= lapses.of(missing, replaced);
+            // The predecessor's mark is for the incarnation that it knew.
+            let marked = store_ms.filter(|_| !replaced);
+            let marked = marked.is_some_and(|store_ms| missing.had_lapsed(store_ms));
+            lists_more || !(lease_over || marked)
         });
         if !barrier.missing.is_empty() {
             return;
         }
         self.barrier = None;
-        log::info!(lapsed = lapsed, missing = unreported; "inherited tasks may start");
+        log::info!(missing = unreported; "inherited tasks may start");
     }
 }
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -182,6 +182,7 @@
                 address: endpoint.entry.address.clone(),
                 lapses_store_ms: endpoint.lapses_store_ms,
                 capacity,
+                stale_leases: endpoint.stale_leases,
             });
         }
         for (bucket, row) in rows {
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -41,6 +41,7 @@
             endpoint.rostered = rostered.lapses_store_ms.is_none();
             endpoint.lapses_store_ms = rostered.lapses_store_ms;
             endpoint.rostered_capacity = rostered.capacity;
+            endpoint.stale_leases = rostered.stale_leases;
         }
         if let Some(barrier) = &mut self.barrier {
             barrier.add(key, rostered);
@@ -121,6 +122,12 @@
         if endpoint.entry.born_ms != known_ms && !endpoint.entry_is_of_incarnation() {
             // Only the endpoint's own lists show which incarnation is running.
             endpoint.next_hold_ms = self.now;
+            if endpoint.lapses_store_ms.take().is_some() {
+                // The next incarnation may hold longer leases than the roster says.
+                self.unsaved
+                    .roster
+                    .insert(RosterBucket::of(&endpoint.entry.id));
+            }
         }
         self.roster_capacity(key);
     }
@@ -217,10 +224,11 @@
             let bucket = RosterBucket::of(&endpoint.entry.id);
             self.unsaved.roster.insert(bucket);
         }
-        let first = !endpoint.contacted;
-        if first {
-            endpoint.assume_granted(&self.limits);
-            endpoint.contacted = true;
+        let bounded = !endpoint.contacted && endpoint.note_first_contact(&self.limits);
+        let settled = endpoint.forget_lapsed_stale_leases(report.clock_ms);
+        if bounded || settled {
+            let bucket = RosterBucket::of(&endpoint.entry.id);
+            self.unsaved.roster.insert(bucket);
         }
         endpoint.lists_incomplete = report.partial;
         let may_lack_ends = endpoint.note_listed_ends(report, &self.limits);
--- a/crates/chervilfall_planner/src/planner/leases.rs
+++ b/crates/chervilfall_planner/src/planner/leases.rs
@@ -123,7 +123,7 @@
             // incarnation may still reach it.
             let settled = endpoint.contacted || (endpoint.has_started_again() && !endpoint.listed);
             let silent = settled && endpoint.silent_for(now) > LAPSE_CHECK_SILENCE_MS;
-            if endpoint.defunct || !silent || !endpoint.leases.surely_lapsed(now, &self.limits) {
+            if endpoint.defunct || !silent || !endpoint.leases_surely_lapsed(now, &self.limits) {
                 continue;
             }
             let lapsed_ms = *endpoint.lapsed_ms.get_or_insert(now);
@@ -138,7 +138,7 @@
                 tasks = endpoint.placed.len(), hold_waits_ms:? = endpoint.hold_waits_ms(now),
                 missed = endpoint.hold_unanswered, taken_in = endpoint.last_end_received,
                 acknowledged = endpoint.acknowledged,
-                surely_lapsed_ms:? = endpoint.leases.lapse_ms(&self.limits).map(|at_ms| now.saturating_sub(at_ms));
+                surely_lapsed_ms:? = endpoint.lapse_ms(&self.limits).map(|at_ms| now.saturating_sub(at_ms));
                 "leases lapsed, endpoint is silent"
             );
             metrics::lapsed();
@@ -171,7 +171,7 @@
             if !silent || !endpoint.contacted || endpoint.lapses_store_ms.is_some() {
                 continue;
             }
-            let Some(lapse_ms) = endpoint.leases.lapse_ms(&self.limits) else {
+            let Some(lapse_ms) = endpoint.lapse_ms(&self.limits) else {
                 continue;
             };
             let after_ms = lapse_ms.saturating_sub(sent_ms);
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -147,6 +147,19 @@
     /// if an earlier holder may have reserved more than is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub capacity: Option<Resources>,
+    /// Stale leases that it may hold; none if all orders to earlier incarnations are settled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stale_leases: Option<StaleLeases>,
+}
+
+/// Leases of an incarnation that come from orders to the one before. These name a time on the clock of
+/// that one, so only the longest lease that endpoints accept limits them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StaleLeases {
+    /// Such orders may still arrive: it has not answered with a token that refuses them.
+    Arriving,
+    /// None lasts beyond this time on its clock.
+    Until(Millis),
 }
 
 /// Encodes a value.
--- a/crates/chervilfall_planner/tests/adoption.rs
+++ b/crates/chervilfall_planner/tests/adoption.rs
@@ -79,6 +79,7 @@
             born_ms: restarted.then_some(1),
             address: format!("{name}:1"),
             lapses_store_ms: lapses_store_ms.filter(|_| name == FAILED_RUN_ENDPOINT),
+            stale_leases: None,
             capacity: None,
         });
         let stored = StoredGroup {
--- a/crates/chervilfall_planner/tests/world/callers.rs
+++ b/crates/chervilfall_planner/tests/world/callers.rs
@@ -56,12 +56,17 @@
 
     /// Submits a job of one step to a queue without waiting for the answer.
     pub fn hand_in(&mut self, queue: &Queue, id: u64, step: Step, wait_ms: u64) {
-        let id = JobId(id);
         let spec = JobSpec {
             spec: "text".to_owned(),
             steps: vec![step],
             ..JobSpec::default()
         };
+        self.hand_in_job(queue, id, spec, wait_ms);
+    }
+
+    /// Submits a job to a queue without waiting for the answer.
+    pub fn hand_in_job(&mut self, queue: &Queue, id: u64, spec: JobSpec, wait_ms: u64) {
+        let id = JobId(id);
         self.jobs.insert(id, spec.clone());
         self.request(Request::Submit {
             queue: queue.clone(),
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -18,6 +18,8 @@
 /// node counts as undisturbed, and one report interval.
 const SHRINK_GRACE_MS: u64 = 3_000 + REPORT_INTERVAL_MS;
 /// Maximum lease in milliseconds; longer ones are shortened to this.
+/// Longer than any timeout.
+const HOURS_MS: u64 = 10_000_000;
 const LONGEST_LEASE_MS: u64 = 6_000;
 /// Maximum number of ends in a list.
 const MAX_LISTED_ENDS: usize = 500;
@@ -148,6 +150,8 @@
     /// It has crashed, and a new incarnation has its address.
     pub replaced: bool,
     pub cut_until_ms: u64,
+    /// Its crashes are noticed by its silence only.
+    pub crashes_dark: bool,
     /// How long its answers to holds are on a congested link.
     pub answer_delay_ms: u64,
     /// Failure domain.
@@ -217,6 +221,7 @@
             running_at_crashes: Vec::new(),
             replaced: false,
             cut_until_ms: 0,
+            crashes_dark: false,
             answer_delay_ms: 0,
             domain: 0,
             fails_all: false,
@@ -689,6 +694,8 @@
 
     fn broken_holds(&mut self) -> Vec<AnsweredHold> {
         let broken = std::mem::take(&mut self.holds).into_iter();
+        // A dark endpoint closes no connection.
+        let delay_ms = if self.crashes_dark { HOURS_MS } else { 0 };
         let answers = broken.map(|hold| AnsweredHold {
             node: hold.node,
             term: hold.term,
@@ -696,7 +703,7 @@
             endpoint: hold.endpoint,
             sent_ms: hold.sent_ms,
             timeout_ms: hold.timeout_ms,
-            delay_ms: 0,
+            delay_ms,
             answer: HoldAnswer::Unanswered,
         });
         answers.collect()
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -360,6 +360,20 @@
         }
     }
 
+    /// Makes the usual queue ask the advice service, which allows a step most endpoints.
+    pub fn advise_usual_queue(&mut self) {
+        self.advice_percent = 80;
+        self.queue.advice = Some(AdviceTimings {
+            decide_ms: 20.0,
+            each_ms: 1.0,
+            valid_ms: 1_500,
+        });
+        self.config = Arc::new(Configuration {
+            queues: BTreeMap::from([(self.queue.name.clone(), self.queue.clone())]),
+            ..Configuration::clone(&self.config)
+        });
+    }
+
     /// Makes endpoints keep their names when they restart, and report when they were started.
     pub fn keep_names(&mut self) {
         self.keeps_names = true;
--- a/crates/chervilfall_planner/tests/world/tables.rs
+++ b/crates/chervilfall_planner/tests/world/tables.rs
@@ -65,6 +65,7 @@
         born_ms: None,
         address: format!("{number}:1"),
         lapses_store_ms: None,
+        stale_leases: None,
         capacity: None,
     });
     StoredGroup {
