--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -299,7 +299,9 @@
             Some(StaleLeases::Arriving) => {
                 self.leases.assume_granted(limits.lease_max_ms, limits);
             }
-            Some(StaleLeases::Until(until_ms)) => self.leases.assume_granted_until(until_ms),
+            Some(StaleLeases::Until(until_ms)) => {
+                self.leases.assume_granted_until(until_ms, limits);
+            }
         }
     }
 
--- a/crates/chervilfall_planner/src/leases.rs
+++ b/crates/chervilfall_planner/src/leases.rs
@@ -56,9 +56,13 @@
         self.sent_ms
     }
 
-    /// Accounts for leases that last until a time on the endpoint's clock.
-    pub(crate) fn assume_granted_until(&mut self, until_ms: Millis) {
-        self.granted_ms = self.granted_ms.max(until_ms);
+    /// Accounts for leases that last until a time on the endpoint's clock, but no longer than endpoints
+    /// accept.
+    pub(crate) fn assume_granted_until(&mut self, until_ms: Millis, limits: &Limits) {
+        if let Some(reading) = self.reading {
+            let longest_ms = reading.endpoint_ms + limits.lease_max_ms + limits.clock_slack_ms;
+            self.granted_ms = self.granted_ms.max(until_ms.min(longest_ms));
+        }
     }
 
     /// Returns the latest expiry of any lease that may have been granted, on the endpoint's clock.
