--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -36,6 +36,27 @@
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
 
+/// What the loop of the control thread needs of its node.
+pub(crate) struct ControlOptions<P> {
+    pub(crate) platform: P,
+    pub(crate) group: String,
+    pub(crate) limits: Limits,
+    pub(crate) heartbeat_ms: u64,
+    /// Size of this node, in thousandths of a core.
+    pub(crate) size_permille: u64,
+    /// Age that the claim does not exceed while the store is healthy.
+    pub(crate) usual_claim_age_ms: u64,
+    pub(crate) configuration: Arc<ConfigurationState>,
+    pub(crate) front: Arc<Front>,
+    pub(crate) leadership: Arc<LeadershipState>,
+    /// Takes events to the loop itself.
+    pub(crate) sender: mpsc::Sender<ControlEvent>,
+    /// Runs calls to endpoints and to the advice service.
+    pub(crate) traffic: Handle,
+    pub(crate) commits: Spawner,
+    pub(crate) link_thread: Spawner,
+}
+
 /// The loop of the control thread.
 pub(crate) struct Control<P> {
     pub(crate) platform: P,
@@ -72,40 +93,26 @@
 }
 
 impl<P: Platform> Control<P> {
-    #[allow(clippy::too_many_arguments)]
-    pub(crate) fn new(
-        platform: P,
-        group: String,
-        limits: Limits,
-        heartbeat_ms: u64,
-        size_permille: u64,
-        usual_claim_age_ms: u64,
-        configuration: Arc<ConfigurationState>,
-        front: Arc<Front>,
-        leadership: Arc<LeadershipState>,
-        sender: mpsc::Sender<ControlEvent>,
-        traffic: Handle,
-        commits: Spawner,
-        link_thread: Spawner,
-    ) -> Self {
-        let relay_use = RelayUse::new(limits.policies.endpoint_relays, size_permille);
+    pub(crate) fn new(options: ControlOptions<P>) -> Self {
+        let size_permille = options.size_permille;
+        let relay_use = RelayUse::new(options.limits.policies.endpoint_relays, size_permille);
         Self {
-            platform,
-            group,
-            limits,
-            heartbeat_ms,
+            platform: options.platform,
+            group: options.group,
+            limits: options.limits,
+            heartbeat_ms: options.heartbeat_ms,
             size_permille,
-            usual_claim_age_ms,
-            front,
-            leadership,
-            sender,
-            traffic,
-            commits,
-            link_thread,
+            usual_claim_age_ms: options.usual_claim_age_ms,
+            front: options.front,
+            leadership: options.leadership,
+            sender: options.sender,
+            traffic: options.traffic,
+            commits: options.commits,
+            link_thread: options.link_thread,
             planner: None,
             handover: None,
             unstored: Vec::new(),
-            configuration,
+            configuration: options.configuration,
             planner_configuration_version: None,
             recovering: false,
             links: BTreeMap::new(),
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::configuration::ConfigurationState;
-use crate::control::{Control, ControlEvent};
+use crate::control::{Control, ControlEvent, ControlOptions};
 use crate::front::{millis, Front, Revocation};
 use crate::leadership::LeadershipState;
 use crate::link::{accept_links, ConfigurationSource};
@@ -71,6 +71,22 @@
     RuntimeThread::spawn(name).map_err(|cause| NodeError::Thread(name, cause))
 }
 
+/// Returns the limits of a planner on a platform.
+fn limits<P: Platform>(settings: &Settings) -> Limits {
+    Limits {
+        lease_max_ms: settings.lease_max_ms,
+        report_age_ms: settings.report_age_ms(),
+        max_idle_hold_interval_ms: settings.listed_ms(),
+        evacuations_age_ms: settings.evacuations_age_ms(),
+        status_ms: settings.status_s * 1_000 + 30_000,
+        max_listed_ends: P::Endpoints::MAX_LISTED_ENDS,
+        row_bytes: settings.row_bytes * 3 / 4 - 1_024,
+        max_job_bytes: settings.max_job_bytes().unwrap_or(u64::MAX),
+        policies: settings.policies,
+        ..Limits::default()
+    }
+}
+
 impl Node {
     /// Starts a node on a platform.
     ///
@@ -102,35 +118,23 @@
             }),
             settings.policies.spread_retries,
         ));
-        let limits = Limits {
-            lease_max_ms: settings.lease_max_ms,
-            report_age_ms: settings.report_age_ms(),
-            max_idle_hold_interval_ms: settings.listed_ms(),
-            evacuations_age_ms: settings.evacuations_age_ms(),
-            status_ms: settings.status_s * 1_000 + 30_000,
-            max_listed_ends: P::Endpoints::MAX_LISTED_ENDS,
-            row_bytes: settings.row_bytes * 3 / 4 - 1_024,
-            max_job_bytes: settings.max_job_bytes().unwrap_or(u64::MAX),
-            policies: settings.policies,
-            ..Limits::default()
-        };
         let commits = spawn_thread("commits")?;
         let links = spawn_thread("links")?;
-        let control_loop = Control::new(
-            platform.clone(),
-            GROUP.to_owned(),
-            limits,
-            timings.heartbeat_ms,
-            settings.size_permille(),
-            timings.stale_ms,
-            Arc::clone(&configuration),
-            Arc::clone(&front),
-            Arc::clone(&leadership),
-            control.clone(),
-            Handle::current(),
-            commits.spawner(),
-            links.spawner(),
-        );
+        let control_loop = Control::new(ControlOptions {
+            platform: platform.clone(),
+            group: GROUP.to_owned(),
+            limits: limits::<P>(&settings),
+            heartbeat_ms: timings.heartbeat_ms,
+            size_permille: settings.size_permille(),
+            usual_claim_age_ms: timings.stale_ms,
+            configuration: Arc::clone(&configuration),
+            front: Arc::clone(&front),
+            leadership: Arc::clone(&leadership),
+            sender: control.clone(),
+            traffic: Handle::current(),
+            commits: commits.spawner(),
+            link_thread: links.spawner(),
+        });
         let thread = ControlThread::spawn(receiver, timings.tick_ms, control_loop)?;
         links.spawner().spawn(accept_links(
             listener,
