--- a/crates/chervilfall_node/src/front.rs
+++ b/crates/chervilfall_node/src/front.rs
@@ -17,7 +17,7 @@
 use crate::configuration::ConfigurationState;
 use crate::control::ControlEvent;
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
-use crate::planned_stop::{PlannedStop, Progress, StopTimes};
+use crate::planned_stop::{PlannedStop, RequestPhase, StopTimes};
 use crate::routes::RouteTable;
 use crate::settings::Timings;
 use crate::wait_bounds::WaitBounds;
@@ -199,18 +199,18 @@
         let bounds = WaitBounds::new(wait_budget, &self.timings);
         let answer_by = clock().deadline(bounds.answer);
         let refuse_by = clock().deadline(bounds.holder(&request));
-        let mut progress = Progress::NotSent;
+        let mut phase = RequestPhase::NotSent;
         loop {
-            let holder_by = match progress {
-                Progress::NotSent => refuse_by,
+            let holder_by = match phase {
+                RequestPhase::NotSent => refuse_by,
                 // It may be stored: only the next holder knows.
-                Progress::Sent => answer_by,
+                RequestPhase::Sent => answer_by,
             };
-            let Some(leadership) = self.wait_for_holder(holder_by, progress).await else {
-                return self.not_answered(progress, &request);
+            let Some(leadership) = self.wait_for_holder(holder_by, phase).await else {
+                return self.not_answered(phase, &request);
             };
             if let Request::Submit { wait_ms, .. } = &mut request {
-                *wait_ms = millis(clock().left(self.stop.cut(refuse_by, Progress::Sent)));
+                *wait_ms = millis(clock().left(self.stop.cut(refuse_by, RequestPhase::Sent)));
             }
             let (answer, receiver) = oneshot::channel();
             let pending = PendingRequest {
@@ -221,16 +221,16 @@
             // A closed link must not be kept alive by requests that wait for its answers.
             drop(leadership);
             if forwarded {
-                progress = Progress::Sent;
+                phase = RequestPhase::Sent;
                 match self.stop.until(answer_by, receiver).await {
                     Ok(Ok(answer)) => return answer,
                     // The holder is gone; a new one answers for what the old one stored.
                     Ok(Err(_)) => {}
-                    Err(_) => return self.not_answered(progress, &request),
+                    Err(_) => return self.not_answered(phase, &request),
                 }
             }
-            if clock().left(self.stop.cut(holder_by, progress)).is_zero() {
-                return self.not_answered(progress, &request);
+            if clock().left(self.stop.cut(holder_by, phase)).is_zero() {
+                return self.not_answered(phase, &request);
             }
             tokio::time::sleep(RESEND_PAUSE).await;
         }
@@ -238,16 +238,16 @@
 
     /// Waits for a holder. An isolated node stops waiting early for one that it can send a request to:
     /// callers are served sooner by nodes that are not cut off.
-    async fn wait_for_holder(&self, deadline: Deadline, progress: Progress) -> Option<Leadership> {
+    async fn wait_for_holder(&self, deadline: Deadline, phase: RequestPhase) -> Option<Leadership> {
         loop {
             let current = self.leadership.current();
             if has_holder(&current) {
                 return Some(current);
             }
             let isolation_deadline = self.isolation_deadline();
-            let isolation_deadline = isolation_deadline.filter(|_| progress == Progress::NotSent);
+            let isolation_deadline = isolation_deadline.filter(|_| phase == RequestPhase::NotSent);
             let until = isolation_deadline.map_or(deadline, |until| until.min(deadline));
-            let left = clock().left(self.stop.cut(until, progress));
+            let left = clock().left(self.stop.cut(until, phase));
             if left.is_zero() {
                 return None;
             }
@@ -262,8 +262,8 @@
 
     /// Returns the answer for a request that no holder has answered: refused only if it was never
     /// sent.
-    fn not_answered(&self, progress: Progress, request: &Request) -> Answer {
-        if progress == Progress::Sent {
+    fn not_answered(&self, phase: RequestPhase, request: &Request) -> Answer {
+        if phase == RequestPhase::Sent {
             return Answer::Undecided;
         }
         let job = job(request).filter(|_| self.spread_retries);
--- a/crates/chervilfall_node/src/front/access.rs
+++ b/crates/chervilfall_node/src/front/access.rs
@@ -8,7 +8,7 @@
 use super::{Front, FrontAnswer, Revocation};
 use crate::clock::{clock, now_ms};
 use crate::keys::KeyDigest;
-use crate::planned_stop::Progress;
+use crate::planned_stop::RequestPhase;
 use crate::routes::Route;
 
 /// Minimum time between log lines about denied requests, which callers can send in any number.
@@ -77,7 +77,7 @@
     /// it does.
     async fn wait_until_current(&self) -> bool {
         let wait = Duration::from_millis(self.timings.configuration_wait_ms);
-        let deadline = self.stop.cut(clock().deadline(wait), Progress::Sent);
+        let deadline = self.stop.cut(clock().deadline(wait), RequestPhase::Sent);
         let wait = clock().left(deadline);
         self.configuration.wait_until_current(wait).await
     }
--- a/crates/chervilfall_node/src/planned_stop.rs
+++ b/crates/chervilfall_node/src/planned_stop.rs
@@ -44,7 +44,7 @@
 
 /// Whether a request was sent to a holder, so that it may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Progress {
+pub(crate) enum RequestPhase {
     NotSent,
     Sent,
 }
@@ -87,13 +87,13 @@
     }
 
     /// Returns a request's deadline, or that of the stop if it is sooner.
-    pub(crate) fn cut(&self, deadline: Deadline, progress: Progress) -> Deadline {
+    pub(crate) fn cut(&self, deadline: Deadline, phase: RequestPhase) -> Deadline {
         let Some(deadlines) = *self.deadlines.borrow() else {
             return deadline;
         };
-        match progress {
-            Progress::NotSent => deadline.min(deadlines.find_holder_by),
-            Progress::Sent => deadline.min(deadlines.answer_by),
+        match phase {
+            RequestPhase::NotSent => deadline.min(deadlines.find_holder_by),
+            RequestPhase::Sent => deadline.min(deadlines.answer_by),
         }
     }
 
@@ -111,7 +111,7 @@
         let mut future = pin!(future);
         let mut begins = self.deadlines.subscribe();
         loop {
-            let waited = clock().until(self.cut(deadline, Progress::Sent), &mut future);
+            let waited = clock().until(self.cut(deadline, RequestPhase::Sent), &mut future);
             tokio::select! {
                 biased;
                 waited = waited => return waited,
