Take no longer times from a configuration than from a job

What an operator saw: a configuration with 1e308 or 1.8e19 as stretch, target_latency_ms, decide_ms, each_ms or valid_ms ended each node that took a job or a call by it (debug build; a release build wraps). Found while odd numbers were looked for elsewhere.

Cause: such numbers become the largest integer, to which passes add and which they multiply.

--- a/crates/chervilfall_planner/src/config.rs
+++ b/crates/chervilfall_planner/src/config.rs
@@ -6,6 +6,7 @@
 
 use crate::account::{Account, AccountName};
 use crate::ids::Millis;
+use crate::job::MAX_TIME_MS;
 
 /// Name of a queue.
 pub type QueueName = String;
@@ -32,14 +33,14 @@
     /// Returns the duration of a call that names `endpoints` endpoints.
     #[must_use]
     pub fn call_ms(&self, endpoints: usize) -> Millis {
-        // The stated times are small positive numbers, and a call names few endpoints.
+        // A conversion to an integer saturates.
         #[allow(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             clippy::cast_precision_loss
         )]
         let call_ms = (self.decide_ms + self.each_ms * endpoints as f64) as Millis;
-        call_ms
+        call_ms.min(MAX_TIME_MS)
     }
 
     /// Returns whether calls are slow enough to noticeably delay other calls from the same node.
--- a/crates/chervilfall_planner/src/job.rs
+++ b/crates/chervilfall_planner/src/job.rs
@@ -14,8 +14,8 @@
 pub const MAX_GANG_TASKS: u32 = 10_000;
 /// Maximum number of steps of a job: each is kept and visited by passes from the job's acceptance on.
 pub const MAX_STEPS: usize = 256;
-/// Latest time and longest duration that a job can state, in milliseconds: thousands of years, so
-/// that sums do not overflow.
+/// Latest time and longest duration that is taken from a job or a configuration, in milliseconds:
+/// thousands of years, so that sums and small multiples do not overflow.
 pub const MAX_TIME_MS: u64 = 1_000_000_000_000_000;
 
 /// Thousandths of a core in a core.
@@ -190,7 +190,8 @@
         // Estimates in milliseconds are far below the precision limit of a float.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let stretched = (queue.stretch.max(0.0) * self.chain_with_ms(advice_ms) as f64) as Millis;
-        queue.target_latency_ms.saturating_add(stretched)
+        let objective_ms = queue.target_latency_ms.saturating_add(stretched);
+        objective_ms.min(MAX_TIME_MS)
     }
 
     /// Returns when an occurrence is due, in milliseconds since the Unix epoch; 0 for immediately.
--- a/crates/chervilfall_planner/src/planner/advise.rs
+++ b/crates/chervilfall_planner/src/planner/advise.rs
@@ -12,6 +12,7 @@
 use crate::endpoint::EndpointKey;
 use crate::event::{AdviceAnswer, NodeId};
 use crate::ids::{CallNumber, EndpointId, Millis};
+use crate::job::MAX_TIME_MS;
 use crate::metrics;
 use crate::planner::call_holds::HoldOutcome;
 use crate::planner::Planner;
@@ -161,7 +162,7 @@
                 node,
                 step,
                 endpoints: named.into_iter().collect(),
-                valid_ms: timings.valid_ms,
+                valid_ms: timings.valid_ms.min(MAX_TIME_MS),
                 sent_ms: self.now,
                 deadline_ms: self.now + timeout_ms + self.limits.advice_slack_ms,
                 slow,
