Count the transit of stale orders until an endpoint refuses them

An endpoint that has restarted and has not answered with the higher token yet may receive an order to the life before after its last list. It was given the longest lease from that list, without the order's way.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -297,7 +297,13 @@
         match self.stale_leases {
             None => {}
             Some(StaleLeases::Arriving) => {
-                self.leases.assume_granted(limits.lease_max_ms, limits);
+                let transit_ms = if self.contacted {
+                    0
+                } else {
+                    limits.order_transit_ms
+                };
+                let stale_ms = transit_ms + limits.lease_max_ms;
+                self.leases.assume_granted(stale_ms, limits);
             }
             Some(StaleLeases::Until(until_ms)) => {
                 self.leases.assume_granted_until(until_ms, limits);
@@ -308,8 +314,8 @@
     /// Records that it has answered with this holder's token, and refuses orders with lower ones from
     /// now on. Returns whether the roster must be written.
     pub(crate) fn note_first_contact(&mut self, limits: &Limits) -> bool {
-        self.assume_granted(limits);
         self.contacted = true;
+        self.assume_granted(limits);
         let arriving = self.stale_leases == Some(StaleLeases::Arriving);
         if arriving {
             self.stale_leases = Some(StaleLeases::Until(self.leases.granted_until_ms()));
--- a/crates/chervilfall_planner/tests/advice_terms.rs
+++ b/crates/chervilfall_planner/tests/advice_terms.rs
@@ -15,7 +15,7 @@
 use world::{step, ScheduledEvent, World};
 
 const ENDPOINTS: usize = 12;
-/// Long enough for a caller to lose the group and have it again while a call is in flight.
+/// Long enough for a holder to lose the group and have it again while a call is in flight.
 const ADVICE: AdviceTimings = AdviceTimings {
     decide_ms: 480.0,
     each_ms: 5.0,
