--- a/crates/chervilfall_node/src/control.rs
+++ b/crates/chervilfall_node/src/control.rs
@@ -3,6 +3,7 @@
 
 mod actions;
 mod events;
+mod links;
 mod load_report;
 mod orders;
 mod relays;
@@ -24,7 +25,7 @@
 use crate::configuration::ConfigurationState;
 use crate::front::Front;
 use crate::leadership::{Leadership, LeadershipState, PendingRequest};
-use crate::link::{FollowerLink, ToFollower};
+use crate::link::FollowerLink;
 use crate::load::{ControlLoad, WorkKind};
 use crate::ports::Platform;
 use crate::runtime_thread::Spawner;
@@ -36,8 +37,8 @@
 /// Number of this node among those that can call the advice service.
 const LOCAL_NODE: NodeId = 0;
 
-/// What the loop of the control thread needs of its node.
-pub(crate) struct ControlOptions<P> {
+/// What the loop of the control thread has from its node.
+pub(crate) struct ControlContext<P> {
     pub(crate) platform: P,
     pub(crate) group: String,
     pub(crate) limits: Limits,
@@ -59,26 +60,12 @@
 
 /// The loop of the control thread.
 pub(crate) struct Control<P> {
-    pub(crate) platform: P,
-    pub(crate) group: String,
-    pub(crate) limits: Limits,
-    pub(crate) heartbeat_ms: u64,
-    /// Size of this node, in thousandths of a core.
-    pub(crate) size_permille: u64,
-    /// Age that the claim does not exceed while the store is healthy.
-    pub(crate) usual_claim_age_ms: u64,
-    pub(crate) front: Arc<Front>,
-    pub(crate) leadership: Arc<LeadershipState>,
-    pub(crate) sender: mpsc::Sender<ControlEvent>,
-    pub(crate) traffic: Handle,
-    pub(crate) commits: Spawner,
-    pub(crate) link_thread: Spawner,
+    context: ControlContext<P>,
     planner: Option<Planner>,
     /// Decides about handovers while this node holds the group.
     handover: Option<HandoverPolicy>,
     /// Starts that this node made as a holder and could not store, until the next holder has them.
     unstored: Vec<StartNote>,
-    configuration: Arc<ConfigurationState>,
     /// Version of the configuration that the planner has.
     planner_configuration_version: Option<u64>,
     /// This node is reading the rows of a group that it has claimed.
@@ -93,26 +80,14 @@
 }
 
 impl<P: Platform> Control<P> {
-    pub(crate) fn new(options: ControlOptions<P>) -> Self {
-        let size_permille = options.size_permille;
-        let relay_use = RelayUse::new(options.limits.policies.endpoint_relays, size_permille);
+    pub(crate) fn new(context: ControlContext<P>) -> Self {
+        let size_permille = context.size_permille;
+        let relay_use = RelayUse::new(context.limits.policies.endpoint_relays, size_permille);
         Self {
-            platform: options.platform,
-            group: options.group,
-            limits: options.limits,
-            heartbeat_ms: options.heartbeat_ms,
-            size_permille,
-            usual_claim_age_ms: options.usual_claim_age_ms,
-            front: options.front,
-            leadership: options.leadership,
-            sender: options.sender,
-            traffic: options.traffic,
-            commits: options.commits,
-            link_thread: options.link_thread,
+            context,
             planner: None,
             handover: None,
             unstored: Vec::new(),
-            configuration: options.configuration,
             planner_configuration_version: None,
             recovering: false,
             links: BTreeMap::new(),
@@ -136,15 +111,6 @@
         }
     }
 
-    /// Feeds an event that a follower sends to the planner if the follower's link has not ended. A link
-    /// belongs to one term: it is dropped with the planner that it serves, and its number is not used
-    /// again.
-    fn feed_from_link(&mut self, id: NodeId, event: Event) {
-        if self.links.contains_key(&id) {
-            self.feed(event);
-        }
-    }
-
     /// Feeds an event to the planner if its term has not ended.
     fn feed_in_term(&mut self, term: u64, event: Event) {
         let current = self.planner.as_ref().map(Planner::term);
@@ -160,32 +126,32 @@
         }
         self.handover = None;
         if reason == StepDownReason::Released {
-            self.leadership.record_release();
+            self.context.leadership.record_release();
         }
         self.waiting.clear();
         self.relays.clear();
         self.drop_links();
-        if matches!(self.leadership.current(), Leadership::Local) {
-            self.leadership.set(Leadership::NoHolder);
-            self.front.set_claim_age(u64::MAX);
+        if matches!(self.context.leadership.current(), Leadership::Local) {
+            self.context.leadership.set(Leadership::NoHolder);
+            self.context.front.set_claim_age(u64::MAX);
         }
     }
 
     fn claimed(&mut self, takeover: Takeover, stored: StoredGroup, claimed_ms: u64) {
-        self.leadership.note_term(takeover.row.term);
-        let planner = Planner::new(self.limits.clone(), takeover, stored, claimed_ms);
+        self.context.leadership.note_term(takeover.row.term);
+        let planner = Planner::new(self.context.limits.clone(), takeover, stored, claimed_ms);
         self.planner = Some(planner);
         self.handover = Some(HandoverPolicy::new(HolderTerm {
-            size_permille: self.size_permille,
+            size_permille: self.context.size_permille,
             began_ms: claimed_ms,
-            usual_claim_age_ms: self.usual_claim_age_ms,
-            overload_handover: self.limits.policies.overload_handover,
+            usual_claim_age_ms: self.context.usual_claim_age_ms,
+            overload_handover: self.context.limits.policies.overload_handover,
         }));
-        self.leadership.set(Leadership::Local);
+        self.context.leadership.set(Leadership::Local);
         self.planner_configuration_version = None;
         self.update_planner_configuration();
         self.feed_nodes();
-        if self.front.stopping() {
+        if self.context.front.stopping() {
             // The stop began while the group was taken over.
             self.release();
         }
@@ -205,11 +171,11 @@
     /// event, so that nothing is decided by an older one, however many events are queued.
     fn update_planner_configuration(&mut self) {
         if self.planner.is_none()
-            || self.configuration.version() == self.planner_configuration_version
+            || self.context.configuration.version() == self.planner_configuration_version
         {
             return;
         }
-        let Some(table) = self.configuration.current() else {
+        let Some(table) = self.context.configuration.current() else {
             return;
         };
         self.planner_configuration_version = Some(table.version);
@@ -221,58 +187,12 @@
     /// Requests a reading of the configuration if the node that accepted a request has a newer one.
     fn note_request_version(&self, request: &Request) {
         if let Request::Submit { queue, .. } = request {
-            self.configuration
+            self.context
+                .configuration
                 .note_remote_version(Some(queue.configuration));
         }
     }
 
-    fn feed_nodes(&mut self) {
-        let nodes = std::iter::once(LOCAL_NODE).chain(self.links.keys().copied());
-        self.feed(Event::Nodes(nodes.collect()));
-    }
-
-    fn link_up(&mut self, id: NodeId, node: &str, link: FollowerLink) {
-        let Some(first) = self.heartbeat() else {
-            // The link ends when its queue is dropped.
-            drop(link.queue.try_send(ToFollower::NotHolder));
-            return;
-        };
-        log::info!(link = id, follower = node, serves = self.planner.is_some(); "follower linked");
-        // The queue is new and empty, so this does not fail.
-        drop(link.queue.try_send(first));
-        self.links.insert(id, link);
-        self.feed_nodes();
-    }
-
-    /// Returns the message for followers if this node holds the group or is about to.
-    fn heartbeat(&self) -> Option<ToFollower> {
-        let Some(planner) = &self.planner else {
-            return self.recovering.then_some(ToFollower::Recovering);
-        };
-        Some(ToFollower::Heartbeat {
-            term: planner.term(),
-            claim_age_ms: planner.claim_age_ms(now_ms()),
-            configuration: self.configuration.version(),
-        })
-    }
-
-    /// Keeps links open while rows are read, as followers would otherwise dial again and again.
-    /// They are closed if the group is not taken over.
-    fn set_recovering(&mut self, recovering: bool) {
-        self.recovering = recovering;
-        if !recovering && self.planner.is_none() {
-            self.drop_links();
-        }
-    }
-
-    fn drop_links(&mut self) {
-        for link in self.links.values() {
-            // A follower that does not receive this notices that the link ends.
-            drop(link.queue.try_send(ToFollower::NotHolder));
-        }
-        self.links.clear();
-    }
-
     /// Hands the group over to a linked node if that one can serve all callers better.
     fn hand_over_if_due(&mut self) {
         let (Some(planner), Some(handover)) = (&mut self.planner, &mut self.handover) else {
@@ -292,7 +212,7 @@
         };
         log::info!(
             term = planner.term(), reason = reason.label(), wanted_permille = largest_permille,
-            size_permille = self.size_permille, mean_wait_ms = handover.mean_wait_ms(),
+            size_permille = self.context.size_permille, mean_wait_ms = handover.mean_wait_ms(),
             claim_age_ms = claim_age_ms;
             "group is handed over"
         );
@@ -300,14 +220,6 @@
         planner.release();
     }
 
-    fn link_down(&mut self, id: NodeId) {
-        if self.links.remove(&id).is_some() {
-            self.update_relays();
-            self.end_orders_of(id);
-            self.feed_nodes();
-        }
-    }
-
     fn accept_request(&mut self, pending: PendingRequest) {
         if self.planner.is_none() {
             // Dropping the sender makes the front look for the holder again.
@@ -324,51 +236,6 @@
             request: pending.request,
         });
     }
-
-    /// Sends the current holder the starts that this node could not store: if an endpoint was lost
-    /// together with this node's claim, no other node knows them.
-    fn send_unstored_starts(&mut self) {
-        if self.unstored.is_empty() {
-            return;
-        }
-        match self.leadership.current() {
-            Leadership::NoHolder => {}
-            Leadership::Local => {
-                let starts = std::mem::take(&mut self.unstored);
-                self.feed(Event::UnstoredStarts(starts));
-            }
-            Leadership::Remote(link) => {
-                if link.send_unstored_starts(&self.unstored) {
-                    log::info!(starts = self.unstored.len(); "unstored starts sent to the holder");
-                    self.unstored.clear();
-                }
-            }
-        }
-    }
-
-    fn send_heartbeats(&mut self) {
-        let now = now_ms();
-        let Some(heartbeat) = self.heartbeat() else {
-            return;
-        };
-        if let Some(planner) = &self.planner {
-            self.front.set_claim_age(planner.claim_age_ms(now));
-        }
-        if now < self.heartbeat_due_ms {
-            return;
-        }
-        self.heartbeat_due_ms = now + self.heartbeat_ms;
-        self.measure_lags();
-        self.hand_over_if_due();
-        self.update_relays();
-        // A full queue shows in the status even without a probe.
-        drop(self.sender.try_send(ControlEvent::Probe(Instant::now())));
-        self.waiting.retain(|_, waiter| !waiter.is_closed());
-        for link in self.links.values() {
-            // A follower that misses heartbeats closes the link.
-            drop(link.queue.try_send(heartbeat.clone()));
-        }
-    }
 }
 
 impl<P: Platform> ControlLoop for Control<P> {
--- a/crates/chervilfall_node/src/control/actions.rs
+++ b/crates/chervilfall_node/src/control/actions.rs
@@ -36,8 +36,8 @@
     where
         F: Future<Output = Event> + Send + 'static,
     {
-        let sender = self.sender.clone();
-        self.traffic.spawn(async move {
+        let sender = self.context.sender.clone();
+        self.context.traffic.spawn(async move {
             let event = order.await;
             let completed = ControlEvent::ActionCompleted { term, event };
             completed.send(&sender).await;
@@ -51,8 +51,8 @@
         endpoint: EndpointKey,
         lists: oneshot::Receiver<HoldReport>,
     ) {
-        let sender = self.sender.clone();
-        self.traffic.spawn(async move {
+        let sender = self.context.sender.clone();
+        self.context.traffic.spawn(async move {
             let Ok(report) = lists.await else {
                 return;
             };
@@ -64,10 +64,13 @@
 
     /// Sends a commit on the thread for commits, and feeds its outcome to the planner of the term.
     fn commit(&self, term: u64, batch: Batch) {
-        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        let (store, group) = (
+            self.context.platform.store().clone(),
+            self.context.group.clone(),
+        );
         let (number, copy) = (batch.number, batch.copy);
-        let (sender, ordered) = (self.sender.clone(), Instant::now());
-        self.commits.spawn(async move {
+        let (sender, ordered) = (self.context.sender.clone(), Instant::now());
+        self.context.commits.spawn(async move {
             let waited = ordered.elapsed();
             let outcome = store.commit(&group, batch).await;
             let event = Event::Committed {
@@ -85,7 +88,10 @@
     }
 
     fn look_up(&self, term: u64, id: JobId) {
-        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        let (store, group) = (
+            self.context.platform.store().clone(),
+            self.context.group.clone(),
+        );
         self.spawn_order(term, async move {
             let read = store.read_row(&group, ENDED, &id.to_string()).await;
             let look = match read.map(|(row, _)| row.map(|row| ProgressRow::decode(&row.value))) {
@@ -105,7 +111,10 @@
     }
 
     fn read_text(&self, term: u64, id: JobId) {
-        let (store, group) = (self.platform.store().clone(), self.group.clone());
+        let (store, group) = (
+            self.context.platform.store().clone(),
+            self.context.group.clone(),
+        );
         self.spawn_order(term, async move {
             let read = store.read_row(&group, TEXTS, &id.to_string()).await;
             let text = read.ok().and_then(|(row, _)| row);
@@ -121,7 +130,7 @@
     fn advise(&mut self, term: u64, node: NodeId, order: AdviceOrder) {
         let number = order.number;
         if node == LOCAL_NODE {
-            let advisor = self.platform.advisor().clone();
+            let advisor = self.context.platform.advisor().clone();
             self.spawn_order(term, async move {
                 let answer = advisor.advise(order).await;
                 Event::Advised { number, answer }
@@ -135,7 +144,7 @@
             let event = Event::Advised { number, answer };
             let completed = ControlEvent::ActionCompleted { term, event };
             // A full queue only delays the retry until the call's deadline.
-            drop(self.sender.try_send(completed));
+            drop(self.context.sender.try_send(completed));
         }
     }
 
--- a/crates/chervilfall_node/src/control/orders.rs
+++ b/crates/chervilfall_node/src/control/orders.rs
@@ -18,7 +18,7 @@
         let Some(order) = self.relays.assign(now, order) else {
             return;
         };
-        let endpoints = self.platform.endpoints().clone();
+        let endpoints = self.context.platform.endpoints().clone();
         let subject = order.subject(now);
         let (late, lists) = oneshot::channel();
         if let OrderSubject::Hold { endpoint, .. } = subject {
--- a/crates/chervilfall_node/src/control/thread_lags.rs
+++ b/crates/chervilfall_node/src/control/thread_lags.rs
@@ -83,16 +83,20 @@
     pub(super) fn measure_lags(&mut self) {
         let now = Instant::now();
         if self.lags.traffic.begin(now) {
-            self.traffic.spawn(self.probe(MeasuredThread::Traffic));
+            self.context
+                .traffic
+                .spawn(self.probe(MeasuredThread::Traffic));
         }
         if self.lags.links.begin(now) {
-            self.link_thread.spawn(self.probe(MeasuredThread::Links));
+            self.context
+                .link_thread
+                .spawn(self.probe(MeasuredThread::Links));
         }
     }
 
     /// Returns a task that tells when it ran.
     fn probe(&self, thread: MeasuredThread) -> impl Future<Output = ()> + Send + 'static {
-        let sender = self.sender.clone();
+        let sender = self.context.sender.clone();
         async move {
             let ran = Instant::now();
             ControlEvent::ThreadProbe { thread, ran }
--- a/crates/chervilfall_node/src/node.rs
+++ b/crates/chervilfall_node/src/node.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::configuration::ConfigurationState;
-use crate::control::{Control, ControlEvent, ControlOptions};
+use crate::control::{Control, ControlContext, ControlEvent};
 use crate::front::{millis, Front, Revocation};
 use crate::leadership::LeadershipState;
 use crate::link::{accept_links, ConfigurationSource};
@@ -120,7 +120,7 @@
         ));
         let commits = spawn_thread("commits")?;
         let links = spawn_thread("links")?;
-        let control_loop = Control::new(ControlOptions {
+        let control_loop = Control::new(ControlContext {
             platform: platform.clone(),
             group: GROUP.to_owned(),
             limits: limits::<P>(&settings),
