Cut a wait for the configuration as that of a request which was not sent

Such a request is refused as not run when the linger time ends, like others without a holder; it was given the longer deadline of requests that may have run.

--- a/crates/chervilfall_node/src/front/access.rs
+++ b/crates/chervilfall_node/src/front/access.rs
@@ -77,7 +77,7 @@
     /// it does.
     async fn wait_until_current(&self) -> bool {
         let wait = Duration::from_millis(self.timings.configuration_wait_ms);
-        let deadline = self.stop.cut(clock().deadline(wait), RequestPhase::Sent);
+        let deadline = self.stop.cut(clock().deadline(wait), RequestPhase::NotSent);
         let wait = clock().left(deadline);
         self.configuration.wait_until_current(wait).await
     }
