--- a/crates/chervilfall_planner/tests/restarted_leases.rs
+++ b/crates/chervilfall_planner/tests/restarted_leases.rs
@@ -7,9 +7,9 @@
 
 mod world;
 
-use world::{step, World};
+use world::{step, ScheduledEvent, World};
 
-use chervilfall_planner::{JobSpec, Step};
+use chervilfall_planner::{Action, EndpointId, JobSpec, Step};
 
 const ENDPOINTS: usize = 6;
 /// Number of endpoints that crash at a time.
@@ -278,3 +278,81 @@
     }
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
+
+/// Time that an order to the earlier incarnation is on its way.
+const TRANSIT_MS: u64 = 950;
+/// Length of the only job, which outlasts the longest lease.
+const LASTING_MS: u64 = 20_000;
+
+/// Takes starts out of the simulation that are on their way to crashed endpoints.
+fn take_starts(world: &mut World) -> Vec<ScheduledEvent> {
+    let dead = |id: &EndpointId| {
+        world
+            .endpoints
+            .get(id)
+            .is_some_and(|endpoint| endpoint.dead)
+    };
+    let on_way = world.scheduled.iter().filter(|(_, event)| {
+        matches!(event, ScheduledEvent::DeliverOrder(_, _, order, _)
+            if matches!(&**order, Action::Start(start) if dead(&start.id)))
+    });
+    let keys: Vec<(u64, u64)> = on_way.map(|(key, _)| *key).collect();
+    keys.iter()
+        .filter_map(|key| world.scheduled.remove(key))
+        .collect()
+}
+
+/// Guards against an endpoint that is given up while it runs a task by an order which arrived after its
+/// first list: it had not answered with the token that refuses such orders.
+#[test]
+fn orders_that_arrive_after_the_first_list_are_allowed_for() {
+    let mut shown = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::new(1, 5, seed);
+        world.keep_names();
+        world.uses_reported_entries = true;
+        world.restart_delay_ms = 600;
+        world.run(4_000);
+        // The clock of the last endpoint is ahead of that with which it starts again.
+        let crashed = world.endpoints.keys().nth(2).expect("an endpoint").clone();
+        for (number, endpoint) in world.endpoints.values_mut().enumerate() {
+            endpoint.fail_percent = 0;
+            endpoint.listed = number < 3;
+        }
+        world.run(5_000);
+        let now = world.now;
+        let endpoint = world.endpoints.get_mut(&crashed).expect("an endpoint");
+        endpoint.crashes_dark = true;
+        endpoint.crash(now, None);
+        // Callers of the endpoint retry for long enough from then on.
+        world.run(120);
+        let queue = world.queue.clone();
+        for id in 1..=10 {
+            world.hand_in(&queue, id, step(1, LASTING_MS), 700);
+        }
+        let mut late = Vec::new();
+        while !world.endpoints[&crashed].has_answered() && world.now < now + 2_000 {
+            late.extend(take_starts(&mut world));
+            world.run(5);
+        }
+        let until_ms = world.now + 15_000;
+        let endpoint = world.endpoints.get_mut(&crashed).expect("an endpoint");
+        endpoint.cut_until_ms = until_ms;
+        // The tasks of the crashed endpoint have room on empty ones.
+        for endpoint in world.endpoints.values_mut().skip(3) {
+            endpoint.listed = true;
+        }
+        shown += late.len();
+        for event in late {
+            world.sequence += 1;
+            let key = (world.now + TRANSIT_MS, world.sequence);
+            world.scheduled.insert(key, event);
+        }
+        world.run(4_500);
+        let endpoint = world.endpoints.get_mut(&crashed).expect("an endpoint");
+        endpoint.listed = false;
+        world.run(12_000);
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+    assert!(shown > 0, "no order was on its way");
+}
--- a/crates/chervilfall_planner/tests/world/endpoint.rs
+++ b/crates/chervilfall_planner/tests/world/endpoint.rs
@@ -641,6 +641,11 @@
         });
     }
 
+    /// Returns whether this incarnation has received a hold and answered it.
+    pub fn has_answered(&self) -> bool {
+        !self.dead && self.fence > 0 && self.holds.is_empty()
+    }
+
     pub fn ready_holds(&mut self, now: u64) -> Vec<AnsweredHold> {
         // A crash breaks the connections of the holds that wait.
         if self.dead
