--- a/crates/chervilfall_planner/src/leases.rs
+++ b/crates/chervilfall_planner/src/leases.rs
@@ -83,8 +83,7 @@
     pub(crate) fn lapse_ms(&self, limits: &Limits) -> Option<Millis> {
         let reading = self.reading?;
         let left_ms = self.granted_ms.saturating_sub(reading.endpoint_ms) + limits.clock_slack_ms;
-        let slow_ms = left_ms * limits.drift_permille / (1_000 - limits.drift_permille) + 1;
-        Some(reading.received_ms + left_ms + slow_ms)
+        Some(reading.received_ms + limits.on_slow_clock_ms(left_ms))
     }
 
     /// Returns whether every granted lease has certainly lapsed.
--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -143,11 +143,15 @@
         pause_ms.min(self.max_idle_hold_interval_ms)
     }
 
-    /// Returns when a lease has certainly lapsed that is granted for `lease_ms` at `from_ms` or before, if
-    /// the endpoint's clock is slow.
+    /// Returns the longest time that an endpoint's clock takes to advance by this time.
+    pub(crate) const fn on_slow_clock_ms(&self, advance_ms: Millis) -> Millis {
+        let slow_ms = advance_ms * self.drift_permille / (1_000 - self.drift_permille) + 1;
+        advance_ms + slow_ms
+    }
+
+    /// Returns when a lease has certainly lapsed that is granted for `lease_ms` at `from_ms` or before.
     pub(crate) const fn lease_over_ms(&self, from_ms: Millis, lease_ms: Millis) -> Millis {
-        let slow_ms = lease_ms * self.drift_permille / (1_000 - self.drift_permille) + 1;
-        from_ms + lease_ms + slow_ms + self.clock_slack_ms
+        from_ms + self.on_slow_clock_ms(lease_ms) + self.clock_slack_ms
     }
 
     /// Returns when a stale lease has certainly lapsed that an order may grant which was sent at `sent_ms`
