--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -13,6 +13,7 @@
 
 mod case_exclusive;
 mod case_occurrences;
+mod case_progress;
 mod case_service;
 
 use std::net::SocketAddr;
@@ -218,6 +219,7 @@
     let (kinds, play): (&[&str], Play) = match case.as_str() {
         "exclusive" => (&case_exclusive::KINDS, case_exclusive::play),
         "occurrences" => (&case_occurrences::KINDS, case_occurrences::play),
+        "progress" => (&case_progress::KINDS, case_progress::play),
         "service" => (&case_service::KINDS, case_service::play),
         _ => {
             eprintln!("no such case: {case}");
