Review: cases 10 and 11 inside the site's limit for workers that come back

The claims quoted share 0.14 and 4.5 s, which the site file has for workers that are lost for good. Workers that come back have share 0.046 and 3.9 s.

--- a/review/standins-3/case_exclusive.rs
+++ b/review/standins-3/case_exclusive.rs
@@ -5,8 +5,13 @@
 
 use crate::{Cell, Verdict, FINISH_MS, STANDS_MS};
 
-/// Kinds of the workers: one of eight is of the kind that both jobs require.
-pub const KINDS: [&str; 8] = ["b", "a", "a", "a", "a", "a", "a", "a"];
+/// Kinds of the workers: one of 24 (0.042) is of the kind that both jobs require.
+const WORKERS: usize = 24;
+pub const KINDS: [&str; WORKERS] = {
+    let mut kinds = ["a"; WORKERS];
+    kinds[0] = "b";
+    kinds
+};
 
 /// The job that lasts, and the one that is handed in when all is calm again.
 const LASTING: &str = "00000000000000a1";
