Store the progress of a job in parts where a row does not hold it

Cause: the progress of a job was one row. While occurrences wait for an endpoint, each finished step takes some 49 bytes, and each run lost with an endpoint some 270. What fitted no row ended the job (`finish_job(Failed)`, reason `row`). Ruled out: attempts and crashes; the log line names the row, and neither was counted.

Change: a progress beyond a row is stored in parts, rows under the job's name and a number. Each holds what is known from one position (occurrence, step, task, run) to the next part's. A part is cut in two before it outgrows a quarter of a row, so no progress fits no row. Only parts that have changed are written. What a commit does not hold waits for a later one, unacknowledged, in an order that keeps what was acknowledged in a row at all times. The end of a job removes its parts before its name is forgotten. A row of an ended job with its owner is now within a row's limit too.

--- a/crates/chervilfall_node/src/watch/recovery.rs
+++ b/crates/chervilfall_node/src/watch/recovery.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{
-    decode_text, Event, JobId, JobRow, ProgressRow, RosterEntry, StartsRow, StoredGroup, ENDED,
-    JOBS, PROGRESS, ROSTER, STARTS, TEXTS,
+    decode_text, Event, JobId, JobRow, PartKey, PartRow, ProgressKey, ProgressRow, RosterEntry,
+    StartsRow, StoredGroup, ENDED, JOBS, PROGRESS, ROSTER, STARTS, TEXTS,
 };
 
 use crate::ports::{Row, Store, StoreError};
@@ -19,7 +19,7 @@
 /// read stays valid as long as no other node has claimed the group.
 pub(super) struct GroupReader {
     jobs: Table<(JobId, JobRow)>,
-    progress: Table<(JobId, ProgressRow)>,
+    progress: Table<StoredProgress>,
     roster: Table<RosterEntry>,
     starts: Table<(u64, StartsRow)>,
 }
@@ -56,15 +56,31 @@
     }
 
     pub(super) fn into_stored(self) -> StoredGroup {
+        let (mut progress, mut progress_parts) = (Vec::new(), Vec::new());
+        for row in self.progress.values {
+            match row {
+                StoredProgress::Job(id, row) => progress.push((id, row)),
+                StoredProgress::Part(key, row) => progress_parts.push((key, row)),
+            }
+        }
         StoredGroup {
             jobs: self.jobs.values,
-            progress: self.progress.values,
+            progress,
+            progress_parts,
             roster: self.roster.values,
             starts: self.starts.values,
         }
     }
 }
 
+/// A row of the table of progress.
+enum StoredProgress {
+    /// The row under a job's name.
+    Job(JobId, ProgressRow),
+    /// A part.
+    Part(PartKey, PartRow),
+}
+
 /// A table and the values read from it so far.
 struct Table<T> {
     reader: TableReader,
@@ -174,8 +190,19 @@
     Ok((job_id(row)?, value))
 }
 
-fn decode_progress(row: &Row) -> Result<Vec<(JobId, ProgressRow)>, StoreError> {
-    Ok(vec![decode_ended(row)?])
+fn decode_progress(row: &Row) -> Result<Vec<StoredProgress>, StoreError> {
+    let key: ProgressKey = row.key.parse().map_err(|error| malformed(row, error))?;
+    let progress = match key {
+        ProgressKey::Job(id) => {
+            let value = ProgressRow::decode(&row.value).map_err(|error| malformed(row, error))?;
+            StoredProgress::Job(id, value)
+        }
+        ProgressKey::Part(key) => {
+            let value = PartRow::decode(&row.value).map_err(|error| malformed(row, error))?;
+            StoredProgress::Part(key, value)
+        }
+    };
+    Ok(vec![progress])
 }
 
 fn decode_roster(row: &Row) -> Result<Vec<RosterEntry>, StoreError> {
--- a/crates/chervilfall_planner/src/job_progress.rs
+++ b/crates/chervilfall_planner/src/job_progress.rs
@@ -1,5 +1,6 @@
 //! Progress of a job as it is stored, and restored by the next holder.
 
+use crate::progress_part::PartRow;
 use crate::record::{ranges, ProgressRow, StepRow};
 use crate::tasks::{Job, StepProgress, TaskState};
 
@@ -18,14 +19,23 @@
         }
     }
 
-    /// Returns the same in its shortest form.
+    /// Returns the same in the shortest form that one row has.
     pub(crate) fn short_progress(&self) -> ProgressRow {
-        let complete = self
-            .occurrences
-            .iter()
-            .filter(|(_, steps)| is_complete(steps));
-        let complete = ranges(complete.map(|(occurrence, _)| *occurrence));
-        self.progress_beside(complete)
+        self.progress_beside(self.complete_ranges())
+    }
+
+    /// Returns the row under its name if its steps are in parts.
+    pub(crate) fn head(&self) -> ProgressRow {
+        ProgressRow {
+            complete: self.complete_ranges(),
+            ..self.end()
+        }
+    }
+
+    fn complete_ranges(&self) -> Vec<(u32, u32)> {
+        let complete = self.occurrences.iter();
+        let complete = complete.filter(|(_, steps)| is_complete(steps));
+        ranges(complete.map(|(occurrence, _)| *occurrence))
     }
 
     /// Returns the row that lists its steps beside the complete occurrences; all of them if there are
@@ -61,7 +71,7 @@
         }
     }
 
-    /// Restores the progress from a stored row.
+    /// Restores the progress from the row under its name. Parts may follow.
     pub(crate) fn restore(&mut self, row: &ProgressRow) {
         self.cancelled = row.cancelled;
         self.cancel_stored = row.cancelled;
@@ -81,6 +91,36 @@
         for step in &row.steps {
             self.restore_step(step);
         }
+        self.parts.restore_head(row);
+        self.count_complete();
+    }
+
+    /// Restores a part of the progress. What another row has said already may be in it again.
+    pub(crate) fn restore_part(&mut self, number: u32, row: &PartRow) {
+        self.parts.restore(number, row);
+        if self.outcome.is_some() {
+            return;
+        }
+        for finished in &row.finished {
+            let (first, count) = (finished.first as usize, finished.count as usize);
+            let steps = self.occurrence(finished.occurrence).iter_mut();
+            for progress in steps.skip(first).take(count) {
+                progress.finish();
+            }
+        }
+        for done in &row.done {
+            let steps = self.occurrence(done.occurrence);
+            if let Some(progress) = steps.get_mut(done.step as usize) {
+                restore_done(progress, done.indices());
+            }
+        }
+        for step in &row.steps {
+            self.restore_step(step);
+        }
+    }
+
+    /// Counts the occurrences that are complete.
+    pub(crate) fn count_complete(&mut self) {
         let complete = self.occurrences.values().filter(|steps| is_complete(steps));
         self.complete_occurrences = u32::try_from(complete.count()).unwrap_or(u32::MAX);
     }
@@ -90,30 +130,45 @@
             return;
         };
         for (first, count) in &row.done {
-            for index in *first..first.saturating_add(*count) {
-                let Some(task) = progress.tasks.begin(index) else {
-                    break;
-                };
-                task.state = TaskState::Done;
-                progress.done += 1;
-            }
-        }
-        if progress.complete() {
-            progress.finish();
+            restore_done(progress, *first..first.saturating_add(*count));
         }
         for (index, runs) in &row.failed {
             if let Some(task) = progress.tasks.begin(*index) {
-                task.failed.clone_from(runs);
+                for run in runs {
+                    if !task.failed.contains(run) {
+                        task.failed.push(*run);
+                    }
+                }
             }
         }
         for (index, exposures) in &row.exposures {
             if let Some(task) = progress.tasks.begin(*index) {
-                task.exposures.clone_from(exposures);
+                for exposure in exposures {
+                    if !task.exposures.contains(exposure) {
+                        task.exposures.push(exposure.clone());
+                    }
+                }
             }
         }
     }
 }
 
+/// Marks tasks as done, as far as the step has them and does not know it.
+fn restore_done(progress: &mut StepProgress, indices: impl Iterator<Item = u32>) {
+    for index in indices {
+        let Some(task) = progress.tasks.begin(index) else {
+            break;
+        };
+        if task.state != TaskState::Done {
+            task.state = TaskState::Done;
+            progress.done += 1;
+        }
+    }
+    if progress.complete() {
+        progress.finish();
+    }
+}
+
 fn is_complete(steps: &[StepProgress]) -> bool {
     steps.iter().all(StepProgress::complete)
 }
--- a/crates/chervilfall_planner/src/lib.rs
+++ b/crates/chervilfall_planner/src/lib.rs
@@ -15,6 +15,7 @@
 mod gang_wait;
 mod ids;
 mod job;
+mod job_parts;
 mod job_progress;
 mod leases;
 mod limits;
@@ -22,6 +23,7 @@
 mod placed_run;
 mod planner;
 mod policy;
+mod progress_part;
 mod record;
 mod resources;
 mod starts;
@@ -79,6 +81,7 @@
 pub use policy::retry_time::{no_holder_retry_ms, retry_ms, Attempt, RefusalMemory};
 pub use policy::store_capacity::{StoreCapacity, StoredCommit};
 pub use policy::switches::Policies;
+pub use progress_part::{InvalidProgressKey, PartKey, PartRow, ProgressKey};
 pub use record::{
     decode_text, JobRow, ProgressRow, RecordError, RosterEntry, StaleLeases, CLAIMS, ENDED, HOLDER,
     JOBS, PROGRESS, ROSTER, TEXTS,
--- a/crates/chervilfall_planner/src/planner/batch.rs
+++ b/crates/chervilfall_planner/src/planner/batch.rs
@@ -83,18 +83,18 @@
     /// Removes the rows of an open job.
     pub(super) fn remove_open_job(&mut self, id: JobId, rows: JobRows) {
         if rows.open != OpenRows::Absent {
-            self.remove(JOBS, id);
+            self.remove(JOBS, &id);
         }
         if rows.open == OpenRows::SeparateText {
-            self.remove(TEXTS, id);
+            self.remove(TEXTS, &id);
         }
         if rows.progress {
-            self.remove(PROGRESS, id);
+            self.remove(PROGRESS, &id);
         }
     }
 
-    pub(super) fn remove(&mut self, table: &'static str, id: JobId) {
-        let key = id.to_string();
+    pub(super) fn remove(&mut self, table: &'static str, row: &impl ToString) {
+        let key = row.to_string();
         self.changes.push(RowChange::Remove(RowKey { table, key }));
     }
 }
--- a/crates/chervilfall_planner/src/planner/job_rows.rs
+++ b/crates/chervilfall_planner/src/planner/job_rows.rs
@@ -1,7 +1,7 @@
 //! Rows of jobs in a batch: which changes of jobs it contains, and the rows that each takes.
 
-use crate::action::JobState;
 use crate::ids::{JobId, Millis};
+use crate::job_parts::PartChange;
 use crate::metrics;
 use crate::planner::batch::{BatchBuilder, WrittenProgress};
 use crate::planner::Planner;
@@ -9,6 +9,7 @@
     CommitOrder, JobTiming, ProgressKind, WaitingChanges, WaitingProgress, WaitingSubmission,
 };
 use crate::policy::order::min_remaining_ms;
+use crate::progress_part::PartKey;
 use crate::record::{encode, Owner, ProgressRow, ENDED, JOBS, PROGRESS, TEXTS};
 use crate::tasks::{Job, OpenRows};
 
@@ -213,27 +214,17 @@
         true
     }
 
-    /// Returns the progress of a job as far as a row holds it; none if the job has not ended and its
-    /// progress cannot be stored.
-    fn storable_progress(&self, job: &Job) -> Option<ProgressRow> {
+    /// Returns the progress of a job if one row holds it, and its steps are not in parts.
+    fn progress_in_one_row(&self, job: &Job) -> Option<ProgressRow> {
+        if !job.parts.is_empty() {
+            return None;
+        }
         let fits = |progress: &ProgressRow| {
             progress.max_bytes() <= self.limits.row_bytes
                 || encode(progress).len() <= self.limits.row_bytes
         };
-        let progress = job.progress();
-        if fits(&progress) {
-            return Some(progress);
-        }
-        let mut progress = job.short_progress();
-        if fits(&progress) {
-            return Some(progress);
-        }
-        // Which task crashes endpoints is then found out anew.
-        progress.forget_exposures();
-        if fits(&progress) {
-            return Some(progress);
-        }
-        job.outcome.map(|_| job.end())
+        let progress = Some(job.progress()).filter(fits);
+        progress.or_else(|| Some(job.short_progress()).filter(fits))
     }
 
     /// Adds the progress of a job, and returns whether it fits.
@@ -247,53 +238,113 @@
             self.unsaved.progress.remove(id);
             return true;
         };
-        let progress = self.storable_progress(job);
-        if progress.is_none() {
-            log::error!(job:% = id; "progress is too large for a row, the job is given up");
-            metrics::given_up("row");
-            self.finish_job(id, JobState::Failed);
-        }
-        let Some(job) = self.jobs.get(&id) else {
-            return true;
-        };
         let form = self.progress_form(job, under_pressure);
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return true;
-        };
         if !builder.has_room_for_rows(form.rows(job)) {
             return false;
         }
-        self.unsaved.progress.remove(id);
-        let mut progress = progress.unwrap_or_else(|| job.end());
-        if job.outcome.is_some() {
-            progress.owner = job.account.map(|key| Owner {
-                account: self.accounts.name(key).to_owned(),
-                queue: job.queue.name.clone(),
-            });
+        let progress = self.progress_in_one_row(job);
+        let fits = match (form, progress) {
+            (ProgressForm::Open, None) => self.add_parts(builder, id),
+            (ProgressForm::Open, Some(progress)) => {
+                self.put_progress(builder, id, encode(&progress));
+                true
+            }
+            (_, progress) => {
+                self.add_end(builder, id, form, progress);
+                true
+            }
+        };
+        if fits {
+            self.unsaved.progress.remove(id);
+            self.note_progress_added(builder, id);
+        }
+        fits
+    }
+
+    /// Adds the row under a job's name in the table of progress.
+    fn put_progress(&mut self, builder: &mut BatchBuilder, id: JobId, row: Vec<u8>) {
+        builder.put(PROGRESS, id.to_string(), row);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.rows.progress = true;
         }
-        let row = encode(&progress);
-        match form {
-            ProgressForm::Open | ProgressForm::EndedInPlace => {
-                builder.put(PROGRESS, id.to_string(), row);
-                job.rows.progress = true;
+    }
+
+    /// Adds changes of the parts of a job's progress, and returns whether all of them fit. The others
+    /// are left to later batches, and until then the ends in them are not acknowledged.
+    fn add_parts(&mut self, builder: &mut BatchBuilder, id: JobId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return true;
+        };
+        for change in job.part_changes(self.limits.row_bytes) {
+            if !builder.has_room() {
+                return false;
             }
-            ProgressForm::EndedInPlaceWithinShare => {
-                builder.put(PROGRESS, id.to_string(), row);
-                job.rows.progress = true;
-                job.beyond = false;
-                let account = job.account.map(|key| self.accounts.name(key).to_owned());
-                let text = match job.rows.open {
-                    OpenRows::WithText => job.text.as_deref().unwrap_or_default(),
-                    OpenRows::SeparateText | OpenRows::Absent => "",
-                };
-                builder.put(JOBS, id.to_string(), encode(&job.row(account, text)));
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.parts.record(&change);
             }
-            ProgressForm::Ended => {
-                builder.put(ENDED, id.to_string(), row);
-                builder.remove_open_job(id, std::mem::take(&mut job.rows));
-                job.rows.ended = true;
+            let key = |number| PartKey { job: id, number };
+            match change {
+                PartChange::Head(row) => self.put_progress(builder, id, row),
+                PartChange::Put(_, number, row) => {
+                    builder.put(PROGRESS, key(number).to_string(), row);
+                }
+                PartChange::Remove(_, number) => builder.remove(PROGRESS, &key(number)),
             }
         }
+        true
+    }
+
+    /// Adds the end of a job, with its progress if one row holds that.
+    fn add_end(
+        &mut self,
+        builder: &mut BatchBuilder,
+        id: JobId,
+        form: ProgressForm,
+        progress: Option<ProgressRow>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let owner = job.account.map(|key| Owner {
+            account: self.accounts.name(key).to_owned(),
+            queue: job.queue.name.clone(),
+        });
+        let row = |progress: ProgressRow| {
+            let owner = owner.clone();
+            encode(&ProgressRow { owner, ..progress })
+        };
+        let fits = |row: &Vec<u8>| row.len() <= self.limits.row_bytes;
+        let row = progress
+            .map(row)
+            .filter(fits)
+            .unwrap_or_else(|| row(job.end()));
+        if form == ProgressForm::Ended {
+            builder.put(ENDED, id.to_string(), row);
+            builder.remove_open_job(id, std::mem::take(&mut job.rows));
+            job.rows.ended = true;
+            let parts = std::mem::take(&mut job.parts);
+            self.unsaved.remove_parts(id, &parts);
+            return;
+        }
+        builder.put(PROGRESS, id.to_string(), row);
+        job.rows.progress = true;
+        if form == ProgressForm::EndedInPlaceWithinShare {
+            job.beyond = false;
+            let account = job.account.map(|key| self.accounts.name(key).to_owned());
+            let text = match job.rows.open {
+                OpenRows::WithText => job.text.as_deref().unwrap_or_default(),
+                OpenRows::SeparateText | OpenRows::Absent => "",
+            };
+            builder.put(JOBS, id.to_string(), encode(&job.row(account, text)));
+        }
+        self.unsaved.ended_in_place.insert(id);
+    }
+
+    /// Notes what follows once the progress of a job, all of which is in the batch, is stored.
+    fn note_progress_added(&mut self, builder: &mut BatchBuilder, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         if !job.stored {
             builder.new_jobs.insert(id);
         }
@@ -306,13 +357,6 @@
         let announced = self.announced.iter().filter(|(task, _)| task.job == id);
         let announced = announced.map(|(task, (endpoint, run))| (*task, *endpoint, *run));
         builder.announced.extend(announced);
-        if matches!(
-            form,
-            ProgressForm::EndedInPlace | ProgressForm::EndedInPlaceWithinShare
-        ) {
-            self.unsaved.ended_in_place.insert(id);
-        }
-        true
     }
 
     /// Moves ends that were stored beside the jobs' open rows to rows of their own, which a new
@@ -332,15 +376,22 @@
         }
     }
 
-    /// Removes the rows of finished jobs that can no longer be asked for.
+    /// Removes the parts of finished jobs, then the rows of those that can no longer be asked for.
     fn add_removals(&mut self, builder: &mut BatchBuilder) {
+        while let Some(key) = self.unsaved.removed_parts.last().copied() {
+            if !builder.has_room() {
+                return;
+            }
+            self.unsaved.removed_parts.pop();
+            builder.remove(PROGRESS, &key);
+        }
         while let Some((id, rows)) = self.unsaved.removed.last().copied() {
             if !builder.has_room_for_rows(rows.count()) {
                 return;
             }
             self.unsaved.removed.pop();
             if rows.ended {
-                builder.remove(ENDED, id);
+                builder.remove(ENDED, &id);
             }
             builder.remove_open_job(id, rows);
         }
--- a/crates/chervilfall_planner/src/planner/mod.rs
+++ b/crates/chervilfall_planner/src/planner/mod.rs
@@ -62,6 +62,7 @@
 use crate::policy::headroom::Headroom;
 use crate::policy::overload::Overload;
 use crate::policy::stall_timeout::CommitGaps;
+use crate::progress_part::{PartKey, PartRow};
 use crate::record::{JobRow, ProgressRow, RosterEntry};
 use crate::starts::{latest, StartNote, StartRing, StartsRow};
 use crate::tasks::{Job, OpenRows};
@@ -104,6 +105,8 @@
     pub jobs: Vec<(JobId, JobRow)>,
     /// Progress and outcomes of jobs.
     pub progress: Vec<(JobId, ProgressRow)>,
+    /// Parts of the progress of jobs for which one row is too small.
+    pub progress_parts: Vec<(PartKey, PartRow)>,
     /// Endpoints that may hold leases.
     pub roster: Vec<RosterEntry>,
     /// The latest starts, by slot of the ring of start notes.
@@ -308,6 +311,7 @@
                 job.rows.progress = true;
             }
         }
+        self.restore_parts(stored.progress_parts);
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in ids.iter().copied() {
             self.restore_exposures(id);
@@ -329,6 +333,23 @@
         );
     }
 
+    /// Restores the parts of the progress of open jobs. Those of other jobs are left over from jobs
+    /// that have ended, and are removed.
+    fn restore_parts(&mut self, parts: Vec<(PartKey, PartRow)>) {
+        for (key, row) in parts {
+            let job = self.jobs.get_mut(&key.job);
+            match job.filter(|job| job.rows.open != OpenRows::Absent) {
+                Some(job) => job.restore_part(key.number, &row),
+                None => self.unsaved.removed_parts.push(key),
+            }
+        }
+        for job in self.jobs.values_mut() {
+            if !job.parts.is_empty() {
+                job.count_complete();
+            }
+        }
+    }
+
     /// Counts a restored job beyond its account's share, or has the rows of its end moved.
     fn restore_share(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
@@ -589,7 +610,7 @@
             self.held_occurrences.remove(&id);
             if let Some(job) = self.remove_job(id) {
                 self.pre_cancelled_jobs -= usize::from(job.pre_cancelled);
-                self.unsaved.remove(id, job.rows);
+                self.unsaved.remove(id, job.rows, &job.parts);
             }
         }
     }
--- a/crates/chervilfall_planner/src/planner/unsaved.rs
+++ b/crates/chervilfall_planner/src/planner/unsaved.rs
@@ -4,6 +4,8 @@
 
 use crate::endpoint::EndpointKey;
 use crate::ids::{JobId, Millis};
+use crate::job_parts::JobParts;
+use crate::progress_part::PartKey;
 use crate::record::RosterBucket;
 use crate::tasks::JobRows;
 
@@ -115,6 +117,9 @@
     pub(super) missed_submissions: MissedBatches,
     pub(super) missed_progress: MissedBatches,
     pub(super) removed: Vec<(JobId, JobRows)>,
+    /// Parts of the progress of jobs that have ended. They are removed before the rows that show
+    /// that a job's name was used.
+    pub(super) removed_parts: Vec<PartKey>,
     /// Jobs whose ends are stored beside their open rows, which a later batch removes.
     pub(super) ended_in_place: BTreeSet<JobId>,
     /// When it was last logged that more waits than a batch holds.
@@ -123,12 +128,20 @@
 }
 
 impl UnsavedChanges {
-    pub(crate) fn remove(&mut self, id: JobId, rows: JobRows) {
+    pub(crate) fn remove(&mut self, id: JobId, rows: JobRows, parts: &JobParts) {
         self.progress.remove(id);
         self.ended_in_place.remove(&id);
+        self.remove_parts(id, parts);
         self.removed.push((id, rows));
     }
 
+    /// Has the parts of a job's progress removed.
+    pub(super) fn remove_parts(&mut self, job: JobId, parts: &JobParts) {
+        let keys = parts.stored_numbers();
+        let keys = keys.map(|number| PartKey { job, number });
+        self.removed_parts.extend(keys);
+    }
+
     /// Records that an endpoint's ends up to a number, of tasks of `jobs`, have been processed.
     pub(crate) fn record_ends(
         &mut self,
@@ -159,6 +172,7 @@
             && self.progress.is_empty()
             && self.acknowledgements.is_empty()
             && self.removed.is_empty()
+            && self.removed_parts.is_empty()
             && self.roster.is_empty()
     }
 }
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -16,7 +16,7 @@
 /// Table of the long texts that are passed with starts, by job. A new holder needs them only once it
 /// starts tasks.
 pub const TEXTS: &str = "texts";
-/// Table of the progress of open jobs, by job.
+/// Table of the progress of open jobs, by job, and by part if one row does not hold it.
 pub const PROGRESS: &str = "progress";
 /// Table of ended jobs, by job, kept so that callers can still ask for their state.
 pub const ENDED: &str = "ended";
@@ -221,13 +221,6 @@
         MAX_ENTRY_BYTES * (1 + self.complete.len() + entries.sum::<usize>())
     }
 
-    /// Removes which runs may have crashed their endpoints.
-    pub(crate) fn forget_exposures(&mut self) {
-        for step in &mut self.steps {
-            step.exposures.clear();
-        }
-    }
-
     /// Decodes a row.
     ///
     /// # Errors
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -11,6 +11,7 @@
 use crate::gang_wait::GangWait;
 use crate::ids::{JobId, Millis, Run, TaskKey};
 use crate::job::{JobSpec, Step, MAX_GANG_TASKS};
+use crate::job_parts::JobParts;
 use crate::planner::AccountKey;
 use crate::policy::crashes::Exposure;
 use crate::policy::soft_limits::RoomWait;
@@ -174,6 +175,8 @@
     pub(crate) text: Option<Arc<str>>,
     /// Its rows that are stored or in flight to the store.
     pub(crate) rows: JobRows,
+    /// The parts of its progress, if one row does not hold it.
+    pub(crate) parts: JobParts,
     pub(crate) accepted_ms: Millis,
     pub(crate) accepted_unix_ms: u64,
     /// When its submission is refused if no commit has included it by then.
@@ -222,6 +225,7 @@
             spec: Arc::new(row.spec),
             text: (!text.is_empty()).then(|| Arc::from(text)),
             rows: JobRows::default(),
+            parts: JobParts::default(),
             accepted_ms: now,
             accepted_unix_ms: row.accepted_unix_ms,
             refuse_at_ms: now,
--- a/crates/chervilfall_planner/tests/histories.rs
+++ b/crates/chervilfall_planner/tests/histories.rs
@@ -5,7 +5,7 @@
 use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request, Step};
 use world::endpoint::CrashBehavior;
 use world::standstill::Kind;
-use world::{step, World};
+use world::{step, World, START_UNIX_MS};
 
 /// Number of histories per test unless `CHERVILFALL_HISTORIES` is set.
 const HISTORIES: u64 = 150;
@@ -50,6 +50,31 @@
     }
 }
 
+/// Returns a job whose occurrences overlap, with steps side by side and a last one after them.
+fn recurring_job(world: &mut World) -> JobSpec {
+    let steps = 2 + u16::try_from(world.random.below(10)).expect("small");
+    let mut all = Vec::new();
+    for _ in 1..steps {
+        let count = 1 + u32::try_from(world.random.below(3)).expect("small");
+        all.push(Step {
+            cpu_milli: 200,
+            ..step(count, 100 + world.random.below(900))
+        });
+    }
+    all.push(Step {
+        after: (0..steps - 1).collect(),
+        cpu_milli: 200,
+        ..step(1, 200)
+    });
+    JobSpec {
+        spec: "text".to_owned(),
+        steps: all,
+        repeat_count: 1 + u32::try_from(world.random.below(12)).expect("small"),
+        first_due_unix_ms: START_UNIX_MS + world.now,
+        interval_ms: 100 + world.random.below(400),
+    }
+}
+
 /// How long faults last, how many orders are late, and which crashes happen.
 #[derive(Debug, Clone, Copy)]
 struct FaultProfile {
@@ -65,6 +90,8 @@
     small_commits: bool,
     /// Endpoints list only few ends at a time.
     short_lists: bool,
+    /// Some jobs recur with many steps, and rows hold only a part of their progress.
+    large_progress: bool,
 }
 
 /// Faults that end before the leases granted under a claim do.
@@ -76,6 +103,7 @@
     slow_store: false,
     small_commits: false,
     short_lists: false,
+    large_progress: false,
 };
 /// Faults that outlast the leases granted under a claim, with most orders late.
 const LONG_FAULTS: FaultProfile = FaultProfile {
@@ -86,6 +114,7 @@
     slow_store: false,
     small_commits: false,
     short_lists: false,
+    large_progress: false,
 };
 /// Short faults, a slow store and takeovers whose renewals are not answered.
 const SLOW_STORE: FaultProfile = FaultProfile {
@@ -102,6 +131,15 @@
     short_lists: true,
     ..SMALL_COMMITS
 };
+/// The same as with small commits, with progress that needs several rows.
+const LARGE_PROGRESS: FaultProfile = FaultProfile {
+    large_progress: true,
+    ..SMALL_COMMITS
+};
+/// Bytes of a row in histories with large progress.
+const SMALL_ROW_BYTES: usize = 1_500;
+/// Percentage of jobs that recur in these histories.
+const RECURRING_PERCENT: u64 = 50;
 /// Ends of a list in these histories.
 const SHORT_LIST_ENDS: usize = 2;
 /// Rows of a commit in histories with small commits.
@@ -122,7 +160,13 @@
     ..CRASHES
 };
 
-/// The same, with more ends than lists hold.
+/// Short faults and crashes, with progress that needs several rows.
+const LARGE_PROGRESS_WITH_CRASHES: FaultProfile = FaultProfile {
+    large_progress: true,
+    ..CRASHES
+};
+
+/// The same as with restarts, with more ends than lists hold.
 const RESTARTS_WITH_SHORT_LISTS: FaultProfile = FaultProfile {
     short_lists: true,
     ..RESTARTS
@@ -261,8 +305,8 @@
     }
 }
 
-/// Plays a history, and checks it.
-fn play_history(seed: u64, profile: FaultProfile) -> World {
+/// Returns the world of a history at its beginning.
+fn begin(seed: u64, profile: FaultProfile) -> World {
     let mut world = World::new(4, 8, seed);
     for endpoint in world.endpoints.values_mut().skip(5) {
         endpoint.domain = 1;
@@ -280,12 +324,21 @@
     if profile.small_commits {
         world.limits.commit_rows = SMALL_COMMIT_ROWS;
     }
+    if profile.large_progress {
+        world.limits.row_bytes = SMALL_ROW_BYTES;
+    }
     if profile.short_lists {
         world.limits.max_listed_ends = SHORT_LIST_ENDS;
         for endpoint in world.endpoints.values_mut() {
             endpoint.max_listed_ends = SHORT_LIST_ENDS;
         }
     }
+    world
+}
+
+/// Plays a history, and checks it.
+fn play_history(seed: u64, profile: FaultProfile) -> World {
+    let mut world = begin(seed, profile);
     let mut requests = Vec::new();
     world.run(1_500);
     for round in 0..ROUNDS {
@@ -304,8 +357,14 @@
             crash(&mut world);
         }
         if world.random.percent(60) {
-            let spec = random_job(&mut world);
-            if profile.crashes && world.random.percent(10) {
+            let recurs = profile.large_progress && world.random.percent(RECURRING_PERCENT);
+            let spec = if recurs {
+                recurring_job(&mut world)
+            } else {
+                random_job(&mut world)
+            };
+            // A job with many crashing tasks leaves no endpoint to run others.
+            if profile.crashes && !recurs && world.random.percent(10) {
                 make_crashing(&mut world, JobId(round + 1));
             }
             world.submit(round + 1, spec);
@@ -477,6 +536,15 @@
     run_histories(seeds, RESTARTS_WITH_SHORT_LISTS);
 }
 
+/// Guards against progress that is lost, or a job that is given up, where a row does not hold it.
+#[test]
+fn histories_with_large_progress_violate_no_invariant() {
+    let first = env_number("CHERVILFALL_SEED", 0);
+    let count = env_number("CHERVILFALL_HISTORIES", HISTORIES);
+    run_histories(first..first + count, LARGE_PROGRESS);
+    run_histories(first..first + count, LARGE_PROGRESS_WITH_CRASHES);
+}
+
 /// Number of histories in which standstills after takeovers are looked for.
 const TAKEOVER_HISTORIES: u64 = 25;
 
--- a/crates/chervilfall_planner/tests/world/mod.rs
+++ b/crates/chervilfall_planner/tests/world/mod.rs
@@ -35,7 +35,7 @@
 /// One-way network delay of an order or a transaction, in milliseconds.
 const ONE_WAY_DELAY_MS: u64 = 2;
 /// Time of day at the start of the simulation, in milliseconds since 1970.
-const START_UNIX_MS: u64 = 1_700_000_000_000;
+pub const START_UNIX_MS: u64 = 1_700_000_000_000;
 /// Milliseconds after which a call to an endpoint or to the store times out.
 const TIMEOUT_MS: u64 = 500;
 
@@ -289,6 +289,7 @@
                 }
                 ScheduledEvent::ApplyCommit(node, term, batch, answered) => {
                     let outcome = self.store.commit(self.now, &batch);
+                    self.violations.append(&mut self.store.refused);
                     if answered && self.now < self.store.down_until_ms {
                         // The store became unreachable while the call was in flight.
                         continue;
--- a/crates/chervilfall_planner/tests/world/nodes.rs
+++ b/crates/chervilfall_planner/tests/world/nodes.rs
@@ -6,8 +6,8 @@
 
 use chervilfall_planner::{
     decode_text, Action, AdviceAnswer, Batch, CandidateAction, CommitOutcome, EndpointEntry,
-    EndpointId, Event, HolderRow, JobId, JobRow, LookupResult, Planner, ProgressRow, RosterEntry,
-    StallTimeouts, StartsRow, StepDownReason, StoredGroup,
+    EndpointId, Event, HolderRow, JobId, JobRow, LookupResult, PartRow, Planner, ProgressKey,
+    ProgressRow, RosterEntry, StallTimeouts, StartsRow, StepDownReason, StoredGroup,
 };
 
 use super::endpoint::FakeEndpoint;
@@ -204,7 +204,15 @@
     pub(super) fn stored(&self) -> StoredGroup {
         let parse = |key: &String| key.parse::<JobId>().expect("job id");
         let jobs = self.store.table("jobs");
-        let progress = self.store.table("progress");
+        let (progress, parts): (Vec<_>, Vec<_>) = self
+            .store
+            .table("progress")
+            .into_iter()
+            .partition(|(key, _)| key.parse::<JobId>().is_ok());
+        let part = |key: &String| match key.parse().expect("key of progress") {
+            ProgressKey::Part(key) => key,
+            ProgressKey::Job(id) => panic!("not a part: {id}"),
+        };
         let roster = self.store.table("roster");
         let starts = self.store.table("starts");
         StoredGroup {
@@ -216,6 +224,10 @@
                 .iter()
                 .map(|(key, value)| (parse(key), ProgressRow::decode(value).expect("progress")))
                 .collect(),
+            progress_parts: parts
+                .iter()
+                .map(|(key, value)| (part(key), PartRow::decode(value).expect("part")))
+                .collect(),
             roster: roster
                 .iter()
                 .flat_map(|(_, value)| RosterEntry::decode_all(value).expect("roster"))
--- a/crates/chervilfall_planner/tests/world/store.rs
+++ b/crates/chervilfall_planner/tests/world/store.rs
@@ -4,10 +4,38 @@
 
 use chervilfall_planner::{Batch, CommitOutcome, RowChange};
 
-/// Maximum size of a row's value in bytes.
-const ROW_BYTES: usize = 65_536;
+/// Maximum size of a row's value in bytes, which the store's encoding makes a third longer.
+const ROW_BYTES: usize = 65_536 * 3 / 4;
 /// Maximum number of changes in a transaction.
 const CHANGES: usize = 100;
+/// Maximum size of a transaction, with its values as they are encoded.
+const TRANSACTION_BYTES: usize = 1_000_000;
+/// Bytes that a change takes beside its value.
+const CHANGE_BYTES: usize = 200;
+
+/// Returns in what a transaction exceeds what the store takes.
+fn excess(batch: &Batch) -> Option<String> {
+    let value_bytes = |change: &RowChange| match change {
+        RowChange::Put(_, value) => value.len(),
+        RowChange::Remove(_) => 0,
+    };
+    let large = |change: &&RowChange| value_bytes(change) > ROW_BYTES;
+    if let Some(RowChange::Put(key, value)) = batch.changes.iter().find(large) {
+        return Some(format!(
+            "{}/{} has {} bytes",
+            key.table,
+            key.key,
+            value.len()
+        ));
+    }
+    let bytes = batch
+        .changes
+        .iter()
+        .map(|change| CHANGE_BYTES + value_bytes(change) * 4 / 3);
+    let (changes, bytes) = (batch.changes.len(), bytes.sum::<usize>());
+    (changes > CHANGES || bytes > TRANSACTION_BYTES)
+        .then(|| format!("has {changes} changes of {bytes} bytes"))
+}
 
 /// The simulated store.
 #[derive(Default)]
@@ -21,6 +49,8 @@
     pub lost_answer_percent: u64,
     /// Rows that were to be removed and did not exist, as `table/key`.
     pub absent_removals: Vec<String>,
+    /// Transactions beyond what the store takes.
+    pub refused: Vec<String>,
 }
 
 impl FakeStore {
@@ -29,11 +59,9 @@
         if claim.map_or(0, |(version, _)| *version) != batch.expected {
             return CommitOutcome::Conflict(claim.cloned());
         }
-        let fits = |change: &RowChange| match change {
-            RowChange::Put(_, value) => value.len() <= ROW_BYTES,
-            RowChange::Remove(_) => true,
-        };
-        if batch.changes.len() > CHANGES || !batch.changes.iter().all(fits) {
+        if let Some(excess) = excess(batch) {
+            self.refused
+                .push(format!("commit {} {excess}", batch.number));
             return CommitOutcome::NotDone;
         }
         self.version += 1;
