Bound rows of starts and commits of the roster by their bytes

What callers saw: with endpoints of long names, hundreds of starts at a time leave a commit that the store refuses for good, until the claim is lost and the next holder meets the same; a fleet of 5,000 such endpoints is not served at all.

Cause: a row of starts had up to 400 of them and a commit all changed buckets of the roster, where the store's limits are in bytes (`starts/000 has 84151 bytes`; 64 buckets of 78 endpoints).

Change: a row of starts ends before its bytes do, buckets go into a commit as long as it has bytes left, and a bucket beyond a row is not sent: its endpoints are not used, which a line and a metric say.

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -19,7 +19,7 @@
 use crate::policy::failure_share::FailureShare;
 use crate::policy::quarantine::Quarantine;
 use crate::policy::speed::Speed;
-use crate::record::StaleLeases;
+use crate::record::{RosterEntry, StaleLeases};
 use crate::resources::Resources;
 use crate::tasks::StepKey;
 pub use exclusion::Exclusion;
@@ -409,6 +409,18 @@
         }
     }
 
+    /// Returns its entry in the roster.
+    pub(crate) fn roster_entry(&self) -> RosterEntry {
+        RosterEntry {
+            id: self.entry.id.clone(),
+            born_ms: self.born_ms,
+            address: self.entry.address.clone(),
+            lapses_store_ms: self.lapses_store_ms,
+            capacity: self.capacity_for_roster(),
+            stale_leases: self.stale_leases,
+        }
+    }
+
     /// Returns whether the roster must be written for starts to use the whole capacity, or for a
     /// successor to know an upper limit.
     pub(crate) fn roster_lacks_capacity(&self) -> bool {
--- a/crates/chervilfall_planner/src/metrics.rs
+++ b/crates/chervilfall_planner/src/metrics.rs
@@ -217,6 +217,11 @@
     counter!("chervilfall_runs_lost_total", "reason" => reason.label()).increment(1);
 }
 
+/// Counts a row of the roster that is too large to be stored.
+pub(crate) fn roster_row_too_large() {
+    counter!("chervilfall_roster_rows_too_large_total").increment(1);
+}
+
 /// Counts a job that was given up.
 pub(crate) fn given_up(reason: &'static str) {
     counter!("chervilfall_jobs_given_up_total", "reason" => reason).increment(1);
--- a/crates/chervilfall_planner/src/planner/commits.rs
+++ b/crates/chervilfall_planner/src/planner/commits.rs
@@ -5,7 +5,7 @@
 use crate::action::{Action, Answer, StepDownReason};
 use crate::commit::{Batch, CommitOutcome};
 use crate::election::HolderRow;
-use crate::endpoint::EndpointKey;
+use crate::endpoint::{Endpoint, EndpointKey};
 use crate::ids::{JobId, Millis, RowVersion, Run, TaskKey};
 use crate::metrics;
 use crate::planner::batch::{BatchBuilder, WrittenProgress};
@@ -148,20 +148,54 @@
         })
     }
 
-    /// Adds the buckets of the roster that have changed.
+    /// Adds the buckets of the roster that have changed, as far as they fit.
     fn add_roster(&mut self, builder: &mut BatchBuilder) {
-        let mut rows: BTreeMap<RosterBucket, Vec<RosterEntry>> = BTreeMap::new();
-        while builder.has_room_for(rows.len()) {
+        if self.unsaved.roster.is_empty() {
+            return;
+        }
+        let mut members: BTreeMap<RosterBucket, Vec<EndpointKey>> = BTreeMap::new();
+        for (key, endpoint) in &self.endpoints {
+            let bucket = RosterBucket::of(&endpoint.entry.id);
+            if self.unsaved.roster.contains(&bucket) {
+                members.entry(bucket).or_default().push(key);
+            }
+        }
+        while builder.has_room() {
             let Some(bucket) = self.unsaved.roster.pop_first() else {
-                break;
+                return;
             };
-            rows.insert(bucket, Vec::new());
+            let members = members.remove(&bucket).unwrap_or_default();
+            self.add_bucket(builder, bucket, &members);
         }
-        if rows.is_empty() {
+    }
+
+    /// Adds a bucket of the roster. If its endpoints are too many for a row, none of them is used until
+    /// some have left.
+    fn add_bucket(
+        &mut self,
+        builder: &mut BatchBuilder,
+        bucket: RosterBucket,
+        members: &[EndpointKey],
+    ) {
+        let members = || members.iter().copied();
+        let entries = members().filter_map(|key| self.endpoints.get(key));
+        let row: Vec<RosterEntry> = entries.map(Endpoint::roster_entry).collect();
+        let row = encode(&row);
+        if row.len() > self.limits.row_bytes {
+            metrics::roster_row_too_large();
+            log::error!(
+                bucket:% = bucket.key(), endpoints = members().count(), bytes = row.len();
+                "endpoints are too many for a row of the roster, they are not used"
+            );
+            for key in members() {
+                if let Some(endpoint) = self.endpoints.get_mut(key) {
+                    endpoint.rostered = false;
+                }
+            }
             return;
         }
-        for (key, endpoint) in &mut self.endpoints {
-            let Some(row) = rows.get_mut(&RosterBucket::of(&endpoint.entry.id)) else {
+        for key in members() {
+            let Some(endpoint) = self.endpoints.get_mut(key) else {
                 continue;
             };
             if endpoint.lapses_store_ms.is_none() {
@@ -176,24 +210,14 @@
             if let Some(capacity) = capacity {
                 builder.rostered_capacities.push((key, capacity));
             }
-            row.push(RosterEntry {
-                id: endpoint.entry.id.clone(),
-                born_ms: endpoint.born_ms,
-                address: endpoint.entry.address.clone(),
-                lapses_store_ms: endpoint.lapses_store_ms,
-                capacity,
-                stale_leases: endpoint.stale_leases,
-            });
-        }
-        for (bucket, row) in rows {
-            builder.put(ROSTER, bucket.key(), encode(&row));
         }
+        builder.put(ROSTER, bucket.key(), row);
     }
 
     fn add_starts(&mut self, builder: &mut BatchBuilder) {
-        let store_ms = self.store_now_ms();
+        let (store_ms, row_bytes) = (self.store_now_ms(), self.limits.row_bytes);
         while builder.has_room() {
-            let Some((key, value)) = self.start_ring.take_row(store_ms) else {
+            let Some((key, value)) = self.start_ring.take_row(store_ms, row_bytes) else {
                 return;
             };
             builder.put(STARTS, key, value);
--- a/crates/chervilfall_planner/src/record.rs
+++ b/crates/chervilfall_planner/src/record.rs
@@ -29,9 +29,8 @@
 
 /// Size of an entry of a row of progress, in bytes, at most: the largest names an endpoint.
 const MAX_ENTRY_BYTES: usize = 400;
-/// Number of roster buckets. An entry takes 80 bytes and the store accepts rows of 65,536 bytes, so
-/// a row holds 800 entries. That is enough for 50,000 endpoints; with 2,500 endpoints, a change of
-/// one endpoint rewrites 3 KB.
+/// Number of roster buckets. An entry takes up to 200 bytes beside the name of its endpoint. With 2,500
+/// endpoints, a change of one endpoint rewrites some 6 KB.
 const ROSTER_BUCKETS: u64 = 64;
 /// Offset basis and prime of the FNV-1a hash, which must be the same in all versions of the
 /// program.
--- a/crates/chervilfall_planner/src/starts.rs
+++ b/crates/chervilfall_planner/src/starts.rs
@@ -16,8 +16,12 @@
 /// Rows of the ring. With one commit every 20 ms they cover 5 s, which is longer than it takes to
 /// notice a lost endpoint.
 const SLOTS: u64 = 256;
-/// Maximum starts in a row. They take 75 bytes each, which is less than half of the row size limit.
+/// Maximum starts in a row.
 const ROW_STARTS: usize = 400;
+/// Bytes of a row beside its starts, at most.
+const ROW_HEAD_BYTES: usize = 64;
+/// Bytes of a start beside the name of its endpoint, at most: seven values in a list.
+const START_BYTES: usize = 64;
 /// How far before the last commit the ring is read: the time in which a lease lapses, which is
 /// 2.8 s, and a commit. Older runs have since been reported by their endpoint or recorded with
 /// their job. If a lapse takes longer, the runs are recorded once the endpoint is silent.
@@ -96,6 +100,11 @@
 }
 
 impl StartNote {
+    /// Returns a number of bytes that it does not exceed in a row.
+    fn max_bytes(&self) -> usize {
+        START_BYTES + self.endpoint.0.len()
+    }
+
     pub(crate) const fn task(&self) -> TaskKey {
         TaskKey {
             job: self.job,
@@ -177,12 +186,23 @@
         self.unsaved.is_empty()
     }
 
-    /// Returns the next row to write, or none if there are no unsaved starts.
-    pub(crate) fn take_row(&mut self, written_store_ms: Millis) -> Option<(String, Vec<u8>)> {
+    /// Returns the next row to write, within `row_bytes`, or none if there are no unsaved starts.
+    pub(crate) fn take_row(
+        &mut self,
+        written_store_ms: Millis,
+        row_bytes: usize,
+    ) -> Option<(String, Vec<u8>)> {
         if self.unsaved.is_empty() {
             return None;
         }
-        let rest = self.unsaved.split_off(self.unsaved.len().min(ROW_STARTS));
+        let mut bytes_left = row_bytes.saturating_sub(ROW_HEAD_BYTES);
+        let fitting = self.unsaved.iter().take(ROW_STARTS).take_while(|start| {
+            let left = bytes_left.checked_sub(start.max_bytes());
+            bytes_left = left.unwrap_or(0);
+            left.is_some()
+        });
+        let fitting = fitting.count().max(1);
+        let rest = self.unsaved.split_off(fitting);
         let starts = std::mem::replace(&mut self.unsaved, rest);
         self.in_flight.extend(starts.iter().cloned());
         let key = format!("{:03}", self.next_slot % SLOTS);
