Open the occurrences that an earlier holder has begun

Cause: a new holder counts the occurrences that it reads from rows as open, and then holds occurrence 0 until one of them completes. None of them is open, so none can.

Change: an occurrence that exists may always be opened, and each one that is read, or found in an endpoint's list, is due by itself. What is held is the first one that does not exist.

Test: large_numbers.rs, occurrences_whose_runs_have_lapsed: it froze the nodes, so that no takeover happened; it kills them now and has cases with stored progress, in which the code before stands still. The default limit of a row in tests is what a node uses (48,128 bytes, not 65,536).

--- a/crates/chervilfall_planner/src/limits.rs
+++ b/crates/chervilfall_planner/src/limits.rs
@@ -111,7 +111,8 @@
     /// calls for unknown jobs cannot fill the store. 2,000 small rows are estimated to be far more
     /// than a wave of cancellations needs.
     pub max_pre_cancelled_jobs: usize,
-    /// Maximum bytes of a row.
+    /// Maximum bytes of a row's value. A node computes it from its settings; this default results from
+    /// 65,536 bytes as the store encodes them.
     pub row_bytes: usize,
     /// Policies in force.
     pub policies: Policies,
@@ -216,7 +217,7 @@
             status_ms: 150_000,
             pass_ms: 50,
             max_pre_cancelled_jobs: 2_000,
-            row_bytes: 65_536,
+            row_bytes: 48_128,
             policies: Policies::default(),
         }
     }
--- a/crates/chervilfall_planner/src/planner/activation.rs
+++ b/crates/chervilfall_planner/src/planner/activation.rs
@@ -1,6 +1,6 @@
 //! Activation of steps: when a job is stored, an occurrence is due, or earlier steps are complete.
 
-use crate::ids::JobId;
+use crate::ids::{JobId, TaskKey};
 use crate::planner::Planner;
 use crate::policy::order::rank;
 use crate::tasks::StepKey;
@@ -26,7 +26,24 @@
             self.open_occurrence(id, 0);
             return;
         }
-        let due = (job.spec.due_unix_ms(0), id, 0);
+        // Those of an earlier holder are open whatever the number of others, so each counts as next.
+        let next = std::iter::once(0).chain(job.incomplete_occurrences());
+        let due = next.map(|occurrence| (job.spec.due_unix_ms(occurrence), id, occurrence));
+        self.due_occurrences.extend(due);
+    }
+
+    /// Creates the occurrence of a task that an endpoint lists, if the job has such a one that is not
+    /// known yet, and has it opened.
+    pub(super) fn create_occurrence_of(&mut self, task: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let (id, occurrence) = (task.job, task.occurrence);
+        if occurrence >= job.spec.occurrences() || job.occurrences.contains_key(&occurrence) {
+            return;
+        }
+        job.occurrence(occurrence);
+        let due = (job.spec.due_unix_ms(occurrence), id, occurrence);
         self.due_occurrences.insert(due);
     }
 
@@ -39,8 +56,9 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if job.open_occurrences() >= job.max_open_occurrences() {
-                self.held_occurrences.insert(id, occurrence);
+            if !job.may_open_occurrence(occurrence) {
+                let held = self.held_occurrences.entry(id).or_insert(occurrence);
+                *held = occurrence.min(*held);
                 continue;
             }
             self.open_occurrence(id, occurrence);
--- a/crates/chervilfall_planner/src/planner/endpoints.rs
+++ b/crates/chervilfall_planner/src/planner/endpoints.rs
@@ -354,9 +354,7 @@
     /// Adopts a run that an earlier holder started, or stops it if it is not needed.
     fn adopt_or_stop(&mut self, key: EndpointKey, running: &RunningRun) {
         let task = running.task;
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.create_occurrence_of(task);
-        }
+        self.create_occurrence_of(task);
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task)).map(|task| task.state);
         let superseded = match state {
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -31,9 +31,7 @@
             }
             self.release_run(key, task);
         }
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.create_occurrence_of(task);
-        }
+        self.create_occurrence_of(task);
         let known = self.jobs.get(&task.job).and_then(|job| job.task(task));
         log::info!(
             task:% = task, run = end.run, endpoint:% = self.endpoints[key].entry.id, how:? = end.how,
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -272,21 +272,19 @@
         }
     }
 
-    /// Returns the number of occurrences that are not complete.
-    pub(crate) fn open_occurrences(&self) -> usize {
-        self.occurrences.len() - self.complete_occurrences as usize
+    /// Returns whether an occurrence may be open: it is one of those that are already, or these are
+    /// fewer than there may be.
+    pub(crate) fn may_open_occurrence(&self, occurrence: u32) -> bool {
+        let open = self.occurrences.len() - self.complete_occurrences as usize;
+        let max_open = (MAX_OPEN_STEPS / self.spec.steps.len().max(1)).max(1);
+        self.occurrences.contains_key(&occurrence) || open < max_open
     }
 
-    /// Returns the maximum number of occurrences that may be open at the same time.
-    pub(crate) fn max_open_occurrences(&self) -> usize {
-        (MAX_OPEN_STEPS / self.spec.steps.len().max(1)).max(1)
-    }
-
-    /// Creates the occurrence of a task that an endpoint lists, if the job has such a one.
-    pub(crate) fn create_occurrence_of(&mut self, task: TaskKey) {
-        if task.occurrence < self.spec.occurrences() {
-            self.occurrence(task.occurrence);
-        }
+    /// Returns the occurrences that exist and are not complete.
+    pub(crate) fn incomplete_occurrences(&self) -> impl Iterator<Item = u32> + '_ {
+        let incomplete = self.occurrences.iter();
+        let incomplete = incomplete.filter(|(_, steps)| !steps.iter().all(StepProgress::complete));
+        incomplete.map(|(occurrence, _)| *occurrence)
     }
 
     /// Returns the steps of an occurrence, creating them if necessary.
--- a/crates/chervilfall_planner/tests/large_numbers.rs
+++ b/crates/chervilfall_planner/tests/large_numbers.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, Request, Step};
+use chervilfall_planner::{Answer, Asker, JobId, JobSpec, JobState, ProgressRow, Request, Step};
 use world::World;
 
 /// Time that a holder needs to know the intervals between its commits.
@@ -141,34 +141,93 @@
     assert_eq!(world.submit(JOB + 200, large()), Answer::Accepted);
 }
 
+/// Returns a row with the progress of the tenth occurrence also as that of seven beyond the limit, and
+/// without that of the first ones; other rows as they are.
+fn with_other_occurrences(row: &[u8]) -> Vec<u8> {
+    let Ok(mut progress) = ProgressRow::decode(row) else {
+        return row.to_vec();
+    };
+    let tenth = progress.steps.iter().filter(|step| step.occurrence == 10);
+    let tenth: Vec<_> = tenth.cloned().collect();
+    progress.steps.retain(|step| step.occurrence > 3);
+    for occurrence in 130..137 {
+        let mut more = tenth.clone();
+        for step in &mut more {
+            step.occurrence = occurrence;
+        }
+        progress.steps.append(&mut more);
+    }
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&progress, &mut bytes).expect("a row");
+    bytes
+}
+
 /// Guards against a repeated job that stands still because all occurrences that it may have open have
-/// lapsed.
+/// lapsed, with or without stored progress.
 #[test]
 fn occurrences_whose_runs_have_lapsed_run_under_the_next_holder() {
-    let mut world = world();
-    let long = Step {
-        cpu_milli: 20,
-        ..world::step(1, 3_000)
-    };
-    let spec = JobSpec {
-        spec: "text".to_owned(),
-        steps: vec![long],
-        repeat_count: 1_500,
-        first_due_unix_ms: 1,
-        interval_ms: 1,
-    };
-    assert_eq!(world.submit(JOB, spec), Answer::Accepted);
-    world.run(2_000);
-    let until_ms = world.now + 15_000;
-    for node in &mut world.nodes {
-        node.frozen_until_ms = until_ms;
+    struct Case {
+        name: &'static str,
+        /// Duration of the steps, one after the other.
+        work_ms: &'static [u64],
+        repeat_count: u32,
+        /// The rows are of a holder that had other occurrences open, as it knew another limit. They are
+        /// not what ran, so the history is not checked.
+        other_limit: bool,
     }
-    world.run(20_000);
-    let bound_ms = world.now + JOB_MS;
-    while world.holder().is_none() || state(&mut world) != Answer::State(JobState::Completed) {
-        assert!(world.now < bound_ms, "not completed");
-        world.run(100);
+    let cases = [
+        Case {
+            name: "occurrences without progress",
+            work_ms: &[3_000],
+            repeat_count: 1_500,
+            other_limit: false,
+        },
+        Case {
+            name: "occurrences with finished steps",
+            work_ms: &[20, 20, 20, 20, 20, 20, 20, 12_000],
+            repeat_count: 200,
+            other_limit: false,
+        },
+        Case {
+            name: "more open occurrences than may be, among them some without progress",
+            work_ms: &[20, 20, 20, 20, 20, 20, 20, 12_000],
+            repeat_count: 200,
+            other_limit: true,
+        },
+    ];
+    for case in cases {
+        let mut world = world();
+        let steps = (0..).zip(case.work_ms).map(|(position, work_ms)| Step {
+            cpu_milli: 20,
+            after: (0..position).collect(),
+            ..world::step(1, *work_ms)
+        });
+        let spec = JobSpec {
+            spec: "text".to_owned(),
+            steps: steps.collect(),
+            repeat_count: case.repeat_count,
+            first_due_unix_ms: 1,
+            interval_ms: 1,
+        };
+        assert_eq!(world.submit(JOB, spec), Answer::Accepted, "{}", case.name);
+        world.run(5_000);
+        let until_ms = world.now + 15_000;
+        for node in 0..world.nodes.len() {
+            world.kill(node);
+            world.nodes[node].frozen_until_ms = until_ms;
+        }
+        if case.other_limit {
+            world.store.rewrite(with_other_occurrences);
+        }
+        world.run(20_000);
+        let bound_ms = world.now + JOB_MS;
+        while world.holder().is_none() || state(&mut world) != Answer::State(JobState::Completed) {
+            assert!(world.now < bound_ms, "{}: not completed", case.name);
+            world.run(100);
+        }
+        if !case.other_limit {
+            world.check_history();
+        }
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
     }
-    world.check_history();
-    assert_eq!(world.violations, Vec::<String>::new());
 }
