Let others run beside a lasting task once it is cleared

Cause: after the second loss the task runs as exclusive. After 10 s at work it is cleared of its exposures, the reason for the mark, but nothing took the mark off. Evidence: `exclusive` is assigned only where a run is placed; the new test is red until the mark ends. Ruled out: reservations and quarantines, which end by time.

Change: a run that lasts loses the mark when its task is cleared; each member of a gang by its own time at work.

Tests: endpoints_of_lasting_tasks_that_were_cleared_serve_others (a service and a gang; red before in its first case).

--- a/crates/chervilfall_planner/src/endpoint.rs
+++ b/crates/chervilfall_planner/src/endpoint.rs
@@ -456,6 +456,16 @@
         Some(placed)
     }
 
+    /// Lets other work run beside a run that was exclusive; returns whether it was.
+    pub(crate) fn end_exclusiveness(&mut self, task: TaskKey) -> bool {
+        let Some(placed) = self.placed.get_mut(&task) else {
+            return false;
+        };
+        let was_exclusive = std::mem::take(&mut placed.exclusive);
+        self.exclusive_runs -= u32::from(was_exclusive);
+        was_exclusive
+    }
+
     /// Returns whether a run had only just begun at the endpoint's last contact.
     pub(crate) fn has_just_begun(&self, placed: &PlacedRun) -> bool {
         self.contact_with_run_ms(placed)
--- a/crates/chervilfall_planner/src/planner/crashes.rs
+++ b/crates/chervilfall_planner/src/planner/crashes.rs
@@ -339,13 +339,19 @@
             return;
         }
         let long_running = self.jobs.get(&task.job).is_some_and(|job| job.long_running);
+        let cleared = long_running && contact_ms >= CLEARED_AFTER_MS;
+        // A member of a gang may be exclusive for the sake of another one.
+        if cleared && self.endpoints[key].end_exclusiveness(task) {
+            log::info!(task:% = task, run = run, endpoint:% = self.endpoints[key].entry.id; "cleared, other work may run beside it");
+            self.schedule_due = true;
+        }
         let Some(entry) = self.unfinished_task(task) else {
             return;
         };
         if entry.exposures.is_empty() {
             return;
         }
-        if long_running && contact_ms >= CLEARED_AFTER_MS {
+        if cleared {
             entry.exposures.clear();
             self.unsaved.progress.insert(task.job);
             return;
--- a/crates/chervilfall_planner/tests/standstill.rs
+++ b/crates/chervilfall_planner/tests/standstill.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use chervilfall_planner::{Answer, Configuration, JobId, JobSpec, Step, TaskKey};
+use world::endpoint::FakeEndpoint;
 use world::{step, World};
 
 /// Longest time for which a step with room may have nothing running.
@@ -17,6 +18,8 @@
 const LONG_MS: u64 = 600_000;
 /// First id of the jobs that a case watches.
 const WATCHED: u64 = 10_000;
+/// Id of a job that needs what a watched one has.
+const OTHER: u64 = 20_000;
 
 fn job(steps: Vec<Step>) -> JobSpec {
     JobSpec {
@@ -397,6 +400,72 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Returns whether an endpoint runs a task of the watched job.
+fn runs_watched(endpoint: &FakeEndpoint) -> bool {
+    let mut running = endpoint.running.keys();
+    running.any(|task| task.job == JobId(WATCHED))
+}
+
+/// Hands in a job whose endpoint crashes twice under it, and then, when it has been at work for long
+/// enough to be cleared, one that needs the same endpoint. Returns whether that one stands still.
+fn stands_beside_an_isolated_task(isolated: Step) -> bool {
+    const LABEL: &str = "b";
+    let needs_label = |step: Step| Step {
+        required_label: Some(LABEL.to_owned()),
+        ..step
+    };
+    let mut world = World::new(1, 12, 1);
+    world.queue.advice = None;
+    world.restart_delay_ms = 2_000;
+    world.run(1_500);
+    for endpoint in world.endpoints.values_mut() {
+        endpoint.fail_percent = 0;
+    }
+    let first = world.endpoints.values_mut().next().expect("an endpoint");
+    first.labels.insert(LABEL.to_owned());
+    submit(&mut world, WATCHED, vec![needs_label(isolated)]);
+    for _ in 0..2 {
+        world.run_until(20_000, |world| world.endpoints.values().any(runs_watched));
+        world.run(3_000);
+        let now = world.now;
+        let mut endpoints = world.endpoints.values_mut();
+        let host = endpoints.find(|endpoint| runs_watched(endpoint));
+        host.expect("it runs").crash(now, None);
+        world.run(200);
+    }
+    world.run_until(20_000, |world| world.endpoints.values().any(runs_watched));
+    world.run(15_000);
+    submit(&mut world, OTHER, vec![needs_label(step(2, 1_000))]);
+    world.run(STANDSTILL_MS);
+    assert_eq!(world.violations, Vec::<String>::new());
+    started(&world, OTHER, 0).is_empty()
+}
+
+/// Guards against an endpoint that is kept from all other work for as long as a task lasts that was
+/// isolated there and has been cleared since.
+#[test]
+fn endpoints_of_lasting_tasks_that_were_cleared_serve_others() {
+    let isolated = [
+        ("a service", lasting(1, LONG_MS)),
+        (
+            "a gang",
+            Step {
+                gang: true,
+                ..lasting(2, LONG_MS)
+            },
+        ),
+    ];
+    for (name, step) in isolated {
+        assert!(!stands_beside_an_isolated_task(step), "{name}");
+    }
+}
+
+/// Guards against an endpoint that is kept from all other work for as long as an isolated task takes.
+#[test]
+fn endpoints_of_isolated_tasks_that_end_serve_others() {
+    assert!(!stands_beside_an_isolated_task(step(1, LONG_MS)));
+}
+
 // Guards against a task that is isolated after crashes and waits for an empty endpoint where there is
 // none.
 #[test]
