--- a/crates/chervilfall_planner/src/job_parts.rs
+++ b/crates/chervilfall_planner/src/job_parts.rs
@@ -5,7 +5,7 @@
 
 use crate::progress_part::{Known, PartRow, ProgressEntry, ProgressPosition};
 use crate::record::{encode, ProgressRow};
-use crate::tasks::{Job, StepProgress, TaskState};
+use crate::tasks::{all_complete, Job, StepProgress, TaskState};
 
 /// Part of a row's maximum size that a part of the progress may have: an end rewrites one of them.
 const PART_DIVISOR: usize = 4;
@@ -170,7 +170,7 @@
     fn entries(&self, with_complete: bool) -> Vec<ProgressEntry<'_>> {
         let mut entries = Vec::new();
         for (occurrence, steps) in &self.occurrences {
-            if !with_complete && steps.iter().all(StepProgress::complete) {
+            if !with_complete && all_complete(steps) {
                 continue;
             }
             for (step, progress) in (0_u16..).zip(steps) {
--- a/crates/chervilfall_planner/src/job_progress.rs
+++ b/crates/chervilfall_planner/src/job_progress.rs
@@ -2,7 +2,7 @@
 
 use crate::progress_part::PartRow;
 use crate::record::{ranges, ProgressRow, StepRow};
-use crate::tasks::{Job, StepProgress, TaskState};
+use crate::tasks::{all_complete, Job, StepProgress, TaskState};
 
 /// Maximum number of steps of complete occurrences that are stored one by one, as earlier versions
 /// read them.
@@ -34,7 +34,7 @@
 
     fn complete_ranges(&self) -> Vec<(u32, u32)> {
         let complete = self.occurrences.iter();
-        let complete = complete.filter(|(_, steps)| is_complete(steps));
+        let complete = complete.filter(|(_, steps)| all_complete(steps));
         ranges(complete.map(|(occurrence, _)| *occurrence))
     }
 
@@ -44,7 +44,7 @@
         let listed = self
             .occurrences
             .iter()
-            .filter(|(_, steps)| complete.is_empty() || !is_complete(steps));
+            .filter(|(_, steps)| complete.is_empty() || !all_complete(steps));
         let steps = listed.flat_map(|(occurrence, steps)| {
             steps
                 .iter()
@@ -121,7 +121,10 @@
 
     /// Counts the occurrences that are complete.
     pub(crate) fn count_complete(&mut self) {
-        let complete = self.occurrences.values().filter(|steps| is_complete(steps));
+        let complete = self
+            .occurrences
+            .values()
+            .filter(|steps| all_complete(steps));
         self.complete_occurrences = u32::try_from(complete.count()).unwrap_or(u32::MAX);
     }
 
@@ -144,9 +147,7 @@
         for (index, exposures) in &row.exposures {
             if let Some(task) = progress.tasks.begin(*index) {
                 for exposure in exposures {
-                    if !task.exposures.contains(exposure) {
-                        task.exposures.push(exposure.clone());
-                    }
+                    task.expose(exposure.clone());
                 }
             }
         }
@@ -169,10 +170,6 @@
     }
 }
 
-fn is_complete(steps: &[StepProgress]) -> bool {
-    steps.iter().all(StepProgress::complete)
-}
-
 fn step_row(occurrence: u32, position: usize, step: &StepProgress) -> Option<StepRow> {
     let tasks = || step.tasks.begun();
     let done = tasks()
--- a/crates/chervilfall_planner/src/planner/crashes.rs
+++ b/crates/chervilfall_planner/src/planner/crashes.rs
@@ -38,18 +38,13 @@
         }
     }
 
-    /// Records an exposure of an unfinished task, replacing an earlier one of the same run.
+    /// Records an exposure of an unfinished task.
     fn record_exposure(&mut self, task: TaskKey, exposure: Exposure) {
         let id = exposure.endpoint.clone();
         let Some(entry) = self.unfinished_task(task) else {
             return;
         };
-        let same = |seen: &Exposure| {
-            seen.run == exposure.run
-                && seen.matches_incarnation(&exposure.endpoint, exposure.born_ms)
-        };
-        entry.exposures.retain(|seen| !same(seen));
-        entry.exposures.push(exposure);
+        entry.expose(exposure);
         self.exposed.entry(id).or_default().insert(task);
         self.unsaved.progress.insert(task.job);
     }
--- a/crates/chervilfall_planner/src/planner/ends.rs
+++ b/crates/chervilfall_planner/src/planner/ends.rs
@@ -8,7 +8,7 @@
 use crate::metrics;
 use crate::planner::Planner;
 use crate::policy::speed::{learn_speeds, DurationSample};
-use crate::tasks::{StepKey, StepProgress, TaskState};
+use crate::tasks::{all_complete, StepKey, StepProgress, TaskState};
 
 impl Planner {
     /// Records an end that an endpoint lists for the first time.
@@ -229,7 +229,7 @@
             progress.finish();
         }
         let steps = job.occurrences.get(&key.occurrence);
-        let all = steps.is_some_and(|steps| steps.iter().all(StepProgress::complete));
+        let all = steps.is_some_and(|steps| all_complete(steps));
         if !all {
             self.open_occurrence(key.job, key.occurrence);
             return;
--- a/crates/chervilfall_planner/src/tasks.rs
+++ b/crates/chervilfall_planner/src/tasks.rs
@@ -54,6 +54,18 @@
     pub(crate) exposures: Vec<Exposure>,
 }
 
+impl Task {
+    /// Records an exposure, replacing an earlier one of the same run.
+    pub(crate) fn expose(&mut self, exposure: Exposure) {
+        let same = |seen: &Exposure| {
+            seen.run == exposure.run
+                && seen.matches_incarnation(&exposure.endpoint, exposure.born_ms)
+        };
+        self.exposures.retain(|seen| !same(seen));
+        self.exposures.push(exposure);
+    }
+}
+
 /// Progress of a step in one occurrence.
 #[derive(Debug)]
 pub(crate) struct StepProgress {
@@ -113,6 +125,11 @@
     }
 }
 
+/// Returns whether all steps of an occurrence are complete.
+pub(crate) fn all_complete(steps: &[StepProgress]) -> bool {
+    steps.iter().all(StepProgress::complete)
+}
+
 /// Where a job's own row and its text are stored.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum OpenRows {
@@ -283,7 +300,7 @@
     /// Returns the occurrences that exist and are not complete.
     pub(crate) fn incomplete_occurrences(&self) -> impl Iterator<Item = u32> + '_ {
         let incomplete = self.occurrences.iter();
-        let incomplete = incomplete.filter(|(_, steps)| !steps.iter().all(StepProgress::complete));
+        let incomplete = incomplete.filter(|(_, steps)| !all_complete(steps));
         incomplete.map(|(occurrence, _)| *occurrence)
     }
 
