Forget what is known of a job's own row once it lists steps again

A job that was read with an empty row, and outgrew a row later, was taken for one whose own row leaves all steps to the parts. When the first parts did not fit one commit, that row could then have been replaced before all that it listed was in parts.

--- a/crates/chervilfall_planner/src/job_parts.rs
+++ b/crates/chervilfall_planner/src/job_parts.rs
@@ -34,7 +34,7 @@
     first: ProgressPosition,
     /// It holds nothing.
     empty: bool,
-    bytes: Vec<u8>,
+    row: Vec<u8>,
 }
 
 /// A change of a row of a job's progress.
@@ -43,9 +43,16 @@
     /// The row under the job's name.
     Head(Vec<u8>),
     /// A part.
-    Put(ProgressPosition, u32, Vec<u8>),
+    Put {
+        first: ProgressPosition,
+        number: u32,
+        row: Vec<u8>,
+    },
     /// A part that holds nothing any more.
-    Remove(ProgressPosition, u32),
+    Remove {
+        first: ProgressPosition,
+        number: u32,
+    },
 }
 
 impl JobParts {
@@ -75,12 +82,12 @@
     pub(crate) fn record(&mut self, change: &PartChange) {
         match change {
             PartChange::Head(row) => self.head = Some(digest(row)),
-            PartChange::Put(first, _, row) => {
+            PartChange::Put { first, row, .. } => {
                 if let Some(part) = self.parts.get_mut(first) {
                     part.digest = Some(digest(row));
                 }
             }
-            PartChange::Remove(first, _) => {
+            PartChange::Remove { first, .. } => {
                 self.parts.remove(first);
             }
         }
@@ -129,22 +136,18 @@
         // Until the row under the job's name says which occurrences are complete, the parts do.
         let entries = self.entries(parts.head.is_none());
         let (mut added, mut rewritten) = (Vec::new(), Vec::new());
-        for EncodedPart {
-            first,
-            empty,
-            bytes,
-        } in parts.rows(&entries, row_bytes / PART_DIVISOR)
-        {
+        for EncodedPart { first, empty, row } in parts.rows(&entries, row_bytes / PART_DIVISOR) {
             let Some(part) = parts.parts.get(&first) else {
                 continue;
             };
+            let number = part.number;
             // The first part stays, so that versions that do not know parts refuse the job's rows.
             let superfluous = empty && first != ProgressPosition::default();
             match part.digest {
-                None => added.push(PartChange::Put(first, part.number, bytes)),
-                Some(_) if superfluous => rewritten.push(PartChange::Remove(first, part.number)),
-                Some(stored) if stored != digest(&bytes) => {
-                    rewritten.push(PartChange::Put(first, part.number, bytes));
+                None => added.push(PartChange::Put { first, number, row }),
+                Some(_) if superfluous => rewritten.push(PartChange::Remove { first, number }),
+                Some(stored) if stored != digest(&row) => {
+                    rewritten.push(PartChange::Put { first, number, row });
                 }
                 Some(_) => {}
             }
@@ -244,7 +247,7 @@
     part_bytes: usize,
     rows: &mut Vec<EncodedPart>,
 ) {
-    let bytes = encode(&PartRow::new(first, entries));
+    let row = encode(&PartRow::new(first, entries));
     let middle = entries.get(entries.len() / 2).map(|entry| entry.position);
     let cut = middle.map_or(0, |middle| {
         let cut = entries.partition_point(|entry| entry.position < middle);
@@ -254,11 +257,11 @@
             entries.partition_point(|entry| entry.position <= middle)
         }
     });
-    if bytes.len() <= part_bytes || cut == 0 || cut == entries.len() {
+    if row.len() <= part_bytes || cut == 0 || cut == entries.len() {
         rows.push(EncodedPart {
             first,
             empty: entries.is_empty(),
-            bytes,
+            row,
         });
         return;
     }
--- a/crates/chervilfall_planner/src/planner/progress_rows.rs
+++ b/crates/chervilfall_planner/src/planner/progress_rows.rs
@@ -1,7 +1,7 @@
 //! Rows that the progress of a job takes in a batch.
 
 use crate::ids::JobId;
-use crate::job_parts::PartChange;
+use crate::job_parts::{JobParts, PartChange};
 use crate::planner::batch::{BatchBuilder, WrittenProgress};
 use crate::planner::Planner;
 use crate::progress_part::PartKey;
@@ -93,6 +93,10 @@
             (ProgressForm::Open, None) => self.add_parts(builder, id),
             (ProgressForm::Open, Some(progress)) => {
                 self.put_progress(builder, id, encode(&progress));
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    // From now on the row under its name lists steps.
+                    job.parts = JobParts::default();
+                }
                 true
             }
             (_, progress) => {
@@ -131,10 +135,10 @@
             let key = |number| PartKey { job: id, number };
             match change {
                 PartChange::Head(row) => self.put_progress(builder, id, row),
-                PartChange::Put(_, number, row) => {
+                PartChange::Put { number, row, .. } => {
                     builder.put(PROGRESS, key(number).to_string(), row);
                 }
-                PartChange::Remove(_, number) => builder.remove(PROGRESS, &key(number)),
+                PartChange::Remove { number, .. } => builder.remove(PROGRESS, &key(number)),
             }
         }
         true
